--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Set-up happens once for each change of the pinned versions; VENV may name a shared environment.
+VENV ?= .venv
+PYTHON ?= python3.11
+STAMP := $(VENV)/.installed
+PACKAGES := packages/carawayshore packages/carawayd packages/carawayctl packages/standins
+SOURCES := $(CURDIR)/packages/carawayshore/src:$(CURDIR)/packages/carawayd/src:$(CURDIR)/packages/carawayctl/src:$(CURDIR)/packages/standins/src
+export PYTHONPATH := $(SOURCES)
+RUN := $(VENV)/bin/python
+
+.PHONY: setup demo serve test lint format bench matrix
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements.txt
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $(STAMP)
+
+# Runs two data centres on loopback and prints the table of promises; JSON=1 prints one JSON object.
+demo: setup
+	@$(RUN) -m carawayshore_standins.demo $(if $(JSON),--json)
+
+# Keeps the demonstration set running until interrupted.
+serve: setup
+	@$(RUN) -m carawayshore_standins.launcher
+
+test: setup
+	@$(RUN) tools/check.py
+
+lint: setup
+	$(RUN) -m black --check --quiet packages features benchmarks tools
+	$(RUN) -m ruff check packages features benchmarks tools
+
+format: setup
+	$(RUN) -m black --quiet packages features benchmarks tools
+	$(RUN) -m ruff check --fix --quiet packages features benchmarks tools
+
+bench: setup
+	@$(RUN) -m benchmarks
+
+matrix: setup
+	@$(RUN) tools/matrix.py
--- /dev/null
+++ b/packages/carawayctl/src/carawayctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/packages/carawayd/src/carawayd/__init__.py
@@ -0,0 +1,1 @@
+"""The carawayshore daemon that runs on every entry host."""
--- /dev/null
+++ b/packages/carawayshore/src/carawayshore/assignment.py
@@ -0,0 +1,92 @@
+"""Assignment of hosts to pools: a host belongs to exactly one pool at any moment."""
+
+from __future__ import annotations
+
+from carawayshore import records
+from carawayshore.fold import ACCEPTED, Host, StreamState, folds, reject
+
+FLEET_CLAIM = "fleet"
+
+
+def has_fence(state: StreamState, claim: str, fence: int) -> bool:
+    """Returns whether ``fence`` is the one under which ``claim`` is held now."""
+    current = state.claims.get(claim)
+    return current is not None and not current.released and current.fence == fence
+
+
+def _check_host(state: StreamState, body) -> str:
+    """Returns why the record cannot change the host, or an empty string."""
+    host = state.hosts.get(body.host)
+    if host is None:
+        return f"host {body.host!r} does not exist"
+    if not has_fence(state, FLEET_CLAIM, body.fence):
+        return f"claim {FLEET_CLAIM!r} is not held under fence {body.fence}"
+    if host.revision != body.revision:
+        return f"host {body.host!r} has revision {host.revision}, not {body.revision}"
+    return ""
+
+
+@folds(records.HostAdded)
+def _add(state: StreamState, offset: int, item: records.Record):
+    body: records.HostAdded = item.body
+    if body.host in state.hosts:
+        return reject(f"host {body.host!r} exists already")
+    state.hosts[body.host] = Host(
+        body.pool,
+        body.address,
+        body.rack,
+        body.slots,
+        body.connections,
+        body.resources,
+        revision=1,
+        changed=offset,
+    )
+    return ACCEPTED
+
+
+@folds(records.HostRemoved)
+def _remove(state: StreamState, offset: int, item: records.Record):
+    reason = _check_host(state, item.body)
+    if reason:
+        return reject(reason)
+    del state.hosts[item.body.host]
+    return ACCEPTED
+
+
+@folds(records.HostDrainStarted)
+def _start_drain(state: StreamState, offset: int, item: records.Record):
+    body: records.HostDrainStarted = item.body
+    reason = _check_host(state, body)
+    if reason:
+        return reject(reason)
+    host = state.hosts[body.host]
+    if host.draining_to:
+        return reject(f"host {body.host!r} is draining already")
+    state.hosts[body.host] = host._replace(
+        revision=host.revision + 1, draining_to=body.to_pool, reason=body.reason, changed=offset
+    )
+    return ACCEPTED
+
+
+@folds(records.HostJoined)
+def _join(state: StreamState, offset: int, item: records.Record):
+    body: records.HostJoined = item.body
+    reason = _check_host(state, body)
+    if reason:
+        return reject(reason)
+    host = state.hosts[body.host]
+    if host.draining_to != body.pool:
+        return reject(f"host {body.host!r} is draining to {host.draining_to!r}, not {body.pool!r}")
+    state.hosts[body.host] = host._replace(
+        pool=body.pool, revision=host.revision + 1, draining_to="", reason="", changed=offset
+    )
+    return ACCEPTED
+
+
+def list_serving(state: StreamState, pool: str) -> list[str]:
+    """Returns the hosts of ``pool`` that may be given work, in the order of their names."""
+    return [
+        name
+        for name, host in sorted(state.hosts.items())
+        if host.pool == pool and not host.draining_to
+    ]
--- /dev/null
+++ b/packages/carawayshore/src/carawayshore/fold.py
@@ -0,0 +1,273 @@
+"""The fold of a control stream: every process derives the same state from the same records."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from carawayshore import records
+
+# A late duplicate of an append cannot be this many offsets behind the original: a producer
+# has one batch in flight and retries for minutes, not for days.
+PRODUCER_RETENTION_OFFSETS = 1_000_000
+# Bounds the memory of the state: a finished job or a granted key takes about 400 bytes.
+ENTRY_RETENTION_OFFSETS = 100_000
+PRUNING_INTERVAL_OFFSETS = 1_000
+TERMINAL_JOB_STATES = frozenset({"succeeded", "failed", "cancelled", "unknown", "unplaceable"})
+
+
+class Rejection(NamedTuple):
+    """Reason why a record has no effect on the state."""
+
+    reason: str
+
+
+class Producer(NamedTuple):
+    sequence: int
+    offset: int
+
+
+class ConfigurationVersion(NamedTuple):
+    version: int
+    document: dict[str, Any]
+    author: str
+
+
+class Claim(NamedTuple):
+    """A lapsing claim. ``fence`` is the offset of the record that took it."""
+
+    member: str
+    incarnation: int
+    fence: int
+    renewal: int
+    released: bool = False
+
+
+class Member(NamedTuple):
+    """The current or last incarnation of an entry host."""
+
+    incarnation: int
+    caller_address: str
+    peer_address: str
+    joined: int
+    ended: bool = False
+    evidence: str = ""
+
+
+class Host(NamedTuple):
+    """Assignment of a host. ``revision`` grows with each change of the host."""
+
+    pool: str
+    address: str
+    rack: str
+    slots: int
+    connections: int
+    resources: records.Resources
+    revision: int
+    draining_to: str = ""
+    reason: str = ""
+    changed: int = 0
+
+
+class Placement(NamedTuple):
+    attempt: int
+    host: str
+    fence: int
+
+
+class Job(NamedTuple):
+    queue: str
+    team: str
+    service: str
+    payload: dict[str, Any]
+    resources: records.Resources
+    urgent: bool
+    repeatable: bool
+    deadline: str
+    declared_seconds: float
+    submitted: int
+    state: str
+    placement: Placement
+    changed: int
+    detail: str = ""
+
+
+class KeyGrant(NamedTuple):
+    request: str
+    member: str
+    incarnation: int
+    offset: int
+    status: int = 0
+
+
+class Wave(NamedTuple):
+    data_centre: str
+    hosts: list[str]
+    done: list[str]
+    started: int
+
+
+class Pause(NamedTuple):
+    author: str
+    reason: str
+
+
+class FoldedState(NamedTuple):
+    """All that a stream's records amount to; encoded in snapshots."""
+
+    next_offset: int
+    producers: dict[str, Producer]
+    configuration: ConfigurationVersion
+    claims: dict[str, Claim]
+    members: dict[str, Member]
+    hosts: dict[str, Host]
+    jobs: dict[str, Job]
+    keys: dict[str, KeyGrant]
+    waves: dict[str, Wave]
+    pause: Pause | None
+    maintained: dict[str, int]
+
+
+Handler = Callable[["StreamState", int, records.Record], Result[None, Rejection]]
+_handlers: dict[type, Handler] = {}
+
+
+def folds(body_type: type):
+    """Registers the handler of a record type."""
+
+    def register(handler: Handler) -> Handler:
+        if body_type in _handlers:
+            raise ValueError(f"record type {body_type.__name__} has two handlers")
+        _handlers[body_type] = handler
+        return handler
+
+    return register
+
+
+def reject(reason: str) -> Result[None, Rejection]:
+    """Returns the failure of a record whose precondition does not hold."""
+    return Failure(Rejection(reason))
+
+
+ACCEPTED: Result[None, Rejection] = Success(None)
+
+
+class StreamState:
+    """Mutable state of one stream; the same records give the same state everywhere."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.producers: dict[str, Producer] = {}
+        self.configuration = ConfigurationVersion(0, {}, "")
+        self.claims: dict[str, Claim] = {}
+        self.members: dict[str, Member] = {}
+        self.hosts: dict[str, Host] = {}
+        self.jobs: dict[str, Job] = {}
+        self.keys: dict[str, KeyGrant] = {}
+        self.waves: dict[str, Wave] = {}
+        self.pause: Pause | None = None
+        self.maintained: dict[str, int] = {}
+
+    def export(self) -> FoldedState:
+        """Returns the state as data; the tables are shared, not copied."""
+        return FoldedState(*(getattr(self, name) for name in FoldedState._fields))
+
+    def encode(self) -> bytes:
+        """Returns the canonical encoding, equal for equal states."""
+        return msgspec.json.encode(self.export(), order="sorted")
+
+    def digest(self) -> str:
+        """Returns the SHA-256 of the canonical encoding as hexadecimal digits."""
+        return hashlib.sha256(self.encode()).hexdigest()
+
+    @classmethod
+    def decode(cls, data: bytes) -> StreamState:
+        """Returns the state encoded in ``data``.
+
+        Raises
+        ------
+        msgspec.ValidationError
+            If ``data`` is not the encoding of a state.
+        """
+        state = cls()
+        folded = msgspec.json.decode(data, type=FoldedState)
+        for name, value in zip(FoldedState._fields, folded, strict=True):
+            setattr(state, name, value)
+        return state
+
+
+def _prune(state: StreamState, offset: int) -> None:
+    """Drops old entries; depends on offsets alone, so that every process drops the same ones."""
+    if offset % PRUNING_INTERVAL_OFFSETS:
+        return
+    oldest_producer = offset - PRODUCER_RETENTION_OFFSETS
+    oldest_entry = offset - ENTRY_RETENTION_OFFSETS
+    state.producers = {
+        name: item for name, item in state.producers.items() if item.offset >= oldest_producer
+    }
+    state.members = {
+        name: item
+        for name, item in state.members.items()
+        if not item.ended or item.joined >= oldest_producer
+    }
+    state.keys = {name: item for name, item in state.keys.items() if item.offset >= oldest_entry}
+    state.jobs = {
+        name: item
+        for name, item in state.jobs.items()
+        if item.state not in TERMINAL_JOB_STATES or item.changed >= oldest_entry
+    }
+
+
+def _is_current_producer(state: StreamState, item: records.Record) -> bool:
+    """Returns whether the producer may change a stream that has members."""
+    if not state.members or isinstance(item.body, records.MemberJoined):
+        return True
+    name, _, incarnation = item.producer.rpartition("/")
+    member = state.members.get(name)
+    return member is not None and not member.ended and str(member.incarnation) == incarnation
+
+
+def apply_record(state: StreamState, offset: int, item: records.Record) -> Result[None, Rejection]:
+    """Applies one record; the state advances past ``offset`` in any case.
+
+    Parameters
+    ----------
+    state : StreamState
+        Changed in place.
+    offset : int
+        Offset of the record; must not be below ``state.next_offset``.
+    item : Record
+
+    Returns
+    -------
+    Result[None, Rejection]
+        The reason if the record has no effect.
+
+    Raises
+    ------
+    ValueError
+        If the offset was applied before, which is a fault of the caller.
+    """
+    if offset < state.next_offset:
+        raise ValueError(f"offset {offset} applied already, next is {state.next_offset}")
+    state.next_offset = offset + 1
+    _prune(state, offset)
+    known = state.producers.get(item.producer)
+    if known is not None and item.sequence <= known.sequence:
+        return reject("duplicate")
+    state.producers[item.producer] = Producer(item.sequence, offset)
+    if not _is_current_producer(state, item):
+        return reject("the producer is not a current member")
+    handler = _handlers.get(type(item.body))
+    if handler is None:
+        return reject("no handler")
+    return handler(state, offset, item)
+
+
+def skip_record(state: StreamState, offset: int) -> None:
+    """Advances past a malformed record."""
+    state.next_offset = max(state.next_offset, offset + 1)
--- /dev/null
+++ b/packages/carawayshore/src/carawayshore/records.py
@@ -0,0 +1,307 @@
+"""Records of the control streams and their wire format.
+
+A record is appended as ``{"id": {"producer": str, "sequence": int}, "type": str, "body": object}``.
+Every type is a ``NamedTuple`` registered with :func:`record`.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, TypedDict, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+RecordType = TypeVar("RecordType", bound=type)
+
+_types_by_name: dict[str, type] = {}
+_names_by_type: dict[type, str] = {}
+
+
+class RecordId(TypedDict):
+    """Identity of a record: ``sequence`` grows by one or more with each record of a producer."""
+
+    producer: str
+    sequence: int
+
+
+class Envelope(TypedDict):
+    """A record as it is appended to the log service."""
+
+    id: RecordId
+    type: str
+    body: dict[str, Any]
+
+
+class Record(NamedTuple):
+    """A decoded record."""
+
+    producer: str
+    sequence: int
+    body: Any
+
+
+class Malformed(NamedTuple):
+    """Reason why an envelope could not be decoded."""
+
+    reason: str
+
+
+def record(name: str):
+    """Registers a ``NamedTuple`` as the body of the record type ``name``."""
+
+    def register(body_type: RecordType) -> RecordType:
+        if name in _types_by_name:
+            raise ValueError(f"record type {name!r} is registered twice")
+        _types_by_name[name] = body_type
+        _names_by_type[body_type] = name
+        return body_type
+
+    return register
+
+
+def list_record_types() -> dict[str, type]:
+    """Returns the registered record types by name."""
+    return dict(_types_by_name)
+
+
+def encode_record(item: Record) -> Envelope:
+    """Returns the envelope of ``item``."""
+    return {
+        "id": {"producer": item.producer, "sequence": item.sequence},
+        "type": _names_by_type[type(item.body)],
+        "body": {name: msgspec.to_builtins(value) for name, value in item.body._asdict().items()},
+    }
+
+
+def decode_record(envelope: Any) -> Result[Record, Malformed]:
+    """Decodes an envelope read from the log.
+
+    Parameters
+    ----------
+    envelope : Any
+        Parsed JSON; nothing about its shape is assumed.
+
+    Returns
+    -------
+    Result[Record, Malformed]
+        The record, or the reason why it is malformed.
+    """
+    try:
+        checked = msgspec.convert(envelope, Envelope)
+    except msgspec.ValidationError as error:
+        return Failure(Malformed(str(error)))
+    body_type = _types_by_name.get(checked["type"])
+    if body_type is None:
+        accepted = ", ".join(sorted(_types_by_name))
+        return Failure(Malformed(f"unknown type {checked['type']!r}, accepted: {accepted}"))
+    body = checked["body"]
+    missing = [
+        name
+        for name in body_type._fields
+        if name not in body and name not in body_type._field_defaults
+    ]
+    unknown = sorted(set(body) - set(body_type._fields))
+    if missing or unknown:
+        return Failure(Malformed(f"{checked['type']}: missing {missing}, unknown {unknown}"))
+    values = [body.get(name, body_type._field_defaults.get(name)) for name in body_type._fields]
+    try:
+        decoded = msgspec.convert(values, body_type)
+    except msgspec.ValidationError as error:
+        return Failure(Malformed(f"{checked['type']}: {error}"))
+    return Success(Record(checked["id"]["producer"], checked["id"]["sequence"], decoded))
+
+
+@record("configuration_published")
+class ConfigurationPublished(NamedTuple):
+    base_version: int
+    document: dict[str, Any]
+    author: str
+
+
+@record("claim_taken")
+class ClaimTaken(NamedTuple):
+    claim: str
+    member: str
+    incarnation: int
+    previous_fence: int
+    previous_renewal: int
+
+
+@record("claim_renewed")
+class ClaimRenewed(NamedTuple):
+    claim: str
+    fence: int
+    renewal: int
+
+
+@record("claim_released")
+class ClaimReleased(NamedTuple):
+    claim: str
+    fence: int
+
+
+@record("member_joined")
+class MemberJoined(NamedTuple):
+    """``incarnation`` is the end offset of the stream that the process read before joining."""
+
+    member: str
+    incarnation: int
+    caller_address: str
+    peer_address: str
+
+
+@record("member_left")
+class MemberLeft(NamedTuple):
+    member: str
+    incarnation: int
+
+
+@record("member_evicted")
+class MemberEvicted(NamedTuple):
+    member: str
+    incarnation: int
+    evidence: str
+
+
+class Resources(NamedTuple):
+    processors: float
+    memory_gib: float
+    accelerators: int = 0
+
+
+@record("host_added")
+class HostAdded(NamedTuple):
+    host: str
+    pool: str
+    address: str
+    rack: str
+    slots: int
+    connections: int
+    resources: Resources
+
+
+@record("host_removed")
+class HostRemoved(NamedTuple):
+    host: str
+    revision: int
+    fence: int
+
+
+@record("host_drain_started")
+class HostDrainStarted(NamedTuple):
+    """Starts a move to ``to_pool``; the host's own pool for a drain that ends in its return."""
+
+    host: str
+    revision: int
+    to_pool: str
+    reason: str
+    fence: int
+
+
+@record("host_joined")
+class HostJoined(NamedTuple):
+    host: str
+    revision: int
+    pool: str
+    fence: int
+
+
+@record("job_submitted")
+class JobSubmitted(NamedTuple):
+    job: str
+    queue: str
+    team: str
+    service: str
+    payload: dict[str, Any]
+    resources: Resources
+    urgent: bool
+    repeatable: bool
+    deadline: str
+    declared_seconds: float
+
+
+@record("job_placed")
+class JobPlaced(NamedTuple):
+    job: str
+    attempt: int
+    host: str
+    fence: int
+
+
+@record("job_finished")
+class JobFinished(NamedTuple):
+    """``result`` is ``succeeded``, ``failed``, ``not-started`` or ``unknown``."""
+
+    job: str
+    attempt: int
+    result: str
+    detail: str
+
+
+@record("job_cancelled")
+class JobCancelled(NamedTuple):
+    job: str
+
+
+@record("job_unplaceable")
+class JobUnplaceable(NamedTuple):
+    job: str
+    reason: str
+
+
+@record("key_granted")
+class KeyGranted(NamedTuple):
+    key: str
+    request: str
+    member: str
+    incarnation: int
+
+
+@record("key_finished")
+class KeyFinished(NamedTuple):
+    key: str
+    request: str
+    status: int
+
+
+@record("wave_started")
+class WaveStarted(NamedTuple):
+    wave: str
+    data_centre: str
+    hosts: list[str]
+    fence: int
+
+
+@record("wave_host_done")
+class WaveHostDone(NamedTuple):
+    wave: str
+    host: str
+    fence: int
+
+
+@record("wave_finished")
+class WaveFinished(NamedTuple):
+    wave: str
+    fence: int
+
+
+@record("maintenance_paused")
+class MaintenancePaused(NamedTuple):
+    author: str
+    reason: str
+
+
+@record("maintenance_resumed")
+class MaintenanceResumed(NamedTuple):
+    author: str
+
+
+@record("snapshot")
+class Snapshot(NamedTuple):
+    """Part ``part`` of ``parts`` of the state folded up to, not including, offset ``through``."""
+
+    through: int
+    digest: str
+    part: int
+    parts: int
+    data: str
--- /dev/null
+++ b/packages/standins/src/carawayshore_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its workers and callers."""
