--- /dev/null
+++ b/packages/carawayd/src/carawayd/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one connection or one peer."""
--- /dev/null
+++ b/packages/carawayd/src/carawayd/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/packages/carawayd/src/carawayd/platform/api.py
@@ -0,0 +1,34 @@
+"""Entry point to the platform: all clients of one process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from carawayd.platform import hostlist, log, pools, worker
+from carawayd.platform.plugins import build_client
+
+if TYPE_CHECKING:
+    from carawayd.process.settings import Settings
+
+__all__ = ["Platform", "hostlist", "log", "open_platform", "pools", "worker"]
+
+
+class Platform(NamedTuple):
+    log: log.LogClient
+    hostlist: hostlist.HostListClient
+    pools: pools.PoolsClient
+    worker: worker.WorkerClient
+
+    async def close(self) -> None:
+        for client in self:
+            await client.close()
+
+
+def open_platform(settings: Settings) -> Platform:
+    """Returns clients for the services that the settings name."""
+    return Platform(
+        build_client("log", settings.log, settings),
+        build_client("hostlist", settings.hostlist, settings),
+        build_client("pools", settings.pools, settings),
+        build_client("worker", "", settings),
+    )
--- /dev/null
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -0,0 +1,91 @@
+"""Base of the platform clients: one HTTP session each, typed errors, a timeout on every call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgspec
+
+if TYPE_CHECKING:
+    from carawayd.process.settings import Settings
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class PlatformError(Exception):
+    """A call failed, and it is not known whether it took effect."""
+
+
+class PlatformRefusal(PlatformError):
+    """The service answered that it did not do what was asked.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer.
+    document : Any
+        Parsed JSON of the answer, or None.
+    retry_after : float
+        Seconds after which the call may succeed, 0 if the answer does not tell.
+    """
+
+    def __init__(self, status: int, document: Any, retry_after: float = 0.0) -> None:
+        super().__init__(f"the service answered with status {status}: {document!r}")
+        self.status = status
+        self.document = document
+        self.retry_after = retry_after
+
+
+class PlatformClient:
+    """One service of the platform."""
+
+    # True where a call must not reuse a connection that may have gone silent.
+    force_close = False
+
+    def __init__(self, url: str, settings: Settings) -> None:
+        self.url = url.rstrip("/")
+        self.settings = settings
+        timeout = aiohttp.ClientTimeout(total=settings.options.log_timeout.total_seconds())
+        connector = aiohttp.TCPConnector(limit=0, force_close=self.force_close)
+        self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+
+    async def close(self) -> None:
+        await self._session.close()
+
+    async def call(
+        self, method: str, path: str, *, body: Any = None, timeout: float | None = None
+    ) -> Any:
+        """Calls the service and returns the parsed answer.
+
+        Raises
+        ------
+        PlatformRefusal
+            If the service answered with a status of 400 or more.
+        PlatformError
+            If there was no valid answer.
+        """
+        extra = {"timeout": aiohttp.ClientTimeout(total=timeout)} if timeout else {}
+        try:
+            async with self._session.request(method, self.url + path, json=body, **extra) as answer:
+                data = await answer.content.read(MAX_ANSWER_BYTES)
+                while chunk := await answer.content.read(MAX_ANSWER_BYTES):
+                    data += chunk
+                    if len(data) > MAX_ANSWER_BYTES:
+                        raise PlatformError(f"answer of {path} exceeds {MAX_ANSWER_BYTES} bytes")
+                return self._read_answer(answer, data)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise PlatformError(f"{method} {path}: {type(error).__name__}: {error}") from error
+
+    def _read_answer(self, answer: aiohttp.ClientResponse, data: bytes) -> Any:
+        try:
+            document = msgspec.json.decode(data) if data else None
+        except msgspec.DecodeError as error:
+            if answer.status < 400:
+                raise PlatformError(f"answer is not JSON: {error}") from error
+            document = None
+        if answer.status >= 400:
+            retry_after = answer.headers.get("Retry-After", "0")
+            seconds = float(retry_after) if retry_after.replace(".", "", 1).isdigit() else 0.0
+            raise PlatformRefusal(answer.status, document, seconds)
+        return document
--- /dev/null
+++ b/packages/carawayd/src/carawayd/platform/pools.py
@@ -0,0 +1,55 @@
+"""Client of the pools service, which drains, reboots and returns hosts."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from carawayd.platform.common import PlatformClient, PlatformError
+from carawayd.platform.plugins import platform_client
+
+STATES = ("serving", "draining", "drained", "rebooting")
+
+
+class HostStatus(NamedTuple):
+    host: str
+    pool: str
+    state: str
+    operation: str
+
+
+@platform_client("pools")
+class PoolsClient(PlatformClient):
+    """Drains, reboots and returns hosts; the same operation identifier has one effect."""
+
+    async def _start(self, host: str, verb: str, body: dict[str, Any]) -> None:
+        await self.call("POST", f"/v1/hosts/{host}/{verb}", body=body)
+
+    async def drain(self, host: str, *, operation: str, fence: int) -> None:
+        """Starts draining; raises PlatformError if it is not known whether it started."""
+        await self._start(host, "drain", {"operation": operation, "fence": fence})
+
+    async def reboot(self, host: str, *, operation: str, fence: int) -> None:
+        """Starts a reboot; raises PlatformError if it is not known whether it started."""
+        await self._start(host, "reboot", {"operation": operation, "fence": fence})
+
+    async def return_host(self, host: str, *, pool: str, operation: str, fence: int) -> None:
+        """Lets the host serve ``pool``; raises PlatformError if it is not known whether it does."""
+        body = {"operation": operation, "fence": fence, "pool": pool}
+        await self._start(host, "return", body)
+
+    async def look_up(self, host: str) -> HostStatus:
+        """Returns the state of a host.
+
+        Raises
+        ------
+        PlatformError
+            If there was no valid answer.
+        """
+        answer = await self.call("GET", f"/v1/hosts/{host}")
+        try:
+            status = HostStatus(*(str(answer[name] or "") for name in HostStatus._fields))
+        except (KeyError, TypeError) as error:
+            raise PlatformError(f"malformed status of host {host!r}: {answer!r}") from error
+        if status.state not in STATES:
+            raise PlatformError(f"state {status.state!r}, accepted: {', '.join(STATES)}")
+        return status
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/appender.py
@@ -0,0 +1,259 @@
+"""Appending to one control stream: batches, priorities, and recognition after lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import logging
+from datetime import timedelta
+from enum import IntEnum
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+from mode import Service
+
+from carawayd.platform.common import PlatformError, PlatformRefusal
+from carawayd.process.streams import Applied
+from carawayshore import records
+from carawayshore.records import Record, encode_record
+
+if TYPE_CHECKING:
+    import random
+
+    from returns.result import Result
+
+    from carawayd.platform.log import LogClient
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.settings import Settings
+    from carawayd.process.streams import StreamReader
+    from carawayshore.clock import Clock
+    from carawayshore.fold import Rejection
+
+logger = logging.getLogger(__name__)
+
+MAX_BATCH_BYTES = 192 * 1024
+MAX_BATCH_RECORDS = 500
+MAX_PENDING = 10_000
+RETRY_FIRST = timedelta(milliseconds=50)
+RETRY_LONGEST = timedelta(seconds=2)
+
+
+class Priority(IntEnum):
+    """Order in which pending records are appended."""
+
+    KEY_GRANT = 0
+    CLAIM = 1
+    CONFIGURATION = 2
+    MEMBER = 3
+    JOB = 4
+    FLEET = 5
+    SNAPSHOT = 6
+
+
+class NotAppended(Exception):
+    """The record was withdrawn before it was sent; it has no effect."""
+
+
+class AppendUnknown(Exception):
+    """The record was sent, and it is not known yet whether it takes effect."""
+
+
+class Pending(NamedTuple):
+    priority: Priority
+    number: int
+    body: Any
+    future: asyncio.Future[Result[None, Rejection]]
+
+
+class AppendRate:
+    """Token bucket over the appends of one process, shared by its streams."""
+
+    def __init__(self, clock: Clock, per_second: float) -> None:
+        self.per_second = per_second
+        self._clock = clock
+        self._tokens = 1.0
+        self._updated = clock.elapsed()
+
+    async def wait(self) -> None:
+        """Waits until one more append is within the rate."""
+        now = self._clock.elapsed()
+        gained = (now - self._updated).total_seconds() * self.per_second
+        self._tokens = min(max(1.0, self.per_second / 10), self._tokens + gained) - 1
+        self._updated = now
+        if self._tokens < 0:
+            await self._clock.sleep(timedelta(seconds=-self._tokens / self.per_second))
+
+
+class Appender(Service):
+    """Appends the records of one producer to one stream, one batch in flight at a time.
+
+    Parameters
+    ----------
+    reader : StreamReader
+        Reads the records back; its fold decides whether they take effect.
+    log : LogClient
+    rate : AppendRate
+    settings : Settings
+    clock : Clock
+    metrics : Metrics
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        reader: StreamReader,
+        *,
+        log: LogClient,
+        rate: AppendRate,
+        settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self.producer = ""
+        self._reader = reader
+        self._log = log
+        self._rate = rate
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._sequence = 0
+        self._numbers = itertools.count()
+        self._pending: list[Pending] = []
+        self._wanted = asyncio.Event()
+        self._in_flight: dict[int, asyncio.Future] = {}
+        self._appended: dict[int, asyncio.Future] = {}
+        reader.listen(self._note_applied)
+
+    def set_producer(self, member: str, incarnation: int) -> None:
+        """Names the producer of all further records; its sequence starts anew."""
+        for waiting in (self._in_flight, self._appended):
+            for future in waiting.values():
+                if not future.done():
+                    future.set_exception(AppendUnknown(f"producer {self.producer!r} ended"))
+            waiting.clear()
+        self.producer = f"{member}/{incarnation}"
+        self._sequence = 0
+
+    @property
+    def pending_count(self) -> int:
+        return len(self._pending) + len(self._in_flight)
+
+    def submit(self, body: Any, priority: Priority) -> asyncio.Future[Result[None, Rejection]]:
+        """Queues a record; the future ends with the fold's result once it is read back.
+
+        Raises
+        ------
+        NotAppended
+            If too many records are pending.
+        """
+        if len(self._pending) >= MAX_PENDING:
+            raise NotAppended(f"{MAX_PENDING} records are pending on {self._reader.stream!r}")
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._pending, Pending(priority, next(self._numbers), body, future))
+        self._wanted.set()
+        return future
+
+    async def append(
+        self, body: Any, priority: Priority, *, wait: timedelta | None = None
+    ) -> Result[None, Rejection]:
+        """Appends a record and returns the fold's result once it is read back.
+
+        Raises
+        ------
+        NotAppended
+            If the record was not sent within ``wait``; it never takes effect.
+        AppendUnknown
+            If the record was sent but not read back within ``wait``.
+        """
+        future = self.submit(body, priority)
+        limit = wait or self._settings.options.append_wait
+        done, _ = await asyncio.wait({future}, timeout=limit.total_seconds())
+        if done:
+            return future.result()
+        if self._withdraw(future):
+            raise NotAppended(f"not sent to {self._reader.stream!r} within {limit}")
+        raise AppendUnknown(f"not read back from {self._reader.stream!r} within {limit}")
+
+    def _withdraw(self, future: asyncio.Future) -> bool:
+        kept = [item for item in self._pending if item.future is not future]
+        withdrawn = len(kept) < len(self._pending)
+        if withdrawn:
+            heapq.heapify(kept)
+            self._pending = kept
+        return withdrawn
+
+    def _note_applied(self, applied: Applied) -> None:
+        if applied.record.producer != self.producer:
+            return
+        for waiting in (self._in_flight, self._appended):
+            future = waiting.pop(applied.record.sequence, None)
+            if future is not None and not future.done():
+                future.set_result(applied.result)
+
+    def _take_batch(self) -> list[tuple[int, records.Envelope]]:
+        batch: list[tuple[int, records.Envelope]] = []
+        size = 0
+        while self._pending and len(batch) < MAX_BATCH_RECORDS:
+            envelope = encode_record(Record(self.producer, self._sequence + 1, self._pending[0][2]))
+            size += len(msgspec.json.encode(envelope))
+            if batch and size > MAX_BATCH_BYTES:
+                break
+            item = heapq.heappop(self._pending)
+            self._sequence += 1
+            self._in_flight[self._sequence] = item.future
+            batch.append((self._sequence, envelope))
+        return batch
+
+    @Service.task
+    async def _send(self) -> None:
+        while not self.should_stop:
+            await self._wanted.wait()
+            if not self._pending:
+                self._wanted.clear()
+                continue
+            await self._rate.wait()
+            await self._send_batch(self._take_batch())
+
+    async def _send_batch(self, batch: list[tuple[int, records.Envelope]]) -> None:
+        """Sends one batch again and again until it is answered or read back."""
+        delay = RETRY_FIRST
+        envelopes = [envelope for _, envelope in batch]
+        while any(sequence in self._in_flight for sequence, _ in batch):
+            try:
+                await self._log.append(self._reader.stream, envelopes)
+            except PlatformRefusal as error:
+                if error.status in (400, 413):
+                    self._drop(batch, error)
+                    return
+                self._count("refused")
+                delay = max(delay, timedelta(seconds=min(error.retry_after, 2.0)))
+            except PlatformError:
+                self._count("unknown")
+            else:
+                self._count("done")
+                self._await_read_back(batch)
+                return
+            await self._clock.sleep(delay * self._rng.uniform(0.5, 1.5))
+            delay = min(delay * 2, RETRY_LONGEST)
+
+    def _count(self, result: str) -> None:
+        self._metrics.appends.labels(self._reader.stream, result).inc()
+
+    def _await_read_back(self, batch: list[tuple[int, records.Envelope]]) -> None:
+        for sequence, _ in batch:
+            future = self._in_flight.pop(sequence, None)
+            if future is not None:
+                self._appended[sequence] = future
+
+    def _drop(self, batch: list[tuple[int, records.Envelope]], error: PlatformRefusal) -> None:
+        """Gives up a batch that the log will never take."""
+        logger.error("stream %s refuses a batch: %s", self._reader.stream, error)
+        self._count("dropped")
+        for sequence, _ in batch:
+            future = self._in_flight.pop(sequence, None)
+            if future is not None and not future.done():
+                future.set_exception(NotAppended(str(error)))
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -0,0 +1,301 @@
+"""The daemon: builds the parts of one process, starts them in order and stops them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from mode import Service
+
+from carawayd.connection.target import Connections
+from carawayd.platform.api import Platform, open_platform
+from carawayd.process.appender import Appender, AppendRate
+from carawayd.process.claims import ClaimKeeper
+from carawayd.process.endpoints import CallerEndpoints
+from carawayd.process.fleet import FleetController
+from carawayd.process.inventory import Inventory
+from carawayd.process.keys import KeyOwner
+from carawayd.process.membership import Membership
+from carawayd.process.metrics import Metrics
+from carawayd.process.observations import Observations
+from carawayd.process.operators import OperatorEndpoints
+from carawayd.process.peers import Peers
+from carawayd.process.slots import Slots
+from carawayd.process.snapshots import SnapshotWriter
+from carawayd.process.streams import StreamReader
+from carawayd.process.sync import StateSync
+from carawayd.request.answers import KeptAnswers
+from carawayd.request.attempt import Attempts
+from carawayd.request.forward import Forwarder, Inbound
+from carawayd.request.handler import RequestHandler
+from carawayd.request.keyed import KeyedRequests
+from carawayd.version.configuration import Versions
+from carawayd.version.dispatcher import Dispatcher
+from carawayshore.assignment import FLEET_CLAIM
+
+if TYPE_CHECKING:
+    from carawayd.process.settings import Settings
+    from carawayshore.clock import Clock
+    from carawayshore.queueing import QueueSettings
+
+logger = logging.getLogger(__name__)
+
+GLOBAL_STREAM = "global"
+DRAIN_INTERVAL = timedelta(milliseconds=50)
+
+
+@dataclass
+class Parts:
+    """All parts of one process, for the endpoints and the state dump."""
+
+    settings: Settings
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+    platform: Platform
+    global_reader: StreamReader
+    reader: StreamReader
+    global_appender: Appender
+    appender: Appender
+    peers: Peers
+    membership: Membership
+    sync: StateSync
+    inventory: Inventory
+    observations: Observations
+    slots: Slots
+    versions: Versions
+    connections: Connections
+    keys: KeyOwner
+    kept: KeptAnswers
+    inbound: Inbound
+    handler: RequestHandler
+    keyed: KeyedRequests
+    keepers: list[ClaimKeeper]
+    controllers: list[Service]
+
+    def find_unreadiness(self) -> str:
+        """Returns why the balancer should send no callers here, or an empty string."""
+        if self.membership.stopping:
+            return "stopping"
+        if self.versions.current is None:
+            return "no configuration is known"
+        if self.sync.is_behind():
+            return "a peer has applied later records"
+        if not self.membership.may_serve() and not any(
+            peer.heartbeat.ready for peer in self.peers.list_live()
+        ):
+            return "not joined, and no joined peer can be reached"
+        return ""
+
+
+def build_parts(settings: Settings, clock: Clock) -> Parts:
+    """Returns the parts of a process, not started yet."""
+    seed = settings.options.seed or secrets.randbits(32)
+    rng = random.Random(seed)
+    logger.info("random seed", extra={"fields": {"seed": seed}})
+    metrics = Metrics()
+    platform = open_platform(settings)
+    common = {"settings": settings, "clock": clock}
+    counted = common | {"metrics": metrics}
+    logged = counted | {"log": platform.log, "rng": rng}
+    global_reader = StreamReader(GLOBAL_STREAM, **logged)
+    reader = StreamReader(settings.stream, **logged)
+    members = max(1, len(settings.peers))
+    rate = AppendRate(clock, settings.options.log_appends_per_second / members)
+    global_appender = Appender(global_reader, rate=rate, **logged)
+    appender = Appender(reader, rate=rate, **logged)
+    peers = Peers(**counted)
+    membership = Membership(
+        reader,
+        appender,
+        global_reader=global_reader,
+        global_appender=global_appender,
+        peers=peers,
+        rng=rng,
+        **common,
+    )
+    sync = StateSync([global_reader, reader], peers=peers, **counted)
+    inventory = Inventory(platform.hostlist, **common)
+    observations = Observations(clock)
+    slots = Slots(reader, membership=membership, inventory=inventory, peers=peers, **common)
+
+    def build_dispatcher(pool: str, queue_settings: QueueSettings) -> Dispatcher:
+        return Dispatcher(
+            pool,
+            queue_settings,
+            slots=slots,
+            observations=observations,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        )
+
+    versions = Versions(
+        global_reader, build_dispatcher=build_dispatcher, clock=clock, metrics=metrics
+    )
+    _connect_slots(slots, versions)
+    connections = Connections(platform.worker, **counted)
+    keys = KeyOwner(
+        reader, appender, membership=membership, peers=peers, versions=versions, **counted
+    )
+    attempts = Attempts(connections, slots=slots, **common)
+    forwarder = Forwarder(attempts, peers=peers, rng=rng, **common)
+    handler = RequestHandler(
+        membership=membership,
+        versions=versions,
+        observations=observations,
+        attempts=attempts,
+        forwarder=forwarder,
+        rng=rng,
+        **counted,
+    )
+    kept = KeptAnswers(clock)
+    keyed = KeyedRequests(handler, keys=keys, kept=kept, peers=peers, reader=reader, **common)
+    handler.keyed = keyed
+    keeper = ClaimKeeper(
+        FLEET_CLAIM, reader=reader, appender=appender, membership=membership, **common
+    )
+    fleet = FleetController(
+        keeper,
+        reader,
+        appender,
+        membership=membership,
+        peers=peers,
+        inventory=inventory,
+        pools=platform.pools,
+        **counted,
+    )
+    writers = [
+        SnapshotWriter(each, of, membership=membership, **common)
+        for each, of in ((global_reader, global_appender), (reader, appender))
+    ]
+    return Parts(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        metrics=metrics,
+        platform=platform,
+        global_reader=global_reader,
+        reader=reader,
+        global_appender=global_appender,
+        appender=appender,
+        peers=peers,
+        membership=membership,
+        sync=sync,
+        inventory=inventory,
+        observations=observations,
+        slots=slots,
+        versions=versions,
+        connections=connections,
+        keys=keys,
+        kept=kept,
+        inbound=Inbound(clock),
+        handler=handler,
+        keyed=keyed,
+        keepers=[keeper],
+        controllers=[fleet, *writers],
+    )
+
+
+def _connect_slots(slots: Slots, versions: Versions) -> None:
+    """Lets the slots ask for what the queues need, and the queues use what the slots got."""
+
+    def count_demand() -> dict[str, int]:
+        demand: dict[str, int] = {}
+        for dispatcher in versions.list_dispatchers():
+            for target, count in dispatcher.count_demand().items():
+                demand[target] = demand.get(target, 0) + count
+        return demand
+
+    def assign() -> None:
+        for dispatcher in versions.list_dispatchers():
+            dispatcher.assign_slots()
+
+    slots.demand = count_demand
+    slots.changed = assign
+
+
+class Daemon(Service):
+    """One entry host.
+
+    Parameters
+    ----------
+    parts : Parts
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        super().__init__()
+        self.parts = parts
+        self._runners: list[web.BaseRunner] = []
+
+    async def on_start(self) -> None:
+        parts = self.parts
+        endpoints = CallerEndpoints(parts)
+        server = web.Server(endpoints.handle, handler_cancellation=True, access_log=None)
+        await self._listen(web.ServerRunner(server), parts.settings.caller_address)
+        application = OperatorEndpoints(parts).build_application()
+        operator_runner = web.AppRunner(application, access_log=None)
+        await self._listen(operator_runner, parts.settings.operator_address)
+        for service in (
+            parts.peers,
+            parts.global_reader,
+            parts.reader,
+            parts.global_appender,
+            parts.appender,
+            parts.sync,
+            parts.inventory,
+            parts.membership,
+            parts.slots,
+            parts.connections,
+            parts.keys,
+            parts.keyed,
+            *parts.keepers,
+            *parts.controllers,
+        ):
+            await self.add_runtime_dependency(service)
+
+    async def _listen(self, runner: web.BaseRunner, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        self._runners.append(runner)
+
+    async def stop_gracefully(self) -> None:
+        """Turns the balancer away, finishes what is in progress, leaves, and stops."""
+        parts, options = self.parts, self.parts.settings.options
+        logger.info("planned stop begins")
+        for keeper in parts.keepers:
+            keeper.release()
+        parts.membership.stopping = True
+        parts.slots.hand_back()
+        await parts.clock.sleep(options.balancer_delay)
+        deadline = parts.clock.elapsed() + options.stop_limit
+        while self._is_busy() and parts.clock.elapsed() < deadline:
+            await parts.clock.sleep(DRAIN_INTERVAL)
+        await parts.membership.leave()
+        logger.info("planned stop ends", extra={"fields": {"busy": self._is_busy()}})
+        await self.stop()
+
+    def _is_busy(self) -> bool:
+        parts = self.parts
+        return bool(
+            parts.handler.in_progress
+            or parts.connections.exchange_count
+            or parts.keys.unlogged_count
+        )
+
+    async def on_shutdown(self) -> None:
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.parts.platform.close()
+
+    @Service.task
+    async def _watch_supersession(self) -> None:
+        await self.parts.membership.superseded.wait()
+        asyncio.ensure_future(self.stop())
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/dump.py
@@ -0,0 +1,171 @@
+"""State of the process as one JSON document, bounded in size."""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import TYPE_CHECKING, Any
+
+from carawayshore.membership import list_members
+
+if TYPE_CHECKING:
+    from carawayd.process.claims import ClaimKeeper
+    from carawayd.process.daemon import Parts
+    from carawayd.process.streams import StreamReader
+
+# Entries shown of each table; its size is told as well.
+MAX_ENTRIES = 200
+
+
+def _cut(table: dict[str, Any]) -> dict[str, Any]:
+    shown = {name: _convert(value) for name, value in islice(table.items(), MAX_ENTRIES)}
+    return {"count": len(table), "shown": shown}
+
+
+def _convert(value: Any) -> Any:
+    if hasattr(value, "_asdict"):
+        return {name: _convert(item) for name, item in value._asdict().items()}
+    if isinstance(value, list | tuple):
+        return [_convert(item) for item in value[:MAX_ENTRIES]]
+    return value
+
+
+def _dump_stream(reader: StreamReader) -> dict[str, Any]:
+    state = reader.state
+    age = reader.contact_age()
+    return {
+        "next_offset": state.next_offset,
+        "end": reader.end,
+        "contact_age_seconds": age.total_seconds() if age is not None else None,
+        "caught_up": reader.caught_up.is_set(),
+        "digests": dict(reader.digests),
+        "digest_mismatches": reader.digest_mismatches,
+        "last_rejection": reader.last_rejection,
+        "claims": _cut(state.claims),
+        "members": _cut(state.members),
+        "view": _convert(state.view),
+        "settled": _convert(state.settled),
+        "quarantine": state.quarantine,
+        "hosts": _cut(state.hosts),
+        "jobs": _cut(state.jobs),
+        "keys": {"count": len(state.keys)},
+        "waves": _cut(state.waves),
+        "pause": _convert(state.pause),
+    }
+
+
+def _dump_claim(keeper: ClaimKeeper) -> dict[str, Any]:
+    return {
+        "held": keeper.holds(),
+        "fence": keeper.fence,
+        "remaining_seconds": keeper.remaining_seconds(),
+    }
+
+
+def _dump_versions(parts: Parts) -> dict[str, Any]:
+    current = parts.versions.current
+    return {
+        "current": current.version if current else 0,
+        "author": current.author if current else "",
+        "requests": current.requests if current else 0,
+        "retiring": [[item.version, item.requests] for item in parts.versions.retiring],
+        "queues": [
+            {
+                "pool": dispatcher.pool,
+                "waiting": dispatcher.waiting_count,
+                "running": dispatcher.running_count,
+            }
+            for dispatcher in parts.versions.list_dispatchers()
+        ],
+    }
+
+
+def _dump_peers(parts: Parts) -> dict[str, Any]:
+    now = parts.clock.elapsed()
+    return {
+        name: {
+            "incarnation": state.header.incarnation,
+            "data_centre": state.header.data_centre,
+            "silent_seconds": (now - state.heard).total_seconds(),
+            "heartbeat": _convert(state.heartbeat),
+        }
+        for name, state in sorted(parts.peers.states.items())
+    }
+
+
+def build_dump(parts: Parts) -> dict[str, Any]:
+    """Returns the whole state of the process without secrets."""
+    return {
+        "member": parts.settings.member,
+        "data_centre": parts.settings.data_centre,
+        "incarnation": parts.membership.incarnation,
+        "joined": parts.membership.is_member(),
+        "stopping": parts.membership.stopping,
+        "unready": parts.find_unreadiness(),
+        "time": parts.clock.now().isoformat(),
+        "streams": {
+            reader.stream: _dump_stream(reader) for reader in (parts.global_reader, parts.reader)
+        },
+        "claims": {keeper.name: _dump_claim(keeper) for keeper in parts.keepers},
+        "appends_pending": {
+            "global": parts.global_appender.pending_count,
+            "own": parts.appender.pending_count,
+        },
+        "versions": _dump_versions(parts),
+        "peers": _dump_peers(parts),
+        "slots": _cut(parts.slots.list_held()),
+        "in_use": dict(islice(parts.slots.in_use.items(), MAX_ENTRIES)),
+        "ejected": {
+            pool: health.list_ejected() for pool, health in parts.observations.health.items()
+        },
+        "requests_in_progress": parts.handler.in_progress,
+        "exchanges": parts.connections.exchange_count,
+        "keys": {"unlogged": parts.keys.unlogged_count, "answers_kept": parts.kept.count},
+    }
+
+
+def _describe_pool(parts: Parts, pool: str) -> dict[str, Any]:
+    hosts = {name: host for name, host in parts.reader.state.hosts.items() if host.pool == pool}
+    return {
+        "hosts": sorted(hosts),
+        "draining": {
+            name: {"to": host.draining_to, "reason": host.reason}
+            for name, host in sorted(hosts.items())
+            if host.draining_to
+        },
+        "usable": parts.slots.list_targets(pool),
+        "ejected": parts.observations.find_health(pool).list_ejected(),
+    }
+
+
+def build_status(parts: Parts) -> dict[str, Any]:
+    """Returns a short overview for operators."""
+    version = parts.versions.current
+    pools = sorted(version.configuration["pools"]) if version else []
+    state = parts.reader.state
+    age = parts.reader.contact_age()
+    return {
+        "member": parts.settings.member,
+        "data_centre": parts.settings.data_centre,
+        "unready": parts.find_unreadiness(),
+        "log_reachable": parts.membership.is_log_reachable(),
+        "log_contact_age_seconds": age.total_seconds() if age is not None else None,
+        "members": [member.producer for member in list_members(state)],
+        "versions": {
+            parts.settings.member: version.version if version else 0,
+            **{name: peer.heartbeat.version for name, peer in sorted(parts.peers.states.items())},
+        },
+        "pools": {pool: _describe_pool(parts, pool) for pool in pools},
+        "jobs": _count_jobs(state.jobs),
+        "maintenance": {
+            "pause": _convert(parts.global_reader.state.pause),
+            "waves": _cut(parts.global_reader.state.waves),
+            "maintained": len(parts.global_reader.state.maintained),
+        },
+    }
+
+
+def _count_jobs(jobs: dict[str, Any]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for job in jobs.values():
+        counts[job.state] = counts.get(job.state, 0) + 1
+    return counts
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/endpoints.py
@@ -0,0 +1,169 @@
+"""HTTP endpoints of an entry host: for callers, other entry hosts and the balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from carawayd.request.answers import Reason, Refusal, build_refusal
+from carawayd.request.keyed import encode_kept
+from carawayd.request.plan import HOPS_HEADER, PREFIX
+from carawayshore.outcome import OUTCOME_HEADER, Outcome
+
+if TYPE_CHECKING:
+    from carawayd.process.daemon import Parts
+
+Endpoint = Callable[["CallerEndpoints", web.BaseRequest, list[str]], Awaitable[web.StreamResponse]]
+
+LONGEST_WAIT = timedelta(seconds=300)
+REQUEST_HEADER = "Carawayshore-Request"
+
+_endpoints: dict[tuple[str, str], Endpoint] = {}
+
+
+def endpoint(method: str, pattern: str):
+    """Registers a function for a path; ``*`` in the pattern stands for one segment."""
+
+    def register(function: Endpoint) -> Endpoint:
+        _endpoints[method, pattern] = function
+        return function
+
+    return register
+
+
+def _match(method: str, path: str) -> tuple[Endpoint | None, list[str], bool]:
+    """Returns the endpoint, the segments for its ``*``, and whether another method exists."""
+    segments = path.strip("/").split("/")
+    other_method = False
+    for (known_method, pattern), function in _endpoints.items():
+        parts = pattern.strip("/").split("/")
+        if len(parts) != len(segments):
+            continue
+        if all(part in ("*", segment) for part, segment in zip(parts, segments, strict=True)):
+            if known_method == method:
+                found = [s for p, s in zip(parts, segments, strict=True) if p == "*"]
+                return function, found, False
+            other_method = True
+    return None, [], other_method
+
+
+def read_wait(request: web.BaseRequest) -> timedelta:
+    """Returns the query parameter ``wait``, 0 if it is absent.
+
+    Raises
+    ------
+    Refusal
+        If it is not a number of seconds.
+    """
+    text = request.query.get("wait", "0")
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 <= seconds <= LONGEST_WAIT.total_seconds():
+        accepted = f"0 to {LONGEST_WAIT.total_seconds():g}"
+        raise Refusal(
+            Outcome.NOT_RUN,
+            Reason.BAD_REQUEST,
+            status=400,
+            detail=f"wait is {text!r}, accepted: {accepted} s",
+        )
+    return timedelta(seconds=seconds)
+
+
+class CallerEndpoints:
+    """Serves the callers' address.
+
+    Parameters
+    ----------
+    parts : Parts
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one HTTP request."""
+        if request.raw_path.startswith(PREFIX):
+            return await self._serve_service(request)
+        function, segments, other_method = _match(request.method, request.path)
+        if function is None:
+            status = 405 if other_method else 404
+            paths = sorted({f"{method} {pattern}" for method, pattern in _endpoints})
+            detail = f"{request.method} {request.path} does not exist, accepted: {paths}"
+            refusal = Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, status=status, detail=detail)
+            return build_refusal(refusal)
+        try:
+            return await function(self, request, segments)
+        except Refusal as refusal:
+            self.parts.metrics.refusals.labels(request.path.split("/")[2], refusal.reason).inc()
+            return build_refusal(refusal)
+
+    async def _serve_service(self, request: web.BaseRequest) -> web.StreamResponse:
+        forwarded = HOPS_HEADER in request.headers and request.headers.get(REQUEST_HEADER)
+        if not forwarded:
+            return await self.parts.handler.handle(request)
+        if not self.parts.inbound.begin(forwarded):
+            return build_refusal(Refusal(Outcome.NOT_RUN, Reason.CANCELLED))
+        try:
+            return await self.parts.handler.handle(request)
+        finally:
+            self.parts.inbound.finish(forwarded)
+
+
+@endpoint("GET", "/v1/ready")
+async def _answer_ready(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    reason = endpoints.parts.find_unreadiness()
+    return web.json_response({"ready": not reason, "reason": reason}, status=503 if reason else 200)
+
+
+@endpoint("POST", "/v1/tickets")
+async def _issue_ticket(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    endpoints.parts.handler.find_version()
+    ticket = endpoints.parts.keys.issue_ticket()
+    headers = {OUTCOME_HEADER: Outcome.COMPLETED.value}
+    return web.json_response({"ticket": str(ticket)}, status=201, headers=headers)
+
+
+@endpoint("GET", "/v1/kept/*")
+async def _give_kept(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    answer = await endpoints.parts.kept.wait(segments[0], read_wait(request))
+    if answer is None:
+        return web.json_response({"error": "the answer is not kept here"}, status=404)
+    return web.Response(body=encode_kept(answer), content_type="application/json")
+
+
+@endpoint("GET", "/v1/status")
+async def _give_status(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    """Answers as a worker does, for the silence probes of other entry hosts."""
+    parts = endpoints.parts
+    return web.json_response(
+        {
+            "host": parts.settings.member,
+            "pool": "",
+            "draining": parts.membership.stopping,
+            "slots": 0,
+            "in_use": parts.handler.in_progress,
+            "running": parts.inbound.list_running(),
+            "finished": parts.inbound.list_finished(),
+            "tasks": [],
+        }
+    )
+
+
+@endpoint("POST", "/v1/requests/*/revoke")
+async def _revoke(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    return web.json_response({"state": endpoints.parts.inbound.revoke(segments[0])})
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/keys.py
@@ -0,0 +1,425 @@
+"""Grants of idempotency keys: the owner's side, and asking the owner.
+
+A grant is held by the owner and, before it is answered, by the log or by a peer. Grants that the
+log does not have yet are appended as soon as it answers; until then this process does not report
+later offsets to barriers, so that no view settles without them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import OrderedDict
+from datetime import timedelta
+from typing import TYPE_CHECKING, NamedTuple
+
+from mode import Service
+from returns.result import Success
+
+from carawayd.process.appender import AppendUnknown, NotAppended, Priority
+from carawayd.process.messages import Header, KeyAnswer, KeyClaim, KeyCopied, KeyCopy, KeyDone
+from carawayshore import records
+from carawayshore.hashing import rank_candidates
+from carawayshore.keys import (
+    RELEASED,
+    Ticket,
+    choose_home,
+    choose_owner,
+    may_grant,
+    parse_ticket,
+)
+
+if TYPE_CHECKING:
+    from carawayd.process.appender import Appender
+    from carawayd.process.membership import Membership
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.peers import Peers
+    from carawayd.process.settings import Settings
+    from carawayd.process.streams import StreamReader
+    from carawayd.version.configuration import Versions
+    from carawayshore.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+# A used ticket below the lowest remembered number is answered as unknown, never run.
+MAX_TICKETS = 50_000
+LOG_WAIT = timedelta(milliseconds=400)
+COPY_WAIT = timedelta(milliseconds=400)
+ASK_AGAIN = timedelta(milliseconds=100)
+FLUSH_INTERVAL = timedelta(milliseconds=100)
+
+
+class Grant(NamedTuple):
+    """Who may dispatch a key."""
+
+    request: str
+    member: str
+    incarnation: int
+
+
+class KeyOwner(Service):
+    """Grants the keys that this process owns and asks the owners of the others.
+
+    Parameters
+    ----------
+    reader, appender
+        Of the stream of the own data centre.
+    membership : Membership
+    peers : Peers
+    versions : Versions
+    settings : Settings
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        reader: StreamReader,
+        appender: Appender,
+        *,
+        membership: Membership,
+        peers: Peers,
+        versions: Versions,
+        settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._reader = reader
+        self._appender = appender
+        self._membership = membership
+        self._peers = peers
+        self._versions = versions
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._held: dict[str, Grant] = {}
+        self._unlogged: dict[str, Grant] = {}
+        self._flushing: set[str] = set()
+        self._copied: dict[tuple[str, str], asyncio.Future[bool]] = {}
+        self._answers: dict[tuple[str, str], asyncio.Future[KeyAnswer]] = {}
+        self._tickets: OrderedDict[str, Grant] = OrderedDict()
+        self._ticket_number = 0
+        self._ticket_floor = 0
+        self._issued: set[int] = set()
+        self._quarantine = (-1, timedelta())
+        self._tasks: set[asyncio.Task[None]] = set()
+        membership.has_unlogged_grants = lambda: bool(self._unlogged)
+        peers.handle(KeyClaim, self._handle_claim)
+        peers.handle(KeyAnswer, self._handle_answer)
+        peers.handle(KeyCopy, self._handle_copy)
+        peers.handle(KeyCopied, self._handle_copied)
+        peers.handle(KeyDone, self._handle_done)
+
+    @property
+    def unlogged_count(self) -> int:
+        return len(self._unlogged)
+
+    def issue_ticket(self) -> Ticket:
+        """Returns a new key that this process alone tracks."""
+        self._ticket_number += 1
+        self._issued.add(self._membership.incarnation)
+        return Ticket(
+            self._settings.data_centre,
+            self._settings.member,
+            self._membership.incarnation,
+            self._ticket_number,
+        )
+
+    def look_up(self, key: str) -> Grant | None:
+        """Returns the grant of a key as far as this process knows it."""
+        grant = self._held.get(key) or self._unlogged.get(key) or self._tickets.get(key)
+        folded = self._reader.state.keys.get(key)
+        if grant is None and folded is not None:
+            grant = Grant(folded.request, folded.member, folded.incarnation)
+        return grant
+
+    async def claim(self, key: str, request: str) -> KeyAnswer:
+        """Asks for the grant of ``key`` to a request of this process.
+
+        Returns
+        -------
+        KeyAnswer
+            Only the decision ``granted`` allows the dispatch; ``unsafe`` tells that the key was
+            not granted to anybody, ``unknown`` that this could not be found out.
+        """
+        holder = Grant(request, self._settings.member, self._membership.incarnation)
+        answer = await self._claim_for(KeyClaim(key, *holder))
+        self._metrics.key_claims.labels(answer.decision).inc()
+        return answer
+
+    async def peek(self, key: str, request: str) -> KeyAnswer:
+        """Asks who holds ``key``; the decision ``free`` tells that nobody does."""
+        holder = Grant(request, self._settings.member, self._membership.incarnation)
+        return await self._claim_for(KeyClaim(key, *holder, peek=True))
+
+    async def _claim_for(self, claim: KeyClaim) -> KeyAnswer:
+        deadline = self._clock.elapsed() + self._settings.options.key_wait
+        while True:
+            answer = await self._claim_once(claim)
+            if answer.decision != "not-owner" or self._clock.elapsed() >= deadline:
+                break
+            await self._clock.sleep(ASK_AGAIN)
+        if answer.decision == "not-owner":
+            return answer._replace(decision="unknown")
+        return answer
+
+    async def _claim_once(self, claim: KeyClaim) -> KeyAnswer:
+        owner = self._find_owner(claim.key, relayed=claim.relayed)
+        if owner is None:
+            return KeyAnswer(claim.key, claim.request, "unknown")
+        if owner == self._settings.member:
+            return await self._grant(claim)
+        return await self._ask(owner, claim)
+
+    def _find_owner(self, key: str, *, relayed: bool) -> str | None:
+        """Returns the member to ask about ``key``, or None if none can be reached."""
+        ticket = parse_ticket(key)
+        if ticket is not None:
+            return ticket.member
+        version = self._versions.current
+        if version is None:
+            return None
+        home = choose_home(key, version.configuration["data_centres"])
+        if home == self._settings.data_centre:
+            owner = choose_owner(key, self._reader.state.view)
+            return owner[0] if owner else None
+        if relayed:
+            return None
+        live = [
+            peer.header.member
+            for peer in self._peers.list_live(data_centre=home)
+            if peer.heartbeat.ready
+        ]
+        return rank_candidates(key, live)[0] if live else None
+
+    async def _ask(self, owner: str, claim: KeyClaim) -> KeyAnswer:
+        unknown = KeyAnswer(claim.key, claim.request, "unknown")
+        in_home = self._peers.data_centres.get(owner) == self._settings.data_centre
+        future = asyncio.get_running_loop().create_future()
+        self._answers[claim.key, claim.request] = future
+        try:
+            relayed = claim._replace(relayed=claim.relayed or in_home)
+            if not self._peers.is_live(owner) or not self._peers.send(owner, relayed):
+                return unknown
+            wait = self._settings.options.key_wait.total_seconds()
+            done, _ = await asyncio.wait({future}, timeout=wait)
+            if done:
+                return future.result()
+            if not claim.peek:
+                # The grant may have been given; this request will not use it.
+                self._peers.send(owner, KeyDone(claim.key, claim.request, RELEASED))
+            return unknown
+        finally:
+            self._answers.pop((claim.key, claim.request), None)
+
+    def _handle_claim(self, header: Header, body: KeyClaim) -> None:
+        task = asyncio.ensure_future(self._answer_claim(header, body))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer_claim(self, header: Header, claim: KeyClaim) -> None:
+        if claim.relayed or parse_ticket(claim.key):
+            owner = self._find_owner(claim.key, relayed=True)
+            if owner == self._settings.member:
+                answer = await self._grant(claim)
+            else:
+                answer = KeyAnswer(claim.key, claim.request, "not-owner")
+        else:
+            answer = await self._claim_for(claim._replace(relayed=True))
+        self._peers.send(header.member, answer)
+
+    def _handle_answer(self, header: Header, body: KeyAnswer) -> None:
+        future = self._answers.get((body.key, body.request))
+        if future is not None and not future.done():
+            future.set_result(body)
+
+    async def _grant(self, claim: KeyClaim) -> KeyAnswer:
+        """Decides a claim as the owner."""
+        key, holder = claim.key, Grant(claim.request, claim.holder, claim.holder_incarnation)
+        known = self.look_up(key)
+        if known is not None:
+            return self._build_answer(key, holder, known)
+        ticket = parse_ticket(key)
+        if ticket is not None:
+            return self._grant_ticket(claim, ticket, holder)
+        state = self._reader.state
+        if not self._membership.is_member() or not may_grant(
+            key, state, self._settings.member, self._membership.incarnation
+        ):
+            return KeyAnswer(key, holder.request, "not-owner")
+        if self._is_quarantined():
+            return KeyAnswer(key, holder.request, "unknown")
+        if claim.peek:
+            return KeyAnswer(key, holder.request, "free")
+        self._held[key] = holder
+        try:
+            return await self._store(key, holder)
+        finally:
+            self._held.pop(key, None)
+
+    def _build_answer(self, key: str, holder: Grant, known: Grant) -> KeyAnswer:
+        # A claim that is asked again after a lost answer gets the same grant.
+        decision = "granted" if known == holder else "held"
+        return KeyAnswer(
+            key, holder.request, decision, known.member, known.incarnation, known.request
+        )
+
+    def _grant_ticket(self, claim: KeyClaim, ticket: Ticket, holder: Grant) -> KeyAnswer:
+        key = claim.key
+        own = ticket.member == self._settings.member and ticket.incarnation in self._issued
+        if not own or not self._ticket_floor < ticket.number <= self._ticket_number:
+            return KeyAnswer(key, holder.request, "unknown")
+        if claim.peek:
+            return KeyAnswer(key, holder.request, "free")
+        self._tickets[key] = holder
+        if len(self._tickets) > MAX_TICKETS:
+            oldest, _ = self._tickets.popitem(last=False)
+            self._ticket_floor = max(self._ticket_floor, parse_ticket(oldest).number)
+        return self._build_answer(key, holder, holder)
+
+    def _is_quarantined(self) -> bool:
+        """Returns whether grants may be lost that only ended processes held."""
+        offset = self._reader.state.quarantine
+        if offset < 0:
+            return False
+        if self._quarantine[0] != offset:
+            self._quarantine = (offset, self._clock.elapsed())
+        since = self._clock.elapsed() - self._quarantine[1]
+        return since < self._settings.options.key_quarantine
+
+    async def _store(self, key: str, holder: Grant) -> KeyAnswer:
+        granted = KeyAnswer(key, holder.request, "granted", holder.member, holder.incarnation)
+        granted = granted._replace(holder_request=holder.request)
+        sent = False
+        if self._membership.is_log_reachable():
+            body = records.KeyGranted(key, *holder)
+            try:
+                result = await self._appender.append(body, Priority.KEY_GRANT, wait=LOG_WAIT)
+            except NotAppended:
+                logger.debug("grant of a key was not sent to the log in time")
+            except AppendUnknown:
+                sent = True
+            else:
+                if isinstance(result, Success):
+                    return granted
+                known = self._reader.state.keys.get(key)
+                if known is None:
+                    return granted._replace(decision="not-owner")
+                return self._build_answer(key, holder, Grant(*known[:3]))
+        if await self._copy(key, holder):
+            self._unlogged[key] = holder
+            return granted
+        if sent:
+            self._submit(records.KeyFinished(key, holder.request, RELEASED))
+        return KeyAnswer(key, holder.request, "unsafe")
+
+    async def _copy(self, key: str, holder: Grant) -> bool:
+        """Returns whether a peer of the data centre has confirmed a copy of the grant."""
+        current = {name for name, _ in self._reader.state.view.members}
+        peers = [
+            peer.header.member
+            for peer in self._peers.list_live(data_centre=self._settings.data_centre)
+            if peer.header.member in current and peer.heartbeat.joined
+        ]
+        future = asyncio.get_running_loop().create_future()
+        self._copied[key, holder.request] = future
+        try:
+            copy = KeyCopy(key, *holder)
+            if not any([self._peers.send(peer, copy) for peer in peers]):
+                return False
+            done, _ = await asyncio.wait({future}, timeout=COPY_WAIT.total_seconds())
+            return bool(done)
+        finally:
+            del self._copied[key, holder.request]
+
+    def _handle_copy(self, header: Header, body: KeyCopy) -> None:
+        if not self._membership.is_member():
+            return
+        known = self.look_up(body.key)
+        holder = Grant(body.request, body.member, body.incarnation)
+        if known is None:
+            self._unlogged[body.key] = holder
+        elif known != holder:
+            return
+        self._peers.send(header.member, KeyCopied(body.key, body.request))
+
+    def _handle_copied(self, header: Header, body: KeyCopied) -> None:
+        future = self._copied.get((body.key, body.request))
+        if future is not None and not future.done():
+            future.set_result(True)
+
+    def finish(self, key: str, request: str, status: int) -> None:
+        """Tells the owner how a granted request of this process ended."""
+        if status != RELEASED and parse_ticket(key):
+            return
+        owner = self._find_owner(key, relayed=False)
+        if owner == self._settings.member:
+            self._note_done(key, request, status)
+        elif owner is not None:
+            self._peers.send(owner, KeyDone(key, request, status))
+
+    def _handle_done(self, header: Header, body: KeyDone) -> None:
+        owner = self._find_owner(body.key, relayed=True)
+        if owner == self._settings.member:
+            self._note_done(body.key, body.request, body.status)
+        elif owner is not None and header.data_centre != self._settings.data_centre:
+            self._peers.send(owner, body)
+
+    def _note_done(self, key: str, request: str, status: int) -> None:
+        ticket = self._tickets.get(key)
+        if ticket is not None and ticket.request == request:
+            if status == RELEASED:
+                del self._tickets[key]
+            return
+        if status == RELEASED:
+            for table in (self._held, self._unlogged):
+                grant = table.get(key)
+                if grant is not None and grant.request == request:
+                    del table[key]
+            self._submit(records.KeyFinished(key, request, status))
+
+    def _submit(self, body: records.KeyFinished) -> None:
+        try:
+            self._appender.submit(body, Priority.JOB)
+        except NotAppended:
+            logger.debug("end of a key was not recorded")
+
+    @Service.task
+    async def _flush(self) -> None:
+        """Appends the grants that only memory holds, as soon as the log answers."""
+        while not self.should_stop:
+            self._issued.add(self._membership.incarnation)
+            if self._membership.is_member() and self._membership.is_log_reachable():
+                for key, grant in list(self._unlogged.items()):
+                    self._flush_grant(key, grant)
+                self._end_quarantine()
+            await self._clock.sleep(FLUSH_INTERVAL)
+
+    def _flush_grant(self, key: str, grant: Grant) -> None:
+        if key in self._flushing:
+            return
+        if key in self._reader.state.keys:
+            del self._unlogged[key]
+            return
+        try:
+            future = self._appender.submit(records.KeyGranted(key, *grant), Priority.KEY_GRANT)
+        except NotAppended:
+            return
+        self._flushing.add(key)
+        future.add_done_callback(lambda done: self._finish_flush(done, key))
+
+    def _finish_flush(self, done: asyncio.Future, key: str) -> None:
+        self._flushing.discard(key)
+        if not done.cancelled() and done.exception() is None:
+            self._unlogged.pop(key, None)
+
+    def _end_quarantine(self) -> None:
+        offset = self._reader.state.quarantine
+        if offset < 0 or self._is_quarantined() or self._quarantine[0] != offset:
+            return
+        self._quarantine = (offset, self._clock.elapsed())
+        try:
+            self._appender.submit(records.QuarantineEnded(offset), Priority.MEMBER)
+        except NotAppended:
+            logger.debug("the end of the quarantine was not recorded")
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/membership.py
@@ -0,0 +1,230 @@
+"""Membership of this process: joining, heartbeats, barriers, and whether it may serve."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from mode import Service
+from returns.result import Success
+
+from carawayd.process.appender import AppendUnknown, NotAppended, Priority
+from carawayd.process.messages import Header, Heartbeat
+from carawayshore import records
+from carawayshore.hashing import rank_candidates
+from carawayshore.membership import Barrier, Incarnation
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from carawayd.process.appender import Appender
+    from carawayd.process.peers import Peers
+    from carawayd.process.settings import Settings
+    from carawayd.process.streams import StreamReader
+    from carawayshore.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+# The log counts as reachable while it answered this recently; a long poll takes 1 s.
+LOG_RECENT = timedelta(seconds=1.5)
+TEMPORARY_INCARNATION_BITS = 40
+
+
+class Membership(Service):
+    """Joins the data centre, reports what was applied, and tells whether serving is allowed.
+
+    Parameters
+    ----------
+    reader, appender
+        Of the stream of the own data centre.
+    global_reader : StreamReader
+    peers : Peers
+    settings : Settings
+    clock : Clock
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        reader: StreamReader,
+        appender: Appender,
+        *,
+        global_reader: StreamReader,
+        global_appender: Appender,
+        peers: Peers,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self.joined = asyncio.Event()
+        self.barrier = Barrier()
+        self.stopping = False
+        self.superseded = asyncio.Event()
+        self.loads: Callable[[], dict[str, int]] = dict
+        self.has_unlogged_grants: Callable[[], bool] = lambda: False
+        self._reader = reader
+        self._appender = appender
+        self._global_reader = global_reader
+        self._global_appender = global_appender
+        self._peers = peers
+        self._settings = settings
+        self._clock = clock
+        self._last_contact = clock.elapsed()
+        # Tells processes that have not joined yet apart; offsets are never negative.
+        self.incarnation = -1 - rng.getrandbits(TEMPORARY_INCARNATION_BITS)
+        self._applied_reported = 0
+        self._sequence = 0
+        self._settle_sent: tuple[int, timedelta] | None = None
+        peers.incarnation = self.incarnation
+        peers.handle(Heartbeat, self._handle_heartbeat)
+        reader.listen_batches(self._check_membership)
+
+    @property
+    def identity(self) -> Incarnation:
+        return Incarnation(self._settings.member, self.incarnation)
+
+    def is_member(self) -> bool:
+        """Returns whether this incarnation has joined and has not ended."""
+        return self.joined.is_set()
+
+    def may_serve(self) -> bool:
+        """Returns whether requests may be sent to targets at this moment."""
+        if not self.is_member():
+            return False
+        silent = self._clock.elapsed() - self._find_last_contact()
+        return silent < self._settings.options.solitary_limit
+
+    def _find_last_contact(self) -> timedelta:
+        contacts = [self._last_contact, self._reader.contacted or self._last_contact]
+        return max(contacts)
+
+    def is_log_reachable(self) -> bool:
+        """Returns whether the log answered recently."""
+        age = self._reader.contact_age()
+        return age is not None and age < LOG_RECENT
+
+    @Service.task
+    async def _join(self) -> None:
+        while not self.should_stop:
+            await self._reader.caught_up.wait()
+            await self._global_reader.caught_up.wait()
+            incarnation = self._reader.state.next_offset
+            current = self._reader.state.members.get(self._settings.member)
+            if current is not None:
+                incarnation = max(incarnation, current.incarnation + 1)
+            for appender in (self._appender, self._global_appender):
+                appender.set_producer(self._settings.member, incarnation)
+            body = records.MemberJoined(
+                self._settings.member,
+                incarnation,
+                self._settings.caller_address,
+                self._settings.peer_address,
+            )
+            try:
+                result = await self._appender.submit(body, Priority.MEMBER)
+            except (NotAppended, AppendUnknown):
+                continue
+            if not isinstance(result, Success):
+                logger.warning("join rejected: %s", result.failure().reason)
+                continue
+            self.incarnation = self._peers.incarnation = incarnation
+            self.joined.set()
+            fields = {"incarnation": incarnation}
+            logger.info("joined %s", self._reader.stream, extra={"fields": fields})
+            await self._wait_for_end()
+
+    async def _wait_for_end(self) -> None:
+        while self.joined.is_set() and not self.should_stop:
+            await self._clock.sleep(self._settings.options.heartbeat)
+
+    def _check_membership(self) -> None:
+        if not self.joined.is_set():
+            return
+        current = self._reader.state.members.get(self._settings.member)
+        if current is not None and not current.ended and current.incarnation == self.incarnation:
+            return
+        self.joined.clear()
+        if current is not None and current.incarnation > self.incarnation:
+            logger.error("a later process of this member has joined; this one stops")
+            self.superseded.set()
+        elif not self.stopping:
+            logger.warning("this incarnation has ended; joining again")
+
+    @Service.task
+    async def _beat(self) -> None:
+        while not self.should_stop:
+            self._sequence += 1
+            self._note_own_applied()
+            self._peers.broadcast(self._build_heartbeat())
+            self._settle_view()
+            await self._clock.sleep(self._settings.options.heartbeat)
+
+    def _note_own_applied(self) -> None:
+        """Advances the offset that this process reports to barriers.
+
+        It stays where it is while grants are not in the log yet, because a view must not settle
+        before they are.
+        """
+        if not self.has_unlogged_grants():
+            self._applied_reported = self._reader.state.next_offset
+        if self.is_member():
+            self.barrier.report(self.identity, self._applied_reported)
+
+    def _build_heartbeat(self) -> Heartbeat:
+        age = self._reader.contact_age()
+        readers = (self._reader, self._global_reader)
+        own = {reader.stream: reader.state.next_offset for reader in readers}
+        return Heartbeat(
+            sequence=self._sequence,
+            applied=own | {self._reader.stream: self._applied_reported},
+            own_applied=own,
+            log_contact_age=-1.0 if age is None else age.total_seconds(),
+            loads=self.loads(),
+            ready=self.may_serve() and not self.stopping,
+            stopping=self.stopping,
+            joined=self.is_member(),
+            version=self._global_reader.state.configuration.version,
+        )
+
+    def _handle_heartbeat(self, header: Header, body: Heartbeat) -> None:
+        self._last_contact = self._clock.elapsed()
+        if header.data_centre != self._settings.data_centre:
+            return
+        if not body.joined:
+            return
+        who = Incarnation(header.member, header.incarnation)
+        self.barrier.report(who, body.applied.get(self._reader.stream, 0))
+
+    def _settle_view(self) -> None:
+        """Appends that the view has settled; the preferred member first, the others later."""
+        state = self._reader.state
+        if not self.is_member() or state.settled.offset == state.view.offset:
+            return
+        if not self.barrier.is_complete(state, state.view.offset):
+            return
+        names = [name for name, _ in state.view.members]
+        rank = rank_candidates(str(state.view.offset), names).index(self._settings.member)
+        now = self._clock.elapsed()
+        if self._settle_sent is None or self._settle_sent[0] != state.view.offset:
+            self._settle_sent = (state.view.offset, now + rank * timedelta(seconds=1))
+        if now < self._settle_sent[1]:
+            return
+        self._settle_sent = (state.view.offset, now + timedelta(seconds=2))
+        try:
+            self._appender.submit(records.ViewSettled(state.view.offset), Priority.MEMBER)
+        except NotAppended:
+            logger.debug("view %d is not settled yet", state.view.offset)
+
+    async def leave(self) -> None:
+        """Appends that this incarnation has ended; gives up when the log is out of reach."""
+        if not self.is_member():
+            return
+        body = records.MemberLeft(self._settings.member, self.incarnation)
+        try:
+            await self._appender.append(body, Priority.MEMBER)
+        except (NotAppended, AppendUnknown) as error:
+            logger.warning("leave was not recorded: %s", error)
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -0,0 +1,207 @@
+"""HTTP endpoints for operators: state dump, metrics, configuration and hosts."""
+
+from __future__ import annotations
+
+import hmac
+import json
+import logging
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from returns.result import Success
+
+from carawayd.process.appender import Appender, AppendUnknown, NotAppended, Priority
+from carawayd.process.dump import build_dump, build_status
+from carawayshore import records
+from carawayshore.assignment import FLEET_CLAIM, HOLD
+from carawayshore.configuration import check_configuration
+
+if TYPE_CHECKING:
+    from carawayd.process.daemon import Parts
+    from carawayshore.fold import Host
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 1024 * 1024
+
+
+def _answer(document: Any, status: int = 200) -> web.Response:
+    return web.json_response(document, status=status, dumps=_dump_json)
+
+
+def _dump_json(document: Any) -> str:
+    return json.dumps(document, default=str)
+
+
+class OperatorEndpoints:
+    """Serves the operators' address.
+
+    Parameters
+    ----------
+    parts : Parts
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    def build_application(self) -> web.Application:
+        """Returns the application with all routes."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._authorize])
+        application.add_routes(
+            [
+                web.get("/v1/operator/dump", self._give_dump),
+                web.get("/v1/operator/status", self._give_status),
+                web.get("/v1/operator/metrics", self._give_metrics),
+                web.get("/v1/operator/configuration", self._give_configuration),
+                web.post("/v1/operator/configuration", self._publish),
+                web.post("/v1/operator/hosts/{host}/move", self._move),
+                web.post("/v1/operator/hosts/{host}/drain", self._drain),
+                web.post("/v1/operator/hosts/{host}/return", self._return),
+                web.post("/v1/operator/maintenance/pause", self._pause),
+                web.post("/v1/operator/maintenance/resume", self._resume),
+            ]
+        )
+        return application
+
+    def _read_token(self) -> str:
+        """Returns the operators' token; the file is read each time, so that it can be replaced."""
+        path = self._parts.settings.options.operator_token_file
+        return Path(path).read_text().strip() if path else ""
+
+    @web.middleware
+    async def _authorize(self, request: web.Request, handler) -> web.StreamResponse:
+        try:
+            token = self._read_token()
+        except OSError as error:
+            return _answer({"error": f"the token file cannot be read: {error.strerror}"}, 503)
+        given = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        if token and not hmac.compare_digest(token.encode(), given.encode()):
+            return _answer({"error": "the header Authorization has no valid bearer token"}, 401)
+        return await handler(request)
+
+    async def _read_document(self, request: web.Request, **accepted: type) -> dict[str, Any]:
+        """Returns a JSON object with the members ``accepted``.
+
+        Raises
+        ------
+        web.HTTPBadRequest
+            With all findings.
+        """
+        try:
+            document = json.loads(await request.text())
+        except ValueError as error:
+            document, found = None, [f"the body is not JSON: {error}"]
+        else:
+            found = []
+        if document is not None and not isinstance(document, dict):
+            found.append(f"the body is {type(document).__name__}, accepted: an object")
+        elif document is not None:
+            found += [f"/{name} is unknown" for name in document if name not in accepted]
+            found += [
+                f"/{name} is {document.get(name)!r}, accepted: {kind.__name__}"
+                for name, kind in accepted.items()
+                if not isinstance(document.get(name), kind)
+            ]
+        if found:
+            body = json.dumps({"error": "bad request", "findings": found})
+            raise web.HTTPBadRequest(text=body, content_type="application/json")
+        return document
+
+    async def _append(self, appender: Appender, body: Any, priority: Priority) -> web.Response:
+        """Appends a record and answers what became of it."""
+        try:
+            result = await appender.append(body, priority)
+        except NotAppended as error:
+            return _answer({"outcome": "not-run", "error": str(error)}, 503)
+        except AppendUnknown as error:
+            return _answer({"outcome": "unknown", "error": str(error)}, 504)
+        if isinstance(result, Success):
+            return _answer({"outcome": "completed"})
+        return _answer({"outcome": "not-run", "error": result.failure().reason}, 409)
+
+    async def _give_dump(self, request: web.Request) -> web.Response:
+        return _answer(build_dump(self._parts))
+
+    async def _give_status(self, request: web.Request) -> web.Response:
+        return _answer(build_status(self._parts))
+
+    async def _give_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._parts.metrics.format_text(), content_type="text/plain", charset="utf-8"
+        )
+
+    async def _give_configuration(self, request: web.Request) -> web.Response:
+        current = self._parts.global_reader.state.configuration
+        return _answer(current._asdict())
+
+    async def _publish(self, request: web.Request) -> web.Response:
+        given = await self._read_document(request, base_version=int, document=dict, author=str)
+        found = check_configuration(given["document"])
+        if found:
+            findings = [finding._asdict() for finding in found]
+            return _answer({"outcome": "not-run", "findings": findings}, 422)
+        current = self._parts.global_reader.state.configuration
+        if given["base_version"] != current.version:
+            return self._answer_race(given["base_version"])
+        body = records.ConfigurationPublished(**given)
+        answer = await self._append(self._parts.global_appender, body, Priority.CONFIGURATION)
+        if answer.status == 409:
+            return self._answer_race(given["base_version"])
+        if answer.status == 200:
+            return _answer({"outcome": "completed", "version": given["base_version"] + 1})
+        return answer
+
+    def _answer_race(self, base_version: int) -> web.Response:
+        current = self._parts.global_reader.state.configuration
+        error = f"version {current.version} is in force, not {base_version}"
+        document = {"outcome": "not-run", "error": error, "current": current._asdict()}
+        return _answer(document, 409)
+
+    def _find_host(self, request: web.Request) -> tuple[str, Host]:
+        name = request.match_info["host"]
+        host = self._parts.reader.state.hosts.get(name)
+        if host is None:
+            names = sorted(self._parts.reader.state.hosts)
+            body = json.dumps({"error": f"host {name!r} does not exist", "accepted": names})
+            raise web.HTTPNotFound(text=body, content_type="application/json")
+        return name, host
+
+    def _find_fence(self) -> int:
+        claim = self._parts.reader.state.claims.get(FLEET_CLAIM)
+        return claim.fence if claim else -1
+
+    async def _start_drain(
+        self, name: str, host: Host, *, to_pool: str, reason: str
+    ) -> web.Response:
+        body = records.HostDrainStarted(name, host.revision, to_pool, reason, self._find_fence())
+        return await self._append(self._parts.appender, body, Priority.FLEET)
+
+    async def _move(self, request: web.Request) -> web.Response:
+        name, host = self._find_host(request)
+        given = await self._read_document(request, pool=str)
+        version = self._parts.versions.current
+        pools = version.configuration["pools"] if version else {}
+        if given["pool"] not in pools:
+            error = f"pool {given['pool']!r} does not exist, accepted: {', '.join(sorted(pools))}"
+            return _answer({"outcome": "not-run", "error": error}, 422)
+        return await self._start_drain(name, host, to_pool=given["pool"], reason="move")
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        name, host = self._find_host(request)
+        return await self._start_drain(name, host, to_pool=host.pool, reason=HOLD)
+
+    async def _return(self, request: web.Request) -> web.Response:
+        name, host = self._find_host(request)
+        body = records.HostReturnRequested(name, host.revision, self._find_fence())
+        return await self._append(self._parts.appender, body, Priority.FLEET)
+
+    async def _pause(self, request: web.Request) -> web.Response:
+        given = await self._read_document(request, author=str, reason=str)
+        body = records.MaintenancePaused(**given)
+        return await self._append(self._parts.global_appender, body, Priority.CONFIGURATION)
+
+    async def _resume(self, request: web.Request) -> web.Response:
+        given = await self._read_document(request, author=str)
+        body = records.MaintenanceResumed(**given)
+        return await self._append(self._parts.global_appender, body, Priority.CONFIGURATION)
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/slots.py
@@ -0,0 +1,198 @@
+"""Slots of the data centre's targets that this process may use, and which targets it may pick."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+from typing import TYPE_CHECKING, NamedTuple
+
+from mode import Service
+
+from carawayshore.assignment import list_serving
+from carawayshore.membership import Incarnation, list_members
+from carawayshore.shares import (
+    Outgoing,
+    Permit,
+    ShareLedger,
+    ShareSettings,
+    SlotLoan,
+    SlotRecall,
+    SlotRequest,
+    SlotReturn,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawayd.process.inventory import Inventory
+    from carawayd.process.membership import Membership
+    from carawayd.process.messages import Header
+    from carawayd.process.peers import Peers
+    from carawayd.process.settings import Settings
+    from carawayd.process.streams import StreamReader
+    from carawayshore.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+IDLE_TICK = timedelta(milliseconds=250)
+BUSY_TICK = timedelta(milliseconds=25)
+# A target that refused because it drains or changes pools is left alone for this long.
+REFUSAL_PAUSE = timedelta(seconds=1)
+
+
+class Held(NamedTuple):
+    """A permit and the ledger that gave it."""
+
+    ledger: ShareLedger
+    permit: Permit
+
+
+class Slots(Service):
+    """Follows the view and the assignment, and exchanges loans with the peers.
+
+    Parameters
+    ----------
+    reader : StreamReader
+        Of the stream of the own data centre.
+    membership : Membership
+    inventory : Inventory
+    peers : Peers
+    settings : Settings
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        reader: StreamReader,
+        *,
+        membership: Membership,
+        inventory: Inventory,
+        peers: Peers,
+        settings: Settings,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self.demand: Callable[[], dict[str, int]] = dict
+        self.changed: Callable[[], None] = lambda: None
+        self.in_use: dict[str, int] = {}
+        self._reader = reader
+        self._membership = membership
+        self._inventory = inventory
+        self._peers = peers
+        self._settings = settings
+        self._clock = clock
+        self._ledger: ShareLedger | None = None
+        self._ledger_incarnation = 0
+        self._serving: dict[str, list[str]] = {}
+        self._refusing: dict[str, timedelta] = {}
+        self._stopping = False
+        membership.loads = lambda: {name: count for name, count in self.in_use.items() if count}
+        for message_type in (SlotRequest, SlotLoan, SlotReturn, SlotRecall):
+            peers.handle(message_type, self._handle)
+        reader.listen_batches(self._update)
+
+    def _update(self) -> None:
+        """Takes over the folded view and assignment."""
+        self._serving = {}
+        if not self._membership.is_member():
+            self._ledger = None
+            return
+        if self._ledger is None or self._ledger_incarnation != self._membership.incarnation:
+            self._ledger_incarnation = self._membership.incarnation
+            settings = ShareSettings(loan_lifetime=self._settings.options.loan_lifetime)
+            self._ledger = ShareLedger(self._membership.identity, self._clock, settings)
+        targets = {name: host.slots for name, host in self._reader.state.hosts.items()}
+        members = list_members(self._reader.state)
+        if self._membership.identity in members:
+            self._ledger.set_view(members, targets)
+        self.changed()
+
+    def list_targets(self, pool: str) -> list[str]:
+        """Returns the hosts of a pool that may be given work at this moment."""
+        if pool not in self._serving:
+            self._serving[pool] = list_serving(self._reader.state, pool)
+        now = self._clock.elapsed()
+        return [
+            name
+            for name in self._serving[pool]
+            if not self._inventory.is_leaving(name)
+            and (name not in self._refusing or now >= self._refusing[name])
+        ]
+
+    def find_address(self, target: str) -> str | None:
+        """Returns the address of a target, or None if it was removed."""
+        host = self._reader.state.hosts.get(target)
+        return host.address if host else None
+
+    def count_slots(self, target: str) -> int:
+        host = self._reader.state.hosts.get(target)
+        return host.slots if host else 0
+
+    def count_peer_load(self, target: str) -> int:
+        """Returns the requests that peers reported in progress at a target."""
+        return sum(
+            state.heartbeat.loads.get(target, 0)
+            for state in self._peers.states.values()
+            if state.header.data_centre == self._settings.data_centre
+        )
+
+    def available(self, target: str) -> int:
+        """Returns how many requests may be started at a target now."""
+        return self._ledger.available(target) if self._ledger else 0
+
+    def acquire(self, target: str) -> Held | None:
+        """Returns the right to start one request, or None if there is none or serving ended."""
+        if self._ledger is None or not self._membership.may_serve():
+            return None
+        permit = self._ledger.acquire(target)
+        if permit is None:
+            return None
+        self.in_use[target] = self.in_use.get(target, 0) + 1
+        return Held(self._ledger, permit)
+
+    def release(self, held: Held) -> None:
+        """Ends the use of a slot."""
+        held.ledger.release(held.permit)
+        target = held.permit.target
+        self.in_use[target] -= 1
+        if not self.in_use[target]:
+            del self.in_use[target]
+
+    def note_refusal(self, target: str) -> None:
+        """Leaves a target alone for a while that said it drains or serves another pool."""
+        self._refusing[target] = self._clock.elapsed() + REFUSAL_PAUSE
+
+    def _handle(self, header: Header, body) -> None:
+        if self._ledger is None or header.data_centre != self._settings.data_centre:
+            return
+        sender = Incarnation(header.member, header.incarnation)
+        self._send(self._ledger.handle(body, sender))
+        if isinstance(body, SlotLoan | SlotReturn):
+            self.changed()
+
+    def _send(self, messages: list[Outgoing]) -> None:
+        for peer, body in messages:
+            self._peers.send(peer.member, body)
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            demand = self.demand()
+            if self._ledger is not None:
+                self._send(self._ledger.tick(demand))
+                if demand:
+                    self.changed()
+            now = self._clock.elapsed()
+            self._refusing = {name: end for name, end in self._refusing.items() if end > now}
+            await self._clock.sleep(BUSY_TICK if demand else IDLE_TICK)
+
+    def hand_back(self) -> None:
+        """Returns idle loans and lends nothing more, before a planned stop."""
+        if self._ledger is not None:
+            self._send(self._ledger.stop())
+
+    def list_held(self) -> dict[str, list]:
+        """Returns the slots of each target for the state dump."""
+        if self._ledger is None:
+            return {}
+        return {name: self._ledger.list_held(name) for name in self._reader.state.hosts}
--- /dev/null
+++ b/packages/carawayd/src/carawayd/request/handler.py
@@ -0,0 +1,271 @@
+"""Serving of callers' requests: admission, attempts, retries and forwarding."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import secrets
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from carawayd.request.answers import KeptAnswer, Reason, Refusal, build_refusal
+from carawayd.request.attempt import CallerLost, Unanswered, build_answer
+from carawayd.request.body import RequestBody
+from carawayd.request.plan import KEY_HEADER, build_plan
+from carawayshore import admission
+from carawayshore.outcome import OUTCOME_HEADER, Outcome
+from carawayshore.retry import choose_delay
+
+if TYPE_CHECKING:
+    import random
+
+    from carawayd.process.membership import Membership
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.observations import Observations
+    from carawayd.process.settings import Settings
+    from carawayd.request.attempt import Attempts
+    from carawayd.request.forward import Forwarder
+    from carawayd.request.keyed import KeyedRequests
+    from carawayd.request.plan import Plan
+    from carawayd.version.configuration import ActiveVersion, Versions
+    from carawayd.version.dispatcher import Assigned, Dispatcher
+    from carawayshore.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+MAX_ATTEMPTS = 16
+# Reasons for which another data centre may serve the request in time.
+ELSEWHERE = frozenset({Reason.NO_TARGET, Reason.QUEUE_FULL, Reason.DEADLINE})
+
+
+class RequestHandler:
+    """Serves requests of callers.
+
+    Parameters
+    ----------
+    membership : Membership
+    versions : Versions
+    observations : Observations
+    attempts : Attempts
+    forwarder : Forwarder
+    settings : Settings
+    clock : Clock
+    rng : random.Random
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        versions: Versions,
+        observations: Observations,
+        attempts: Attempts,
+        forwarder: Forwarder,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.in_progress = 0
+        self.keyed: KeyedRequests | None = None
+        self._membership = membership
+        self._versions = versions
+        self._observations = observations
+        self._attempts = attempts
+        self._forwarder = forwarder
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+
+    def _name_request(self) -> str:
+        """Returns an identifier that is unique and cannot be guessed."""
+        number = next(self._numbers)
+        identity = f"{self._settings.member}.{self._membership.incarnation}"
+        return f"{identity}.{number}.{secrets.token_hex(4)}"
+
+    def find_version(self) -> ActiveVersion:
+        """Returns the version in force.
+
+        Raises
+        ------
+        Refusal
+            If this process serves nothing at this moment.
+        """
+        if self._membership.stopping:
+            raise Refusal(Outcome.NOT_RUN, Reason.STOPPING)
+        if self._versions.current is None:
+            raise Refusal(Outcome.NOT_RUN, Reason.NOT_READY)
+        return self._versions.current
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request."""
+        self.in_progress += 1
+        identifier = self._name_request()
+        service, started = "", self._clock.elapsed()
+        try:
+            with self.find_version() as version:
+                plan = build_plan(request, identifier, version, started)
+                service = plan.service
+                answer = await self._serve(request, plan, version)
+            outcome = answer.headers.get(OUTCOME_HEADER, Outcome.COMPLETED)
+            self._metrics.requests.labels(service, outcome).inc()
+            self._metrics.latency.observe(service, self._clock.elapsed() - started)
+            return answer
+        except Refusal as refusal:
+            self._doubt(request, refusal)
+            self._metrics.requests.labels(service, refusal.outcome).inc()
+            self._metrics.refusals.labels(service, refusal.reason).inc()
+            return build_refusal(refusal, identifier)
+        except CallerLost as error:
+            self._metrics.requests.labels(service, "caller-lost").inc()
+            logger.debug("request %s: %s", identifier, error)
+            raise ConnectionResetError(str(error)) from error
+        finally:
+            self.in_progress -= 1
+
+    def _doubt(self, request: web.BaseRequest, refusal: Refusal) -> None:
+        """Answers ``unknown`` where an earlier request with the same key may have run."""
+        keyed = KEY_HEADER in request.headers
+        if keyed and not refusal.verified and refusal.status >= 500:
+            refusal.outcome = Outcome.UNKNOWN
+
+    async def _serve(
+        self, request: web.BaseRequest, plan: Plan, version: ActiveVersion
+    ) -> web.StreamResponse:
+        self.find_budget(plan).note_request()
+        body = RequestBody(request, self._settings.options)
+        await body.prepare(plan.deadline - self._clock.elapsed())
+        if not self._membership.may_serve():
+            return await self._forwarder.forward_home(request, plan, body)
+        dispatcher = version.find_dispatcher(plan.options["pool"])
+        if plan.key:
+            return await self.keyed.serve(request, plan, body, dispatcher)
+        answer = await self.attempt_until_answered(request, plan, body, dispatcher)
+        if isinstance(answer, KeptAnswer):
+            return build_answer(answer, request)
+        return answer
+
+    def find_budget(self, plan: Plan):
+        """Returns the retry budget of the plan's service."""
+        return self._observations.find_budget(plan.service, plan.options["retry_share"])
+
+    async def acquire(
+        self, plan: Plan, dispatcher: Dispatcher, attempt: int, tried: frozenset[str]
+    ) -> Assigned:
+        """Waits for a slot for one attempt; raises Refusal as the dispatcher does."""
+        wanted = admission.Request(
+            f"{plan.request}.{attempt}",
+            plan.service,
+            plan.kind,
+            plan.team,
+            plan.deadline - self._clock.elapsed(),
+            plan.declared,
+        )
+        return await dispatcher.acquire(wanted, tried)
+
+    async def attempt_until_answered(
+        self,
+        request: web.BaseRequest,
+        plan: Plan,
+        body: RequestBody,
+        dispatcher: Dispatcher,
+        *,
+        first: Assigned | None = None,
+    ) -> KeptAnswer | web.StreamResponse:
+        """Attempts the request until it is answered or must not be tried again.
+
+        Parameters
+        ----------
+        first : Assigned, optional
+            Slot for the first attempt, if the caller has one.
+
+        Raises
+        ------
+        Refusal
+            With the outcome of the whole request.
+        """
+        tried: frozenset[str] = frozenset()
+        for number in itertools.count(1):
+            assigned = first if number == 1 and first else None
+            if assigned is None:
+                try:
+                    assigned = await self.acquire(plan, dispatcher, number, tried)
+                except Refusal as refusal:
+                    return await self._try_elsewhere(request, plan, body, refusal)
+            result = await self._attempt(request, plan, body, dispatcher, assigned)
+            if not isinstance(result, Unanswered):
+                return result
+            tried = tried | {assigned.target}
+            self._check_retry(plan, body, result, number)
+            await self._pause(plan, result, number)
+        raise AssertionError("the loop ends by a return or a refusal")
+
+    async def _attempt(
+        self,
+        request: web.BaseRequest,
+        plan: Plan,
+        body: RequestBody,
+        dispatcher: Dispatcher,
+        assigned: Assigned,
+    ) -> KeptAnswer | web.StreamResponse | Unanswered:
+        failed: bool | None = None
+        try:
+            result = await self._attempts.run(
+                request, plan, body, assigned, pool=dispatcher.pool, whole=bool(plan.key)
+            )
+            if isinstance(result, Unanswered):
+                failed = None if result.reason in _NEUTRAL else True
+                return result
+            failed = result.status >= 500
+            if not failed:
+                dispatcher.observe(assigned, plan.declared)
+            elif plan.repeatable and body.can_send and isinstance(result, KeptAnswer):
+                return self._replace_failure(plan, result)
+            return result
+        finally:
+            if failed is not None:
+                dispatcher.note_result(assigned, failed=failed)
+            dispatcher.release(assigned)
+
+    def _replace_failure(self, plan: Plan, result: KeptAnswer) -> KeptAnswer | Unanswered:
+        """Tries a repeatable request again after a failure of the target, within the budget."""
+        if not self.find_budget(plan).take():
+            return result
+        return Unanswered(
+            Outcome.UNKNOWN, Reason.LOST_ANSWER, excusable=True, detail=f"status {result.status}"
+        )
+
+    def _check_retry(self, plan: Plan, body: RequestBody, result: Unanswered, number: int) -> None:
+        """Raises the refusal of a request that must not be tried again."""
+        may_repeat = result.outcome is Outcome.NOT_RUN or plan.repeatable
+        in_time = plan.deadline > self._clock.elapsed()
+        if may_repeat and in_time and body.can_send and number < MAX_ATTEMPTS:
+            if result.excusable or self.find_budget(plan).take():
+                self._metrics.retries.labels(result.reason).inc()
+                return
+        status = 504 if result.reason is Reason.DEADLINE else 503
+        if result.outcome is Outcome.UNKNOWN and status == 503:
+            status = 502
+        raise Refusal(result.outcome, result.reason, status=status, detail=result.detail)
+
+    async def _pause(self, plan: Plan, result: Unanswered, number: int) -> None:
+        if result.excusable:
+            return
+        delay = choose_delay(number, plan.deadline - self._clock.elapsed(), self._rng)
+        if delay is not None:
+            await self._clock.sleep(delay)
+
+    async def _try_elsewhere(
+        self, request: web.BaseRequest, plan: Plan, body: RequestBody, refusal: Refusal
+    ) -> KeptAnswer | web.StreamResponse:
+        """Lets another data centre serve what the own one cannot serve in time."""
+        if refusal.reason not in ELSEWHERE or not body.can_send or plan.key:
+            raise refusal
+        return await self._forwarder.forward_away(request, plan, body, refusal)
+
+
+_NEUTRAL = frozenset({Reason.TARGET_REFUSED, Reason.DEADLINE, Reason.CANCELLED})
--- /dev/null
+++ b/packages/carawayd/src/carawayd/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one configuration version."""
--- /dev/null
+++ b/packages/carawayd/src/carawayd/version/configuration.py
@@ -0,0 +1,135 @@
+"""One configuration version and the requests that began under it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from carawayshore.configuration import Configuration, complete_configuration
+from carawayshore.queueing import QueueSettings
+
+if TYPE_CHECKING:
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.streams import StreamReader
+    from carawayd.version.dispatcher import Dispatcher
+    from carawayshore.clock import Clock
+    from carawayshore.fold import ConfigurationVersion
+
+logger = logging.getLogger(__name__)
+
+
+DispatcherBuilder = Callable[[str, QueueSettings], "Dispatcher"]
+
+
+def build_queue_settings(configuration: Configuration, pool: str) -> QueueSettings:
+    """Returns the settings of a pool's queue."""
+    options = configuration["pools"][pool]
+    return QueueSettings(
+        short_limit=timedelta(seconds=options["short_seconds"]),
+        short_share=options["short_share"],
+        max_waiting=options["max_waiting"],
+        team_shares={
+            team: values["request_share"] for team, values in configuration["teams"].items()
+        },
+    )
+
+
+class ActiveVersion:
+    """A version that is in force, or that still has requests of its time.
+
+    Parameters
+    ----------
+    source : ConfigurationVersion
+    since : timedelta
+        Monotonic time at which it came into force here.
+    build_dispatcher : callable
+        Builds the dispatcher of a pool from its name and queue settings.
+    previous : ActiveVersion, optional
+        Dispatchers of pools whose settings stay the same are taken over from it.
+    """
+
+    def __init__(
+        self,
+        source: ConfigurationVersion,
+        since: timedelta,
+        build_dispatcher: DispatcherBuilder,
+        previous: ActiveVersion | None = None,
+    ) -> None:
+        self.version = source.version
+        self.author = source.author
+        self.since = since
+        self.requests = 0
+        self.configuration: Configuration = complete_configuration(source.document)
+        self.dispatchers: dict[str, Dispatcher] = {}
+        for pool in self.configuration["pools"]:
+            settings = build_queue_settings(self.configuration, pool)
+            kept = previous.dispatchers.get(pool) if previous else None
+            if kept is None or kept.queue_settings != settings:
+                kept = build_dispatcher(pool, settings)
+            self.dispatchers[pool] = kept
+
+    def find_dispatcher(self, pool: str) -> Dispatcher:
+        """Returns the dispatcher of a pool of this version."""
+        return self.dispatchers[pool]
+
+    def __enter__(self) -> ActiveVersion:
+        self.requests += 1
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.requests -= 1
+
+
+class Versions:
+    """Follows the global stream; each request keeps the version that it began under.
+
+    Parameters
+    ----------
+    reader : StreamReader
+        Of the global stream.
+    build_dispatcher : callable
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        reader: StreamReader,
+        *,
+        build_dispatcher: DispatcherBuilder,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.current: ActiveVersion | None = None
+        self.retiring: list[ActiveVersion] = []
+        self._reader = reader
+        self._build_dispatcher = build_dispatcher
+        self._clock = clock
+        self._metrics = metrics
+        reader.listen_batches(self._update)
+
+    def _update(self) -> None:
+        source = self._reader.state.configuration
+        self.retiring = [version for version in self.retiring if version.requests]
+        if source.version == 0 or (self.current and source.version <= self.current.version):
+            return
+        if self.current is not None and self.current.requests:
+            self.retiring.append(self.current)
+        self.current = ActiveVersion(
+            source, self._clock.elapsed(), self._build_dispatcher, self.current
+        )
+        self._metrics.version.set(source.version)
+        fields = {"version": source.version, "author": source.author}
+        logger.info("configuration %d is in force", source.version, extra={"fields": fields})
+
+    def list_dispatchers(self) -> list[Dispatcher]:
+        """Returns the dispatchers of all versions that have requests, without repetition."""
+        versions = [*self.retiring, *([self.current] if self.current else [])]
+        found = {
+            id(dispatcher): dispatcher
+            for version in versions
+            for dispatcher in version.dispatchers.values()
+        }
+        return list(found.values())
--- /dev/null
+++ b/packages/carawayd/src/carawayd/version/dispatcher.py
@@ -0,0 +1,220 @@
+"""Queue of one pool: which waiting request gets the next free slot, and at which target."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from carawayd.request.answers import Reason, Refusal
+from carawayshore import admission
+from carawayshore.admission import Admission, RefusalReason
+from carawayshore.outcome import Outcome
+from carawayshore.queueing import ClassQueue, QueueSettings, RunningWork, Waiting
+from carawayshore.routing import Candidate, choose_target
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+    from datetime import timedelta
+
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.observations import Observations
+    from carawayd.process.slots import Held, Slots
+    from carawayshore.clock import Clock
+    from carawayshore.health import Attempt
+    from carawayshore.prediction import Predictor
+
+_REASONS = {
+    RefusalReason.QUEUE_FULL: Reason.QUEUE_FULL,
+    RefusalReason.DEADLINE: Reason.DEADLINE,
+    RefusalReason.TEAM_SHARE: Reason.TEAM_SHARE,
+    RefusalReason.NO_SLOTS: Reason.NO_TARGET,
+}
+
+
+class Assigned(NamedTuple):
+    """A slot that a request was given."""
+
+    waiting: Waiting
+    target: str
+    held: Held
+    attempt: Attempt
+    started: timedelta
+
+
+class _Entry(NamedTuple):
+    waiting: Waiting
+    tried: frozenset[str]
+    future: asyncio.Future[Assigned]
+
+
+class Dispatcher:
+    """Admits, queues and places the requests of one pool.
+
+    Parameters
+    ----------
+    pool : str
+    queue_settings : QueueSettings
+    slots : Slots
+    observations : Observations
+    clock : Clock
+    rng : random.Random
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        queue_settings: QueueSettings,
+        *,
+        slots: Slots,
+        observations: Observations,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.pool = pool
+        self.queue_settings = queue_settings
+        self._slots = slots
+        self._observations = observations
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._health = observations.find_health(pool)
+        self._queue = ClassQueue(queue_settings, clock)
+        self._running = RunningWork(queue_settings, clock)
+        self._entries: dict[str, _Entry] = {}
+        self._admission = Admission(self._queue, self._predictor, clock, rng, queue_settings)
+
+    @property
+    def _predictor(self) -> Predictor:
+        return self._observations.predictor
+
+    @property
+    def waiting_count(self) -> int:
+        return len(self._queue)
+
+    @property
+    def running_count(self) -> int:
+        return len(self._running)
+
+    def _list_usable(self) -> list[str]:
+        targets = self._slots.list_targets(self.pool)
+        self._health.set_targets(targets)
+        return [target for target in targets if self._health.may_use(target)]
+
+    async def acquire(
+        self, request: admission.Request, tried: frozenset[str] = frozenset()
+    ) -> Assigned:
+        """Waits for a slot.
+
+        Raises
+        ------
+        Refusal
+            If the request is not admitted, or its deadline passes while it waits.
+        """
+        usable = self._list_usable()
+        if not usable:
+            raise Refusal(Outcome.NOT_RUN, Reason.NO_TARGET, detail=f"pool {self.pool}")
+        in_use = self._running.count()
+        # A pool whose slots are all at peers lends some soon, so it counts as one slot.
+        free = sum(self._slots.available(target) for target in usable)
+        decision = self._admission.decide(request, max(1, free + sum(in_use)), in_use)
+        if isinstance(decision, admission.Refusal):
+            raise Refusal(
+                Outcome.NOT_RUN, _REASONS[decision.reason], retry_after=decision.retry_after
+            )
+        future = asyncio.get_running_loop().create_future()
+        self._queue.push(decision)
+        self._entries[decision.request] = _Entry(decision, tried, future)
+        self.assign_slots()
+        try:
+            assigned = await future
+        except asyncio.CancelledError:
+            self._queue.remove(decision)
+            if future.done() and not future.cancelled() and future.exception() is None:
+                self.release(future.result())
+            raise
+        finally:
+            self._entries.pop(decision.request, None)
+        work_class = self._queue.classify(decision.predicted)
+        self._metrics.wait.observe(work_class, assigned.started - decision.since)
+        return assigned
+
+    def assign_slots(self) -> None:
+        """Gives free slots to waiting requests and refuses the expired ones."""
+        self._expire()
+        while len(self._queue):
+            usable = self._list_usable()
+            free = {target: self._slots.available(target) for target in usable}
+            waiting = self._queue.pop(
+                sum(free.values()), self._running.count(), self._running.by_team
+            )
+            if waiting is None:
+                return
+            entry = self._entries[waiting.request]
+            if entry.future.done():
+                continue
+            if not self._assign(entry, free):
+                # The slot went to somebody else since it was counted.
+                entry.future.set_exception(
+                    Refusal(Outcome.NOT_RUN, Reason.NO_TARGET, detail=f"pool {self.pool}")
+                )
+
+    def _expire(self) -> None:
+        for waiting in self._queue.expire():
+            entry = self._entries.get(waiting.request)
+            if entry is not None and not entry.future.done():
+                entry.future.set_exception(Refusal(Outcome.NOT_RUN, Reason.DEADLINE, status=504))
+
+    def _assign(self, entry: _Entry, free: Mapping[str, int]) -> bool:
+        candidates = [self._build_candidate(target, free[target], entry) for target in free]
+        chosen = choose_target(candidates, self._rng)
+        held = self._slots.acquire(chosen.target) if chosen else None
+        if held is None:
+            return False
+        self._running.start(entry.waiting)
+        attempt = self._health.start(chosen.target)
+        entry.future.set_result(
+            Assigned(entry.waiting, chosen.target, held, attempt, self._clock.elapsed())
+        )
+        return True
+
+    def _build_candidate(self, target: str, free: int, entry: _Entry) -> Candidate:
+        return Candidate(
+            target,
+            free,
+            self._slots.count_slots(target),
+            self._slots.in_use.get(target, 0),
+            self._slots.count_peer_load(target),
+            entry.waiting.expected * self._observations.speeds.find_factor(target),
+            target in entry.tried,
+        )
+
+    def release(self, assigned: Assigned) -> None:
+        """Ends the use of a slot and gives it to the next waiting request."""
+        self._slots.release(assigned.held)
+        self._running.finish(assigned.waiting.request)
+        self.assign_slots()
+
+    def observe(self, assigned: Assigned, declared: timedelta | None) -> None:
+        """Learns from the run time of a request that a target completed."""
+        duration = self._clock.elapsed() - assigned.started
+        waiting = assigned.waiting
+        self._predictor.observe(waiting.service, waiting.kind, duration, declared)
+        self._observations.speeds.observe(assigned.target, duration, waiting.expected)
+
+    def note_result(self, assigned: Assigned, *, failed: bool) -> None:
+        """Tells the target's health how an attempt ended."""
+        if failed:
+            self._health.fail(assigned.attempt)
+        else:
+            self._health.succeed(assigned.attempt)
+
+    def count_demand(self) -> dict[str, int]:
+        """Returns the waiting requests spread over the targets that could take them."""
+        if not len(self._queue):
+            return {}
+        usable = self._list_usable()
+        each = -(-len(self._queue) // max(1, len(usable)))
+        return dict.fromkeys(usable, each)
--- a/packages/carawayshore/src/carawayshore/assignment.py
+++ b/packages/carawayshore/src/carawayshore/assignment.py
@@ -6,6 +6,8 @@
 from carawayshore.fold import ACCEPTED, Host, StreamState, folds, reject
 
 FLEET_CLAIM = "fleet"
+HOLD = "hold"
+DRAIN_REASONS = ("move", "lend", "maintenance", HOLD)
 
 
 def has_fence(state: StreamState, claim: str, fence: int) -> bool:
@@ -62,12 +64,27 @@
     host = state.hosts[body.host]
     if host.draining_to:
         return reject(f"host {body.host!r} is draining already")
+    if body.reason not in DRAIN_REASONS:
+        return reject(f"reason {body.reason!r}, accepted: {', '.join(DRAIN_REASONS)}")
     state.hosts[body.host] = host._replace(
         revision=host.revision + 1, draining_to=body.to_pool, reason=body.reason, changed=offset
     )
     return ACCEPTED
 
 
+@folds(records.HostReturnRequested)
+def _request_return(state: StreamState, offset: int, item: records.Record):
+    reason = _check_host(state, item.body)
+    if reason:
+        return reject(reason)
+    host = state.hosts[item.body.host]
+    if host.reason != HOLD:
+        return reject(f"host {item.body.host!r} is not held")
+    # ``changed`` stays: the drain itself is what barriers waited for.
+    state.hosts[item.body.host] = host._replace(revision=host.revision + 1, reason="return")
+    return ACCEPTED
+
+
 @folds(records.HostJoined)
 def _join(state: StreamState, offset: int, item: records.Record):
     body: records.HostJoined = item.body
--- a/packages/carawayshore/src/carawayshore/configuration.py
+++ b/packages/carawayshore/src/carawayshore/configuration.py
@@ -13,15 +13,15 @@
 class PoolOptions(TypedDict):
     spare: bool
     min_serving: int
+    max_waiting: int
+    short_seconds: float
+    short_share: float
 
 
 class ServiceOptions(TypedDict):
     pool: str
     max_unavailable: int
     deadline_seconds: float
-    max_waiting: int
-    short_seconds: float
-    short_share: float
     retry_share: float
 
 
@@ -56,6 +56,22 @@
 POOL_FIELDS = (
     Field("spare", "boolean", "Whether other pools may borrow hosts of this pool.", default=False),
     Field("min_serving", "integer", "Hosts that stay when hosts are lent.", "hosts", 1),
+    Field("max_waiting", "integer", "Requests that may wait at one entry host.", "requests", 256),
+    Field(
+        "short_seconds",
+        "number",
+        "Requests predicted to run at most this long are short.",
+        "s",
+        0.5,
+    ),
+    Field(
+        "short_share",
+        "number",
+        "Share of the slots reserved for short requests; an idle part of it is lent.",
+        "",
+        0.5,
+        maximum=1,
+    ),
 )
 SERVICE_FIELDS = (
     Field("pool", "name", "Pool whose hosts serve the service.", required=True),
@@ -75,22 +91,6 @@
         minimum=0.05,
         maximum=86_400,
     ),
-    Field("max_waiting", "integer", "Requests that may wait at one entry host.", "requests", 256),
-    Field(
-        "short_seconds",
-        "number",
-        "Requests predicted to run at most this long are short.",
-        "s",
-        0.5,
-    ),
-    Field(
-        "short_share",
-        "number",
-        "Share of the slots reserved for short requests; an idle part of it is lent.",
-        "",
-        0.5,
-        maximum=1,
-    ),
     Field(
         "retry_share",
         "number",
--- a/packages/carawayshore/src/carawayshore/fold.py
+++ b/packages/carawayshore/src/carawayshore/fold.py
@@ -116,6 +116,13 @@
     reason: str
 
 
+class View(NamedTuple):
+    """Members of a data centre as of the record at ``offset``, as (name, incarnation) pairs."""
+
+    offset: int
+    members: list[tuple[str, int]]
+
+
 class FoldedState(NamedTuple):
     """All that a stream's records amount to; encoded in snapshots."""
 
@@ -124,6 +131,10 @@
     configuration: ConfigurationVersion
     claims: dict[str, Claim]
     members: dict[str, Member]
+    view: View
+    settled: View
+    crashed: list[str]
+    quarantine: int
     hosts: dict[str, Host]
     jobs: dict[str, Job]
     keys: dict[str, KeyGrant]
@@ -156,6 +167,12 @@
 ACCEPTED: Result[None, Rejection] = Success(None)
 
 
+@folds(records.Snapshot)
+def _note_snapshot(state: StreamState, offset: int, item: records.Record):
+    """A snapshot repeats the state and does not change it."""
+    return ACCEPTED
+
+
 class StreamState:
     """Mutable state of one stream; the same records give the same state everywhere."""
 
@@ -165,6 +182,10 @@
         self.configuration = ConfigurationVersion(0, {}, "")
         self.claims: dict[str, Claim] = {}
         self.members: dict[str, Member] = {}
+        self.view = View(-1, [])
+        self.settled = View(-1, [])
+        self.crashed: list[str] = []
+        self.quarantine = -1
         self.hosts: dict[str, Host] = {}
         self.jobs: dict[str, Job] = {}
         self.keys: dict[str, KeyGrant] = {}
--- a/packages/carawayshore/src/carawayshore/keys.py
+++ b/packages/carawayshore/src/carawayshore/keys.py
@@ -1,9 +1,19 @@
-"""At-most-once execution of requests with an idempotency key."""
+"""At-most-once execution of requests with an idempotency key.
+
+A key is granted to one request by its owner. The owner is chosen by rendezvous hashing over the
+members of the key's home data centre, and only when the last settled view and the current view
+agree on it: then no other process can believe that it owns the key.
+"""
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from carawayshore import records
-from carawayshore.fold import ACCEPTED, KeyGrant, StreamState, folds, reject
+from carawayshore.fold import ACCEPTED, KeyGrant, StreamState, View, folds, reject
+from carawayshore.hashing import choose_candidate
+
+RELEASED = -1
 
 
 @folds(records.KeyGranted)
@@ -21,5 +31,61 @@
     grant = state.keys.get(body.key)
     if grant is None or grant.request != body.request:
         return reject(f"key {body.key!r} is not granted to request {body.request!r}")
-    state.keys[body.key] = grant._replace(status=body.status)
+    if body.status == RELEASED:
+        del state.keys[body.key]
+    else:
+        state.keys[body.key] = grant._replace(status=body.status)
     return ACCEPTED
+
+
+class Ticket(NamedTuple):
+    """A key that is tracked by the process that issued it, and by no other."""
+
+    data_centre: str
+    member: str
+    incarnation: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.data_centre}:{self.member}.{self.incarnation}.{self.number}"
+
+
+def parse_ticket(key: str) -> Ticket | None:
+    """Returns the ticket that ``key`` is, or None if it is a key of another kind."""
+    data_centre, colon, rest = key.partition(":")
+    parts = rest.split(".")
+    if not colon or len(parts) != 3 or not parts[0]:
+        return None
+    member, incarnation, number = parts
+    if not incarnation.lstrip("-").isdigit() or not number.isdigit():
+        return None
+    return Ticket(data_centre, member, int(incarnation), int(number))
+
+
+def choose_home(key: str, data_centres: list[str]) -> str:
+    """Returns the data centre whose members may grant ``key``.
+
+    Raises
+    ------
+    ValueError
+        If there is no data centre.
+    """
+    prefix, colon, _ = key.partition(":")
+    if colon and prefix in data_centres:
+        return prefix
+    return choose_candidate(key, data_centres)
+
+
+def choose_owner(key: str, view: View) -> tuple[str, int] | None:
+    """Returns the member that owns ``key`` in a view, or None if the view is empty."""
+    if not view.members:
+        return None
+    incarnations = dict(view.members)
+    name = choose_candidate(key, incarnations)
+    return name, incarnations[name]
+
+
+def may_grant(key: str, state: StreamState, member: str, incarnation: int) -> bool:
+    """Returns whether no other process can believe that it owns ``key``."""
+    own = (member, incarnation)
+    return choose_owner(key, state.settled) == own and choose_owner(key, state.view) == own
--- a/packages/carawayshore/src/carawayshore/membership.py
+++ b/packages/carawayshore/src/carawayshore/membership.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from carawayshore import records
-from carawayshore.fold import ACCEPTED, Member, StreamState, folds, reject
+from carawayshore.fold import ACCEPTED, Member, StreamState, View, folds, reject
 
 
 class Incarnation(NamedTuple):
@@ -19,6 +19,19 @@
         return f"{self.member}/{self.incarnation}"
 
 
+def _change_view(state: StreamState, offset: int, crashed: str = "") -> None:
+    """Notes a new view, and whether grants that only memory held may be lost.
+
+    A grant is held by its owner and at least one other process until it is in the log. One crash
+    loses none, and a second one before the view has settled may.
+    """
+    state.view = View(offset, [tuple(item) for item in list_members(state)])
+    if crashed:
+        state.crashed = [*state.crashed, crashed]
+        if len(state.crashed) > 1:
+            state.quarantine = offset
+
+
 @folds(records.MemberJoined)
 def _join(state: StreamState, offset: int, item: records.Record):
     body: records.MemberJoined = item.body
@@ -29,25 +42,47 @@
     state.members[body.member] = Member(
         body.incarnation, body.caller_address, body.peer_address, joined=offset
     )
+    superseded = current is not None and not current.ended
+    _change_view(state, offset, crashed=body.member if superseded else "")
     return ACCEPTED
 
 
-def _end(state: StreamState, member: str, incarnation: int, evidence: str):
-    current = state.members.get(member)
-    if current is None or current.ended or current.incarnation != incarnation:
+def _end(state: StreamState, offset: int, body: Any, *, evidence: str, crashed: bool):
+    current = state.members.get(body.member)
+    if current is None or current.ended or current.incarnation != body.incarnation:
         return reject("the incarnation is not current")
-    state.members[member] = current._replace(ended=True, evidence=evidence)
+    state.members[body.member] = current._replace(ended=True, evidence=evidence)
+    _change_view(state, offset, crashed=body.member if crashed else "")
     return ACCEPTED
 
 
 @folds(records.MemberLeft)
 def _leave(state: StreamState, offset: int, item: records.Record):
-    return _end(state, item.body.member, item.body.incarnation, "left")
+    return _end(state, offset, item.body, evidence="left", crashed=False)
 
 
 @folds(records.MemberEvicted)
 def _evict(state: StreamState, offset: int, item: records.Record):
-    return _end(state, item.body.member, item.body.incarnation, item.body.evidence)
+    return _end(state, offset, item.body, evidence=item.body.evidence, crashed=True)
+
+
+@folds(records.ViewSettled)
+def _settle(state: StreamState, offset: int, item: records.Record):
+    if item.body.view != state.view.offset:
+        return reject(f"view {state.view.offset} is current, not {item.body.view}")
+    if state.settled.offset == state.view.offset:
+        return reject("the view is settled already")
+    state.settled = state.view
+    state.crashed = []
+    return ACCEPTED
+
+
+@folds(records.QuarantineEnded)
+def _end_quarantine(state: StreamState, offset: int, item: records.Record):
+    if item.body.offset != state.quarantine:
+        return reject(f"the quarantine of offset {state.quarantine} is current")
+    state.quarantine = -1
+    return ACCEPTED
 
 
 def list_members(state: StreamState) -> list[Incarnation]:
--- a/packages/carawayshore/src/carawayshore/records.py
+++ b/packages/carawayshore/src/carawayshore/records.py
@@ -163,6 +163,20 @@
     evidence: str
 
 
+@record("view_settled")
+class ViewSettled(NamedTuple):
+    """Every member applied the view of offset ``view`` and logged the keys that it granted."""
+
+    view: int
+
+
+@record("quarantine_ended")
+class QuarantineEnded(NamedTuple):
+    """A member has waited out the quarantine that began at ``offset``."""
+
+    offset: int
+
+
 class Resources(NamedTuple):
     processors: float
     memory_gib: float
@@ -189,7 +203,11 @@
 
 @record("host_drain_started")
 class HostDrainStarted(NamedTuple):
-    """Starts a move to ``to_pool``; the host's own pool for a drain that ends in its return."""
+    """Starts a move to ``to_pool``; the host's own pool for a drain that ends in its return.
+
+    ``reason`` is one of ``move``, ``lend``, ``maintenance`` and ``hold``; a held host stays drained
+    until its return is requested.
+    """
 
     host: str
     revision: int
@@ -198,6 +216,15 @@
     fence: int
 
 
+@record("host_return_requested")
+class HostReturnRequested(NamedTuple):
+    """Ends a drain that holds the host until an operator returns it."""
+
+    host: str
+    revision: int
+    fence: int
+
+
 @record("host_joined")
 class HostJoined(NamedTuple):
     host: str
@@ -259,6 +286,8 @@
 
 @record("key_finished")
 class KeyFinished(NamedTuple):
+    """``status`` is the HTTP status of the answer, 0 if unknown, -1 if it was never dispatched."""
+
     key: str
     request: str
     status: int
