Add the stand-ins of the log, the host list, the pools service and the worker

Cause: the daemon needs outside systems whose faults can be set and whose record shows what really happened. Change: one aiohttp process for each service, settings and faults validated with carawayshore.options, a fault and a record endpoint on each; the worker can keep its record in a file, so that a killed worker still knows what it ran and refuses old leases. Before: no stand-in existed.

--- /dev/null
+++ b/packages/standins/src/carawayshore_standins/common.py
@@ -0,0 +1,330 @@
+"""Parts shared by the stand-ins: settings, fault control, record and the server process."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import hashlib
+import json
+import signal
+import sys
+from datetime import timedelta
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from carawayshore.clock import SystemClock
+from carawayshore.findings import Finding, FindingsError, join_pointer
+from carawayshore.options import Field, check, check_fields, fill_defaults
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from carawayshore.clock import Clock
+
+BODY_LIMIT = 256 * 1024  # The log service accepts bodies of at most 256 KiB; the others share it.
+KEEPALIVE_SECONDS = 3600.0  # The stand-ins close idle connections only when a fault says so.
+SHUTDOWN_SECONDS = 1.0
+
+ADDRESS_FIELDS = (
+    Field("address", "address", "Address to listen on.", required=True),
+    Field(
+        "listeners",
+        "mapping",
+        "Further addresses by name, so that a partition can concern some clients only.",
+        fields=(Field("address", "address", "Address to listen on.", required=True),),
+    ),
+    Field("record_limit", "integer", "Entries kept in each list of the record.", default=200_000),
+)
+PARTITION_FAULTS = (
+    Field("drop", "boolean", "Accept connections and close them.", default=False),
+    Field("drop_listeners", "names", "Drop only what comes in at these listeners."),
+    Field("seed", "integer", "Seed of the shares.", default=0),
+)
+LOSS_FAULTS = (
+    Field("lose_answers", "integer", "Number of answers to lose.", default=0),
+    Field("lose_answers_share", "number", "Share of answers to lose.", default=0.0, maximum=1),
+)
+PLATFORM_FAULTS = PARTITION_FAULTS + (
+    Field("outage", "boolean", "Answer 503 to everything.", default=False),
+    Field("slow", "number", "Added time of each answer.", unit="s", default=0.0, maximum=3600),
+)
+
+
+class LostAnswerError(Exception):
+    """Raised by a handler whose effect stands but whose answer must not be sent."""
+
+
+@check("base_url")
+def _check_base_url(field: Field, value: Any, pointer: str) -> list[Finding]:
+    if isinstance(value, str) and value.startswith("http://"):
+        return []
+    return [Finding(pointer, value, "a URL, for example http://127.0.0.1:8080")]
+
+
+@check("any_object")
+def _check_any_object(field: Field, value: Any, pointer: str) -> list[Finding]:
+    return [] if isinstance(value, dict) else [Finding(pointer, value, "an object")]
+
+
+@check("entry_list")
+def _check_entry_list(field: Field, value: Any, pointer: str) -> list[Finding]:
+    if not isinstance(value, list):
+        return [Finding(pointer, value, "a list of objects")]
+    return [
+        finding
+        for index, item in enumerate(value)
+        for finding in check_fields(field.fields, item, join_pointer(pointer, index))
+    ]
+
+
+def _fill(fields: tuple[Field, ...], value: dict[str, Any]) -> dict[str, Any]:
+    filled = fill_defaults(fields, value)
+    for field in fields:
+        if field.kind == "entry_list":
+            entries = value.get(field.name) or []
+            filled[field.name] = [fill_defaults(field.fields, entry) for entry in entries]
+    return filled
+
+
+def read_fields(fields: tuple[Field, ...], value: Any, source: str) -> dict[str, Any]:
+    """Returns ``value`` with defaults filled in.
+
+    Raises
+    ------
+    FindingsError
+        With all findings, if ``value`` is not valid.
+    """
+    findings = check_fields(fields, value)
+    if findings:
+        raise FindingsError(source, findings)
+    return _fill(fields, value)
+
+
+def load_settings(fields: tuple[Field, ...], path: Path) -> dict[str, Any]:
+    """Reads a settings file.
+
+    Raises
+    ------
+    FindingsError
+        If the file cannot be read or is not valid.
+    """
+    try:
+        value = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise FindingsError(str(path), [Finding("", str(error), "a JSON object")]) from error
+    return read_fields(fields, value, str(path))
+
+
+def draw_share(seed: int, name: str) -> float:
+    """Returns a number from 0 up to 1 that depends on nothing but ``seed`` and ``name``."""
+    digest = hashlib.sha256(f"{seed}:{name}".encode()).digest()
+    return int.from_bytes(digest[:8], "big") / 2**64
+
+
+def format_time(clock: Clock) -> str:
+    """Returns the time of day as RFC 3339 in UTC with microseconds."""
+    return clock.now().isoformat(timespec="microseconds").replace("+00:00", "Z")
+
+
+def answer_error(
+    status: int, message: str, headers: dict[str, str] | None = None, **members: Any
+) -> web.Response:
+    """Returns an answer with the error object that all stand-ins use."""
+    return web.json_response({"error": message, **members}, status=status, headers=headers)
+
+
+def answer_findings(error: FindingsError) -> web.Response:
+    findings = [{"pointer": f.pointer, "accepted": f.accepted} for f in error.findings]
+    return answer_error(400, str(error), findings=findings)
+
+
+async def read_body(request: web.Request, fields: tuple[Field, ...]) -> dict[str, Any]:
+    """Returns the JSON body of ``request`` with defaults filled in.
+
+    Raises
+    ------
+    FindingsError
+        If the body is not valid.
+    """
+    try:
+        value = json.loads(await request.read() or b"{}")
+    except ValueError as error:
+        raise FindingsError("body", [Finding("", str(error), "a JSON object")]) from error
+    return read_fields(fields, value, "body")
+
+
+class Standin:
+    """Base class of the stand-ins.
+
+    Parameters
+    ----------
+    settings : dict
+        Valid settings with the defaults filled in.
+    clock : Clock
+    """
+
+    name = ""
+    settings_fields: tuple[Field, ...] = ADDRESS_FIELDS
+    fault_fields: tuple[Field, ...] = PLATFORM_FAULTS
+
+    def __init__(self, settings: dict[str, Any], clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.faults = read_fields(self.fault_fields, {}, "faults")
+        self.runner: web.AppRunner | None = None
+        self._listener_names: dict[int, str] = {}
+        self._lost = 0
+
+    def list_routes(self) -> list[web.RouteDef]:
+        """Returns the routes of the service itself."""
+        raise NotImplementedError
+
+    def read_record(self) -> dict[str, Any]:
+        """Returns what really happened, for tests."""
+        raise NotImplementedError
+
+    def clear_record(self) -> None:
+        """Forgets what was recorded so far."""
+        raise NotImplementedError
+
+    def apply_faults(self, request: web.Request) -> None:
+        """Called after the faults were set by ``request``."""
+
+    async def start(self) -> None:
+        """Called once before the first request."""
+
+    async def close(self) -> None:
+        """Called once when the process stops."""
+
+    def choose_lost_answer(self, name: str) -> bool:
+        """Returns whether the answer to the request ``name`` is to be lost."""
+        if self.faults["lose_answers"] > 0:
+            self.faults["lose_answers"] -= 1
+            self._lost += 1
+            return True
+        share = self.faults["lose_answers_share"]
+        lost = share > 0 and draw_share(self.faults["seed"], f"lose:{name}") < share
+        self._lost += lost
+        return lost
+
+    def is_dropped(self, request: web.Request) -> bool:
+        """Returns whether ``request`` came over a partitioned listener."""
+        if self.faults["drop"]:
+            return True
+        if not self.faults["drop_listeners"] or request.transport is None:
+            return False
+        port = request.transport.get_extra_info("sockname")[1]
+        return self._listener_names.get(port) in self.faults["drop_listeners"]
+
+    def build_application(self) -> web.Application:
+        application = web.Application(middlewares=[self._handle_errors], client_max_size=BODY_LIMIT)
+        application.add_routes(self.list_routes())
+        application.add_routes(
+            [
+                web.post("/v1/faults", self._set_faults),
+                web.get("/v1/faults", self._get_faults),
+                web.get("/v1/record", self._get_record),
+                web.delete("/v1/record", self._delete_record),
+            ]
+        )
+        return application
+
+    async def open(self) -> list[str]:
+        """Starts listening and returns the addresses."""
+        self.runner = web.AppRunner(
+            self.build_application(),
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self.runner.setup()
+        await self.start()
+        await self._listen("main", self.settings["address"])
+        for name, listener in self.settings["listeners"].items():
+            await self._listen(name, listener["address"])
+        return [f"{host}:{port}" for host, port in self.runner.addresses]
+
+    async def _listen(self, name: str, address: str) -> None:
+        host, port = address.split(":")
+        known = len(self.runner.addresses)
+        await web.TCPSite(self.runner, host, int(port)).start()
+        self._listener_names[self.runner.addresses[known][1]] = name
+
+    async def stop(self) -> None:
+        await self.close()
+        await self.runner.cleanup()
+
+    @web.middleware
+    async def _handle_errors(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        try:
+            if request.path in ("/v1/faults", "/v1/record"):
+                return await handler(request)
+            return await self.handle(request, handler)
+        except LostAnswerError:
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response()
+        except FindingsError as error:
+            return answer_findings(error)
+        except web.HTTPException as error:
+            return answer_error(error.status, error.reason)
+
+    async def handle(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        """Answers ``request`` under the faults that are set."""
+        if self.is_dropped(request):
+            raise LostAnswerError
+        if self.faults["slow"]:
+            await self.clock.sleep(timedelta(seconds=self.faults["slow"]))
+        if self.faults["outage"]:
+            return answer_error(503, f"{self.name} has an outage")
+        answer = await handler(request)
+        if self.is_dropped(request):
+            raise LostAnswerError
+        return answer
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self.faults = await read_body(request, self.fault_fields)
+        self.apply_faults(request)
+        return web.json_response(self.faults)
+
+    async def _get_faults(self, request: web.Request) -> web.Response:
+        return web.json_response(self.faults)
+
+    async def _get_record(self, request: web.Request) -> web.Response:
+        return web.json_response(self.read_record() | {"lost_answers": self._lost})
+
+    async def _delete_record(self, request: web.Request) -> web.Response:
+        self.clear_record()
+        self._lost = 0
+        return web.json_response({})
+
+
+async def _serve(standin: Standin) -> None:
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
+    addresses = await standin.open()
+    print(json.dumps({"event": "listening", "addresses": addresses}), flush=True)
+    await ended.wait()
+    await standin.stop()
+
+
+def run_standin(standin_type: type[Standin]) -> int:
+    """Runs one stand-in until it is interrupted; returns the exit status."""
+    parser = argparse.ArgumentParser(description=f"Stand-in: {standin_type.name}.")
+    parser.add_argument("--settings", type=Path, required=True, help="JSON settings file")
+    arguments = parser.parse_args()
+    try:
+        settings = load_settings(standin_type.settings_fields, arguments.settings)
+    except FindingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    asyncio.run(_serve(standin_type(settings, SystemClock())))
+    return 0
--- /dev/null
+++ b/packages/standins/src/carawayshore_standins/tasks.py
@@ -0,0 +1,347 @@
+"""Tasks of the worker stand-in, each run under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from carawayshore.findings import Finding
+from carawayshore.options import Field, check
+from carawayshore.outcome import OUTCOME_HEADER, Outcome
+from carawayshore_standins.common import LostAnswerError, answer_error, format_time, read_body
+
+if TYPE_CHECKING:
+    from carawayshore_standins.worker import Worker
+
+RESOURCES = ("processors", "memory_gib", "accelerators")
+LEASE_MAXIMUM = 2**63
+DAY_SECONDS = 86_400
+
+
+@check("optional_object")
+def _check_optional_object(field: Field, value: Any, pointer: str) -> list[Finding]:
+    if value is None or isinstance(value, dict):
+        return []
+    return [Finding(pointer, value, "an object or null")]
+
+
+_LEASE = Field("lease", "integer", "Lease.", required=True, maximum=LEASE_MAXIMUM)
+LEASE_FIELDS = (_LEASE,)
+THROTTLE_FIELDS = (
+    _LEASE,
+    Field("share", "number", "Share of full speed; 0 pauses.", required=True, maximum=1),
+)
+TASK_FIELDS = (
+    Field("attempt", "integer", "Attempt, from 1.", required=True, minimum=1),
+    _LEASE,
+    Field(
+        "lease_seconds",
+        "number",
+        "Time from start or renewal to the lapse of the lease.",
+        unit="s",
+        required=True,
+        minimum=0.01,
+        maximum=DAY_SECONDS,
+    ),
+    Field("service", "text", "Service of the job.", required=True),
+    Field(
+        "resources",
+        "object",
+        "Resources held while the task runs.",
+        fields=(
+            Field("processors", "number", "Processors.", default=1),
+            Field("memory_gib", "number", "Memory.", unit="GiB", default=1),
+            Field("accelerators", "integer", "Accelerators.", default=0),
+        ),
+    ),
+    Field("run_seconds", "number", "Run time at full speed.", unit="s", required=True),
+    Field("payload", "optional_object", "Content of the job."),
+    Field("checkpoint", "optional_object", "Checkpoint to go on from."),
+)
+
+
+class Task:
+    """One attempt of a job on this worker."""
+
+    def __init__(self, job: str, body: dict[str, Any], now: timedelta) -> None:
+        self.job = job
+        self.attempt: int = body["attempt"]
+        self.lease: int = body["lease"]
+        self.lease_time = timedelta(seconds=body["lease_seconds"])
+        self.expires = now + self.lease_time
+        self.resources: dict[str, float] = body["resources"]
+        self.run_seconds: float = body["run_seconds"]
+        self.fails = (body["payload"] or {}).get("result") == "failed"
+        self.state = "running"
+        self.shares: list[tuple[timedelta, float]] = [(now, 1.0)]
+        self.checkpoint: dict[str, Any] | None = body["checkpoint"]
+        self.changed = asyncio.Event()
+        self.entry: dict[str, Any] = {}
+        self.runner: asyncio.Task[None] | None = None
+        self._done_seconds = float((body["checkpoint"] or {}).get("done_seconds", 0))
+        self._marked = now
+
+    def advance(self, now: timedelta) -> float:
+        """Returns the run time done so far, in seconds at full speed."""
+        if self.state == "running":
+            passed = (now - self._marked).total_seconds()
+            self._done_seconds += passed * self.shares[-1][1]
+            self._marked = now
+        return min(self._done_seconds, self.run_seconds)
+
+    def change_share(self, share: float, now: timedelta) -> None:
+        self.advance(now)
+        self.shares.append((now, share))
+        self.changed.set()
+
+    def compute_wait(self, now: timedelta) -> timedelta:
+        """Returns the time until the task ends or its lease lapses."""
+        left, share = self.run_seconds - self.advance(now), self.shares[-1][1]
+        until_lapse = self.expires - now
+        return min(until_lapse, timedelta(seconds=left / share)) if share else until_lapse
+
+    def describe(self, now: timedelta, lag: timedelta) -> dict[str, Any]:
+        return {
+            "job": self.job,
+            "attempt": self.attempt,
+            "lease": self.lease,
+            "lease_seconds_left": max(0.0, (self.expires - now).total_seconds()),
+            "state": self.state,
+            "done_seconds": self.advance(now),
+            "run_seconds": self.run_seconds,
+            "share": self.shares[-1][1],
+            "checkpoint": self.checkpoint,
+            "usage": self._describe_usage(now - lag, lag),
+        }
+
+    def _describe_usage(self, moment: timedelta, lag: timedelta) -> dict[str, Any] | None:
+        """Returns the use of resources at ``moment``, or None if the task ran only later."""
+        shares = [share for start, share in self.shares if start <= moment]
+        if not shares or self.state != "running":
+            return None
+        return {
+            "seconds_ago": lag.total_seconds(),
+            "processors": self.resources["processors"] * shares[-1],
+            "memory_gib": self.resources["memory_gib"],
+            "accelerators": self.resources["accelerators"],
+        }
+
+
+class TaskRunner:
+    """Starts, renews and ends the tasks of one worker.
+
+    Parameters
+    ----------
+    worker : Worker
+    """
+
+    def __init__(self, worker: Worker) -> None:
+        self._worker = worker
+        self._clock = worker.clock
+        self._tasks: dict[str, Task] = {}
+
+    def list_routes(self) -> list[web.RouteDef]:
+        return [
+            web.put("/v1/tasks/{job}", self._put),
+            web.get("/v1/tasks/{job}", self._get),
+            web.post("/v1/tasks/{job}/renew", self._renew),
+            web.post("/v1/tasks/{job}/checkpoint", self._checkpoint),
+            web.post("/v1/tasks/{job}/throttle", self._throttle),
+            web.post("/v1/tasks/{job}/stop", self._stop),
+        ]
+
+    def describe(self) -> list[dict[str, Any]]:
+        return [self._describe(task) for task in self._tasks.values()]
+
+    def cut_off(self) -> None:
+        """Ends every running task without a result, as a reboot does."""
+        for task in self._list_running():
+            self._end(task, "cut-off")
+
+    async def close(self) -> None:
+        self.cut_off()
+        runners = [task.runner for task in self._tasks.values() if task.runner]
+        for runner in runners:
+            runner.cancel()
+        await asyncio.gather(*runners, return_exceptions=True)
+
+    def _describe(self, task: Task) -> dict[str, Any]:
+        lag = timedelta(seconds=self._worker.settings["usage_lag_seconds"])
+        return task.describe(self._clock.elapsed(), lag)
+
+    def _list_running(self) -> list[Task]:
+        return [task for task in self._tasks.values() if task.state == "running"]
+
+    def _lacks_resources(self, wanted: dict[str, float], replaced: Task | None) -> bool:
+        others = [task for task in self._list_running() if task is not replaced]
+        return any(
+            wanted[name] + sum(task.resources[name] for task in others)
+            > self._worker.settings[name]
+            for name in RESOURCES
+        )
+
+    def _end(self, task: Task, state: str) -> None:
+        if task.state != "running":
+            return
+        task.advance(self._clock.elapsed())
+        task.state = state
+        task.changed.set()
+        finished = state in ("succeeded", "failed")
+        self._worker.record.end(task.entry, finished=finished, result=state)
+
+    async def _run(self, task: Task) -> None:
+        while task.state == "running":
+            now = self._clock.elapsed()
+            if task.advance(now) >= task.run_seconds:
+                self._end(task, "failed" if task.fails else "succeeded")
+            elif now >= task.expires:
+                self._end(task, "lapsed")
+            else:
+                await self._await_change(task, task.compute_wait(now))
+
+    async def _await_change(self, task: Task, longest: timedelta) -> None:
+        task.changed.clear()
+        timer = asyncio.ensure_future(self._clock.sleep(longest))
+        change = asyncio.ensure_future(task.changed.wait())
+        try:
+            await asyncio.wait({timer, change}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            change.cancel()
+
+    def _refuse(self, job: str, body: dict[str, Any], status: int, reason: str) -> web.Response:
+        self._worker.record.reject(reason, job=job, attempt=body["attempt"], lease=body["lease"])
+        headers = {OUTCOME_HEADER: Outcome.NOT_RUN.value}
+        return answer_error(status, f"not run: {reason}", headers, reason=reason)
+
+    def _find_refusal(
+        self, request: web.Request, body: dict[str, Any], earlier: Task | None
+    ) -> tuple[int, str] | None:
+        worker = self._worker
+        if request.headers.get("Carawayshore-Pool", worker.pool) != worker.pool:
+            return 421, "pool"
+        if worker.faults["refuse"]:
+            return 503, "refused"
+        if worker.draining:
+            return 503, "draining"
+        if self._lacks_resources(body["resources"], earlier):
+            return 503, "resources"
+        return None
+
+    async def _put(self, request: web.Request) -> web.Response:
+        job = request.match_info["job"]
+        body = await read_body(request, TASK_FIELDS)
+        fence, earlier = self._worker.record.fences.get(job, -1), self._tasks.get(job)
+        if earlier and earlier.lease == body["lease"]:
+            return web.json_response(self._describe(earlier))
+        entry = self._worker.record.tasks.get(job)
+        if not earlier and entry and entry["lease"] == body["lease"]:
+            return web.json_response(self._describe_entry(entry))
+        if body["lease"] <= fence:
+            self._worker.record.reject("lease", job=job, attempt=body["attempt"])
+            return answer_error(409, f"lease {body['lease']} is not above {fence}", lease=fence)
+        refusal = self._find_refusal(request, body, earlier)
+        if refusal:
+            return self._refuse(job, body, *refusal)
+        if earlier:
+            self._end(earlier, "superseded")
+        task = self._start(job, body)
+        if self._worker.choose_lost_answer(f"{job}:{task.lease}"):
+            raise LostAnswerError
+        return web.json_response(self._describe(task), status=201)
+
+    def _start(self, job: str, body: dict[str, Any]) -> Task:
+        worker = self._worker
+        task = Task(job, body, self._clock.elapsed())
+        task.run_seconds = worker.stretch(f"{job}:{task.attempt}", task.run_seconds)
+        task.entry = worker.record.begin(
+            "task",
+            job=job,
+            attempt=task.attempt,
+            lease=task.lease,
+            service=body["service"],
+            pool=worker.pool,
+            **worker.record.describe_arrival(),
+        )
+        self._tasks[job] = task
+        if worker.faults["fail_all"]:
+            self._end(task, "failed")
+        else:
+            task.runner = asyncio.create_task(self._run(task))
+        return task
+
+    async def _get(self, request: web.Request) -> web.Response:
+        job = request.match_info["job"]
+        task, entry = self._tasks.get(job), self._worker.record.tasks.get(job)
+        if task:
+            return web.json_response(self._describe(task))
+        if entry:
+            return web.json_response(self._describe_entry(entry))
+        return answer_error(404, f"no task of job {job!r} was started here")
+
+    def _describe_entry(self, entry: dict[str, Any]) -> dict[str, Any]:
+        """Returns what is left of a task that an earlier process of this worker ran."""
+        state = entry.get("result") or "cut-off"
+        kept = {name: entry[name] for name in ("job", "attempt", "lease")}
+        return kept | {"state": state, "checkpoint": None, "usage": None}
+
+    async def _find(
+        self, request: web.Request, fields: tuple[Field, ...]
+    ) -> tuple[Task | None, dict[str, Any], web.Response | None]:
+        """Returns the task that a call concerns and its body, or the refusal of the call."""
+        job = request.match_info["job"]
+        body = await read_body(request, fields)
+        task, fence = self._tasks.get(job), self._worker.record.fences.get(job, -1)
+        if body["lease"] < fence:
+            message = f"lease {body['lease']} is below {fence}"
+            return None, body, answer_error(409, message, lease=fence)
+        if task is None or task.lease != body["lease"]:
+            message = f"no task of job {job!r} runs under lease {body['lease']}"
+            return None, body, answer_error(404, message)
+        if task.state != "running":
+            message = f"the task of job {job!r} is {task.state}"
+            return task, body, answer_error(410, message, task=self._describe(task))
+        return task, body, None
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        task, _, refusal = await self._find(request, LEASE_FIELDS)
+        if refusal:
+            return refusal
+        task.expires = self._clock.elapsed() + task.lease_time
+        task.changed.set()
+        return web.json_response(self._describe(task))
+
+    async def _checkpoint(self, request: web.Request) -> web.Response:
+        task, _, refusal = await self._find(request, LEASE_FIELDS)
+        if refusal:
+            return refusal
+        done = task.advance(self._clock.elapsed())
+        task.checkpoint = {"done_seconds": done, "at": format_time(self._clock)}
+        return web.json_response(self._describe(task))
+
+    async def _throttle(self, request: web.Request) -> web.Response:
+        task, body, refusal = await self._find(request, THROTTLE_FIELDS)
+        if refusal:
+            return refusal
+        task.change_share(body["share"], self._clock.elapsed())
+        return web.json_response(self._describe(task))
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        """Ends a task; one that was not started under this lease never will be."""
+        job = request.match_info["job"]
+        task, body, refusal = await self._find(request, LEASE_FIELDS)
+        if task:
+            self._end(task, "stopped")
+            return web.json_response(self._describe(task))
+        if refusal.status == 409:
+            return refusal
+        entry = self._worker.record.tasks.get(job)
+        if entry and entry["lease"] == body["lease"]:
+            return web.json_response(self._describe_entry(entry))
+        self._worker.record.raise_fence(job, body["lease"])
+        if job in self._tasks:
+            self._end(self._tasks[job], "superseded")
+        return web.json_response({"job": job, "lease": body["lease"], "state": "not-started"})
