--- a/packages/standins/src/carawayshore_standins/common.py
+++ b/packages/standins/src/carawayshore_standins/common.py
@@ -68,6 +68,18 @@
     return [] if isinstance(value, dict) else [Finding(pointer, value, "an object")]
 
 
+@check("address_list")
+def _check_address_list(field: Field, value: Any, pointer: str) -> list[Finding]:
+    if not isinstance(value, list) or not value:
+        return [Finding(pointer, value, "a list of at least one address")]
+    fields = (Field("address", "address", "Address.", required=True),)
+    return [
+        Finding(join_pointer(pointer, index), item, finding.accepted)
+        for index, item in enumerate(value)
+        for finding in check_fields(fields, {"address": item})
+    ]
+
+
 @check("entry_list")
 def _check_entry_list(field: Field, value: Any, pointer: str) -> list[Finding]:
     if not isinstance(value, list):
@@ -195,6 +207,9 @@
     async def start(self) -> None:
         """Called once before the first request."""
 
+    async def begin(self) -> None:
+        """Called once when all addresses are listened on."""
+
     async def close(self) -> None:
         """Called once when the process stops."""
 
@@ -244,6 +259,7 @@
         await self._listen("main", self.settings["address"])
         for name, listener in self.settings["listeners"].items():
             await self._listen(name, listener["address"])
+        await self.begin()
         return [f"{host}:{port}" for host, port in self.runner.addresses]
 
     async def _listen(self, name: str, address: str) -> None:
--- a/packages/standins/src/carawayshore_standins/pools.py
+++ b/packages/standins/src/carawayshore_standins/pools.py
@@ -185,29 +185,38 @@
         await self._tell_hostlist(host, {"state": "live", "pool": host.pool})
 
     async def _is_busy(self, host: Host) -> bool:
+        """Returns whether the worker still runs something; an unclear answer counts as busy."""
         try:
             async with self._session.get(f"http://{host.address}/v1/status") as answer:
                 status = await answer.json()
+        except aiohttp.ClientConnectorError:
+            return False  # Nothing runs on a host whose worker process has ended.
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return True
         running = [task for task in status["tasks"] if task["state"] == "running"]
         return bool(status["in_use"] or running)
 
     async def _control(self, host: Host, action: str, body: dict[str, Any]) -> None:
-        """Tells the worker until it answers; a later operation on the host ends the attempts."""
-        await self._send("post", f"http://{host.address}/v1/control/{action}", body)
+        """Tells the worker until it answers; a later operation on the host ends the attempts.
+
+        A worker whose process has ended is not told: it asks for its state when it starts.
+        """
+        await self._send("post", f"http://{host.address}/v1/control/{action}", body, False)
 
     async def _tell_hostlist(self, host: Host, members: dict[str, Any]) -> None:
         if self.settings["hostlist"]:
             url = f"{self.settings['hostlist']}/v1/hosts/{host.name}"
-            await self._send("put", url, members)
+            await self._send("put", url, members, True)
 
-    async def _send(self, method: str, url: str, body: dict[str, Any]) -> None:
+    async def _send(self, method: str, url: str, body: dict[str, Any], insist: bool) -> None:
         while True:
             try:
                 async with self._session.request(method, url, json=body) as answer:
                     if answer.status < 500:
                         return
+            except aiohttp.ClientConnectorError:
+                if not insist:
+                    return
             except (aiohttp.ClientError, TimeoutError):
                 pass
             await self.clock.sleep(RETRY_INTERVAL)
--- a/packages/standins/src/carawayshore_standins/worker.py
+++ b/packages/standins/src/carawayshore_standins/worker.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
+import aiohttp
 from aiohttp import web
 
 from carawayshore.findings import Finding, FindingsError
@@ -31,17 +32,20 @@
 from carawayshore_standins.tasks import TaskRunner
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
 
 FINISHED_SHOWN = timedelta(seconds=60)
 WORK_SECONDS_MAXIMUM = 86_400.0
 WORK_BYTES_MAXIMUM = 2**40
 PIECE_BYTES = 64 * 1024
+STATE_INTERVAL = timedelta(milliseconds=250)
+STATE_TIMEOUT_S = 2.0
 CONTROL_PREFIXES = ("/v1/control/", "/v1/faults", "/v1/record")
 
 SETTINGS = ADDRESS_FIELDS + (
     Field("host", "name", "Name of the host.", required=True),
     Field("pool", "text", "Pool at the start.", required=True),
+    Field("pools", "base_url", "Pools service asked for pool and state at the start."),
     Field("slots", "integer", "Requests run at once.", default=8, minimum=1),
     Field("connections", "integer", "Connections that carry requests.", default=64, minimum=1),
     Field("processors", "number", "Processors for tasks.", default=16),
@@ -183,7 +187,8 @@
         self._finished: OrderedDict[str, timedelta] = OrderedDict()
         self._carriers: set[Any] = set()
         self._rebooting = False
-        self._end_reboot: asyncio.Task[None] | None = None
+        self._controlled = False
+        self._background: set[asyncio.Task[None]] = set()
         self._tasks = TaskRunner(self)
 
     def list_routes(self) -> list[web.RouteDef]:
@@ -213,7 +218,14 @@
             self._silence.silence(self.runner.server.connections, request.protocol)
             self.faults["silent"] = False
 
+    async def begin(self) -> None:
+        if self.settings["pools"]:
+            self.draining = True
+            self._spawn(self._learn_state())
+
     async def close(self) -> None:
+        for task in self._background:
+            task.cancel()
         self._silence.close()
         await self._tasks.close()
         self.record.close()
@@ -230,6 +242,31 @@
             raise LostAnswerError
         return answer
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _learn_state(self) -> None:
+        """Asks the pools service for this host's state and refuses work until it is known.
+
+        A control call that arrives in the meantime is newer than the answer.
+        """
+        url = f"{self.settings['pools']}/v1/hosts/{self.settings['host']}"
+        timeout = aiohttp.ClientTimeout(total=STATE_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while not self._controlled:
+                try:
+                    async with session.get(url) as answer:
+                        state = await answer.json() if answer.status == 200 else None
+                except (aiohttp.ClientError, TimeoutError, ValueError):
+                    state = None
+                if state and not self._controlled:
+                    self.pool = state["pool"]
+                    self.draining = state["state"] != "serving"
+                    return
+                await self.clock.sleep(STATE_INTERVAL)
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         """Answers a caller's request: refuses it, or receives its body and runs it."""
         work = Work.read(request, self.settings["work_seconds"])
@@ -422,13 +459,15 @@
         return web.json_response(state)
 
     async def _drain(self, request: web.Request) -> web.Response:
-        if not self.draining:
+        self._controlled = True
+        if self.record.drain_began is None:
             self.draining = True
             self.record.drain_began = self.clock.elapsed()
         return web.json_response({"draining": True})
 
     async def _return(self, request: web.Request) -> web.Response:
         body = await read_body(request, RETURN_FIELDS)
+        self._controlled = True
         self.pool = body["pool"]
         self.draining = False
         self.record.drain_began = None
@@ -447,7 +486,7 @@
         for connection in self.runner.server.connections:
             if connection is not request.protocol and connection.transport:
                 connection.transport.abort()
-        self._end_reboot = asyncio.create_task(self._finish_reboot(body["seconds"]))
+        self._spawn(self._finish_reboot(body["seconds"]))
         return web.json_response({"draining": True})
 
     async def _finish_reboot(self, seconds: float) -> None:
