Add the launcher of a whole deployment

Cause: tests, benchmarks and the demonstration need many processes on free ports, ended by their own ids. Change: launcher as a command and as an async context manager, with kill, pause, resume, stop and restart by name; ports are reserved by holding the UDP port of the same number; children end with their launcher. Platform services have one address for each entry host, so that a partition can concern one of them. Before: processes were started by hand. Not yet run with carawayd.

--- a/packages/standins/src/carawayshore_standins/common.py
+++ b/packages/standins/src/carawayshore_standins/common.py
@@ -68,6 +68,13 @@
     return [] if isinstance(value, dict) else [Finding(pointer, value, "an object")]
 
 
+@check("optional_object")
+def _check_optional_object(field: Field, value: Any, pointer: str) -> list[Finding]:
+    if value is None or isinstance(value, dict):
+        return []
+    return [Finding(pointer, value, "an object or null")]
+
+
 @check("address_list")
 def _check_address_list(field: Field, value: Any, pointer: str) -> list[Finding]:
     if not isinstance(value, list) or not value:
--- /dev/null
+++ b/packages/standins/src/carawayshore_standins/launcher.py
@@ -0,0 +1,440 @@
+"""Starts the stand-ins and the entry hosts of a whole deployment on loopback.
+
+Examples
+--------
+``python -m carawayshore_standins.launcher [--description FILE] [--folder FOLDER]``
+
+>>> async with Launcher(description, folder) as launcher:  # doctest: +SKIP
+...     await launcher.kill("umea-1")
+...     await launcher.restart("umea-1")
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from carawayshore.clock import SystemClock
+from carawayshore.findings import FindingsError
+from carawayshore.options import Field
+from carawayshore_standins.common import load_settings, read_fields
+from carawayshore_standins.ports import PortReserver
+from carawayshore_standins.processes import ManagedProcess, ProcessPlan
+
+if TYPE_CHECKING:
+    from carawayshore.clock import Clock
+
+POLL_INTERVAL = timedelta(milliseconds=50)
+REQUEST_TIMEOUT_S = 5.0
+STANDIN_STOP_SECONDS = 5.0
+PACKAGE = "carawayshore_standins"
+PLATFORM = ("log", "hostlist", "pools")
+
+POOL_FIELDS = (
+    Field("workers", "integer", "Workers of the pool.", required=True, maximum=200),
+    Field("rack_size", "integer", "Workers in a rack.", default=4, minimum=1),
+)
+DATA_CENTRE_FIELDS = (
+    Field("entry_hosts", "integer", "Entry hosts.", default=2, maximum=50),
+    Field("pools", "mapping", "Pools by name.", required=True, fields=POOL_FIELDS),
+)
+DESCRIPTION_FIELDS = (
+    Field(
+        "data_centres", "mapping", "Data centres by name.", required=True, fields=DATA_CENTRE_FIELDS
+    ),
+    Field("log", "optional_object", "Further settings of the log service."),
+    Field("hostlist", "optional_object", "Further settings of the host list."),
+    Field("pools", "optional_object", "Further settings of the pools service."),
+    Field("worker", "optional_object", "Further settings of every worker."),
+    Field("options", "optional_object", "Member `options` of every entry host's settings."),
+    Field("configuration", "optional_object", "Published first, if given."),
+    Field("entry_module", "text", "Module run on entry hosts.", default="carawayd"),
+    Field("ready_seconds", "number", "Longest wait for readiness.", unit="s", default=30),
+    Field("stop_seconds", "number", "Longest wait for a planned stop.", unit="s", default=30),
+)
+DEFAULT_DESCRIPTION = {
+    "data_centres": {
+        name: {"entry_hosts": 2, "pools": {"booking": {"workers": 4}, "office": {"workers": 2}}}
+        for name in ("umea", "lulea")
+    },
+    "configuration": {
+        "data_centres": ["umea", "lulea"],
+        "pools": {"booking": {}, "office": {"spare": True}},
+        "services": {"booking": {"pool": "booking"}, "office": {"pool": "office"}},
+    },
+}
+
+
+class Planner:
+    """Turns a description into the settings of every process.
+
+    Parameters
+    ----------
+    description : dict
+        Valid description with the defaults filled in.
+    folder : Path
+        Folder of the workers' record files.
+    ports : PortReserver
+    """
+
+    def __init__(self, description: dict[str, Any], folder: Path, ports: PortReserver) -> None:
+        self._description = description
+        self._folder = folder
+        self._ports = ports
+        self._members = self._plan_members()
+        self._platform = {name: self._plan_listeners() for name in PLATFORM}
+        self._workers = self._list_workers()
+
+    def plan_all(self) -> list[list[ProcessPlan]]:
+        """Returns the groups of processes in the order in which they start."""
+        platform = [
+            self._plan_platform("log", {}),
+            self._plan_platform("hostlist", {"hosts": self._list_hosts()}),
+            self._plan_platform("pools", self._build_pools_settings()),
+        ]
+        workers = [self._plan_worker(entry) for entry in self._workers]
+        return [platform, workers, [self._plan_entry_host(member) for member in self._members]]
+
+    def _plan_members(self) -> list[dict[str, str]]:
+        return [
+            {
+                "member": f"{name}-{number + 1}",
+                "data_centre": name,
+                "peer_address": self._ports.reserve(),
+                "caller_address": self._ports.reserve(),
+                "operator_address": self._ports.reserve(),
+            }
+            for name, data_centre in self._description["data_centres"].items()
+            for number in range(data_centre["entry_hosts"])
+        ]
+
+    def _plan_listeners(self) -> dict[str, str]:
+        """Gives a platform service its own address for each entry host, for partitions."""
+        names = ["main", *(member["member"] for member in self._members)]
+        return {name: self._ports.reserve() for name in names}
+
+    def _list_workers(self) -> list[dict[str, str]]:
+        workers = []
+        for name, data_centre in self._description["data_centres"].items():
+            number = 0
+            for pool, options in data_centre["pools"].items():
+                for index in range(options["workers"]):
+                    number += 1
+                    workers.append(
+                        {
+                            "host": f"{name}-w{number}",
+                            "data_centre": name,
+                            "rack": f"{name}-{pool}-{index // options['rack_size'] + 1}",
+                            "pool": pool,
+                            "address": self._ports.reserve(),
+                        }
+                    )
+        return workers
+
+    def _list_hosts(self) -> list[dict[str, Any]]:
+        known = ("processors", "memory_gib", "accelerators", "slots", "connections")
+        size = {k: v for k, v in (self._description["worker"] or {}).items() if k in known}
+        workers = [entry | {"kind": "worker"} | size for entry in self._workers]
+        entries = [
+            {
+                "host": member["member"],
+                "kind": "entry",
+                "data_centre": member["data_centre"],
+                "address": member["caller_address"],
+            }
+            for member in self._members
+        ]
+        return workers + entries
+
+    def _build_pools_settings(self) -> dict[str, Any]:
+        hosts = [{k: entry[k] for k in ("host", "pool", "address")} for entry in self._workers]
+        return {"hosts": hosts, "hostlist": f"http://{self._platform['hostlist']['main']}"}
+
+    def _plan_platform(self, name: str, settings: dict[str, Any]) -> ProcessPlan:
+        addresses = self._platform[name]
+        listeners = {k: {"address": v} for k, v in addresses.items() if k != "main"}
+        settings |= {"address": addresses["main"], "listeners": listeners}
+        settings |= self._description[name] or {}
+        ready_url = f"http://{addresses['main']}/v1/record"
+        return ProcessPlan(name, f"{PACKAGE}.{name}", settings, ready_url, addresses)
+
+    def _plan_worker(self, entry: dict[str, str]) -> ProcessPlan:
+        settings = {k: entry[k] for k in ("host", "pool", "address")} | {
+            "pools": f"http://{self._platform['pools']['main']}",
+            "record_file": str(self._folder / f"{entry['host']}.record"),
+        }
+        settings |= self._description["worker"] or {}
+        address = entry["address"]
+        ready_url = f"http://{address}/v1/status"
+        return ProcessPlan(
+            entry["host"], f"{PACKAGE}.worker", settings, ready_url, {"main": address}
+        )
+
+    def _plan_entry_host(self, member: dict[str, str]) -> ProcessPlan:
+        name = member["member"]
+        peer_members = ("member", "data_centre", "peer_address", "caller_address")
+        settings: dict[str, Any] = dict(member)
+        settings |= {k: f"http://{self._platform[k][name]}" for k in PLATFORM}
+        settings["peers"] = [
+            {k: peer[k] for k in peer_members} for peer in self._members if peer is not member
+        ]
+        if self._description["options"] is not None:
+            settings["options"] = self._description["options"]
+        addresses = {
+            "caller": member["caller_address"],
+            "operator": member["operator_address"],
+            "peer": member["peer_address"],
+        }
+        ready_url = f"http://{member['caller_address']}/v1/ready"
+        return ProcessPlan(name, self._description["entry_module"], settings, ready_url, addresses)
+
+
+class Launcher:
+    """Runs the processes of one deployment; an async context manager.
+
+    Parameters
+    ----------
+    description : dict
+    folder : Path
+        Folder for settings, log and record files.
+    clock : Clock
+
+    Raises
+    ------
+    FindingsError
+        If the description is not valid.
+    """
+
+    def __init__(
+        self, description: dict[str, Any], folder: Path, *, clock: Clock | None = None
+    ) -> None:
+        self.description = read_fields(DESCRIPTION_FIELDS, description, "description")
+        self.folder = folder
+        self.processes: dict[str, ManagedProcess] = {}
+        self._clock = clock or SystemClock()
+        self._ports = PortReserver()
+        self._session: aiohttp.ClientSession | None = None
+        self._groups = Planner(self.description, folder, self._ports).plan_all()
+
+    async def __aenter__(self) -> Launcher:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True),
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
+        )
+        try:
+            for group in self._groups:
+                for plan in group:
+                    self.processes[plan.name] = ManagedProcess(plan, self.folder)
+                    await self.processes[plan.name].start()
+                if group is self._groups[-1]:
+                    await self._publish_configuration()
+                await asyncio.gather(*(self.wait_ready(plan.name) for plan in group))
+        except BaseException:
+            await self._end_all()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._end_all()
+
+    def list_members(self, data_centre: str = "") -> list[str]:
+        """Returns the names of the entry hosts of one or all data centres."""
+        return [
+            plan.name
+            for plan in self._groups[-1]
+            if data_centre in ("", plan.settings["data_centre"])
+        ]
+
+    def get_address(self, name: str, role: str = "main") -> str:
+        """Returns an address of a process.
+
+        Parameters
+        ----------
+        name : str
+        role : str
+            ``caller``, ``operator`` or ``peer`` of an entry host; ``main`` of a stand-in.
+        """
+        return self.processes[name].plan.addresses[role]
+
+    def list_caller_addresses(self, data_centre: str = "") -> list[str]:
+        return [self.get_address(name, "caller") for name in self.list_members(data_centre)]
+
+    async def wait_ready(self, name: str) -> None:
+        """Waits until a process is ready.
+
+        Raises
+        ------
+        RuntimeError
+            If it ended or is not ready after ``ready_seconds``; the message has its last output.
+        """
+        process = self.processes[name]
+        limit = self._clock.elapsed() + timedelta(seconds=self.description["ready_seconds"])
+        while not await self._is_ready(process):
+            if not process.is_running():
+                reason = f"ended with status {process.exit_status}"
+            elif self._clock.elapsed() > limit:
+                reason = f"is not ready after {self.description['ready_seconds']} s"
+            else:
+                await self._clock.sleep(POLL_INTERVAL)
+                continue
+            raise RuntimeError(f"process {name!r} {reason}:\n{process.read_log_tail()}")
+
+    async def start(self, name: str, *, wait: bool = True) -> None:
+        """Starts a process that does not run; by default waits until it is ready."""
+        await self.processes[name].start()
+        if wait:
+            await self.wait_ready(name)
+
+    async def kill(self, name: str) -> None:
+        """Ends a process with SIGKILL."""
+        await self.processes[name].kill()
+
+    def pause(self, name: str) -> None:
+        """Pauses a process with SIGSTOP."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continues a paused process with SIGCONT."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    async def stop(self, name: str) -> int:
+        """Ends a process with SIGTERM and returns its exit status.
+
+        Raises
+        ------
+        TimeoutError
+            If it has not ended after ``stop_seconds``.
+        """
+        process = self.processes[name]
+        process.send_signal(signal.SIGTERM)
+        return await process.wait(self.description["stop_seconds"])
+
+    async def restart(self, name: str, *, wait: bool = True) -> None:
+        """Starts a process again, after a planned stop if it still runs."""
+        if self.processes[name].is_running():
+            await self.stop(name)
+        await self.start(name, wait=wait)
+
+    async def set_faults(self, name: str, **faults: Any) -> dict[str, Any]:
+        """Sets the faults of a stand-in; without faults, clears them."""
+        url = f"http://{self.get_address(name)}/v1/faults"
+        async with self._session.post(url, json=faults) as answer:
+            body = await answer.json()
+        if answer.status != 200:
+            raise ValueError(body["error"])
+        return body
+
+    async def read_record(self, name: str) -> dict[str, Any]:
+        """Returns the record of a stand-in."""
+        url = f"http://{self.get_address(name)}/v1/record"
+        async with self._session.get(url) as answer:
+            return await answer.json()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns process id, addresses and log file of every process."""
+        return {
+            name: {
+                "pid": process.pid,
+                "addresses": process.plan.addresses,
+                "log_file": str(process.log_file),
+            }
+            for name, process in self.processes.items()
+        }
+
+    async def _is_ready(self, process: ManagedProcess) -> bool:
+        try:
+            async with self._session.get(process.plan.ready_url) as answer:
+                if answer.status != 200 or not process.plan.ready_url.endswith("/v1/status"):
+                    return answer.status == 200
+                return not (await answer.json())["draining"]
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return False
+
+    async def _publish_configuration(self) -> None:
+        document = self.description["configuration"]
+        if document is None or not self._groups[-1]:
+            return
+        name = self._groups[-1][0].name
+        url = f"http://{self.get_address(name, 'operator')}/v1/operator/configuration"
+        body = {"base_version": 0, "document": document, "author": "launcher"}
+        limit = self._clock.elapsed() + timedelta(seconds=self.description["ready_seconds"])
+        answered = "no answer"
+        while self.processes[name].is_running() and self._clock.elapsed() < limit:
+            try:
+                async with self._session.post(url, json=body) as answer:
+                    answered = f"{answer.status} {await answer.text()}"
+                    # 409 says that an earlier attempt, whose answer was lost, took effect.
+                    if answer.status < 300 or answer.status == 409:
+                        return
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await self._clock.sleep(POLL_INTERVAL)
+        tail = self.processes[name].read_log_tail()
+        raise RuntimeError(f"configuration was not published: {answered}\n{tail}")
+
+    async def _end_all(self) -> None:
+        """Ends all processes: entry hosts first, so that their planned stop finds its platform."""
+        for group in reversed(self._groups):
+            last = group is self._groups[-1]
+            seconds = self.description["stop_seconds"] if last else STANDIN_STOP_SECONDS
+            started = [self.processes[p.name] for p in group if p.name in self.processes]
+            await asyncio.gather(*(process.end(seconds) for process in started))
+        if self._session:
+            await self._session.close()
+        self._ports.release()
+
+
+async def _run(description: dict[str, Any], folder: Path) -> None:
+    interrupted = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    running = asyncio.ensure_future(_run_until_cancelled(description, folder))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, interrupted.set)
+    waiting = asyncio.ensure_future(interrupted.wait())
+    await asyncio.wait({running, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+
+
+async def _run_until_cancelled(description: dict[str, Any], folder: Path) -> None:
+    async with Launcher(description, folder) as launcher:
+        print(json.dumps({"event": "ready", "processes": launcher.describe()}), flush=True)
+        await asyncio.Event().wait()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Runs a whole deployment on loopback.")
+    parser.add_argument("--description", type=Path, help="JSON file; default: two data centres")
+    parser.add_argument("--folder", type=Path, help="folder for files; default: a temporary one")
+    arguments = parser.parse_args()
+    try:
+        description = DEFAULT_DESCRIPTION
+        if arguments.description:
+            description = load_settings(DESCRIPTION_FIELDS, arguments.description)
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = arguments.folder or Path(temporary)
+            folder.mkdir(parents=True, exist_ok=True)
+            asyncio.run(_run(description, folder))
+    except FindingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    except RuntimeError as error:
+        print(error, file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/standins/src/carawayshore_standins/tasks.py
+++ b/packages/standins/src/carawayshore_standins/tasks.py
@@ -8,8 +8,7 @@
 
 from aiohttp import web
 
-from carawayshore.findings import Finding
-from carawayshore.options import Field, check
+from carawayshore.options import Field
 from carawayshore.outcome import OUTCOME_HEADER, Outcome
 from carawayshore_standins.common import LostAnswerError, answer_error, format_time, read_body
 
@@ -21,13 +20,6 @@
 DAY_SECONDS = 86_400
 
 
-@check("optional_object")
-def _check_optional_object(field: Field, value: Any, pointer: str) -> list[Finding]:
-    if value is None or isinstance(value, dict):
-        return []
-    return [Finding(pointer, value, "an object or null")]
-
-
 _LEASE = Field("lease", "integer", "Lease.", required=True, maximum=LEASE_MAXIMUM)
 LEASE_FIELDS = (_LEASE,)
 THROTTLE_FIELDS = (
@@ -63,6 +55,13 @@
 )
 
 
+def _read_seconds(members: dict[str, Any], name: str, default: float) -> float:
+    """Returns a time in seconds from an object of the caller, or ``default`` if it has none."""
+    value = members.get(name)
+    valid = isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
+    return float(value) if valid else default
+
+
 class Task:
     """One attempt of a job on this worker."""
 
@@ -73,15 +72,17 @@
         self.lease_time = timedelta(seconds=body["lease_seconds"])
         self.expires = now + self.lease_time
         self.resources: dict[str, float] = body["resources"]
-        self.run_seconds: float = body["run_seconds"]
-        self.fails = (body["payload"] or {}).get("result") == "failed"
+        payload = body["payload"] or {}
+        # The payload states what the task really does; the declared run time may be far off.
+        self.run_seconds: float = _read_seconds(payload, "run_seconds", body["run_seconds"])
+        self.fails = payload.get("result") == "failed"
         self.state = "running"
         self.shares: list[tuple[timedelta, float]] = [(now, 1.0)]
         self.checkpoint: dict[str, Any] | None = body["checkpoint"]
         self.changed = asyncio.Event()
         self.entry: dict[str, Any] = {}
         self.runner: asyncio.Task[None] | None = None
-        self._done_seconds = float((body["checkpoint"] or {}).get("done_seconds", 0))
+        self._done_seconds = _read_seconds(body["checkpoint"] or {}, "done_seconds", 0.0)
         self._marked = now
 
     def advance(self, now: timedelta) -> float:
