--- /dev/null
+++ b/packages/carawayshore/src/carawayshore/admission.py
@@ -0,0 +1,182 @@
+"""Admission of requests: refusal, before any other work, of what could not be served in time."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+from carawayshore.queueing import ClassCount, ClassQueue, QueueSettings, Waiting, WorkClass
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from carawayshore.clock import Clock
+    from carawayshore.prediction import Predictor
+
+ZERO = timedelta()
+
+
+class RefusalReason(StrEnum):
+    """Why a request was refused."""
+
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    TEAM_SHARE = "team-share"
+    NO_SLOTS = "no-slots"
+
+
+class Refusal(NamedTuple):
+    """A refused request; nothing of it was sent to a target.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+    retry_after : timedelta
+        Time after which a new attempt may succeed, with jitter.
+    """
+
+    reason: RefusalReason
+    retry_after: timedelta
+
+
+class AdmissionSettings(NamedTuple):
+    """Settings of :class:`Admission`.
+
+    Parameters
+    ----------
+    min_retry_after, max_retry_after : timedelta
+        Bounds of the time to try again, before jitter.
+    run_factor : float
+        Multiple of the predicted run time that must be left after the predicted wait.
+    """
+
+    min_retry_after: timedelta = timedelta(seconds=0.1)
+    max_retry_after: timedelta = timedelta(seconds=30)
+    run_factor: float = 1.25
+
+
+class Request(NamedTuple):
+    """A request that asks for admission.
+
+    Parameters
+    ----------
+    request, service, kind, team : str
+    remaining : timedelta
+        Time left until the deadline.
+    declared : timedelta, optional
+        Run time that the caller declared.
+    """
+
+    request: str
+    service: str
+    kind: str
+    team: str
+    remaining: timedelta
+    declared: timedelta | None = None
+
+
+class Admission:
+    """Admits requests to a queue or refuses them.
+
+    Parameters
+    ----------
+    queue : ClassQueue
+    predictor : Predictor
+    clock : Clock
+    random : random.Random
+        Source of the jitter of the time to try again.
+    queue_settings : QueueSettings
+        The settings of ``queue``.
+    settings : AdmissionSettings
+
+    Examples
+    --------
+    >>> import random
+    >>> from datetime import timedelta
+    >>> from carawayshore.prediction import Predictor
+    >>> from carawayshore.testing import ManualClock
+    >>> clock, settings = ManualClock(), QueueSettings(max_waiting=0)
+    >>> admission = Admission(
+    ...     ClassQueue(settings, clock), Predictor(clock), clock, random.Random(1), settings
+    ... )
+    >>> request = Request("r", "booking", "GET /slots", "web", timedelta(seconds=5))
+    >>> admission.decide(request, 8, ClassCount()).reason
+    <RefusalReason.QUEUE_FULL: 'queue-full'>
+    """
+
+    def __init__(
+        self,
+        queue: ClassQueue,
+        predictor: Predictor,
+        clock: Clock,
+        random: Random,
+        queue_settings: QueueSettings,
+        settings: AdmissionSettings = AdmissionSettings(),
+    ) -> None:
+        self._queue = queue
+        self._predictor = predictor
+        self._clock = clock
+        self._random = random
+        self._queue_settings = queue_settings
+        self._settings = settings
+
+    def decide(self, request: Request, slots: int, in_use: ClassCount) -> Waiting | Refusal:
+        """Returns the item to push to the queue, or the refusal.
+
+        Parameters
+        ----------
+        request : Request
+        slots : int
+            Slots of the pool that this process uses or may use.
+        in_use : ClassCount
+            Slots in use by class.
+        """
+        queue = self._queue
+        if queue.is_full:
+            works = queue.sum_work(WorkClass.SHORT) + queue.sum_work(WorkClass.LONG)
+            return self._refuse(RefusalReason.QUEUE_FULL, works / max(slots, 1) / 4)
+        if self._is_over_team_share(request.team):
+            works = queue.sum_work(WorkClass.SHORT) + queue.sum_work(WorkClass.LONG)
+            return self._refuse(RefusalReason.TEAM_SHARE, works / max(slots, 1))
+        if slots < 1:
+            return self._refuse(RefusalReason.NO_SLOTS, ZERO)
+        predicted = self._predictor.predict(request.service, request.kind, request.declared)
+        wait = self.predict_wait(queue.classify(predicted), slots, in_use)
+        late = wait + predicted * self._settings.run_factor - request.remaining
+        if late > ZERO and wait > ZERO or request.remaining <= ZERO:
+            return self._refuse(RefusalReason.DEADLINE, min(late, wait))
+        now = self._clock.elapsed()
+        expected = self._predictor.predict_mean(request.service, request.kind, request.declared)
+        return Waiting(
+            request.request,
+            request.service,
+            request.kind,
+            request.team,
+            predicted,
+            expected,
+            now + request.remaining,
+            now,
+        )
+
+    def predict_wait(self, work_class: WorkClass, slots: int, in_use: ClassCount) -> timedelta:
+        """Returns the predicted wait of a request that joins a class now."""
+        work = self._queue.sum_work(work_class)
+        usable = self._queue.count_usable(work_class, slots, in_use)
+        used = in_use[work_class is WorkClass.LONG]
+        if not work and used < usable and sum(in_use) < slots:
+            return ZERO
+        return work / max(usable, 1)
+
+    def _is_over_team_share(self, team: str) -> bool:
+        share = self._queue_settings.team_shares.get(team, 1.0)
+        if share >= 1:
+            return False
+        waiting = self._queue.count_team(team)
+        others_wait = waiting < len(self._queue)
+        return others_wait and waiting >= max(1, share * self._queue_settings.max_waiting)
+
+    def _refuse(self, reason: RefusalReason, wait: timedelta) -> Refusal:
+        settings = self._settings
+        wait = min(max(wait, settings.min_retry_after), settings.max_retry_after)
+        return Refusal(reason, wait * (1 + 0.5 * self._random.random()))
--- /dev/null
+++ b/packages/carawayshore/src/carawayshore/queueing.py
@@ -0,0 +1,386 @@
+"""Waiting requests in a short and a long class, and the slots that each class may use."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections import Counter, deque
+from collections.abc import Mapping
+from datetime import timedelta
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from carawayshore.clock import Clock
+
+
+class WorkClass(StrEnum):
+    """Class of a request by its predicted or actual run time."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+class ClassCount(NamedTuple):
+    """Number of requests in each class."""
+
+    short: int = 0
+    long: int = 0
+
+
+class QueueSettings(NamedTuple):
+    """Settings of one pool's queue at one entry host.
+
+    Parameters
+    ----------
+    short_limit : timedelta
+        Requests predicted to run at most this long are short.
+    short_share : float
+        Share of the slots reserved for short requests, from 0 to 1.
+    max_waiting : int
+        Requests that may wait.
+    team_shares : mapping of str to float
+        Share of the slots that a team may use while others wait; 1 for a team without entry.
+    overrun_factor : float
+        A running request is charged as long after this many times its prediction.
+    hold_factor : float
+        Slots kept from long requests, as a multiple of the recent peak of short demand.
+    peak_half_life : timedelta
+        Time in which the remembered peak of short demand halves.
+    """
+
+    short_limit: timedelta = timedelta(seconds=0.5)
+    short_share: float = 0.5
+    max_waiting: int = 256
+    team_shares: Mapping[str, float] = {}
+    overrun_factor: float = 2.0
+    hold_factor: float = 1.25
+    peak_half_life: timedelta = timedelta(seconds=30)
+
+
+class Waiting(NamedTuple):
+    """A request that waits for a slot.
+
+    Parameters
+    ----------
+    request, service, kind, team : str
+    predicted, expected : timedelta
+        Median and mean of the predicted run time; the first one decides the class.
+    deadline, since : timedelta
+        Times of the clock's ``elapsed``.
+    """
+
+    request: str
+    service: str
+    kind: str
+    team: str
+    predicted: timedelta
+    expected: timedelta
+    deadline: timedelta
+    since: timedelta
+
+
+class QueueFullError(RuntimeError):
+    """Raised when a request is pushed to a full queue."""
+
+
+def reserve_slots(slots: int, settings: QueueSettings) -> ClassCount:
+    """Returns the slots of each class; both have one if there are two and both have a share."""
+    short = math.ceil(slots * settings.short_share - 1e-9)
+    if slots >= 2 and 0 < settings.short_share < 1:
+        short = min(max(short, 1), slots - 1)
+    return ClassCount(short, slots - short)
+
+
+class _ClassLine:
+    """Waiting requests of one class, first in first out within each team."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.work = timedelta()
+        self.teams: dict[str, deque[tuple[int, Waiting]]] = {}
+
+    def add(self, number: int, item: Waiting) -> None:
+        self.teams.setdefault(item.team, deque()).append((number, item))
+        self.count += 1
+        self.work += item.expected
+
+    def subtract(self, item: Waiting) -> None:
+        self.count -= 1
+        self.work -= item.expected
+
+
+class ClassQueue:
+    """Requests that wait for a slot of one pool.
+
+    Each class has its share of the slots. A class uses idle slots of the other one, except that
+    long requests leave as many slots as short ones needed recently: a long request that has
+    started cannot be interrupted, so a short one would wait for its end.
+
+    Parameters
+    ----------
+    settings : QueueSettings
+    clock : Clock
+
+    Examples
+    --------
+    >>> from datetime import timedelta
+    >>> from carawayshore.testing import ManualClock
+    >>> queue = ClassQueue(QueueSettings(), ManualClock())
+    >>> def build(name, seconds):
+    ...     run = timedelta(seconds=seconds)
+    ...     return Waiting(name, "s", "k", "t", run, run, timedelta(seconds=9), timedelta())
+    >>> queue.push(build("report", 60))
+    >>> queue.push(build("click", 0.1))
+    >>> queue.pop(4, ClassCount()).request
+    'click'
+    """
+
+    def __init__(self, settings: QueueSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._lines = {work_class: _ClassLine() for work_class in WorkClass}
+        self._items: dict[str, tuple[int, Waiting]] = {}
+        self._deadlines: list[tuple[timedelta, int, Waiting]] = []
+        self._numbers = itertools.count()
+        self._teams: Counter[str] = Counter()
+        self._peak = 0.0
+        self._peak_at = clock.elapsed()
+        self._served = {work_class: timedelta() for work_class in WorkClass}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    @property
+    def is_full(self) -> bool:
+        return len(self._items) >= self._settings.max_waiting
+
+    def classify(self, predicted: timedelta) -> WorkClass:
+        """Returns the class of a request with this predicted run time."""
+        return WorkClass.SHORT if predicted <= self._settings.short_limit else WorkClass.LONG
+
+    def count_waiting(self) -> ClassCount:
+        return ClassCount(self._lines[WorkClass.SHORT].count, self._lines[WorkClass.LONG].count)
+
+    def count_team(self, team: str) -> int:
+        return self._teams[team]
+
+    def sum_work(self, work_class: WorkClass) -> timedelta:
+        """Returns the mean run time of all waiting requests of a class together."""
+        return self._lines[work_class].work
+
+    def push(self, item: Waiting) -> None:
+        """Adds a request.
+
+        Raises
+        ------
+        QueueFullError
+            If ``max_waiting`` requests wait already.
+        ValueError
+            If a request with the same identifier waits already.
+        """
+        if self.is_full:
+            raise QueueFullError(f"{len(self)} requests wait, accepted: below that")
+        if item.request in self._items:
+            raise ValueError(f"request {item.request!r} waits already")
+        number = next(self._numbers)
+        self._items[item.request] = (number, item)
+        self._lines[self.classify(item.predicted)].add(number, item)
+        self._teams[item.team] += 1
+        heapq.heappush(self._deadlines, (item.deadline, number, item))
+
+    def remove(self, item: Waiting) -> bool:
+        """Takes a request out, for example after its caller went away; false if it is gone."""
+        if item.request not in self._items:
+            return False
+        del self._items[item.request]
+        self._lines[self.classify(item.predicted)].subtract(item)
+        self._teams[item.team] -= 1
+        if not self._teams[item.team]:
+            del self._teams[item.team]
+        return True
+
+    def expire(self) -> list[Waiting]:
+        """Takes out and returns the requests whose deadline has passed."""
+        expired = []
+        now = self._clock.elapsed()
+        while self._deadlines and (
+            self._deadlines[0][0] <= now or not self._is_waiting(*self._deadlines[0][1:])
+        ):
+            _, number, item = heapq.heappop(self._deadlines)
+            if self._is_waiting(number, item):
+                self.remove(item)
+                expired.append(item)
+        return expired
+
+    def _is_waiting(self, number: int, item: Waiting) -> bool:
+        found = self._items.get(item.request)
+        return found is not None and found[0] == number
+
+    def _update_peak(self, demand: int) -> None:
+        now = self._clock.elapsed()
+        if now > self._peak_at:
+            self._peak *= 0.5 ** ((now - self._peak_at) / self._settings.peak_half_life)
+            self._peak_at = now
+        self._peak = max(self._peak, demand)
+
+    def _count_held(self, reserved: int) -> int:
+        """Returns the slots that long requests must leave free or to short ones."""
+        if not reserved:
+            return 0
+        return min(reserved, math.ceil(self._peak * self._settings.hold_factor) + 1)
+
+    def count_usable(self, work_class: WorkClass, slots: int, in_use: ClassCount) -> int:
+        """Returns how many of the pool's slots a class may use in the present state."""
+        reserved = reserve_slots(slots, self._settings)
+        if work_class is WorkClass.SHORT:
+            kept = 0
+            if self._lines[WorkClass.LONG].count:
+                kept = max(reserved.long - in_use.long, 0)
+            return slots - in_use.long - kept
+        if slots == 1:
+            return 1
+        held = max(self._count_held(reserved.short), min(in_use.short, reserved.short))
+        return slots - held
+
+    def pop(
+        self,
+        free_slots: int,
+        in_use_by_class: ClassCount,
+        in_use_by_team: Mapping[str, int] | None = None,
+    ) -> Waiting | None:
+        """Takes out the request that should start next.
+
+        Parameters
+        ----------
+        free_slots : int
+            Slots of the pool that this process may use and does not use.
+        in_use_by_class : ClassCount
+            Slots in use, with a request that outlived its prediction counted as long.
+        in_use_by_team : mapping of str to int, optional
+            Slots in use by each team; needed where teams have shares below 1.
+
+        Returns
+        -------
+        Waiting or None
+            None if nothing may start now.
+        """
+        short_line = self._lines[WorkClass.SHORT]
+        self._update_peak(in_use_by_class.short + short_line.count)
+        if free_slots < 1 or not self._items:
+            return None
+        slots = free_slots + sum(in_use_by_class)
+        for work_class in self._order_classes(slots):
+            line = self._lines[work_class]
+            if not line.count:
+                continue
+            in_use = in_use_by_class[work_class is WorkClass.LONG]
+            if in_use >= self.count_usable(work_class, slots, in_use_by_class):
+                continue
+            item = self._take_first(line, slots, in_use_by_team or {})
+            if item is not None:
+                self._served[work_class] += item.expected
+                return item
+        return None
+
+    def _order_classes(self, slots: int) -> tuple[WorkClass, ...]:
+        if slots > 1:
+            return WorkClass.SHORT, WorkClass.LONG
+        # One slot cannot be split, so the classes share it in time.
+        share = self._settings.short_share
+        short, long = self._served[WorkClass.SHORT], self._served[WorkClass.LONG]
+        if short * (1 - share) <= long * share:
+            return WorkClass.SHORT, WorkClass.LONG
+        return WorkClass.LONG, WorkClass.SHORT
+
+    def _may_use_more(self, team: str, slots: int, in_use_by_team: Mapping[str, int]) -> bool:
+        share = self._settings.team_shares.get(team, 1.0)
+        if share >= 1 or len(self._teams) == 1:
+            return True
+        return in_use_by_team.get(team, 0) < max(1, math.floor(share * slots + 1e-9))
+
+    def _take_first(
+        self, line: _ClassLine, slots: int, in_use_by_team: Mapping[str, int]
+    ) -> Waiting | None:
+        now = self._clock.elapsed()
+        first: tuple[int, Waiting] | None = None
+        for team, waiting in list(line.teams.items()):
+            while waiting and not self._is_waiting(*waiting[0]):
+                waiting.popleft()
+            if not waiting:
+                del line.teams[team]
+                continue
+            if not self._may_use_more(team, slots, in_use_by_team):
+                continue
+            # A request past its deadline is left to expire().
+            head = next((e for e in waiting if self._is_waiting(*e) and e[1].deadline > now), None)
+            if head is not None and (first is None or head[0] < first[0]):
+                first = head
+        if first is None:
+            return None
+        self.remove(first[1])
+        return first[1]
+
+
+class RunningWork:
+    """Requests in progress, each charged to a class and a team.
+
+    A request is charged to the class of its prediction until it has run for ``overrun_factor``
+    times its prediction, and then to the long class: the slots that short stragglers hold count
+    against the share of long work and not against the reserve of short work.
+
+    Examples
+    --------
+    >>> from datetime import timedelta
+    >>> from carawayshore.testing import ManualClock
+    >>> clock = ManualClock()
+    >>> running = RunningWork(QueueSettings(), clock)
+    >>> run = timedelta(seconds=0.1)
+    >>> running.start(Waiting("r", "s", "k", "t", run, run, run, run))
+    >>> clock.advance(timedelta(seconds=1))
+    >>> running.count()
+    ClassCount(short=0, long=1)
+    """
+
+    def __init__(self, settings: QueueSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._running: dict[str, tuple[Waiting, int]] = {}
+        self._short: set[str] = set()
+        self._overruns: list[tuple[timedelta, int, str]] = []
+        self._numbers = itertools.count()
+        self.by_team: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def start(self, item: Waiting) -> None:
+        """Counts a request that was given a slot now."""
+        number = next(self._numbers)
+        self._running[item.request] = (item, number)
+        self.by_team[item.team] += 1
+        if item.predicted <= self._settings.short_limit:
+            self._short.add(item.request)
+            limit = item.predicted * self._settings.overrun_factor
+            heapq.heappush(self._overruns, (self._clock.elapsed() + limit, number, item.request))
+
+    def finish(self, request: str) -> None:
+        """Counts the end of a request; an unknown one is ignored."""
+        found = self._running.pop(request, None)
+        if found is None:
+            return
+        self._short.discard(request)
+        team = found[0].team
+        self.by_team[team] -= 1
+        if not self.by_team[team]:
+            del self.by_team[team]
+
+    def count(self) -> ClassCount:
+        """Returns the slots charged to each class now."""
+        now = self._clock.elapsed()
+        while self._overruns and self._overruns[0][0] <= now:
+            _, number, request = heapq.heappop(self._overruns)
+            if request in self._running and self._running[request][1] == number:
+                self._short.discard(request)
+        return ClassCount(len(self._short), len(self._running) - len(self._short))
