--- a/packages/carawayshore/src/carawayshore/admission.py
+++ b/packages/carawayshore/src/carawayshore/admission.py
@@ -56,6 +56,9 @@
     run_factor: float = 1.25
 
 
+DEFAULT_SETTINGS = AdmissionSettings()
+
+
 class Request(NamedTuple):
     """A request that asks for admission.
 
@@ -112,7 +115,7 @@
         clock: Clock,
         random: Random,
         queue_settings: QueueSettings,
-        settings: AdmissionSettings = AdmissionSettings(),
+        settings: AdmissionSettings = DEFAULT_SETTINGS,
     ) -> None:
         self._queue = queue
         self._predictor = predictor
--- a/packages/carawayshore/src/carawayshore/prediction.py
+++ b/packages/carawayshore/src/carawayshore/prediction.py
@@ -36,6 +36,9 @@
     high_quantile: float = 0.95
 
 
+DEFAULT_SETTINGS = PredictionSettings()
+
+
 class _Sketch:
     """Decayed histogram of positive numbers with logarithmic buckets."""
 
@@ -130,7 +133,7 @@
     datetime.timedelta(microseconds=250000)
     """
 
-    def __init__(self, clock: Clock, settings: PredictionSettings = PredictionSettings()) -> None:
+    def __init__(self, clock: Clock, settings: PredictionSettings = DEFAULT_SETTINGS) -> None:
         self._clock = clock
         self._settings = settings
         self._kinds: OrderedDict[tuple[str, str], _Kind] = OrderedDict()
--- a/packages/carawayshore/src/carawayshore/retry.py
+++ b/packages/carawayshore/src/carawayshore/retry.py
@@ -33,6 +33,9 @@
     max_delay: timedelta = timedelta(seconds=1)
 
 
+DEFAULT_SETTINGS = RetrySettings()
+
+
 class RetryBudget:
     """Allows retries up to a share of requests.
 
@@ -53,7 +56,6 @@
         self._refilled = clock.elapsed()
 
     def _add(self, retries: float) -> None:
-        # A sum of ten shares of 0.1 is just below 1 in floating point.
         self._saved = min(self._saved + retries, self._settings.max_saved)
 
     def note_request(self) -> None:
@@ -66,6 +68,7 @@
         passed = (now - self._refilled).total_seconds()
         self._refilled = now
         self._add(passed * self._settings.minimum_per_second)
+        # Ten times 0.1 sums to just below 1 in floating point.
         if self._saved < 1 - 1e-9:
             return False
         self._saved -= 1
@@ -76,7 +79,7 @@
     attempt: int,
     remaining: timedelta,
     random: Random,
-    settings: RetrySettings = RetrySettings(),
+    settings: RetrySettings = DEFAULT_SETTINGS,
 ) -> timedelta | None:
     """Returns how long to wait before a retry, or None if the deadline leaves no time for one.
 
