--- a/packages/carawayd/src/carawayd/process/claims.py
+++ b/packages/carawayd/src/carawayd/process/claims.py
@@ -74,7 +74,7 @@
 
     def _observe(self) -> None:
         if self._holder is not None:
-            self._holder.observe(self._reader.state)
+            self._holder.observe(self._reader.folded)
 
     def _renew_holder(self) -> ClaimHolder:
         if self._holder is None or self._holder.incarnation != self._membership.incarnation:
@@ -88,7 +88,7 @@
                     options.claim_lifetime, options.claim_margin, options.claim_lifetime / 4
                 ),
             )
-            self._holder.observe(self._reader.state)
+            self._holder.observe(self._reader.folded)
         return self._holder
 
     @Service.task
--- a/packages/carawayd/src/carawayd/process/dump.py
+++ b/packages/carawayd/src/carawayd/process/dump.py
@@ -30,7 +30,7 @@
 
 
 def _dump_stream(reader: StreamReader) -> dict[str, Any]:
-    state = reader.state
+    state = reader.folded
     age = reader.contact_age()
     return {
         "next_offset": state.next_offset,
@@ -124,7 +124,7 @@
 
 
 def _describe_pool(parts: Parts, pool: str) -> dict[str, Any]:
-    hosts = {name: host for name, host in parts.reader.state.hosts.items() if host.pool == pool}
+    hosts = {name: host for name, host in parts.reader.folded.hosts.items() if host.pool == pool}
     return {
         "hosts": sorted(hosts),
         "draining": {
@@ -141,7 +141,7 @@
     """Returns a short overview for operators."""
     version = parts.versions.current
     pools = sorted(version.configuration["pools"]) if version else []
-    state = parts.reader.state
+    state = parts.reader.folded
     age = parts.reader.contact_age()
     return {
         "member": parts.settings.member,
@@ -157,9 +157,9 @@
         "pools": {pool: _describe_pool(parts, pool) for pool in pools},
         "jobs": _count_jobs(state.jobs),
         "maintenance": {
-            "pause": _convert(parts.global_reader.state.pause),
-            "waves": _cut(parts.global_reader.state.waves),
-            "maintained": len(parts.global_reader.state.maintained),
+            "pause": _convert(parts.global_reader.folded.pause),
+            "waves": _cut(parts.global_reader.folded.waves),
+            "maintained": len(parts.global_reader.folded.maintained),
         },
     }
 
--- a/packages/carawayd/src/carawayd/process/fleet.py
+++ b/packages/carawayd/src/carawayd/process/fleet.py
@@ -110,7 +110,7 @@
 
     def _add_hosts(self) -> None:
         for listed in self._inventory.list_workers():
-            if listed.host in self._reader.state.hosts or listed.state != "live":
+            if listed.host in self._reader.folded.hosts or listed.state != "live":
                 continue
             resources = records.Resources(listed.processors, listed.memory_gib, listed.accelerators)
             body = records.HostAdded(
@@ -125,13 +125,13 @@
             self._submit_once(listed.host, 0, body, Priority.FLEET)
 
     def _remove_hosts(self) -> None:
-        for name, host in list(self._reader.state.hosts.items()):
+        for name, host in list(self._reader.folded.hosts.items()):
             if self._inventory.is_gone(name):
                 body = records.HostRemoved(name, host.revision, self._keeper.fence)
                 self._submit_once(name, host.revision, body, Priority.FLEET)
 
     def _evict_members(self) -> None:
-        for name, member in self._reader.state.members.items():
+        for name, member in self._reader.folded.members.items():
             if member.ended or name == self._settings.member or self._peers.is_live(name):
                 continue
             if self._inventory.is_gone(name):
@@ -140,7 +140,7 @@
                 self._submit_once(name, member.incarnation, body, Priority.MEMBER)
 
     def _start_drains(self) -> None:
-        for name, host in self._reader.state.hosts.items():
+        for name, host in self._reader.folded.hosts.items():
             task = self._drains.get(name)
             if host.draining_to and (task is None or task.done()):
                 self._drains[name] = asyncio.ensure_future(self._drain_host(name))
@@ -153,7 +153,7 @@
     async def _drain_host(self, name: str) -> None:
         """Carries out the drain of one host from whatever step it has reached."""
         try:
-            host = self._reader.state.hosts[name]
+            host = self._reader.folded.hosts[name]
             await self._wait_for_barrier(host)
             await self._reach_drained(name, host, "drain")
             if host.reason == "maintenance":
@@ -168,7 +168,7 @@
 
     async def _wait_for_barrier(self, host: Host) -> None:
         """Waits until no entry host can still send work under the old assignment."""
-        while not self._membership.barrier.is_complete(self._reader.state, host.changed):
+        while not self._membership.barrier.is_complete(self._reader.folded, host.changed):
             self._check_claim()
             await self._clock.sleep(self._settings.options.controller)
 
@@ -198,13 +198,13 @@
             await self._reach_drained(name, host, "reboot")
 
     async def _wait_for_return_request(self, name: str) -> None:
-        while self._reader.state.hosts[name].reason == HOLD:
+        while self._reader.folded.hosts[name].reason == HOLD:
             self._check_claim()
             await self._clock.sleep(self._settings.options.controller)
 
     async def _join_pool(self, name: str) -> None:
         self._check_claim()
-        host = self._reader.state.hosts[name]
+        host = self._reader.folded.hosts[name]
         body = records.HostJoined(name, host.revision, host.draining_to, self._keeper.fence)
         result = await self._appender.append(body, Priority.FLEET)
         result.unwrap()
@@ -216,7 +216,7 @@
 
     async def _return_host(self, name: str) -> None:
         """Lets a joined host serve again, unless somebody else drained it."""
-        host = self._reader.state.hosts.get(name)
+        host = self._reader.folded.hosts.get(name)
         if host is None or host.draining_to:
             return
         status = await self._look_up(name)
@@ -231,9 +231,9 @@
         """Checks one host a turn, since a former holder may have ended before the return."""
         if self._confirmed_fence != self._keeper.fence:
             self._confirmed_fence = self._keeper.fence
-            self._unconfirmed = sorted(self._reader.state.hosts)
+            self._unconfirmed = sorted(self._reader.folded.hosts)
         if not self._unconfirmed:
-            self._unconfirmed = sorted(self._reader.state.hosts)
+            self._unconfirmed = sorted(self._reader.folded.hosts)
             return
         name = self._unconfirmed.pop()
         try:
--- a/packages/carawayd/src/carawayd/process/keys.py
+++ b/packages/carawayd/src/carawayd/process/keys.py
@@ -129,7 +129,7 @@
     def look_up(self, key: str) -> Grant | None:
         """Returns the grant of a key as far as this process knows it."""
         grant = self._held.get(key) or self._unlogged.get(key) or self._tickets.get(key)
-        folded = self._reader.state.keys.get(key)
+        folded = self._reader.folded.keys.get(key)
         if grant is None and folded is not None:
             grant = Grant(folded.request, folded.member, folded.incarnation)
         return grant
@@ -182,7 +182,7 @@
             return None
         home = choose_home(key, version.configuration["data_centres"])
         if home == self._settings.data_centre:
-            owner = choose_owner(key, self._reader.state.view)
+            owner = choose_owner(key, self._reader.folded.view)
             return owner[0] if owner else None
         if relayed:
             return None
@@ -243,7 +243,7 @@
         ticket = parse_ticket(key)
         if ticket is not None:
             return self._grant_ticket(claim, ticket, holder)
-        state = self._reader.state
+        state = self._reader.folded
         if not self._membership.is_member() or not may_grant(
             key, state, self._settings.member, self._membership.incarnation
         ):
@@ -280,7 +280,7 @@
 
     def _is_quarantined(self) -> bool:
         """Returns whether grants may be lost that only ended processes held."""
-        offset = self._reader.state.quarantine
+        offset = self._reader.folded.quarantine
         if offset < 0:
             return False
         if self._quarantine[0] != offset:
@@ -303,7 +303,7 @@
             else:
                 if isinstance(result, Success):
                     return granted
-                known = self._reader.state.keys.get(key)
+                known = self._reader.folded.keys.get(key)
                 if known is None:
                     return granted._replace(decision="not-owner")
                 return self._build_answer(key, holder, Grant(*known[:3]))
@@ -316,7 +316,7 @@
 
     async def _copy(self, key: str, holder: Grant) -> bool:
         """Returns whether a peer of the data centre has confirmed a copy of the grant."""
-        current = {name for name, _ in self._reader.state.view.members}
+        current = {name for name, _ in self._reader.folded.view.members}
         peers = [
             peer.header.member
             for peer in self._peers.list_live(data_centre=self._settings.data_centre)
@@ -326,7 +326,8 @@
         self._copied[key, holder.request] = future
         try:
             copy = KeyCopy(key, *holder)
-            if not any([self._peers.send(peer, copy) for peer in peers]):
+            sent = [self._peers.send(peer, copy) for peer in peers]
+            if not any(sent):
                 return False
             done, _ = await asyncio.wait({future}, timeout=COPY_WAIT.total_seconds())
             return bool(done)
@@ -399,7 +400,7 @@
     def _flush_grant(self, key: str, grant: Grant) -> None:
         if key in self._flushing:
             return
-        if key in self._reader.state.keys:
+        if key in self._reader.folded.keys:
             del self._unlogged[key]
             return
         try:
@@ -415,7 +416,7 @@
             self._unlogged.pop(key, None)
 
     def _end_quarantine(self) -> None:
-        offset = self._reader.state.quarantine
+        offset = self._reader.folded.quarantine
         if offset < 0 or self._is_quarantined() or self._quarantine[0] != offset:
             return
         self._quarantine = (offset, self._clock.elapsed())
--- a/packages/carawayd/src/carawayd/process/membership.py
+++ b/packages/carawayd/src/carawayd/process/membership.py
@@ -112,8 +112,8 @@
         while not self.should_stop:
             await self._reader.caught_up.wait()
             await self._global_reader.caught_up.wait()
-            incarnation = self._reader.state.next_offset
-            current = self._reader.state.members.get(self._settings.member)
+            incarnation = self._reader.folded.next_offset
+            current = self._reader.folded.members.get(self._settings.member)
             if current is not None:
                 incarnation = max(incarnation, current.incarnation + 1)
             for appender in (self._appender, self._global_appender):
@@ -144,7 +144,7 @@
     def _check_membership(self) -> None:
         if not self.joined.is_set():
             return
-        current = self._reader.state.members.get(self._settings.member)
+        current = self._reader.folded.members.get(self._settings.member)
         if current is not None and not current.ended and current.incarnation == self.incarnation:
             return
         self.joined.clear()
@@ -170,14 +170,14 @@
         before they are.
         """
         if not self.has_unlogged_grants():
-            self._applied_reported = self._reader.state.next_offset
+            self._applied_reported = self._reader.folded.next_offset
         if self.is_member():
             self.barrier.report(self.identity, self._applied_reported)
 
     def _build_heartbeat(self) -> Heartbeat:
         age = self._reader.contact_age()
         readers = (self._reader, self._global_reader)
-        own = {reader.stream: reader.state.next_offset for reader in readers}
+        own = {reader.stream: reader.folded.next_offset for reader in readers}
         return Heartbeat(
             sequence=self._sequence,
             applied=own | {self._reader.stream: self._applied_reported},
@@ -187,7 +187,7 @@
             ready=self.may_serve() and not self.stopping,
             stopping=self.stopping,
             joined=self.is_member(),
-            version=self._global_reader.state.configuration.version,
+            version=self._global_reader.folded.configuration.version,
         )
 
     def _handle_heartbeat(self, header: Header, body: Heartbeat) -> None:
@@ -201,7 +201,7 @@
 
     def _settle_view(self) -> None:
         """Appends that the view has settled; the preferred member first, the others later."""
-        state = self._reader.state
+        state = self._reader.folded
         if not self.is_member() or state.settled.offset == state.view.offset:
             return
         if not self.barrier.is_complete(state, state.view.offset):
--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -132,7 +132,7 @@
         )
 
     async def _give_configuration(self, request: web.Request) -> web.Response:
-        current = self._parts.global_reader.state.configuration
+        current = self._parts.global_reader.folded.configuration
         return _answer(current._asdict())
 
     async def _publish(self, request: web.Request) -> web.Response:
@@ -141,7 +141,7 @@
         if found:
             findings = [finding._asdict() for finding in found]
             return _answer({"outcome": "not-run", "findings": findings}, 422)
-        current = self._parts.global_reader.state.configuration
+        current = self._parts.global_reader.folded.configuration
         if given["base_version"] != current.version:
             return self._answer_race(given["base_version"])
         body = records.ConfigurationPublished(**given)
@@ -153,22 +153,22 @@
         return answer
 
     def _answer_race(self, base_version: int) -> web.Response:
-        current = self._parts.global_reader.state.configuration
+        current = self._parts.global_reader.folded.configuration
         error = f"version {current.version} is in force, not {base_version}"
         document = {"outcome": "not-run", "error": error, "current": current._asdict()}
         return _answer(document, 409)
 
     def _find_host(self, request: web.Request) -> tuple[str, Host]:
         name = request.match_info["host"]
-        host = self._parts.reader.state.hosts.get(name)
+        host = self._parts.reader.folded.hosts.get(name)
         if host is None:
-            names = sorted(self._parts.reader.state.hosts)
+            names = sorted(self._parts.reader.folded.hosts)
             body = json.dumps({"error": f"host {name!r} does not exist", "accepted": names})
             raise web.HTTPNotFound(text=body, content_type="application/json")
         return name, host
 
     def _find_fence(self) -> int:
-        claim = self._parts.reader.state.claims.get(FLEET_CLAIM)
+        claim = self._parts.reader.folded.claims.get(FLEET_CLAIM)
         return claim.fence if claim else -1
 
     async def _start_drain(
--- a/packages/carawayd/src/carawayd/process/slots.py
+++ b/packages/carawayd/src/carawayd/process/slots.py
@@ -101,8 +101,8 @@
             self._ledger_incarnation = self._membership.incarnation
             settings = ShareSettings(loan_lifetime=self._settings.options.loan_lifetime)
             self._ledger = ShareLedger(self._membership.identity, self._clock, settings)
-        targets = {name: host.slots for name, host in self._reader.state.hosts.items()}
-        members = list_members(self._reader.state)
+        targets = {name: host.slots for name, host in self._reader.folded.hosts.items()}
+        members = list_members(self._reader.folded)
         if self._membership.identity in members:
             self._ledger.set_view(members, targets)
         self.changed()
@@ -110,7 +110,7 @@
     def list_targets(self, pool: str) -> list[str]:
         """Returns the hosts of a pool that may be given work at this moment."""
         if pool not in self._serving:
-            self._serving[pool] = list_serving(self._reader.state, pool)
+            self._serving[pool] = list_serving(self._reader.folded, pool)
         now = self._clock.elapsed()
         return [
             name
@@ -121,11 +121,11 @@
 
     def find_address(self, target: str) -> str | None:
         """Returns the address of a target, or None if it was removed."""
-        host = self._reader.state.hosts.get(target)
+        host = self._reader.folded.hosts.get(target)
         return host.address if host else None
 
     def count_slots(self, target: str) -> int:
-        host = self._reader.state.hosts.get(target)
+        host = self._reader.folded.hosts.get(target)
         return host.slots if host else 0
 
     def count_peer_load(self, target: str) -> int:
@@ -195,4 +195,4 @@
         """Returns the slots of each target for the state dump."""
         if self._ledger is None:
             return {}
-        return {name: self._ledger.list_held(name) for name in self._reader.state.hosts}
+        return {name: self._ledger.list_held(name) for name in self._reader.folded.hosts}
--- a/packages/carawayd/src/carawayd/process/snapshots.py
+++ b/packages/carawayd/src/carawayd/process/snapshots.py
@@ -84,6 +84,6 @@
     def _find_rank(self, through: int) -> int:
         """Returns the position of this member; the stream ``global`` is shared by all of them."""
         names = {peer.member for peer in self._settings.peers} | {self._settings.member}
-        members = {who.member for who in list_members(self._reader.state)}
+        members = {who.member for who in list_members(self._reader.folded)}
         ranked = rank_candidates(str(through), members or names)
         return ranked.index(self._settings.member) if self._settings.member in ranked else 0
--- a/packages/carawayd/src/carawayd/process/streams.py
+++ b/packages/carawayd/src/carawayd/process/streams.py
@@ -72,7 +72,7 @@
     ) -> None:
         super().__init__()
         self.stream = stream
-        self.state = StreamState()
+        self.folded = StreamState()
         self.end = 0
         self.contacted: timedelta | None = None
         self.caught_up = asyncio.Event()
@@ -117,19 +117,19 @@
                 delay = min(delay * 2, RETRY_LONGEST)
 
     async def _read_once(self) -> None:
-        behind = self.state.next_offset < self.end or not self.caught_up.is_set()
+        behind = self.folded.next_offset < self.end or not self.caught_up.is_set()
         page = await self._log.read(
-            self.stream, self.state.next_offset, wait=0 if behind else POLL_SECONDS
+            self.stream, self.folded.next_offset, wait=0 if behind else POLL_SECONDS
         )
         self.contacted = self._clock.elapsed()
         self.end = page.end
         await self._apply_page(page.records)
-        if self.state.next_offset >= self.end and not self.caught_up.is_set():
+        if self.folded.next_offset >= self.end and not self.caught_up.is_set():
             self.caught_up.set()
             logger.info("stream %s caught up", self.stream, extra=self._fields())
 
     def _fields(self) -> dict[str, Any]:
-        return {"fields": {"stream": self.stream, "offset": self.state.next_offset}}
+        return {"fields": {"stream": self.stream, "offset": self.folded.next_offset}}
 
     async def _apply_page(self, page: list[LoggedRecord]) -> None:
         for count, item in enumerate(page, 1):
@@ -146,14 +146,14 @@
 
     def apply(self, offset: int, envelope: Any) -> None:
         """Applies one record that was read from the log or relayed by a peer."""
-        if offset < self.state.next_offset:
+        if offset < self.folded.next_offset:
             return
         self.recent[offset] = envelope
         if len(self.recent) > RECENT_RECORDS:
             self.recent.popitem(last=False)
         decoded = records.decode_record(envelope)
         if isinstance(decoded, Failure):
-            skip_record(self.state, offset)
+            skip_record(self.folded, offset)
             self._metrics.records.labels(self.stream, "malformed").inc()
             self.last_rejection = f"offset {offset}: {decoded.failure().reason}"
         else:
@@ -161,7 +161,7 @@
         self._note_digest()
 
     def _fold(self, offset: int, item: records.Record) -> None:
-        result = apply_record(self.state, offset, item)
+        result = apply_record(self.folded, offset, item)
         accepted = isinstance(result, Success)
         self._metrics.records.labels(self.stream, "accepted" if accepted else "rejected").inc()
         if not accepted:
@@ -174,11 +174,11 @@
 
     def _note_digest(self) -> None:
         """Keeps the digest at every multiple of the snapshot interval."""
-        if self.state.next_offset % self._settings.options.snapshot_records:
+        if self.folded.next_offset % self._settings.options.snapshot_records:
             return
-        data = self.state.encode()
-        self.digests[self.state.next_offset] = hashlib.sha256(data).hexdigest()
-        self.snapshot_due = (self.state.next_offset, data)
+        data = self.folded.encode()
+        self.digests[self.folded.next_offset] = hashlib.sha256(data).hexdigest()
+        self.snapshot_due = (self.folded.next_offset, data)
         while len(self.digests) > 8:
             self.digests.popitem(last=False)
 
@@ -213,15 +213,15 @@
                 break
             offset = page.records[-1].offset + 1
         state = assembler.choose(oldest=removed.first)
-        if state is None or state.next_offset < self.state.next_offset:
+        if state is None or state.next_offset < self.folded.next_offset:
             raise PlatformError(f"stream {self.stream!r} retains no usable snapshot")
         self.adopt(state)
 
     def adopt(self, state: StreamState) -> bool:
         """Replaces the state by one that is further ahead; returns whether it was."""
-        if state.next_offset <= self.state.next_offset:
+        if state.next_offset <= self.folded.next_offset:
             return False
-        self.state = state
+        self.folded = state
         self.recent.clear()
         self.end = max(self.end, state.next_offset)
         self._metrics.records.labels(self.stream, "state_adopted").inc()
--- a/packages/carawayd/src/carawayd/process/sync.py
+++ b/packages/carawayd/src/carawayd/process/sync.py
@@ -79,7 +79,7 @@
             for peer in self._peers.list_live()
         }
         best = max(offsets, key=lambda name: (offsets[name], name), default=None)
-        if best is None or offsets[best] <= reader.state.next_offset:
+        if best is None or offsets[best] <= reader.folded.next_offset:
             return None
         return best
 
@@ -89,13 +89,13 @@
             for reader in self._readers.values():
                 ahead = self._find_ahead(reader)
                 if ahead is not None and self._is_late(reader):
-                    request = StateRequest(reader.stream, reader.state.next_offset)
+                    request = StateRequest(reader.stream, reader.folded.next_offset)
                     self._peers.send(ahead, request)
             await self._clock.sleep(INTERVAL)
 
     def _handle_request(self, header: Header, body: StateRequest) -> None:
         reader = self._readers.get(body.stream)
-        if reader is None or reader.state.next_offset <= body.offset:
+        if reader is None or reader.folded.next_offset <= body.offset:
             return
         if body.offset in reader.recent:
             envelopes = [
@@ -103,14 +103,14 @@
             ]
             self._peers.send(header.member, Records(body.stream, body.offset, envelopes))
             return
-        data = reader.state.encode()
+        data = reader.folded.encode()
         digest = hashlib.sha256(data).hexdigest()
-        reply = StateReply(body.stream, reader.state.next_offset, data, digest)
+        reply = StateReply(body.stream, reader.folded.next_offset, data, digest)
         self._peers.send(header.member, reply)
 
     def _handle_records(self, header: Header, body: Records) -> None:
         reader = self._readers.get(body.stream)
-        if reader is None or body.first > reader.state.next_offset:
+        if reader is None or body.first > reader.folded.next_offset:
             return
         for index, envelope in enumerate(body.envelopes):
             reader.apply(body.first + index, envelope)
--- a/packages/carawayd/src/carawayd/request/handler.py
+++ b/packages/carawayd/src/carawayd/request/handler.py
@@ -243,10 +243,10 @@
         """Raises the refusal of a request that must not be tried again."""
         may_repeat = result.outcome is Outcome.NOT_RUN or plan.repeatable
         in_time = plan.deadline > self._clock.elapsed()
-        if may_repeat and in_time and body.can_send and number < MAX_ATTEMPTS:
-            if result.excusable or self.find_budget(plan).take():
-                self._metrics.retries.labels(result.reason).inc()
-                return
+        possible = may_repeat and in_time and body.can_send and number < MAX_ATTEMPTS
+        if possible and (result.excusable or self.find_budget(plan).take()):
+            self._metrics.retries.labels(result.reason).inc()
+            return
         status = 504 if result.reason is Reason.DEADLINE else 503
         if result.outcome is Outcome.UNKNOWN and status == 503:
             status = 502
--- a/packages/carawayd/src/carawayd/request/keyed.py
+++ b/packages/carawayd/src/carawayd/request/keyed.py
@@ -241,7 +241,7 @@
             return None
 
     def _find_address(self, member: str) -> str | None:
-        known = self._reader.state.members.get(member)
+        known = self._reader.folded.members.get(member)
         return known.caller_address if known else self._peers.caller_addresses.get(member)
 
     async def on_shutdown(self) -> None:
--- a/packages/carawayd/src/carawayd/version/configuration.py
+++ b/packages/carawayd/src/carawayd/version/configuration.py
@@ -111,7 +111,7 @@
         reader.listen_batches(self._update)
 
     def _update(self) -> None:
-        source = self._reader.state.configuration
+        source = self._reader.folded.configuration
         self.retiring = [version for version in self.retiring if version.requests]
         if source.version == 0 or (self.current and source.version <= self.current.version):
             return
