Order held answers, and check the launcher by features

Cause: with the fault `reorder`, the newest of the held answers was sent last (order seen: 2, 1, 0, 3); the launcher and the settings were tried by hand only. Change: the newest answer leaves at once and the others follow 5 ms apart; scenarios for findings in settings and for kill, restart, pause and end of processes; the package has a public face. Conclusion: answers leave newest first.

--- a/features/standin_builders.py
+++ b/features/standin_builders.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -10,6 +12,7 @@
 from carawayshore.testing import ManualClock
 from carawayshore_standins.common import Standin, read_fields
 from carawayshore_standins.hostlist import HostList
+from carawayshore_standins.launcher import Launcher
 from carawayshore_standins.log import LogService
 from carawayshore_standins.pools import PoolsService
 from carawayshore_standins.worker import Worker
@@ -18,6 +21,7 @@
 ANY_PORT = "127.0.0.1:0"
 ANSWER_TIMEOUT_S = 10.0  # Bounds a broken test; no verdict depends on it.
 
+DEPLOYMENT_TIMEOUT_S = 60.0
 ATTEMPTS = 1000  # Each attempt is a call over loopback, so the loop runs on in the meantime.
 
 
@@ -121,3 +125,31 @@
             self.stop(name)
         self.loop.run_until_complete(asyncio.sleep(0))
         self.loop.close()
+
+
+class DeploymentHarness:
+    """A running deployment of processes without entry hosts.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers in the data centre ``umea``.
+    """
+
+    def __init__(self, workers: int) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._folder = tempfile.TemporaryDirectory()
+        pools = {"booking": {"workers": workers}}
+        description = {"data_centres": {"umea": {"entry_hosts": 0, "pools": pools}}}
+        self.launcher = Launcher(description, Path(self._folder.name))
+        self.run(self.launcher.__aenter__())
+
+    def run(self, work: Any) -> Any:
+        return self._loop.run_until_complete(asyncio.wait_for(work, DEPLOYMENT_TIMEOUT_S))
+
+    def close(self) -> None:
+        if self._loop.is_closed():
+            return
+        self.run(self.launcher.__aexit__(None, None, None))
+        self._folder.cleanup()
+        self._loop.close()
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -148,3 +148,18 @@
     But a caller of /services/booking/b does not
     And a caller of /services/booking/a does not take it for whole without its last byte
     And a caller of /services/booking/a does not take it for whole with two pages exchanged
+
+  Scenario: Settings that are not valid are all reported
+    # Guards against a process that starts with half of its settings, or reports one fault at a time.
+    When worker is run with {"address": "here", "slots": 0}
+    Then it ends with status 2 and names /address, /slots, /host, /pool
+
+  Scenario: A killed worker comes back on its address, and the launcher leaves no process behind
+    # Guards against tests that talk to a foreign process, and against processes left over.
+    Given a running deployment with 1 worker
+    When the launcher kills umea-w1
+    Then umea-w1 does not run
+    When the launcher starts umea-w1
+    Then umea-w1 answers on its first address
+    When the launcher pauses umea-w1 and ends the deployment
+    Then no process of the deployment is left
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import subprocess
+import sys
 import tempfile
 from datetime import timedelta
 from pathlib import Path
 
 from behave import given, then, when
-from standin_builders import StandinHarness
+from standin_builders import DeploymentHarness, StandinHarness
 
 from carawayshore_standins.content import PAGE_BYTES, ContentVerifier, generate_pages
 
@@ -299,3 +301,64 @@
     first, second, *others = context.pages
     assert len(first) == len(second) == PAGE_BYTES
     assert not _is_whole(context, path, b"".join([second, first, *others]))
+
+
+@when("{module:w} is run with {settings}")
+def run_module(context, module, settings):
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(settings)
+        file.flush()
+        command = [sys.executable, "-m", f"carawayshore_standins.{module}", "--settings", file.name]
+        context.done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+@then("it ends with status {status:d} and names {pointers}")
+def expect_findings(context, status, pointers):
+    assert context.done.returncode == status, context.done
+    lines = context.done.stderr.splitlines()[1:]
+    found = {line.strip().partition(":")[0] for line in lines}
+    assert found == set(pointers.split(", ")), context.done.stderr
+
+
+@given("a running deployment with {count:d} worker")
+def start_deployment(context, count):
+    context.deployment = DeploymentHarness(count)
+    context.add_cleanup(context.deployment.close)
+    context.first_address = context.deployment.launcher.get_address("umea-w1")
+
+
+@when("the launcher kills {name}")
+def kill_process(context, name):
+    context.deployment.run(context.deployment.launcher.kill(name))
+
+
+@when("the launcher starts {name}")
+def start_process(context, name):
+    context.deployment.run(context.deployment.launcher.start(name))
+
+
+@then("{name:S} does not run")
+def expect_not_running(context, name):
+    assert context.deployment.launcher.processes[name].exit_status == -9
+
+
+@then("{name:S} answers on its first address")
+def expect_address(context, name):
+    launcher = context.deployment.launcher
+    assert launcher.get_address(name) == context.first_address
+    assert context.deployment.run(launcher.read_record(name))["host"] == name
+
+
+@when("the launcher pauses {name} and ends the deployment")
+def pause_and_end(context, name):
+    launcher = context.deployment.launcher
+    launcher.pause(name)
+    context.processes = [process.pid for process in launcher.processes.values()]
+    context.deployment.close()
+
+
+@then("no process of the deployment is left")
+def expect_no_process(context):
+    assert len(context.processes) == 4, context.processes
+    left = [pid for pid in context.processes if Path(f"/proc/{pid}").exists()]
+    assert not left, left
--- a/packages/standins/src/carawayshore_standins/__init__.py
+++ b/packages/standins/src/carawayshore_standins/__init__.py
@@ -1,1 +1,39 @@
 """Stand-ins for the platform, its workers and callers."""
+
+from __future__ import annotations
+
+import importlib
+from typing import Any
+
+_MODULES = {
+    "Balancer": "callers",
+    "Call": "callers",
+    "CallResult": "callers",
+    "Caller": "callers",
+    "HostList": "hostlist",
+    "Launcher": "launcher",
+    "LogService": "log",
+    "PoolsService": "pools",
+    "Worker": "worker",
+    "run_load": "callers",
+}
+
+__all__ = [  # noqa: F822
+    "Balancer",
+    "Call",
+    "CallResult",
+    "Caller",
+    "HostList",
+    "Launcher",
+    "LogService",
+    "PoolsService",
+    "Worker",
+    "run_load",
+]
+
+
+def __getattr__(name: str) -> Any:
+    # Imported on use: runpy warns if the module that it runs has been imported by its package.
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{_MODULES[name]}"), name)
--- a/packages/standins/src/carawayshore_standins/callers.py
+++ b/packages/standins/src/carawayshore_standins/callers.py
@@ -74,6 +74,170 @@
 )
 
 
+def _build_headers(call: Call) -> dict[str, str]:
+    headers = {
+        "Work-Seconds": f"{call.work_seconds:.6f}",
+        "Work-Bytes": str(call.work_bytes) if call.work_bytes else "",
+        "Carawayshore-Kind": call.kind,
+        "Carawayshore-Team": call.team,
+        "Carawayshore-Pool": call.pool,
+        "Carawayshore-Request": call.token if call.pool else "",
+        "Idempotency-Key": call.key,
+        "Carawayshore-Repeatable": "true" if call.repeatable else "",
+        "Carawayshore-Deadline": f"{call.deadline_seconds:.3f}" if call.deadline_seconds else "",
+    }
+    return {name: value for name, value in headers.items() if value}
+
+
+async def _send_pages(pages: Iterable[bytes]) -> AsyncIterator[bytes]:
+    for page in pages:
+        yield page
+
+
+def _hash_body(call: Call) -> str:
+    digest = hashlib.sha256()
+    for page in generate_pages(call.path, call.body_bytes):
+        digest.update(page)
+    return digest.hexdigest()
+
+
+async def _verify_answer(call: Call, answer: aiohttp.ClientResponse) -> bool:
+    """Reads the whole answer and returns whether it is the answer to ``call``."""
+    if call.method == "HEAD":
+        return True
+    if call.work_bytes:
+        verifier = ContentVerifier(call.path, call.work_bytes)
+        async for piece in answer.content.iter_any():
+            verifier.feed(piece)
+        return verifier.is_whole()
+    try:
+        body = json.loads(await answer.read())
+        return body["path"] == call.path and body["sha256"] == _hash_body(call)
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
+def _list_arrivals(kind: dict[str, Any], seconds: float, draw: random.Random) -> Iterator[float]:
+    """Yields arrival times in seconds, with bursts by thinning of a steady arrival process."""
+    steady = not kind["burst_seconds"]
+    highest = 1.0 if steady else max(kind["burst_factor"], kind["quiet_factor"])
+    period = kind["burst_seconds"] + kind["quiet_seconds"]
+    moment = 0.0
+    while True:
+        moment += draw.expovariate(kind["rate"] * highest)
+        if moment >= seconds:
+            return
+        in_burst = steady or (moment - kind["offset_seconds"]) % period < kind["burst_seconds"]
+        factor = 1.0 if steady else kind["burst_factor" if in_burst else "quiet_factor"]
+        if draw.random() * highest < factor:
+            yield moment
+
+
+def _plan_kind(
+    settings: dict[str, Any], kind: dict[str, Any], seed: int
+) -> Iterator[tuple[float, Call]]:
+    draw = random.Random(f"{seed}:{kind['kind']}")
+    for number, moment in enumerate(_list_arrivals(kind, settings["seconds"], draw)):
+        name = f"{kind['kind']}-{seed}-{number}"
+        straggles = draw.random() < kind["straggler_share"]
+        factor = kind["straggler_factor"] if straggles else 1.0
+        prefix = kind["key_prefix"]
+        call = Call(
+            service=kind["service"],
+            token=name,
+            kind=kind["kind"],
+            method=kind["method"],
+            work_seconds=kind["work_seconds"] * factor,
+            work_bytes=kind["work_bytes"],
+            body_bytes=kind["body_bytes"],
+            key="" if prefix is None else f"{prefix}{name}",
+            repeatable=kind["repeatable"],
+            deadline_seconds=kind["deadline_seconds"],
+            timeout_seconds=settings["timeout_seconds"],
+            team=kind["team"],
+            pool=kind["pool"],
+        )
+        yield moment, call
+
+
+def plan_calls(settings: dict[str, Any], seed: int) -> Iterator[tuple[float, Call]]:
+    """Yields arrival times in seconds and calls; the same seed gives the same plan."""
+    plans = [_plan_kind(settings, kind, seed) for kind in settings["kinds"]]
+    merged = heapq.merge(*plans, key=lambda planned: planned[0])
+    return itertools.islice(merged, settings["count"])
+
+
+async def run_load(
+    settings: dict[str, Any], seed: int, clock: Clock
+) -> tuple[list[CallResult], int]:
+    """Sends an open-loop load; returns the results and the number of calls that were not sent.
+
+    A call is not sent if as many calls as ``in_progress`` are unanswered when its time comes.
+    """
+    balancer = Balancer(settings["addresses"], clock)
+    unsent, sending = 0, set()
+    async with Caller(balancer, clock, watch_ready=settings["watch_ready"]) as caller:
+        start = clock.elapsed()
+        for moment, call in plan_calls(settings, seed):
+            wait = start + timedelta(seconds=moment) - clock.elapsed()
+            if wait > timedelta():
+                await clock.sleep(wait)
+            if len(sending) >= settings["in_progress"]:
+                unsent += 1
+                continue
+            task = asyncio.create_task(caller.send(call))
+            sending.add(task)
+            task.add_done_callback(sending.discard)
+        await asyncio.gather(*sending)
+    return caller.results, unsent
+
+
+def _pick_quantile(ordered: list[float], share: float) -> float | None:
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else None
+
+
+def summarise_results(results: list[CallResult]) -> dict[str, Any]:
+    """Returns counts by outcome and status, and latencies in seconds of completed calls by kind."""
+    latencies: dict[str, list[float]] = {}
+    for result in results:
+        if result.outcome in (Outcome.COMPLETED.value, UNMARKED) and result.status == 200:
+            latencies.setdefault(result.kind, []).append(result.latency_seconds)
+    ordered = {kind: sorted(values) for kind, values in latencies.items()}
+    return {
+        "calls": len(results),
+        "outcomes": dict(Counter(result.outcome for result in results)),
+        "statuses": dict(Counter(str(result.status) for result in results)),
+        "verified": sum(result.verified is True for result in results),
+        "wrong": sum(result.verified is False for result in results),
+        "latency_seconds": {
+            kind: {"p50": _pick_quantile(v, 0.5), "p99": _pick_quantile(v, 0.99), "max": v[-1]}
+            for kind, v in ordered.items()
+        },
+    }
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Sends a bounded open-loop load.")
+    parser.add_argument("--settings", type=Path, required=True, help="JSON settings file")
+    parser.add_argument("--seed", type=int, help="seed instead of the one in the settings")
+    parser.add_argument("--output", type=Path, help="file for one JSON line for each call")
+    arguments = parser.parse_args()
+    try:
+        settings = load_settings(SETTINGS, arguments.settings)
+    except FindingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    given = settings["seed"] if arguments.seed is None else arguments.seed
+    seed = random.SystemRandom().randrange(2**31) if given is None else given
+    print(json.dumps({"event": "load", "seed": seed}), flush=True)
+    results, unsent = asyncio.run(run_load(settings, seed, SystemClock()))
+    if arguments.output:
+        lines = (json.dumps(result._asdict()) + "\n" for result in results)
+        arguments.output.write_text("".join(lines))
+    print(json.dumps({"seed": seed, "unsent": unsent} | summarise_results(results)))
+    return 0
+
+
 class Call(NamedTuple):
     """One request of a caller.
 
@@ -137,49 +301,6 @@
     request: str = ""
 
 
-def _build_headers(call: Call) -> dict[str, str]:
-    headers = {
-        "Work-Seconds": f"{call.work_seconds:.6f}",
-        "Work-Bytes": str(call.work_bytes) if call.work_bytes else "",
-        "Carawayshore-Kind": call.kind,
-        "Carawayshore-Team": call.team,
-        "Carawayshore-Pool": call.pool,
-        "Carawayshore-Request": call.token if call.pool else "",
-        "Idempotency-Key": call.key,
-        "Carawayshore-Repeatable": "true" if call.repeatable else "",
-        "Carawayshore-Deadline": f"{call.deadline_seconds:.3f}" if call.deadline_seconds else "",
-    }
-    return {name: value for name, value in headers.items() if value}
-
-
-async def _send_pages(pages: Iterable[bytes]) -> AsyncIterator[bytes]:
-    for page in pages:
-        yield page
-
-
-def _hash_body(call: Call) -> str:
-    digest = hashlib.sha256()
-    for page in generate_pages(call.path, call.body_bytes):
-        digest.update(page)
-    return digest.hexdigest()
-
-
-async def _verify_answer(call: Call, answer: aiohttp.ClientResponse) -> bool:
-    """Reads the whole answer and returns whether it is the answer to ``call``."""
-    if call.method == "HEAD":
-        return True
-    if call.work_bytes:
-        verifier = ContentVerifier(call.path, call.work_bytes)
-        async for piece in answer.content.iter_any():
-            verifier.feed(piece)
-        return verifier.is_whole()
-    try:
-        body = json.loads(await answer.read())
-        return body["path"] == call.path and body["sha256"] == _hash_body(call)
-    except (ValueError, KeyError, TypeError):
-        return False
-
-
 class Balancer:
     """Chooses entry hosts in turn, as the platform's balancer does.
 
@@ -291,126 +412,5 @@
             return status, BROKEN, verified, repr(error), ""
 
 
-def _list_arrivals(kind: dict[str, Any], seconds: float, draw: random.Random) -> Iterator[float]:
-    """Yields arrival times in seconds, with bursts by thinning of a steady arrival process."""
-    steady = not kind["burst_seconds"]
-    highest = 1.0 if steady else max(kind["burst_factor"], kind["quiet_factor"])
-    period = kind["burst_seconds"] + kind["quiet_seconds"]
-    moment = 0.0
-    while True:
-        moment += draw.expovariate(kind["rate"] * highest)
-        if moment >= seconds:
-            return
-        in_burst = steady or (moment - kind["offset_seconds"]) % period < kind["burst_seconds"]
-        factor = 1.0 if steady else kind["burst_factor" if in_burst else "quiet_factor"]
-        if draw.random() * highest < factor:
-            yield moment
-
-
-def _plan_kind(
-    settings: dict[str, Any], kind: dict[str, Any], seed: int
-) -> Iterator[tuple[float, Call]]:
-    draw = random.Random(f"{seed}:{kind['kind']}")
-    for number, moment in enumerate(_list_arrivals(kind, settings["seconds"], draw)):
-        name = f"{kind['kind']}-{seed}-{number}"
-        straggles = draw.random() < kind["straggler_share"]
-        factor = kind["straggler_factor"] if straggles else 1.0
-        prefix = kind["key_prefix"]
-        call = Call(
-            service=kind["service"],
-            token=name,
-            kind=kind["kind"],
-            method=kind["method"],
-            work_seconds=kind["work_seconds"] * factor,
-            work_bytes=kind["work_bytes"],
-            body_bytes=kind["body_bytes"],
-            key="" if prefix is None else f"{prefix}{name}",
-            repeatable=kind["repeatable"],
-            deadline_seconds=kind["deadline_seconds"],
-            timeout_seconds=settings["timeout_seconds"],
-            team=kind["team"],
-            pool=kind["pool"],
-        )
-        yield moment, call
-
-
-def plan_calls(settings: dict[str, Any], seed: int) -> Iterator[tuple[float, Call]]:
-    """Yields arrival times in seconds and calls; the same seed gives the same plan."""
-    plans = [_plan_kind(settings, kind, seed) for kind in settings["kinds"]]
-    merged = heapq.merge(*plans, key=lambda planned: planned[0])
-    return itertools.islice(merged, settings["count"])
-
-
-async def run_load(
-    settings: dict[str, Any], seed: int, clock: Clock
-) -> tuple[list[CallResult], int]:
-    """Sends an open-loop load; returns the results and the number of calls that were not sent.
-
-    A call is not sent if as many calls as ``in_progress`` are unanswered when its time comes.
-    """
-    balancer = Balancer(settings["addresses"], clock)
-    unsent, sending = 0, set()
-    async with Caller(balancer, clock, watch_ready=settings["watch_ready"]) as caller:
-        start = clock.elapsed()
-        for moment, call in plan_calls(settings, seed):
-            wait = start + timedelta(seconds=moment) - clock.elapsed()
-            if wait > timedelta():
-                await clock.sleep(wait)
-            if len(sending) >= settings["in_progress"]:
-                unsent += 1
-                continue
-            task = asyncio.create_task(caller.send(call))
-            sending.add(task)
-            task.add_done_callback(sending.discard)
-        await asyncio.gather(*sending)
-    return caller.results, unsent
-
-
-def _pick_quantile(ordered: list[float], share: float) -> float | None:
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else None
-
-
-def summarise_results(results: list[CallResult]) -> dict[str, Any]:
-    """Returns counts by outcome and status, and latencies in seconds of completed calls by kind."""
-    latencies: dict[str, list[float]] = {}
-    for result in results:
-        if result.outcome in (Outcome.COMPLETED.value, UNMARKED) and result.status == 200:
-            latencies.setdefault(result.kind, []).append(result.latency_seconds)
-    ordered = {kind: sorted(values) for kind, values in latencies.items()}
-    return {
-        "calls": len(results),
-        "outcomes": dict(Counter(result.outcome for result in results)),
-        "statuses": dict(Counter(str(result.status) for result in results)),
-        "verified": sum(result.verified is True for result in results),
-        "wrong": sum(result.verified is False for result in results),
-        "latency_seconds": {
-            kind: {"p50": _pick_quantile(v, 0.5), "p99": _pick_quantile(v, 0.99), "max": v[-1]}
-            for kind, v in ordered.items()
-        },
-    }
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(description="Sends a bounded open-loop load.")
-    parser.add_argument("--settings", type=Path, required=True, help="JSON settings file")
-    parser.add_argument("--seed", type=int, help="seed instead of the one in the settings")
-    parser.add_argument("--output", type=Path, help="file for one JSON line for each call")
-    arguments = parser.parse_args()
-    try:
-        settings = load_settings(SETTINGS, arguments.settings)
-    except FindingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    given = settings["seed"] if arguments.seed is None else arguments.seed
-    seed = random.SystemRandom().randrange(2**31) if given is None else given
-    print(json.dumps({"event": "load", "seed": seed}), flush=True)
-    results, unsent = asyncio.run(run_load(settings, seed, SystemClock()))
-    if arguments.output:
-        lines = (json.dumps(result._asdict()) + "\n" for result in results)
-        arguments.output.write_text("".join(lines))
-    print(json.dumps({"seed": seed, "unsent": unsent} | summarise_results(results)))
-    return 0
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/standins/src/carawayshore_standins/common.py
+++ b/packages/standins/src/carawayshore_standins/common.py
@@ -174,6 +174,31 @@
     return read_fields(fields, value, "body")
 
 
+async def _serve(standin: Standin) -> None:
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
+    addresses = await standin.open()
+    print(json.dumps({"event": "listening", "addresses": addresses}), flush=True)
+    await ended.wait()
+    await standin.stop()
+
+
+def run_standin(standin_type: type[Standin]) -> int:
+    """Runs one stand-in until it is interrupted; returns the exit status."""
+    parser = argparse.ArgumentParser(description=f"Stand-in: {standin_type.name}.")
+    parser.add_argument("--settings", type=Path, required=True, help="JSON settings file")
+    arguments = parser.parse_args()
+    try:
+        settings = load_settings(standin_type.settings_fields, arguments.settings)
+    except FindingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    asyncio.run(_serve(standin_type(settings, SystemClock())))
+    return 0
+
+
 class Standin:
     """Base class of the stand-ins.
 
@@ -326,28 +351,3 @@
         self.clear_record()
         self._lost = 0
         return web.json_response({})
-
-
-async def _serve(standin: Standin) -> None:
-    loop = asyncio.get_running_loop()
-    ended = asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, ended.set)
-    addresses = await standin.open()
-    print(json.dumps({"event": "listening", "addresses": addresses}), flush=True)
-    await ended.wait()
-    await standin.stop()
-
-
-def run_standin(standin_type: type[Standin]) -> int:
-    """Runs one stand-in until it is interrupted; returns the exit status."""
-    parser = argparse.ArgumentParser(description=f"Stand-in: {standin_type.name}.")
-    parser.add_argument("--settings", type=Path, required=True, help="JSON settings file")
-    arguments = parser.parse_args()
-    try:
-        settings = load_settings(standin_type.settings_fields, arguments.settings)
-    except FindingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    asyncio.run(_serve(standin_type(settings, SystemClock())))
-    return 0
--- a/packages/standins/src/carawayshore_standins/launcher.py
+++ b/packages/standins/src/carawayshore_standins/launcher.py
@@ -75,6 +75,48 @@
 }
 
 
+async def _run(description: dict[str, Any], folder: Path) -> None:
+    interrupted = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    running = asyncio.ensure_future(_run_until_cancelled(description, folder))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, interrupted.set)
+    waiting = asyncio.ensure_future(interrupted.wait())
+    await asyncio.wait({running, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+
+
+async def _run_until_cancelled(description: dict[str, Any], folder: Path) -> None:
+    async with Launcher(description, folder) as launcher:
+        print(json.dumps({"event": "ready", "processes": launcher.describe()}), flush=True)
+        await asyncio.Event().wait()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Runs a whole deployment on loopback.")
+    parser.add_argument("--description", type=Path, help="JSON file; default: two data centres")
+    parser.add_argument("--folder", type=Path, help="folder for files; default: a temporary one")
+    arguments = parser.parse_args()
+    try:
+        description = DEFAULT_DESCRIPTION
+        if arguments.description:
+            description = load_settings(DESCRIPTION_FIELDS, arguments.description)
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = arguments.folder or Path(temporary)
+            folder.mkdir(parents=True, exist_ok=True)
+            asyncio.run(_run(description, folder))
+    except FindingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    except RuntimeError as error:
+        print(error, file=sys.stderr)
+        return 1
+    return 0
+
+
 class Planner:
     """Turns a description into the settings of every process.
 
@@ -394,47 +436,5 @@
         self._ports.release()
 
 
-async def _run(description: dict[str, Any], folder: Path) -> None:
-    interrupted = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    running = asyncio.ensure_future(_run_until_cancelled(description, folder))
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, interrupted.set)
-    waiting = asyncio.ensure_future(interrupted.wait())
-    await asyncio.wait({running, waiting}, return_when=asyncio.FIRST_COMPLETED)
-    waiting.cancel()
-    running.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await running
-
-
-async def _run_until_cancelled(description: dict[str, Any], folder: Path) -> None:
-    async with Launcher(description, folder) as launcher:
-        print(json.dumps({"event": "ready", "processes": launcher.describe()}), flush=True)
-        await asyncio.Event().wait()
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(description="Runs a whole deployment on loopback.")
-    parser.add_argument("--description", type=Path, help="JSON file; default: two data centres")
-    parser.add_argument("--folder", type=Path, help="folder for files; default: a temporary one")
-    arguments = parser.parse_args()
-    try:
-        description = DEFAULT_DESCRIPTION
-        if arguments.description:
-            description = load_settings(DESCRIPTION_FIELDS, arguments.description)
-        with tempfile.TemporaryDirectory() as temporary:
-            folder = arguments.folder or Path(temporary)
-            folder.mkdir(parents=True, exist_ok=True)
-            asyncio.run(_run(description, folder))
-    except FindingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    except RuntimeError as error:
-        print(error, file=sys.stderr)
-        return 1
-    return 0
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/standins/src/carawayshore_standins/pools.py
+++ b/packages/standins/src/carawayshore_standins/pools.py
@@ -201,14 +201,14 @@
 
         A worker whose process has ended is not told: it asks for its state when it starts.
         """
-        await self._send("post", f"http://{host.address}/v1/control/{action}", body, False)
+        await self._send("post", f"http://{host.address}/v1/control/{action}", body, insist=False)
 
     async def _tell_hostlist(self, host: Host, members: dict[str, Any]) -> None:
         if self.settings["hostlist"]:
             url = f"{self.settings['hostlist']}/v1/hosts/{host.name}"
-            await self._send("put", url, members, True)
+            await self._send("put", url, members, insist=True)
 
-    async def _send(self, method: str, url: str, body: dict[str, Any], insist: bool) -> None:
+    async def _send(self, method: str, url: str, body: dict[str, Any], *, insist: bool) -> None:
         while True:
             try:
                 async with self._session.request(method, url, json=body) as answer:
--- a/packages/standins/src/carawayshore_standins/worker.py
+++ b/packages/standins/src/carawayshore_standins/worker.py
@@ -34,10 +34,14 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
+    from carawayshore.clock import Clock
+
 FINISHED_SHOWN = timedelta(seconds=60)
 WORK_SECONDS_MAXIMUM = 86_400.0
 WORK_BYTES_MAXIMUM = 2**40
 PIECE_BYTES = 64 * 1024
+# Without a gap, answers on different connections arrive in an order that the receiver chooses.
+RELEASE_GAP = timedelta(milliseconds=5)
 STATE_INTERVAL = timedelta(milliseconds=250)
 STATE_TIMEOUT_S = 2.0
 CONTROL_PREFIXES = ("/v1/control/", "/v1/faults", "/v1/record")
@@ -143,30 +147,39 @@
 
 
 class AnswerShuffler:
-    """Holds answers and releases them in the reverse order of their arrival."""
+    """Holds answers and releases them in the reverse order of their arrival.
 
-    def __init__(self) -> None:
-        self._held: list[asyncio.Event] = []
+    Parameters
+    ----------
+    clock : Clock
+    """
 
-    async def hold(self, count: int, timer: Awaitable[None]) -> None:
-        """Waits until ``count`` answers are held or ``timer`` has passed."""
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._held: list[asyncio.Event] = []
+        self._releases: list[asyncio.Future[None]] = []
+
+    async def hold(self, count: int, longest: timedelta) -> None:
+        """Waits until ``count`` answers are held or ``longest`` has passed."""
+        if len(self._held) + 1 >= count:
+            held, self._held = self._held, []
+            self._releases = [r for r in self._releases if not r.done()]
+            self._releases.append(asyncio.ensure_future(self._release(held)))
+            return
         released = asyncio.Event()
         self._held.append(released)
-        timeout = asyncio.ensure_future(timer)
-        if len(self._held) >= count:
-            await self._release()
+        timer = asyncio.ensure_future(self._clock.sleep(longest))
         event = asyncio.ensure_future(released.wait())
-        await asyncio.wait({event, timeout}, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait({event, timer}, return_when=asyncio.FIRST_COMPLETED)
         event.cancel()
-        timeout.cancel()
+        timer.cancel()
         if released in self._held:
             self._held.remove(released)
 
-    async def _release(self) -> None:
-        held, self._held = self._held, []
+    async def _release(self, held: list[asyncio.Event]) -> None:
         for released in reversed(held):
+            await self._clock.sleep(RELEASE_GAP)
             released.set()
-            await asyncio.sleep(0)  # Lets the newest answer leave before the next one.
 
 
 class Worker(Standin):
@@ -182,7 +195,7 @@
         self.draining = False
         self.record = ExecutionRecord(clock, settings["record_limit"], settings["record_file"])
         self._silence = SilenceKeeper()
-        self._shuffler = AnswerShuffler()
+        self._shuffler = AnswerShuffler(clock)
         self._works: set[Work] = set()
         self._finished: OrderedDict[str, timedelta] = OrderedDict()
         self._carriers: set[Any] = set()
@@ -409,8 +422,8 @@
         if seconds:
             await self.clock.sleep(timedelta(seconds=seconds))
         if self.faults["reorder"] > 1:
-            timer = self.clock.sleep(timedelta(seconds=self.faults["reorder_seconds"]))
-            await self._shuffler.hold(self.faults["reorder"], timer)
+            longest = timedelta(seconds=self.faults["reorder_seconds"])
+            await self._shuffler.hold(self.faults["reorder"], longest)
 
     async def _stream(self, work: Work) -> web.StreamResponse:
         """Sends an answer of ``work.size`` bytes; a fault may cut it off halfway."""
