Bound the memory of tasks and end a stopped worker's record cleanly

Cause: ended tasks and leases were kept without bound, and requests cut off by SIGTERM were recorded after the record file was closed; Retry-After had a fraction, which HTTP does not allow. Change: tasks leave the status 60 s after their end, leases are bounded by record_limit; the record file closes after the server; Retry-After is in whole seconds, retry_after in the body is exact.

--- a/packages/standins/src/carawayshore_standins/executions.py
+++ b/packages/standins/src/carawayshore_standins/executions.py
@@ -37,8 +37,8 @@
         self._counts: dict[str, int] = {}
         self._ran: OrderedDict[str, dict[str, Any]] = OrderedDict()
         self._revoked: OrderedDict[str, None] = OrderedDict()
-        self.tasks: dict[str, dict[str, Any]] = {}
-        self.fences: dict[str, int] = {}
+        self.tasks: OrderedDict[str, dict[str, Any]] = OrderedDict()
+        self.fences: OrderedDict[str, int] = OrderedDict()
         self.drain_began: timedelta | None = None
         if path:
             self._load(Path(path))
@@ -63,12 +63,13 @@
         elif kind == "revocation":
             self._revoked[entry["request"]] = None
         elif kind == "fence":
-            self.fences[entry["job"]] = entry["lease"]
+            self._set_fence(entry["job"], entry["lease"])
 
     def _store(self, entry: dict[str, Any]) -> None:
         if entry["kind"] == "task":
             self.tasks[entry["job"]] = entry
-            self.fences[entry["job"]] = max(entry["lease"], self.fences.get(entry["job"], -1))
+            self._bound(self.tasks)
+            self._set_fence(entry["job"], entry["lease"])
         else:
             self._ran[entry["request"]] = entry
             self._bound(self._ran)
@@ -76,6 +77,11 @@
         self._next_number = max(self._next_number, entry["number"] + 1)
         self._dropped += self._bound(self._executions)
 
+    def _set_fence(self, job: str, lease: int) -> None:
+        self.fences[job] = max(lease, self.fences.get(job, -1))
+        self.fences.move_to_end(job)
+        self._bound(self.fences)
+
     def _bound(self, entries: OrderedDict[Any, Any]) -> int:
         """Drops the oldest of ``entries`` beyond the limit and returns their number."""
         dropped = max(0, len(entries) - self._limit)
@@ -131,7 +137,7 @@
 
     def raise_fence(self, job: str, lease: int) -> None:
         """Refuses leases of ``job`` below ``lease`` from now on."""
-        self.fences[job] = lease
+        self._set_fence(job, lease)
         self._write("fence", {"job": job, "lease": lease})
 
     def read(self) -> dict[str, Any]:
--- a/packages/standins/src/carawayshore_standins/log.py
+++ b/packages/standins/src/carawayshore_standins/log.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import re
 import sys
 from collections import deque
@@ -201,7 +202,7 @@
         wait = self._take_token()
         if wait:
             self._rate_rejections += 1
-            headers = {"Retry-After": f"{wait:.3f}"}
+            headers = {"Retry-After": str(math.ceil(wait))}
             return answer_error(429, "append rate exceeded", headers, retry_after=wait)
         first = stream.append(body["records"])
         entry = {"stream": request.match_info["stream"], "first": first, "end": stream.end}
--- a/packages/standins/src/carawayshore_standins/tasks.py
+++ b/packages/standins/src/carawayshore_standins/tasks.py
@@ -18,6 +18,7 @@
 RESOURCES = ("processors", "memory_gib", "accelerators")
 LEASE_MAXIMUM = 2**63
 DAY_SECONDS = 86_400
+ENDED_SHOWN = timedelta(seconds=60)
 
 
 _LEASE = Field("lease", "integer", "Lease.", required=True, maximum=LEASE_MAXIMUM)
@@ -80,6 +81,7 @@
         self.shares: list[tuple[timedelta, float]] = [(now, 1.0)]
         self.checkpoint: dict[str, Any] | None = body["checkpoint"]
         self.changed = asyncio.Event()
+        self.ended: timedelta | None = None
         self.entry: dict[str, Any] = {}
         self.runner: asyncio.Task[None] | None = None
         self._done_seconds = _read_seconds(body["checkpoint"] or {}, "done_seconds", 0.0)
@@ -155,8 +157,19 @@
         ]
 
     def describe(self) -> list[dict[str, Any]]:
+        """Returns the tasks that run or ended a short time ago."""
+        self._forget_ended()
         return [self._describe(task) for task in self._tasks.values()]
 
+    def _forget_ended(self) -> None:
+        """Leaves tasks that ended some time ago to the record, which is bounded."""
+        limit = self._clock.elapsed() - ENDED_SHOWN
+        self._tasks = {
+            job: task
+            for job, task in self._tasks.items()
+            if task.ended is None or task.ended >= limit
+        }
+
     def cut_off(self) -> None:
         """Ends every running task without a result, as a reboot does."""
         for task in self._list_running():
@@ -189,6 +202,7 @@
             return
         task.advance(self._clock.elapsed())
         task.state = state
+        task.ended = self._clock.elapsed()
         task.changed.set()
         finished = state in ("succeeded", "failed")
         self._worker.record.end(task.entry, finished=finished, result=state)
@@ -256,6 +270,7 @@
 
     def _start(self, job: str, body: dict[str, Any]) -> Task:
         worker = self._worker
+        self._forget_ended()
         task = Task(job, body, self._clock.elapsed())
         task.run_seconds = worker.stretch(f"{job}:{task.attempt}", task.run_seconds)
         task.entry = worker.record.begin(
--- a/packages/standins/src/carawayshore_standins/worker.py
+++ b/packages/standins/src/carawayshore_standins/worker.py
@@ -240,8 +240,12 @@
         for task in self._background:
             task.cancel()
         self._silence.close()
+        self._cut_off_works()
         await self._tasks.close()
-        self.record.close()
+
+    async def stop(self) -> None:
+        await super().stop()
+        self.record.close()  # Handlers record the end of their requests until the server is down.
 
     async def handle(
         self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -491,10 +495,7 @@
         body = await read_body(request, REBOOT_FIELDS)
         await self._drain(request)
         self._rebooting = True
-        for work in list(self._works):
-            for part in (work.reader, work.run):
-                if part:
-                    part.cancel()
+        self._cut_off_works()
         self._tasks.cut_off()
         for connection in self.runner.server.connections:
             if connection is not request.protocol and connection.transport:
@@ -502,6 +503,12 @@
         self._spawn(self._finish_reboot(body["seconds"]))
         return web.json_response({"draining": True})
 
+    def _cut_off_works(self) -> None:
+        for work in self._works:
+            for part in (work.reader, work.run):
+                if part:
+                    part.cancel()
+
     async def _finish_reboot(self, seconds: float) -> None:
         await self.clock.sleep(timedelta(seconds=seconds))
         self._rebooting = False
