Count a request whose body is still arriving as known to its worker

Cause: the worker's status lists such a request under receiving, not under running. Change: the silence probe accepts both.

--- a/packages/carawayd/src/carawayd/connection/target.py
+++ b/packages/carawayd/src/carawayd/connection/target.py
@@ -256,7 +256,8 @@
     def _judge(self, exchange: Exchange, status: WorkerStatus) -> None:
         """Aborts an exchange that the worker does not run and that makes no progress."""
         now = self._clock.elapsed()
-        if exchange.request in status.running or now - exchange.progressed < QUIET:
+        known = exchange.request in status.running or exchange.request in status.receiving
+        if known or now - exchange.progressed < QUIET:
             exchange.missing_since = None
             return
         if exchange.missing_since is None:
--- a/packages/carawayd/src/carawayd/platform/worker.py
+++ b/packages/carawayd/src/carawayd/platform/worker.py
@@ -13,7 +13,10 @@
 
 
 class WorkerStatus(NamedTuple):
-    """``running`` and ``finished`` are identifiers of requests."""
+    """``running``, ``receiving`` and ``finished`` are identifiers of requests.
+
+    A request whose body is still arriving is among ``receiving``.
+    """
 
     host: str
     pool: str
@@ -23,6 +26,7 @@
     running: frozenset[str]
     finished: frozenset[str]
     tasks: list[dict[str, Any]]
+    receiving: frozenset[str] = frozenset()
 
 
 @platform_client("worker")
@@ -41,9 +45,13 @@
         """
         answer = await self._call_worker("GET", address, "/v1/status", timeout=timeout)
         try:
-            values = [answer[name] for name in WorkerStatus._fields]
+            defaults = WorkerStatus._field_defaults
+            values = [
+                answer.get(name, defaults[name]) if name in defaults else answer[name]
+                for name in WorkerStatus._fields
+            ]
             return msgspec.convert(values, WorkerStatus)
-        except (KeyError, TypeError, msgspec.ValidationError) as error:
+        except (AttributeError, KeyError, TypeError, msgspec.ValidationError) as error:
             raise PlatformError(f"malformed status of worker {address}: {error!r}") from error
 
     async def revoke(self, address: str, request: str, *, timeout: float) -> str:
