Direct the random interleavings at outages and crashes

Change: each example holds an outage of the log with claims and crashes, claims of one key through all hosts, racing operators, appends that take effect seconds after their answer was lost, and checks after each batch.

--- a/features/steps/interleaving_steps.py
+++ b/features/steps/interleaving_steps.py
@@ -23,16 +23,39 @@
 SETTLE_SECONDS = 45
 CHECK_SECONDS = 0.05
 
+KEYS = [f"{DATA_CENTRE}:k{number}" for number in range(3)]
+WAITS = st.sampled_from([0.0, 0.02, 0.3, 1.5, 7.0])
+
 host = st.sampled_from(NAMES)
-ACTIONS = st.one_of(
-    st.tuples(st.just("claim"), host, st.sampled_from([f"{DATA_CENTRE}:k{n}" for n in range(4)])),
-    st.tuples(st.just("publish"), host, st.just("")),
-    st.tuples(st.just("move"), host, st.sampled_from(["w1", "w2"])),
-    st.tuples(st.sampled_from(["kill", "start", "pause", "resume"]), host, st.just("")),
-    st.tuples(st.sampled_from(["cut_log", "cut_peers", "heal"]), host, st.just("")),
-    st.tuples(st.sampled_from(["log_down", "log_up", "lose", "trim"]), st.just(""), st.just("")),
+everybody = st.just("")
+CLAIM = st.tuples(st.just("claim"), host, st.sampled_from(KEYS))
+LIFE = st.tuples(st.sampled_from(["kill", "start", "pause", "resume"]), host, everybody)
+CUT = st.tuples(st.sampled_from(["cut_log", "cut_peers", "heal"]), host, everybody)
+MOVE = st.tuples(st.just("move"), host, st.sampled_from(["w1", "w2"]))
+COMMON = st.tuples(
+    st.sampled_from(["publish", "claim_all", "lose", "trim", "log_down", "log_up"]),
+    everybody,
+    st.sampled_from(KEYS),
+)
+MIXED = st.lists(st.tuples(st.one_of(CLAIM, LIFE, CUT, MOVE, COMMON), WAITS), max_size=25)
+
+
+@st.composite
+def build_outage(draw):
+    """An outage of the log with claims and crashes, and the same claims after it."""
+    during = st.lists(st.tuples(st.one_of(CLAIM, LIFE, CUT), WAITS), min_size=2, max_size=10)
+    after = st.lists(st.tuples(st.one_of(CLAIM, LIFE, COMMON), WAITS), max_size=6)
+    keys = [(("claim_all", "", key), 0.3) for key in draw(st.permutations(KEYS))]
+    down, up = ("log_down", "", ""), ("log_up", "", "")
+    first = draw(st.sampled_from([0.3, 2.0]))
+    return [
+        (down, first), *keys, *draw(during), (up, draw(WAITS)), *draw(after), *keys
+    ]  # fmt: skip
+
+
+STEPS = st.builds(
+    lambda *parts: [step for part in parts for step in part], MIXED, build_outage(), MIXED
 )
-STEPS = st.lists(st.tuples(ACTIONS, st.sampled_from([0.0, 0.02, 0.3, 1.5, 7.0])), max_size=40)
 
 
 async def _append(appender, body) -> None:
@@ -56,15 +79,16 @@
     version = parts.global_reader.folded.configuration.version
     document = build_configuration(data_centres=[DATA_CENTRE])
     body = records.ConfigurationPublished(version, document, name)
-    await _append(parts.global_appender, body)
+    with contextlib.suppress(NotAppended, AppendUnknown):
+        result = await parts.global_appender.append(body, Priority.CONFIGURATION)
+        if isinstance(result, Success) and cluster.published.setdefault(version, name) != name:
+            cluster.violations.append(f"two operators replaced version {version}")
 
 
 async def _act_on_host(cluster: Cluster, kind: str, name: str, detail: str) -> None:
     entry_host = cluster.hosts[name]
     if kind == "claim":
         cluster.run(cluster.claim(name, detail))
-    elif kind == "publish":
-        cluster.run(_publish(cluster, name))
     elif kind == "move":
         cluster.run(_move(cluster, name, detail))
     elif kind == "kill":
@@ -90,6 +114,10 @@
         cluster.log.lose_share = cluster.pools.lose_share = 0.5
     elif kind == "trim":
         cluster.log.trim(keep=250)
+    elif kind in ("claim_all", "publish"):
+        for each in cluster.hosts:
+            act = cluster.claim(each, detail) if kind == "claim_all" else _publish(cluster, each)
+            cluster.run(act)
     elif name in cluster.hosts:
         await _act_on_host(cluster, kind, name, detail)
 
--- a/features/virtual.py
+++ b/features/virtual.py
@@ -62,6 +62,11 @@
         self._grown = asyncio.Event()
         return Appended(first, self.ends[stream])
 
+    def delay_append(self, stream: str, envelopes: list[Any]) -> None:
+        """Appends at once or some seconds later, even if the sender has ended by then."""
+        delay = self.rng.choice([0.0, 0.0, 0.4, 3.0, 8.0])
+        asyncio.get_running_loop().call_later(delay, self.append, stream, envelopes)
+
     def first(self, stream: str) -> int:
         records = self.streams.get(stream)
         return records[0][0] if records else self.ends.get(stream, 0)
@@ -110,10 +115,12 @@
     async def append(self, stream: str, envelopes: list[Any]) -> Appended:
         await self._link.pass_through()
         self._check()
-        answer = self._log.append(stream, envelopes)
-        await self._link.pass_through()
         if self._log.rng.random() < self._log.lose_share:
+            self._log.delay_append(stream, envelopes)
+            await self._link.pass_through()
             raise PlatformError("the answer was lost")
+        answer = self._log.append(stream, envelopes)
+        await self._link.pass_through()
         return answer
 
     async def read(self, stream: str, offset: int, *, wait: float) -> Page:
@@ -218,6 +225,7 @@
 
     def __init__(self, cluster: Cluster, name: str) -> None:
         self.name = name
+        self._cluster = cluster
         self.link = HostLink()
         self.accepted_version = 0
         settings = cluster.build_settings(name)
@@ -235,6 +243,7 @@
         )
 
     async def start(self) -> None:
+        self.parts.reader.listen_batches(self._cluster.check)
         for service in self.parts.list_services():
             await service.start()
 
@@ -265,6 +274,7 @@
         }
         self.hosts: dict[str, EntryHost] = {}
         self.granted: dict[str, set[str]] = {}
+        self.published: dict[int, str] = {}
         self.violations: list[str] = []
         self.tasks: set[asyncio.Task] = set()
         self._requests = 0
