Check shared slots by a property test over a faulty network

Cause: a mistake in loans or in a change of owner lets two processes use one slot. Change: ledgers in virtual time over a network that loses, repeats and delays messages up to 4 s, with clock rates up to 2 % apart, pauses, restarts and views applied up to 8 s late; 60 drawn scenarios of 30 s with fixed draws, and scenarios for recovery, borrowing, lapse and take-over. Before: no check.

--- /dev/null
+++ b/features/shared_slots.feature
@@ -0,0 +1,35 @@
+Feature: Entry hosts share the slots of a target without using one twice
+
+  Scenario: No slot is held by two processes, whatever the network and the processes do
+    # Guards against work beyond a target's slots after late, lost or repeated messages, pauses,
+    # restarts and views that processes apply at different times.
+    Given ledgers that wait for the word of every peer
+    Then no slot is held twice in any of 60 drawn scenarios of 30 s
+
+  Scenario: All slots are in service again after faults have ended
+    # Guards against slots that stay lent, pending or recalled for ever.
+    Given ledgers that wait for the word of every peer
+    Then every slot is free 15 s after the end of the faults in each of 10 drawn scenarios
+
+  Scenario: A process with waiting work borrows idle slots and gives them back
+    # Guards against a pool that is idle at one entry host while work waits at another.
+    Given the processes a, b, c without faults
+    When a has demand for 8 slots of w1 during 4 s
+    Then a may use 8 slots of w1
+    When a has no more demand during 4 s
+    Then every process has its own slots of w1 again
+
+  Scenario: The slots of a borrower that fell silent are used again after the loan has lapsed
+    # Guards against slots that are lost to a dead borrower.
+    Given the processes a, b, c without faults
+    When a has demand for 8 slots of w1 during 4 s
+    And a falls silent for 3 s
+    Then b and c may use all their own slots of w1
+
+  Scenario: A new owner waits for one loan lifetime, and no longer than the limit for a silent peer
+    # Guards against work beyond the slots while requests of a former owner may still run, and
+    # against a partitioned peer that keeps a new process from serving.
+    Given the processes a, b, c without faults
+    When a is replaced while b is silent
+    Then the new a may use no slot of w1 within 2 s
+    And the new a may use its own slots of w1 after 11 s
--- /dev/null
+++ b/features/steps/share_steps.py
@@ -0,0 +1,162 @@
+"""Steps on slots shared between entry hosts."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from behave import given, then, when
+from builders_policy import TARGETS, NetworkFaults, ShareNetwork
+from hypothesis import given as draw
+from hypothesis import settings as draw_settings
+from hypothesis import strategies as st
+
+from carawayshore.shares import ShareSettings
+
+NO_FAULTS = NetworkFaults(0, 0, 0.02, 0, 0, 0)
+FAULTS = st.builds(
+    NetworkFaults,
+    loss=st.sampled_from([0.0, 0.1, 0.4]),
+    duplication=st.sampled_from([0.0, 0.3]),
+    delay_s=st.sampled_from([0.1, 1.5, 4.0]),
+    view_lag_s=st.sampled_from([0.1, 3.0, 8.0]),
+    pause_s=st.sampled_from([0.5, 3.0, 6.0]),
+    restarts=st.sampled_from([0.0, 0.005, 0.02]),
+)
+
+
+def _check_examples(function, count):
+    """Runs a property with the same drawn examples each time."""
+    property_ = draw(st.integers(0, 2**32), FAULTS)(function)
+    draw_settings(max_examples=count, derandomize=True, database=None, deadline=None)(property_)()
+
+
+def _run_scenario(seed, faults, settings, seconds):
+    network = ShareNetwork(seed, faults, settings)
+    for member in "abc":
+        network.start(member)
+    for _ in range(round(seconds / network.STEP_S)):
+        network.disturb()
+        network.step()
+        assert not network.conflicts, (seed, faults, network.conflicts[0])
+    return network
+
+
+def _run_for(network, seconds, demand_of=None):
+    for _ in range(round(seconds / network.STEP_S)):
+        network.now += network.STEP_S
+        for name, process in network.processes.items():
+            process.clock.advance(timedelta(seconds=network.STEP_S))
+            if process.paused_until <= network.now:
+                demand = (demand_of or {}).get(name, {})
+                network.send(process, process.ledger.tick(demand))
+        network.deliver()
+        network.check()
+
+
+def _count_own(network, name, target):
+    ledger = network.processes[name].ledger
+    return sum(not held.borrowed for held in ledger.list_held(target))
+
+
+@given("ledgers that wait for the word of every peer")
+def use_strict_settings(context):
+    context.settings = ShareSettings(takeover_limit=timedelta(days=1))
+
+
+@then("no slot is held twice in any of {count:d} drawn scenarios of {seconds:d} s")
+def expect_no_conflict(context, count, seconds):
+    def hold(seed, faults):
+        _run_scenario(seed, faults, context.settings, seconds)
+
+    _check_examples(hold, count)
+
+
+@then(
+    "every slot is free {wait:d} s after the end of the faults"
+    " in each of {count:d} drawn scenarios"
+)
+def expect_recovery(context, wait, count):
+    def recover(seed, faults):
+        network = _run_scenario(seed, faults, context.settings, 10)
+        network.faults = NO_FAULTS
+        for process in network.processes.values():
+            process.paused_until = 0
+        network.step({})
+        for process in network.processes.values():
+            for _, permit in process.permits:
+                process.ledger.release(permit)
+            process.permits.clear()
+            network.apply_view(process, len(network.views) - 1)
+        _run_for(network, wait)
+        free = {target: network.count_available(target) for target in TARGETS}
+        assert free == TARGETS, (seed, faults, free)
+
+    _check_examples(recover, count)
+
+
+@given("the processes a, b, c without faults")
+def start_processes(context):
+    context.network = ShareNetwork(1, NO_FAULTS, ShareSettings())
+    for member in "abc":
+        context.network.start(member)
+    for process in context.network.processes.values():
+        context.network.apply_view(process, 2)
+    _run_for(context.network, 3)
+    context.own = {name: _count_own(context.network, name, "w1") for name in "abc"}
+    assert sum(context.own.values()) == TARGETS["w1"], context.own
+
+
+@when("a has demand for {slots:d} slots of w1 during {seconds:d} s")
+def demand_slots(context, slots, seconds):
+    _run_for(context.network, seconds, {"a": {"w1": slots}})
+
+
+@when("a has no more demand during {seconds:d} s")
+def end_demand(context, seconds):
+    _run_for(context.network, seconds)
+
+
+@when("a falls silent for {seconds:d} s")
+def silence(context, seconds):
+    context.network.processes["a"].paused_until = 1e9
+    _run_for(context.network, seconds)
+
+
+@when("a is replaced while b is silent")
+def replace_process(context):
+    network = context.network
+    network.processes["b"].paused_until = 1e9
+    network.end("a")
+    network.start("a")
+    network.apply_view(network.processes["c"], len(network.views) - 1)
+
+
+@then("a may use {slots:d} slots of w1")
+def expect_available(context, slots):
+    assert context.network.processes["a"].ledger.available("w1") == slots
+
+
+@then("every process has its own slots of w1 again")
+def expect_own_slots(context):
+    own = {name: _count_own(context.network, name, "w1") for name in "abc"}
+    assert own == context.own, (own, context.own)
+
+
+@then("b and c may use all their own slots of w1")
+def expect_lapse(context):
+    for name in "bc":
+        own = _count_own(context.network, name, "w1")
+        assert own == context.own[name], (name, own, context.own)
+
+
+@then("the new a may use no slot of w1 within {seconds:d} s")
+def expect_wait(context, seconds):
+    _run_for(context.network, seconds)
+    assert context.network.processes["a"].ledger.available("w1") == 0
+
+
+@then("the new a may use its own slots of w1 after {seconds:d} s")
+def expect_takeover(context, seconds):
+    _run_for(context.network, seconds - 2)
+    own = _count_own(context.network, "a", "w1")
+    assert own == context.own["a"], (own, context.own)
