Add benchmarks of the request policy in virtual time

Admission leaves time for the high quantile of the run time, bounded by twice the median. Conclusion: the slots held for short work are the next thing to measure.

--- /dev/null
+++ b/benchmarks/engine.py
@@ -0,0 +1,233 @@
+"""Virtual time for benchmarks: an event heap, and one pool under a stream of requests.
+
+The decision code is the library's own; only targets and callers are simulated.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from datetime import timedelta
+from random import Random
+from typing import NamedTuple
+
+from carawayshore.admission import Admission, Refusal, Request
+from carawayshore.prediction import Predictor
+from carawayshore.queueing import ClassQueue, QueueSettings, RunningWork, Waiting
+from carawayshore.routing import Candidate, TargetSpeeds, choose_target
+from carawayshore.testing import ManualClock
+
+SLOTS = 8
+
+
+class Arrival(NamedTuple):
+    """A request of a benchmark; times in seconds.
+
+    ``run_s`` is its run time at a target of factor 1 and ``short`` what it was drawn as.
+    """
+
+    at_s: float
+    kind: str
+    run_s: float
+    short: bool
+    deadline_s: float
+    declared_s: float | None = None
+
+
+class Finished(NamedTuple):
+    arrival: Arrival
+    wait_s: float
+    end_s: float
+    in_time: bool
+
+
+class Outcomes(NamedTuple):
+    finished: list[Finished]
+    refused: list[Arrival]
+    expired: list[Arrival]
+
+    def list_waits(self, *, from_s: float) -> list[float]:
+        """Returns the waits in seconds of short requests that arrived at ``from_s`` or later."""
+        return [
+            item.wait_s
+            for item in self.finished
+            if item.arrival.short and item.arrival.at_s >= from_s
+        ]
+
+    def sum_run(self, *, from_s: float, until_s: float, short: bool | None = None) -> float:
+        """Returns the run time in seconds of requests that finished in time in a period."""
+        return sum(
+            item.arrival.run_s
+            for item in self.finished
+            if item.in_time
+            and from_s <= item.end_s <= until_s
+            and (short is None or item.arrival.short == short)
+        )
+
+
+class Events:
+    """Event heap that drives a manual clock."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self.now_s = 0.0
+
+    def schedule(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (at_s, next(self._numbers), action))
+
+    def run(self) -> None:
+        while self._heap:
+            at_s, _, action = heapq.heappop(self._heap)
+            self.clock.advance(timedelta(seconds=at_s) - self.clock.elapsed())
+            self.now_s = at_s
+            action()
+
+
+def find_quantile(values: Iterable[float], share: float) -> float:
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+class _Pool:
+    """Targets with slots, and the books that both dispatchers keep about them."""
+
+    def __init__(self, events: Events, factors: Sequence[float]) -> None:
+        self.events = events
+        self.factors = {f"w{n}": factor for n, factor in enumerate(factors)}
+        self.in_use = dict.fromkeys(self.factors, 0)
+        self.outcomes = Outcomes([], [], [])
+
+    def count_free(self) -> int:
+        return SLOTS * len(self.in_use) - sum(self.in_use.values())
+
+    def start(self, arrival: Arrival, target: str, done: Callable[[float], None]) -> None:
+        now = self.events.now_s
+        run_s = arrival.run_s * self.factors[target]
+        self.in_use[target] += 1
+
+        def finish() -> None:
+            self.in_use[target] -= 1
+            in_time = now + run_s <= arrival.at_s + arrival.deadline_s
+            self.outcomes.finished.append(
+                Finished(arrival, now - arrival.at_s, now + run_s, in_time)
+            )
+            done(run_s)
+
+        self.events.schedule(now + run_s, finish)
+
+
+def run_baseline(arrivals: Sequence[Arrival], factors: Sequence[float], random: Random) -> Outcomes:
+    """Runs first-in-first-out with a random choice among the targets that have a free slot.
+
+    A request whose deadline has passed while it waited is dropped at the head of the queue.
+    """
+    events = Events()
+    pool = _Pool(events, factors)
+    waiting: deque[Arrival] = deque()
+
+    def dispatch(_run_s: float = 0) -> None:
+        while waiting and pool.count_free():
+            arrival = waiting.popleft()
+            if events.now_s > arrival.at_s + arrival.deadline_s:
+                pool.outcomes.expired.append(arrival)
+                continue
+            free = [name for name, used in pool.in_use.items() if used < SLOTS]
+            pool.start(arrival, random.choice(free), dispatch)
+
+    def arrive(arrival: Arrival) -> None:
+        waiting.append(arrival)
+        dispatch()
+
+    for arrival in arrivals:
+        events.schedule(arrival.at_s, lambda arrival=arrival: arrive(arrival))
+    events.run()
+    return pool.outcomes
+
+
+class _Dispatcher:
+    """One entry host that owns all slots of a pool and uses the library's decisions."""
+
+    def __init__(
+        self, events: Events, pool: _Pool, settings: QueueSettings, random: Random
+    ) -> None:
+        self.events = events
+        self.pool = pool
+        self.random = random
+        self.predictor = Predictor(events.clock)
+        self.queue = ClassQueue(settings, events.clock)
+        self.running = RunningWork(settings, events.clock)
+        self.speeds = TargetSpeeds(events.clock)
+        self.admission = Admission(self.queue, self.predictor, events.clock, random, settings)
+        self.slots = SLOTS * len(pool.in_use)
+        self.arrivals: dict[str, Arrival] = {}
+        self._numbers = itertools.count()
+
+    def arrive(self, arrival: Arrival) -> None:
+        name = str(next(self._numbers))
+        declared = None if arrival.declared_s is None else timedelta(seconds=arrival.declared_s)
+        remaining = timedelta(seconds=arrival.deadline_s)
+        request = Request(name, "service", arrival.kind, "team", remaining, declared)
+        decision = self.admission.decide(request, self.slots, self.running.count())
+        if isinstance(decision, Refusal):
+            self.pool.outcomes.refused.append(arrival)
+            return
+        self.arrivals[name] = arrival
+        self.queue.push(decision)
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        for item in self.queue.expire():
+            self.pool.outcomes.expired.append(self.arrivals.pop(item.request))
+        while True:
+            item = self.queue.pop(self.pool.count_free(), self.running.count())
+            if item is None:
+                return
+            self._start(item)
+
+    def _start(self, item: Waiting) -> None:
+        candidates = [
+            Candidate(
+                target,
+                SLOTS - used,
+                SLOTS,
+                used,
+                0,
+                item.predicted * self.speeds.find_factor(target),
+            )
+            for target, used in self.pool.in_use.items()
+        ]
+        target = choose_target(candidates, self.random).target
+        self.running.start(item)
+        arrival = self.arrivals.pop(item.request)
+
+        def finish(run_s: float) -> None:
+            self.running.finish(item.request)
+            duration = timedelta(seconds=run_s)
+            declared = None if arrival.declared_s is None else timedelta(seconds=arrival.declared_s)
+            self.predictor.observe(item.service, item.kind, duration, declared)
+            self.speeds.observe(target, duration, item.predicted)
+            self.dispatch()
+
+        self.pool.start(arrival, target, finish)
+
+
+def run_policy(
+    arrivals: Sequence[Arrival],
+    factors: Sequence[float],
+    random: Random,
+    settings: QueueSettings,
+) -> Outcomes:
+    """Runs the library's admission, queue, prediction and routing."""
+    events = Events()
+    pool = _Pool(events, factors)
+    dispatcher = _Dispatcher(events, pool, settings, random)
+    for arrival in arrivals:
+        events.schedule(arrival.at_s, lambda arrival=arrival: dispatcher.arrive(arrival))
+    events.run()
+    return pool.outcomes
--- /dev/null
+++ b/benchmarks/short_behind_long.py
@@ -0,0 +1,94 @@
+"""Wait of short work and throughput of long work, with stragglers, under demand in turns."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from datetime import timedelta
+from random import Random
+
+from benchmarks.demand import (
+    DEPLOYMENTS,
+    QUEUES,
+    WARM_UP_S,
+    Deployment,
+    Mix,
+    draw_arrivals,
+    take_turns,
+)
+from benchmarks.engine import Outcomes, find_quantile, run_baseline, run_policy
+from benchmarks.report import Line, case
+from carawayshore.queueing import QueueSettings
+
+SECONDS = 220.0
+RESOLUTION_S = 0.001  # A wait below this counts as this, so that a ratio of waits is defined.
+SETTINGS = QueueSettings(short_limit=timedelta(seconds=0.5), max_waiting=100_000)
+
+
+def run_deployment(
+    deployment: Deployment, mix: Mix, seed: int, *, policy: bool, seconds: float = SECONDS
+) -> list[Outcomes]:
+    """Returns the outcomes of each of the deployment's services."""
+    outcomes = []
+    for queue in range(QUEUES):
+        demand, choices = Random(seed * QUEUES + queue), Random(seed)
+        turns = take_turns(queue)
+        arrivals = draw_arrivals(mix, deployment.workers, seconds, demand, turns)
+        factors = [1.0] * deployment.workers
+        if policy:
+            outcomes.append(run_policy(arrivals, factors, choices, SETTINGS))
+        else:
+            outcomes.append(run_baseline(arrivals, factors, choices))
+    return outcomes
+
+
+def find_short_p99(outcomes: list[Outcomes]) -> float:
+    """Returns the p99 wait of short work over all services in seconds."""
+    waits = [wait for item in outcomes for wait in item.list_waits(from_s=WARM_UP_S)]
+    return max(find_quantile(waits, 0.99), RESOLUTION_S)
+
+
+@case("short-wait")
+def run_case(seed: int) -> Iterator[Line]:
+    """Compares the p99 wait of short work with and without stragglers, and with the baseline."""
+    for deployment in DEPLOYMENTS:
+        calm, rough = Mix(), Mix(stragglers=0.05)
+        first = run_deployment(deployment, rough, seed, policy=False)
+        plain = run_deployment(deployment, calm, seed, policy=True)
+        change = run_deployment(deployment, rough, seed, policy=True)
+        yield from _compare_waits(deployment, seed, first, plain, change)
+        yield _compare_throughput(deployment, seed, first, change)
+
+
+def _compare_waits(
+    deployment: Deployment,
+    seed: int,
+    first: list[Outcomes],
+    plain: list[Outcomes],
+    change: list[Outcomes],
+) -> Iterator[Line]:
+    name = f"short-wait/{deployment.name}"
+    fifo_s, plain_s, change_s = (find_short_p99(item) for item in (first, plain, change))
+    detail = {
+        "unit": "s",
+        "refused": sum(len(item.refused) for item in change),
+        "expired": sum(len(item.expired) for item in change),
+        "short_finished": sum(len(item.list_waits(from_s=WARM_UP_S)) for item in change),
+    }
+    ratio = change_s / plain_s
+    goal = "p99 with stragglers <= 1.5 x without"
+    yield Line(f"{name}/stragglers", seed, plain_s, change_s, ratio, goal, ratio <= 1.5, detail)
+    ratio = fifo_s / change_s
+    goal = "p99 >= 5 times better than first-in-first-out"
+    yield Line(f"{name}/fifo", seed, fifo_s, change_s, ratio, goal, ratio >= 5, detail)
+
+
+def _compare_throughput(
+    deployment: Deployment, seed: int, first: list[Outcomes], change: list[Outcomes]
+) -> Line:
+    """Compares the run time of long work that finished in time while demand lasted."""
+    before = sum(item.sum_run(from_s=WARM_UP_S, until_s=SECONDS, short=False) for item in first)
+    after = sum(item.sum_run(from_s=WARM_UP_S, until_s=SECONDS, short=False) for item in change)
+    ratio = after / before
+    name = f"long-throughput/{deployment.name}"
+    goal = "throughput of long work >= 0.95 of the baseline"
+    return Line(name, seed, before, after, ratio, goal, ratio >= 0.95, {"unit": "slot-s"})
--- a/packages/carawayshore/src/carawayshore/admission.py
+++ b/packages/carawayshore/src/carawayshore/admission.py
@@ -47,13 +47,17 @@
     ----------
     min_retry_after, max_retry_after : timedelta
         Bounds of the time to try again, before jitter.
-    run_factor : float
-        Multiple of the predicted run time that must be left after the predicted wait.
+    wait_factor : float
+        Multiple of the predicted wait that the deadline must leave time for.
+    max_run_factor : float
+        Bound of the high quantile of the run time that must be left after the wait, as a multiple
+        of the predicted run time; stragglers would otherwise forbid every wait.
     """
 
     min_retry_after: timedelta = timedelta(seconds=0.1)
     max_retry_after: timedelta = timedelta(seconds=30)
-    run_factor: float = 1.25
+    wait_factor: float = 1.1
+    max_run_factor: float = 2.0
 
 
 DEFAULT_SETTINGS = AdmissionSettings()
@@ -146,7 +150,11 @@
             return self._refuse(RefusalReason.NO_SLOTS, ZERO)
         predicted = self._predictor.predict(request.service, request.kind, request.declared)
         wait = self.predict_wait(queue.classify(predicted), slots, in_use)
-        late = wait + predicted * self._settings.run_factor - request.remaining
+        run = min(
+            self._predictor.predict_high(request.service, request.kind, request.declared),
+            predicted * self._settings.max_run_factor,
+        )
+        late = wait * self._settings.wait_factor + run - request.remaining
         if late > ZERO and wait > ZERO or request.remaining <= ZERO:
             return self._refuse(RefusalReason.DEADLINE, min(late, wait))
         now = self._clock.elapsed()
