Run the refusal cost case against a pool in use

Cause: the case built its queue for a pool with no free slot and then asked about an idle pool. Change: both questions name the same slots in use. Before: the case ended with an assertion error.

--- a/benchmarks/refusal_cost.py
+++ b/benchmarks/refusal_cost.py
@@ -43,6 +43,7 @@
         self.ledger.set_view([member], TARGETS)
         self.clock.advance(timedelta(seconds=3))
         self.admission = Admission(self.queue, self.predictor, self.clock, self.random, settings)
+        self.in_use = ClassCount(0, 64)
         self.request = Request("r", "booking", "GET /slots", "web", timedelta(seconds=5))
 
     def serve(self) -> None:
@@ -73,7 +74,7 @@
 
     def refuse(self) -> None:
         """Refuses a request."""
-        decision = self.admission.decide(self.request, 64, self.running.count())
+        decision = self.admission.decide(self.request, 64, self.in_use)
         assert isinstance(decision, Refusal), decision
 
 
@@ -88,9 +89,7 @@
         host.predictor.observe("booking", "GET /slots", RUN)
     number = 0
     while True:
-        item = host.admission.decide(
-            host.request._replace(request=str(number)), 64, ClassCount(0, 64)
-        )
+        item = host.admission.decide(host.request._replace(request=str(number)), 64, host.in_use)
         if isinstance(item, Refusal):
             return host
         host.queue.push(item)
