Prove key grants, moves and claims by focused scenarios, and take out guards one at a time

Change: scenarios for grants during an outage, moves with a paused or crashed entry host and lost answers, late joins, old fences and the validity of claims; tools/mutations.py takes out a guard and lists the scenarios that notice.

--- a/features/builders.py
+++ b/features/builders.py
@@ -27,15 +27,17 @@
         self.log: list[Record] = []
         self.fences: dict[tuple[str, str], int] = {}
         self._incarnations: dict[str, int] = {}
+        self._first: dict[str, int] = {}
         self._sequences: dict[str, int] = {}
 
     def _apply(self, item: Record):
         self.log.append(item)
         return apply_record(self.state, len(self.log) - 1, item)
 
-    def append(self, member: str, body: Any):
+    def append(self, member: str, body: Any, *, incarnation: int | None = None):
         """Appends ``body`` as the next record of ``member`` and returns the fold's result."""
-        producer = f"{member}/{self._incarnations[member]}"
+        current = self._incarnations[member] if incarnation is None else incarnation
+        producer = f"{member}/{current}"
         self._sequences[producer] = self._sequences.get(producer, 0) + 1
         return self._apply(Record(producer, self._sequences[producer], body))
 
@@ -45,9 +47,13 @@
     def join(self, member: str):
         """Joins a new incarnation of ``member``."""
         self._incarnations[member] = len(self.log)
+        self._first.setdefault(member, len(self.log))
         body = records.MemberJoined(member, len(self.log), "127.0.0.1:1", "127.0.0.1:2")
         return self.append(member, body)
 
+    def first_incarnation(self, member: str) -> int:
+        return self._first[member]
+
     def take(self, member: str, claim: str):
         current = self.state.claims.get(claim)
         previous = (current.fence, current.renewal) if current else (-1, 0)
--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,29 @@
+Feature: A host belongs to one pool at any moment
+
+  Scenario: A move waits for an entry host that is paused
+    # Guards against a host that joins its new pool while a paused process may still send it work
+    # of the old one.
+    Given three entry hosts with a settled view
+    When an entry host that does not hold the claim fleet is paused
+    And an operator moves w1 to office
+    And 20 s pass for all
+    Then w1 is still draining and serves no pool
+    When the paused entry host goes on
+    And 5 s pass for all
+    Then w1 serves office and no entry host sends it other work
+
+  Scenario: A move whose answers are lost is finished once
+    # Guards against a drain or return that is repeated, and against a move that is forgotten.
+    Given three entry hosts with a settled view
+    When half of the answers of the platform are lost
+    And an operator moves w1 to office
+    And 30 s pass for all
+    Then w1 serves office and no entry host sends it other work
+
+  Scenario: Another entry host finishes a move whose controller crashed
+    # Guards against a host that stays drained when the process that moved it ends.
+    Given three entry hosts with a settled view
+    When an operator moves w1 to office
+    And the holder of the claim fleet crashes
+    And 40 s pass for all
+    Then w1 serves office and no entry host sends it other work
--- a/features/steps/interleaving_steps.py
+++ b/features/steps/interleaving_steps.py
@@ -137,6 +137,9 @@
     for name in NAMES:
         await cluster.start(name)
     await asyncio.sleep(SETTLE_SECONDS)
+    for key in KEYS:
+        for name in NAMES:
+            await cluster.claim(name, key)
 
 
 def _check_settled(cluster: Cluster) -> None:
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from behave import given, then, when
-from builders import StreamBuilder
+from builders import StreamBuilder, build_configuration
 
 from carawayshore import records
+from carawayshore.claims import ClaimHolder, ClaimSettings
+from carawayshore.testing import ManualClock
 
 
 @given("a stream with the members {names}")
@@ -16,6 +20,94 @@
         context.stream.join(name)
 
 
+@given("a host {host} of the pool {pool}")
+def add_host(context, host, pool):
+    resources = records.Resources(16, 64)
+    body = records.HostAdded(host, pool, "127.0.0.1:1", "r1", 8, 64, resources)
+    context.stream.append("umea-1", body).unwrap()
+
+
+@when("{name} joins again")
+def join_again(context, name):
+    context.stream.join(name).unwrap()
+
+
+@when("a join of {name} with its first incarnation arrives late")
+def join_late(context, name):
+    first = context.stream.first_incarnation(name)
+    body = records.MemberJoined(name, first, "127.0.0.1:1", "127.0.0.1:2")
+    context.result = context.stream.append(name, body, incarnation=first)
+
+
+@when("the first process of {name} publishes a configuration")
+def publish_late(context, name):
+    body = records.ConfigurationPublished(0, build_configuration(), name)
+    first = context.stream.first_incarnation(name)
+    context.result = context.stream.append(name, body, incarnation=first)
+
+
+@when("{name} starts the move of {host} to {pool} under its own fence")
+def start_move(context, name, host, pool):
+    fence = context.stream.fences[name, "fleet"]
+    body = records.HostDrainStarted(host, 1, pool, "move", fence)
+    context.result = context.stream.append(name, body)
+
+
+@when("{name} grants the key {key} to the request {request}")
+def grant_key(context, name, key, request):
+    body = records.KeyGranted(key, request, name, context.stream.first_incarnation(name))
+    context.result = context.stream.append(name, body)
+
+
+@given(
+    "{name} competes for the claim {claim} with a lifetime of {life:g} s and a margin of {m:g} s"
+)
+def compete(context, name, claim, life, m):
+    context.clock = ManualClock()
+    context.competitor = name
+    context.holder = ClaimHolder(
+        claim,
+        member=name,
+        incarnation=context.stream.first_incarnation(name),
+        clock=context.clock,
+        settings=ClaimSettings(timedelta(seconds=life), timedelta(seconds=m)),
+    )
+    context.holder.observe(context.stream.state)
+
+
+@when("its record is appended and read back after {seconds:g} s")
+def append_slowly(context, seconds):
+    context.stream.append(context.competitor, context.holder.next_record()).unwrap()
+    context.clock.advance(timedelta(seconds=seconds))
+    context.holder.observe(context.stream.state)
+
+
+@when("the clock advances by {seconds:g} s")
+def advance(context, seconds):
+    context.clock.advance(timedelta(seconds=seconds))
+
+
+@then("it holds the claim")
+def expect_holding(context):
+    assert context.holder.holds(), context.holder.remaining()
+
+
+@then("it does not hold the claim")
+def expect_not_holding(context):
+    assert not context.holder.holds(), context.holder.remaining()
+
+
+@then("it has nothing to append")
+def expect_nothing(context):
+    assert context.holder.next_record() is None
+
+
+@then("it appends that it takes the claim")
+def expect_take(context):
+    assert isinstance(context.holder.next_record(), records.ClaimTaken)
+
+
+@given("{name} takes the claim {claim}")
 @when("{name} takes the claim {claim}")
 def take_claim(context, name, claim):
     context.result = context.stream.take(name, claim)
--- a/features/virtual.py
+++ b/features/virtual.py
@@ -32,11 +32,14 @@
 class LoopClock:
     """Clock of the running event loop, whose time is virtual."""
 
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+
     def now(self) -> datetime:
         return datetime(2026, 1, 1, tzinfo=UTC) + self.elapsed()
 
     def elapsed(self) -> timedelta:
-        return timedelta(seconds=asyncio.get_running_loop().time())
+        return timedelta(seconds=self._loop.time())
 
     async def sleep(self, duration: timedelta) -> None:
         await asyncio.sleep(duration.total_seconds())
@@ -281,7 +284,6 @@
 
     def build_settings(self, name: str):
         options = {
-            "key_quarantine_seconds": 5,
             "snapshot_records": 100,
             "seed": self.rng.randrange(1, 999),
             "hostlist_lag_seconds": 1000,
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,228 @@
+"""Takes out one guard at a time and tells which scenarios notice it.
+
+``python tools/mutations.py`` writes docs/mutations.md; ``--run NAME`` runs the scenarios with one
+guard taken out.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import io
+import json
+import subprocess
+import sys
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from pathlib import Path
+
+from behave.__main__ import main as run_behave
+
+from carawayd.process import fleet, keys, membership, streams
+from carawayshore import assignment, claims, fold, records
+from carawayshore import keys as key_rules
+from carawayshore import membership as members
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "mutations.md"
+FEATURES = ("log_order", "at_most_once", "fleet", "log_property")
+PARALLEL = 3
+
+_mutations: dict[str, tuple[str, Callable[[], None]]] = {}
+
+
+def mutation(guard: str):
+    """Registers a function that takes out a guard."""
+
+    def register(function: Callable[[], None]) -> Callable[[], None]:
+        _mutations[function.__name__] = (guard, function)
+        return function
+
+    return register
+
+
+@mutation("a grant needs the last settled view to agree")
+def grant_by_view() -> None:
+    keys.may_grant = lambda key, state, member, incarnation: (
+        key_rules.choose_owner(key, state.view) == (member, incarnation)
+    )
+
+
+@mutation("a grant needs a second holder while the log is down")
+def grant_without_copy() -> None:
+    async def copy(self, key, holder) -> bool:
+        return True
+
+    keys.KeyOwner._copy = copy
+
+
+@mutation("no later offset is reported while grants are not in the log")
+def report_at_once() -> None:
+    original = membership.Membership._note_own_applied
+
+    def note(self) -> None:
+        self.has_unlogged_grants = lambda: False
+        original(self)
+
+    membership.Membership._note_own_applied = note
+
+
+@mutation("two crashes before a view has settled bring a quarantine")
+def skip_quarantine() -> None:
+    keys.KeyOwner._is_quarantined = lambda self: False
+
+
+@mutation("a claim is taken over only after its lifetime")
+def take_early() -> None:
+    original = claims.ClaimHolder.next_record
+
+    def next_record(self):
+        self._seen_since = timedelta(days=-1)
+        return original(self)
+
+    claims.ClaimHolder.next_record = next_record
+
+
+@mutation("a claim is valid from the sending of its renewal")
+def count_from_reading() -> None:
+    original = claims.ClaimHolder.observe
+
+    def observe(self, state) -> None:
+        before = self._seen
+        original(self, state)
+        if self._seen != before and self._is_mine(self._seen):
+            self._valid_until = self._clock.elapsed() + self._settings.lifetime
+
+    claims.ClaimHolder.observe = observe
+
+
+@mutation("a drain waits until every member has applied it")
+def drain_without_barrier() -> None:
+    async def wait(self, host) -> None:
+        """Waits for nobody."""
+
+    fleet.FleetController._wait_for_barrier = wait
+
+
+@mutation("a view settles only when every member has applied it")
+def settle_at_once() -> None:
+    members.Barrier.is_complete = lambda self, state, offset: True
+
+
+@mutation("a repeated append has no second effect")
+def fold_duplicates() -> None:
+    original = fold.apply_record
+
+    def apply_record(state, offset, item):
+        state.producers.pop(item.producer, None)
+        return original(state, offset, item)
+
+    streams.apply_record = fold.apply_record = apply_record
+
+
+@mutation("records of ended processes are rejected")
+def accept_ended_producers() -> None:
+    fold._is_current_producer = lambda state, item: True
+
+
+@mutation("a configuration is published on condition of its base version")
+def publish_unconditionally() -> None:
+    def publish(state, offset, item):
+        version = state.configuration.version + 1
+        state.configuration = fold.ConfigurationVersion(version, item.body.document, "")
+        return fold.ACCEPTED
+
+    fold._handlers[records.ConfigurationPublished] = publish
+
+
+@mutation("changes of hosts carry the fence of the claim")
+def ignore_fences() -> None:
+    assignment.has_fence = lambda state, claim, fence: True
+
+
+@mutation("a key that was granted is not granted again")
+def grant_again() -> None:
+    def grant(state, offset, item):
+        state.keys[item.body.key] = fold.KeyGrant(*item.body[1:], offset)
+        return fold.ACCEPTED
+
+    fold._handlers[records.KeyGranted] = grant
+
+
+@mutation("a join needs a greater incarnation")
+def join_in_any_order() -> None:
+    def join(state, offset, item):
+        body = item.body
+        state.members[body.member] = fold.Member(
+            body.incarnation, body.caller_address, body.peer_address, joined=offset
+        )
+        members._change_view(state, offset)
+        return fold.ACCEPTED
+
+    fold._handlers[records.MemberJoined] = join
+
+
+def run_scenarios(name: str) -> list[str]:
+    """Takes out one guard in this process and returns the scenarios that failed."""
+    if name != "none":
+        _mutations[name][1]()
+    paths = [str(ROOT / "features" / f"{feature}.feature") for feature in FEATURES]
+    report = ROOT / "build" / f"mutation-{name}.json"
+    report.parent.mkdir(exist_ok=True)
+    with contextlib.redirect_stdout(io.StringIO()), contextlib.redirect_stderr(io.StringIO()):
+        run_behave(["--format", "json", "--outfile", str(report), "--no-summary", *paths])
+    return [
+        element["name"]
+        for feature in json.loads(report.read_text())
+        for element in feature.get("elements", [])
+        if element.get("type") == "scenario" and element.get("status") != "passed"
+    ]
+
+
+def _run_in_process(name: str) -> list[str]:
+    command = [sys.executable, __file__, "--run", name]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=600)
+    if done.returncode:
+        raise RuntimeError(f"mutation {name!r} ended with {done.returncode}:\n{done.stderr}")
+    return json.loads(done.stdout.splitlines()[-1])
+
+
+def write_page(caught: dict[str, list[str]]) -> None:
+    """Writes the table of guards and of the scenarios that noticed their absence."""
+    lines = [
+        "# Guards taken out one at a time",
+        "",
+        "Written by `python tools/mutations.py`, which runs the features "
+        + ", ".join(f"`{feature}`" for feature in FEATURES)
+        + " with one guard taken out.",
+        "",
+        "| guard | taken out by | noticed by |",
+        "| --- | --- | --- |",
+    ]
+    for name, (guard, _) in _mutations.items():
+        noticed = "; ".join(caught[name]) or "**nothing**"
+        lines.append(f"| {guard} | `{name}` | {noticed} |")
+    PAGE.write_text("\n".join(lines) + "\n")
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--run", choices=["none", *_mutations], help="run one mutation only")
+    arguments = parser.parse_args()
+    if arguments.run:
+        print(json.dumps(run_scenarios(arguments.run)))
+        return 0
+    if failed := _run_in_process("none"):
+        print(f"scenarios fail with all guards in place: {failed}")
+        return 1
+    with ThreadPoolExecutor(PARALLEL) as executor:
+        caught = dict(zip(_mutations, executor.map(_run_in_process, _mutations), strict=True))
+    write_page(caught)
+    unnoticed = [name for name, scenarios in caught.items() if not scenarios]
+    print(f"{len(_mutations) - len(unnoticed)} of {len(_mutations)} noticed; not: {unnoticed}")
+    return 1 if unnoticed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
