Count free slots and predict run times with less processor time

Change: available() builds no list of held slots; times of quantiles and the split of the slots are kept until they change; the property test also checks available() against the held slots.

--- a/features/builders_policy.py
+++ b/features/builders_policy.py
@@ -125,11 +125,15 @@
             heapq.heappush(self._under_way, entry)
 
     def check(self) -> None:
-        """Records every slot that two processes may use at this moment."""
+        """Records every slot that two processes may use now, and wrong counts of free slots."""
         for target in TARGETS:
             holders: dict[int, list[Incarnation]] = {}
             for process in self.processes.values():
-                for held in process.ledger.list_held(target):
+                slots = process.ledger.list_held(target)
+                free = sum(not held.in_use for held in slots)
+                if free != process.ledger.available(target):
+                    self.conflicts.append(f"{process.name} counts other than {free} free slots")
+                for held in slots:
                     holders.setdefault(held.slot, []).append(process.name)
             self.conflicts += [
                 f"{self.now:.2f} s: {target}/{slot} is held by {names}"
--- a/packages/carawayshore/src/carawayshore/admission.py
+++ b/packages/carawayshore/src/carawayshore/admission.py
@@ -150,13 +150,12 @@
             return self._refuse(RefusalReason.NO_SLOTS, ZERO)
         predicted = self._predictor.predict(request.service, request.kind, request.declared)
         wait = self.predict_wait(queue.classify(predicted), slots, in_use)
-        run = min(
-            self._predictor.predict_high(request.service, request.kind, request.declared),
-            predicted * self._settings.max_run_factor,
-        )
-        late = wait * self._settings.wait_factor + run - request.remaining
-        if late > ZERO and wait > ZERO or request.remaining <= ZERO:
-            return self._refuse(RefusalReason.DEADLINE, min(late, wait))
+        if request.remaining <= ZERO:
+            return self._refuse(RefusalReason.DEADLINE, wait)
+        if wait:
+            late = self._find_lateness(request, predicted, wait)
+            if late > ZERO:
+                return self._refuse(RefusalReason.DEADLINE, min(late, wait))
         now = self._clock.elapsed()
         expected = self._predictor.predict_mean(request.service, request.kind, request.declared)
         return Waiting(
@@ -170,6 +169,14 @@
             now,
         )
 
+    def _find_lateness(self, request: Request, predicted: timedelta, wait: timedelta) -> timedelta:
+        """Returns by how much the request would probably miss its deadline, negative if not."""
+        run = min(
+            self._predictor.predict_high(request.service, request.kind, request.declared),
+            predicted * self._settings.max_run_factor,
+        )
+        return wait * self._settings.wait_factor + run - request.remaining
+
     def predict_wait(self, work_class: WorkClass, slots: int, in_use: ClassCount) -> timedelta:
         """Returns the predicted wait of a request that joins a class now."""
         work = self._queue.sum_work(work_class)
@@ -189,5 +196,8 @@
 
     def _refuse(self, reason: RefusalReason, wait: timedelta) -> Refusal:
         settings = self._settings
-        wait = min(max(wait, settings.min_retry_after), settings.max_retry_after)
+        if wait < settings.min_retry_after:
+            wait = settings.min_retry_after
+        elif wait > settings.max_retry_after:
+            wait = settings.max_retry_after
         return Refusal(reason, wait * (1 + 0.5 * self._random.random()))
--- a/packages/carawayshore/src/carawayshore/prediction.py
+++ b/packages/carawayshore/src/carawayshore/prediction.py
@@ -48,6 +48,7 @@
         self._total = self._sum = 0.0
         self._stale = 0
         self._quantiles: dict[float, float] = {}
+        self._times: dict[float, timedelta] = {}
 
     def add(self, value: float, weight: float) -> None:
         bucket = round(math.log2(max(value, SHORTEST_S)) * BUCKETS_PER_DOUBLING)
@@ -59,6 +60,7 @@
         # Sorting the buckets for each observation would dominate the cost of a request.
         if self._stale > min(self.count // 8, 32):
             self._quantiles.clear()
+            self._times.clear()
             self._stale = 0
 
     def scale(self, factor: float) -> None:
@@ -76,6 +78,13 @@
             found = self._quantiles[share] = self._find_quantile(share)
         return found
 
+    def quantile_time(self, share: float) -> timedelta:
+        """Returns a quantile of a sketch of seconds as a time, which is costly to build."""
+        found = self._times.get(share)
+        if found is None:
+            found = self._times[share] = timedelta(seconds=self.quantile(share))
+        return found
+
     def _find_quantile(self, share: float) -> float:
         left = share * self._total
         bucket = 0
@@ -164,7 +173,7 @@
             return declared if declared else self._settings.initial
         if declared and known.trusts_declared():
             return declared * known.ratios.quantile(share)
-        return timedelta(seconds=known.durations.quantile(share))
+        return known.durations.quantile_time(share)
 
     def predict(self, service: str, kind: str, declared: timedelta | None = None) -> timedelta:
         """Returns the median run time to expect.
--- a/packages/carawayshore/src/carawayshore/queueing.py
+++ b/packages/carawayshore/src/carawayshore/queueing.py
@@ -156,6 +156,7 @@
         self._peak = 0.0
         self._peak_at = clock.elapsed()
         self._served = {work_class: timedelta() for work_class in WorkClass}
+        self._reserved = (0, ClassCount())
 
     def __len__(self) -> int:
         return len(self._items)
@@ -241,7 +242,9 @@
 
     def count_usable(self, work_class: WorkClass, slots: int, in_use: ClassCount) -> int:
         """Returns how many of the pool's slots a class may use in the present state."""
-        reserved = reserve_slots(slots, self._settings)
+        if self._reserved[0] != slots:
+            self._reserved = (slots, reserve_slots(slots, self._settings))
+        reserved = self._reserved[1]
         if work_class is WorkClass.SHORT:
             kept = 0
             if self._lines[WorkClass.LONG].count:
--- a/packages/carawayshore/src/carawayshore/shares.py
+++ b/packages/carawayshore/src/carawayshore/shares.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -261,16 +261,24 @@
 
     # Use of slots
 
-    def _list_own(self, target: str, now: timedelta) -> list[int]:
+    def _list_own(self, target: str, now: timedelta) -> Sequence[int]:
         """Returns the own slots that are not pending and not lent."""
         takeover = self._takeovers.get(target)
         pending = () if takeover is None or takeover.is_complete(now) else takeover.slots
+        owned = self._owned.get(target, ())
+        if not pending and not self._lent_slots:
+            return owned
         return [
-            slot
-            for slot in self._owned.get(target, ())
-            if slot not in pending and not self._is_lent(target, slot, now)
+            slot for slot in owned if slot not in pending and not self._is_lent(target, slot, now)
         ]
 
+    def _list_free(self, target: str, now: timedelta) -> list[int]:
+        """Returns the own slots that a request may be started in now."""
+        own = self._list_own(target, now)
+        if not self._permits:
+            return list(own)
+        return [slot for slot in own if (target, slot) not in self._permits]
+
     def _is_lent(self, target: str, slot: int, now: timedelta) -> bool:
         loan = self._lent_slots.get((target, slot))
         return loan is not None and now < self._lent[loan].until
@@ -305,14 +313,20 @@
 
     def available(self, target: str) -> int:
         """Returns how many requests may be started at ``target`` now."""
-        return sum(not held.in_use for held in self.list_held(target))
+        now = self._clock.elapsed()
+        free = len(self._list_free(target, now))
+        if self._borrowed:
+            free += sum(
+                not loan.recalled and (target, loan.slot) not in self._permits
+                for _, loan in self._list_borrowed(target, now)
+            )
+        return free
 
     def acquire(self, target: str) -> Permit | None:
         """Returns the right to start a request at ``target`` now, or None if no slot is free."""
         now = self._clock.elapsed()
-        for slot in self._list_own(target, now):
-            if (target, slot) not in self._permits:
-                return self._use(Permit(target, slot))
+        for slot in self._list_free(target, now):
+            return self._use(Permit(target, slot))
         for (lender, number), loan in self._list_borrowed(target, now):
             if not loan.recalled and (target, loan.slot) not in self._permits:
                 return self._use(Permit(target, loan.slot, lender, number))
@@ -366,11 +380,7 @@
             if lent.slot in self._owned.get(lent.target, ()):
                 lent.until = now + self._settings.loan_lifetime
                 loans.append((number, lent))
-        free = [
-            slot
-            for slot in self._list_own(message.target, now)
-            if (message.target, slot) not in self._permits
-        ]
+        free = self._list_free(message.target, now)
         spare = len(free) - self._demand.get(message.target, 0)
         if not self._stopping:
             for slot in free[: max(0, min(spare, message.slots))]:
