--- a/packages/carawayshore/src/carawayshore/queueing.py
+++ b/packages/carawayshore/src/carawayshore/queueing.py
@@ -23,10 +23,18 @@
 
 
 class ClassCount(NamedTuple):
-    """Number of requests in each class."""
+    """Number of requests in each class.
+
+    ``overrun`` of the ``long`` ones were predicted short and have outlived their prediction.
+    """
 
     short: int = 0
     long: int = 0
+    overrun: int = 0
+
+    @property
+    def total(self) -> int:
+        return self.short + self.long
 
 
 class QueueSettings(NamedTuple):
@@ -56,7 +64,7 @@
     team_shares: Mapping[str, float] = {}
     overrun_factor: float = 2.0
     hold_factor: float = 1.25
-    peak_half_life: timedelta = timedelta(seconds=30)
+    peak_half_life: timedelta = timedelta(seconds=120)
 
 
 class Waiting(NamedTuple):
@@ -148,6 +156,7 @@
         self._peak = 0.0
         self._peak_at = clock.elapsed()
         self._served = {work_class: timedelta() for work_class in WorkClass}
+        self._reserved = (0, ClassCount())
 
     def __len__(self) -> int:
         return len(self._items)
@@ -233,7 +242,9 @@
 
     def count_usable(self, work_class: WorkClass, slots: int, in_use: ClassCount) -> int:
         """Returns how many of the pool's slots a class may use in the present state."""
-        reserved = reserve_slots(slots, self._settings)
+        if self._reserved[0] != slots:
+            self._reserved = (slots, reserve_slots(slots, self._settings))
+        reserved = self._reserved[1]
         if work_class is WorkClass.SHORT:
             kept = 0
             if self._lines[WorkClass.LONG].count:
@@ -267,10 +278,12 @@
             None if nothing may start now.
         """
         short_line = self._lines[WorkClass.SHORT]
-        self._update_peak(in_use_by_class.short + short_line.count)
+        # Short work that overruns comes back in the next burst and needs slots there too.
+        short_in_use = in_use_by_class.short + in_use_by_class.overrun
+        self._update_peak(short_in_use + short_line.count)
         if free_slots < 1 or not self._items:
             return None
-        slots = free_slots + sum(in_use_by_class)
+        slots = free_slots + in_use_by_class.total
         for work_class in self._order_classes(slots):
             line = self._lines[work_class]
             if not line.count:
@@ -340,7 +353,7 @@
     >>> running.start(Waiting("r", "s", "k", "t", run, run, run, run))
     >>> clock.advance(timedelta(seconds=1))
     >>> running.count()
-    ClassCount(short=0, long=1)
+    ClassCount(short=0, long=1, overrun=1)
     """
 
     def __init__(self, settings: QueueSettings, clock: Clock) -> None:
@@ -349,6 +362,7 @@
         self._running: dict[str, tuple[Waiting, int]] = {}
         self._short: set[str] = set()
         self._overruns: list[tuple[timedelta, int, str]] = []
+        self._overrun: set[str] = set()
         self._numbers = itertools.count()
         self.by_team: Counter[str] = Counter()
 
@@ -371,6 +385,7 @@
         if found is None:
             return
         self._short.discard(request)
+        self._overrun.discard(request)
         team = found[0].team
         self.by_team[team] -= 1
         if not self.by_team[team]:
@@ -383,4 +398,6 @@
             _, number, request = heapq.heappop(self._overruns)
             if request in self._running and self._running[request][1] == number:
                 self._short.discard(request)
-        return ClassCount(len(self._short), len(self._running) - len(self._short))
+                self._overrun.add(request)
+        long = len(self._running) - len(self._short)
+        return ClassCount(len(self._short), long, len(self._overrun))
