Count a request that outlived its prediction once

Cause: the counts by class now name overrun requests beside the long ones that include them. Change: the dispatcher takes the total of both classes. Before: an overrun request counted as two slots in admission.

--- a/packages/carawayd/src/carawayd/version/dispatcher.py
+++ b/packages/carawayd/src/carawayd/version/dispatcher.py
@@ -122,7 +122,7 @@
         in_use = self._running.count()
         free = self._count_free(usable)
         # A pool whose slots are all at peers lends some soon, so it counts as one slot.
-        slots = max(1, sum(free.values()) + sum(in_use))
+        slots = max(1, sum(free.values()) + in_use.total)
         decision = self._admission.decide(request, slots, in_use)
         if isinstance(decision, admission.Refusal):
             raise Refusal(
