Take, place and run jobs

Cause: the folded state knew the life of a job, but no process submitted, placed or ran one. The digest of a submission is in its record, so that a repeated one is recognised. Before: POST /v1/jobs answered 404.

--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -54,7 +54,13 @@
         await self._session.close()
 
     async def call(
-        self, method: str, path: str, *, body: Any = None, timeout: float | None = None
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        timeout: float | None = None,
+        headers: dict[str, str] | None = None,
     ) -> Any:
         """Calls the service and returns the parsed answer.
 
@@ -65,7 +71,9 @@
         PlatformError
             If there was no valid answer.
         """
-        extra = {"timeout": aiohttp.ClientTimeout(total=timeout)} if timeout else {}
+        extra: dict[str, Any] = {"headers": headers}
+        if timeout:
+            extra["timeout"] = aiohttp.ClientTimeout(total=timeout)
         try:
             async with self._session.request(method, self.url + path, json=body, **extra) as answer:
                 data = await answer.content.read(MAX_ANSWER_BYTES)
--- a/packages/carawayd/src/carawayd/platform/worker.py
+++ b/packages/carawayd/src/carawayd/platform/worker.py
@@ -62,17 +62,25 @@
             raise PlatformError(f"revocation state {state!r}, accepted: {accepted}")
         return state
 
-    async def start_task(self, address: str, job: str, body: dict[str, Any]) -> Any:
+    async def start_task(self, address: str, job: str, body: dict[str, Any], pool: str) -> Any:
         """Starts a task; PlatformRefusal with status 409 tells that the lease is too old."""
-        return await self._call_worker("PUT", address, f"/v1/tasks/{job}", body=body)
+        headers = {"Carawayshore-Pool": pool}
+        return await self._call_task("PUT", address, job, body=body, headers=headers)
 
     async def read_task(self, address: str, job: str) -> Any:
         """Returns the state of a task; PlatformRefusal with status 404 if it is not known."""
-        return await self._call_worker("GET", address, f"/v1/tasks/{job}")
+        return await self._call_task("GET", address, job)
 
     async def change_task(self, address: str, job: str, verb: str, body: dict[str, Any]) -> Any:
         """Renews, checkpoints, throttles or stops a task."""
-        return await self._call_worker("POST", address, f"/v1/tasks/{job}/{verb}", body=body)
+        return await self._call_task("POST", address, f"{job}/{verb}", body=body)
+
+    async def _call_task(self, method: str, address: str, path: str, **options: Any) -> Any:
+        """Calls with the short timeout of probes, since urgent work must not wait for longer."""
+        seconds = self.settings.options.probe.total_seconds()
+        return await self._call_worker(
+            method, address, f"/v1/tasks/{path}", timeout=seconds, **options
+        )
 
     async def _call_worker(
         self,
@@ -82,5 +90,7 @@
         *,
         body: Any = None,
         timeout: float | None = None,
+        headers: dict[str, str] | None = None,
     ) -> Any:
-        return await self.call(method, f"http://{address}{path}", body=body, timeout=timeout)
+        url = f"http://{address}{path}"
+        return await self.call(method, url, body=body, timeout=timeout, headers=headers)
--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from mode import Service
 
+import carawayd.request.jobs  # noqa: F401  Registers its endpoints.
 from carawayd.connection.target import Connections
 from carawayd.platform.api import Platform, open_platform
 from carawayd.process.appender import Appender, AppendRate
@@ -20,6 +21,8 @@
 from carawayd.process.endpoints import CallerEndpoints
 from carawayd.process.fleet import FleetController
 from carawayd.process.inventory import Inventory
+from carawayd.process.jobindex import JobIndex
+from carawayd.process.jobs import JobController
 from carawayd.process.keys import KeyOwner
 from carawayd.process.membership import Membership
 from carawayd.process.metrics import Metrics
@@ -38,6 +41,7 @@
 from carawayd.version.configuration import Versions
 from carawayd.version.dispatcher import Dispatcher
 from carawayshore.assignment import FLEET_CLAIM
+from carawayshore.jobs import JOBS_CLAIM
 
 if TYPE_CHECKING:
     from carawayd.process.settings import Settings
@@ -76,6 +80,8 @@
     inbound: Inbound
     handler: RequestHandler
     keyed: KeyedRequests
+    job_index: JobIndex
+    jobs: JobController
     keepers: list[ClaimKeeper]
     controllers: list[Service]
 
@@ -171,6 +177,21 @@
         pools=platform.pools,
         **counted,
     )
+    job_keeper = ClaimKeeper(
+        JOBS_CLAIM, reader=reader, appender=appender, membership=membership, **common
+    )
+    job_index = JobIndex(reader)
+    jobs = JobController(
+        job_keeper,
+        reader,
+        appender,
+        index=job_index,
+        membership=membership,
+        peers=peers,
+        versions=versions,
+        worker=platform.worker,
+        **counted,
+    )
     writers = [
         SnapshotWriter(each, of, membership=membership, **common)
         for each, of in ((global_reader, global_appender), (reader, appender))
@@ -198,8 +219,10 @@
         inbound=Inbound(clock),
         handler=handler,
         keyed=keyed,
-        keepers=[keeper],
-        controllers=[fleet, *writers],
+        job_index=job_index,
+        jobs=jobs,
+        keepers=[keeper, job_keeper],
+        controllers=[fleet, jobs, *writers],
     )
 
 
--- a/packages/carawayd/src/carawayd/process/settings.py
+++ b/packages/carawayd/src/carawayd/process/settings.py
@@ -33,6 +33,8 @@
     Field("key_wait_seconds", "number", "Longest wait for a key's owner.", "s", 1.0, minimum=0.05),
     Field("key_quarantine_seconds", "number", "Distrust after lost grants.", "s", 3600.0),
     Field("slow_caller_seconds", "number", "Longest stall of a caller's reading.", "s", 10.0),
+    Field("lease_seconds", "number", "Lease of a task.", "s", 20.0, minimum=1),
+    Field("task_poll_seconds", "number", "Longest time between looks at a task.", "s", 1.0),
     Field("snapshot_records", "integer", "Offsets between snapshots.", "", 1000, minimum=10),
     Field("probe_seconds", "number", "Interval of status probes of a target.", "s", 1.0),
     Field("connect_seconds", "number", "Timeout of a connection to a target.", "s", 1.0),
@@ -82,6 +84,8 @@
     key_wait: timedelta
     key_quarantine: timedelta
     slow_caller: timedelta
+    lease: timedelta
+    task_poll: timedelta
     snapshot_records: int
     probe: timedelta
     connect: timedelta
--- /dev/null
+++ b/packages/carawayd/src/carawayd/request/jobs.py
@@ -0,0 +1,248 @@
+"""Job calls: submission, state and cancellation."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiohttp import web
+from returns.result import Success
+
+from carawayd.process.appender import AppendUnknown, NotAppended, Priority
+from carawayd.process.endpoints import endpoint, read_wait
+from carawayd.request.answers import REASON_HEADER, Reason, Refusal
+from carawayshore import records
+from carawayshore.findings import Finding
+from carawayshore.fold import TERMINAL_JOB_STATES
+from carawayshore.options import Field, check_fields, fill_defaults
+from carawayshore.outcome import OUTCOME_HEADER, Outcome
+
+if TYPE_CHECKING:
+    from carawayd.process.daemon import Parts
+    from carawayd.process.endpoints import CallerEndpoints
+    from carawayshore.configuration import Configuration
+    from carawayshore.fold import Job, Rejection
+
+# A record must fit into a batch of the log together with others.
+MAX_BODY_BYTES = 64 * 1024
+RESOURCE_FIELDS = (
+    Field("processors", "number", "Processors.", "", 1.0, maximum=100_000),
+    Field("memory_gib", "number", "Memory.", "GiB", 1.0, maximum=1_000_000),
+    Field("accelerators", "integer", "Accelerators.", "", 0, maximum=100_000),
+)
+JOB_FIELDS = (
+    Field("job", "name", "Name of the job; a repeated submission under it runs once."),
+    Field("queue", "name", "Queue of the configuration.", required=True),
+    Field("team", "name", "Team whose quota the job counts against.", required=True),
+    Field("payload", "members", "Content of the job, passed to the worker.", default={}),
+    Field("resources", "object", "Resources that the job needs.", fields=RESOURCE_FIELDS),
+    Field("repeatable", "boolean", "Whether the job may be started again.", default=False),
+    Field("run_seconds", "number", "Declared run time.", "s", 60.0, maximum=31_536_000),
+    Field(
+        "deadline_seconds",
+        "number",
+        "Time to the deadline; by default that of the queue.",
+        "s",
+        maximum=31_536_000,
+    ),
+)
+
+
+def _answer(document: Any, status: int = 200, outcome: Outcome = Outcome.COMPLETED):
+    headers = {OUTCOME_HEADER: outcome.value}
+    if status >= 400:
+        headers[REASON_HEADER] = Reason.BAD_REQUEST.value
+    return web.json_response(document, status=status, headers=headers)
+
+
+def _answer_findings(found: list[Finding]) -> web.Response:
+    findings = [
+        {"pointer": item.pointer, "found": repr(item.found)[:200], "accepted": item.accepted}
+        for item in found
+    ]
+    document = {"outcome": Outcome.NOT_RUN, "reason": Reason.BAD_REQUEST, "findings": findings}
+    return _answer(document, 400, Outcome.NOT_RUN)
+
+
+def find_findings(document: Any, configuration: Configuration) -> list[Finding]:
+    """Returns all findings about a submission."""
+    found = check_fields(JOB_FIELDS, document)
+    queue = document.get("queue") if isinstance(document, dict) else None
+    if isinstance(queue, str) and queue not in configuration["queues"]:
+        accepted = ", ".join(sorted(configuration["queues"])) or "(none is defined)"
+        if all(item.pointer != "/queue" for item in found):
+            found.append(Finding("/queue", queue, "one of " + accepted))
+    return found
+
+
+def build_record(
+    document: dict[str, Any], parts: Parts, configuration: Configuration
+) -> records.JobSubmitted:
+    """Returns the record of a valid submission; the digest leaves out what time adds."""
+    given = fill_defaults(JOB_FIELDS, document)
+    name = given.pop("job") or "j" + secrets.token_hex(16)
+    content = hashlib.sha256(msgspec.json.encode(given, order="sorted")).hexdigest()
+    queue = configuration["queues"][given["queue"]]
+    seconds = given["deadline_seconds"]
+    seconds = queue["deadline_seconds"] if seconds is None else seconds
+    deadline = parts.clock.now() + timedelta(seconds=seconds)
+    return records.JobSubmitted(
+        job=name,
+        queue=given["queue"],
+        team=given["team"],
+        service=queue["service"],
+        payload=given["payload"],
+        resources=records.Resources(**given["resources"]),
+        urgent=queue["urgent"],
+        repeatable=given["repeatable"],
+        deadline=deadline.isoformat(timespec="microseconds"),
+        declared_seconds=float(given["run_seconds"]),
+        content=content,
+    )
+
+
+def _describe(name: str, job: Job) -> dict[str, Any]:
+    outcomes = {"succeeded": Outcome.COMPLETED, "failed": Outcome.COMPLETED}
+    never_ran = job.state in TERMINAL_JOB_STATES and job.placement.attempt == 0
+    outcome = Outcome.NOT_RUN if never_ran else outcomes.get(job.state, Outcome.UNKNOWN)
+    return {
+        "job": name,
+        "state": job.state,
+        "ended": job.state in TERMINAL_JOB_STATES,
+        "outcome": outcome if job.state in TERMINAL_JOB_STATES else None,
+        "queue": job.queue,
+        "team": job.team,
+        "urgent": job.urgent,
+        "repeatable": job.repeatable,
+        "deadline": job.deadline,
+        "submitted": job.submitted,
+        "attempt": job.placement.attempt,
+        "host": job.placement.host,
+        "detail": job.detail,
+    }
+
+
+async def _read_document(request: web.BaseRequest) -> Any:
+    """Returns the parsed body.
+
+    Raises
+    ------
+    Refusal
+        If it is too large or not JSON.
+    """
+    data = await request.content.read(MAX_BODY_BYTES + 1)
+    while chunk := await request.content.read(MAX_BODY_BYTES + 1):
+        data += chunk
+        if len(data) > MAX_BODY_BYTES:
+            break
+    if len(data) > MAX_BODY_BYTES:
+        detail = f"the body exceeds {MAX_BODY_BYTES} bytes"
+        raise Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, status=413, detail=detail)
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        detail = f"the body is not JSON: {error}"
+        raise Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, status=400, detail=detail) from error
+
+
+def _check_ready(parts: Parts) -> None:
+    """Refuses a change of jobs that the log would not take now.
+
+    Raises
+    ------
+    Refusal
+        If this process is not a member, or the log has not answered recently.
+    """
+    if not parts.membership.is_member():
+        raise Refusal(Outcome.NOT_RUN, Reason.NOT_READY)
+    if not parts.membership.is_log_reachable():
+        raise Refusal(Outcome.NOT_RUN, Reason.LOG_UNREACHABLE)
+
+
+async def _append(parts: Parts, body: Any) -> Rejection | None:
+    """Appends a record and returns why the fold rejected it, or None if it took effect.
+
+    Raises
+    ------
+    Refusal
+        If the record was not sent, or was sent and not read back.
+    """
+    try:
+        result = await parts.appender.append(body, Priority.JOB)
+    except NotAppended as error:
+        raise Refusal(Outcome.NOT_RUN, Reason.LOG_UNREACHABLE, detail=str(error)) from error
+    except AppendUnknown as error:
+        detail = f"job {body.job!r}: {error}"
+        raise Refusal(Outcome.UNKNOWN, Reason.LOST_ANSWER, status=504, detail=detail) from error
+    return None if isinstance(result, Success) else result.failure()
+
+
+def _find_job(parts: Parts, name: str) -> Job:
+    job = parts.job_index.find(name)
+    if job is None:
+        detail = f"job {name!r} is not known in data centre {parts.settings.data_centre!r}"
+        raise Refusal(Outcome.NOT_RUN, Reason.NO_JOB, status=404, detail=detail)
+    return job
+
+
+def _answer_submission(body: records.JobSubmitted, job: Job) -> web.Response:
+    """Answers a first submission and its repetitions alike; other content is refused."""
+    if job.content != body.content:
+        detail = f"job {body.job!r} exists with other content"
+        raise Refusal(Outcome.NOT_RUN, Reason.JOB_EXISTS, status=409, detail=detail)
+    return _answer({"job": body.job, "submitted": job.submitted}, 201)
+
+
+@endpoint("POST", "/v1/jobs")
+async def _submit(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    parts = endpoints.parts
+    version = parts.handler.find_version()
+    document = await _read_document(request)
+    found = find_findings(document, version.configuration)
+    if found:
+        return _answer_findings(found)
+    body = build_record(document, parts, version.configuration)
+    known = parts.job_index.find(body.job)
+    if known is not None:
+        return _answer_submission(body, known)
+    _check_ready(parts)
+    rejection = await _append(parts, body)
+    job = parts.job_index.find(body.job)
+    if job is None:
+        reason = rejection.reason if rejection else "the job was removed at once"
+        raise Refusal(Outcome.NOT_RUN, Reason.NOT_READY, detail=reason)
+    return _answer_submission(body, job)
+
+
+@endpoint("GET", "/v1/jobs/*")
+async def _give_job(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    parts, wait = endpoints.parts, read_wait(request)
+    _find_job(parts, segments[0])
+    await parts.job_index.wait_for_end(segments[0], wait)
+    return _answer(_describe(segments[0], _find_job(parts, segments[0])))
+
+
+@endpoint("DELETE", "/v1/jobs/*")
+async def _cancel(
+    endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
+) -> web.Response:
+    """Cancels a job; one that runs ends only when its worker has stopped it."""
+    parts, name = endpoints.parts, segments[0]
+    job = _find_job(parts, name)
+    if job.state not in TERMINAL_JOB_STATES and job.state != "cancelling":
+        _check_ready(parts)
+        await _append(parts, records.JobCancelled(name))
+        job = _find_job(parts, name)
+    if job.state in ("cancelled", "cancelling"):
+        return _answer(_describe(name, job), 200 if job.state == "cancelled" else 202)
+    if job.state in TERMINAL_JOB_STATES:
+        detail = f"job {name!r} is {job.state}"
+        raise Refusal(Outcome.NOT_RUN, Reason.CANCELLED, status=409, detail=detail)
+    raise Refusal(Outcome.NOT_RUN, Reason.NOT_READY, detail=f"job {name!r} is {job.state}")
--- a/packages/carawayshore/src/carawayshore/fold.py
+++ b/packages/carawayshore/src/carawayshore/fold.py
@@ -74,9 +74,12 @@
 
 
 class Placement(NamedTuple):
+    """Last attempt of a job; ``lease`` is the offset of its ``job_placed`` record."""
+
     attempt: int
     host: str
     fence: int
+    lease: int = -1
 
 
 class Job(NamedTuple):
@@ -94,6 +97,9 @@
     placement: Placement
     changed: int
     detail: str = ""
+    content: str = ""
+    failures: int = 0
+    checkpoint: dict[str, Any] | None = None
 
 
 class KeyGrant(NamedTuple):
--- a/packages/carawayshore/src/carawayshore/jobs.py
+++ b/packages/carawayshore/src/carawayshore/jobs.py
@@ -16,7 +16,9 @@
 
 JOBS_CLAIM = "jobs"
 NOT_PLACED = Placement(0, "", -1)
-RESULTS = ("succeeded", "failed", "not-started", "unknown")
+RESULTS = ("succeeded", "failed", "not-started", "stopped", "unknown")
+# A repeatable job that fails may have met a bad host; after this many failures it is the job.
+MAX_FAILURES = 3
 
 
 @folds(records.JobSubmitted)
@@ -24,8 +26,9 @@
     body: records.JobSubmitted = item.body
     if body.job in state.jobs:
         return reject(f"job {body.job!r} exists already")
+    given = {name: value for name, value in body._asdict().items() if name != "job"}
     state.jobs[body.job] = Job(
-        *body[1:], submitted=offset, state="queued", placement=NOT_PLACED, changed=offset
+        **given, submitted=offset, state="queued", placement=NOT_PLACED, changed=offset
     )
     return ACCEPTED
 
@@ -40,18 +43,23 @@
         return reject(f"claim {JOBS_CLAIM!r} is not held under fence {body.fence}")
     if body.attempt != job.placement.attempt + 1:
         return reject(f"attempt {job.placement.attempt + 1} is next, not {body.attempt}")
-    state.jobs[body.job] = job._replace(
-        state="placed", placement=Placement(body.attempt, body.host, body.fence), changed=offset
-    )
+    host = state.hosts.get(body.host)
+    if host is None or host.draining_to:
+        return reject(f"host {body.host!r} does not serve")
+    placement = Placement(body.attempt, body.host, body.fence, offset)
+    state.jobs[body.job] = job._replace(state="placed", placement=placement, changed=offset)
     return ACCEPTED
 
 
 def _choose_state(job: Job, result: str) -> str:
     """Returns the state after an attempt of ``job`` ended with ``result``."""
+    if result == "failed" and job.repeatable and job.state == "placed":
+        return "queued" if job.failures + 1 < MAX_FAILURES else "failed"
     if result in ("succeeded", "failed"):
         return result
     if job.state == "cancelling":
-        return "cancelled" if result == "not-started" or job.repeatable else "unknown"
+        ended = result in ("not-started", "stopped")
+        return "cancelled" if ended or job.repeatable else "unknown"
     if result == "not-started" or job.repeatable:
         return "queued"
     return "unknown"
@@ -68,7 +76,11 @@
     if body.result not in RESULTS:
         return reject(f"result {body.result!r}, accepted: {', '.join(RESULTS)}")
     state.jobs[body.job] = job._replace(
-        state=_choose_state(job, body.result), detail=body.detail, changed=offset
+        state=_choose_state(job, body.result),
+        detail=body.detail,
+        changed=offset,
+        failures=job.failures + (body.result == "failed"),
+        checkpoint=body.checkpoint or job.checkpoint,
     )
     return ACCEPTED
 
--- a/packages/carawayshore/src/carawayshore/options.py
+++ b/packages/carawayshore/src/carawayshore/options.py
@@ -133,6 +133,11 @@
     return check_fields(field.fields, value, pointer)
 
 
+@check("members")
+def _check_members(field: Field, value: Any, pointer: str) -> list[Finding]:
+    return [] if isinstance(value, dict) else [Finding(pointer, value, "an object")]
+
+
 @check("mapping")
 def _check_mapping(field: Field, value: Any, pointer: str) -> list[Finding]:
     if not isinstance(value, dict):
--- a/packages/carawayshore/src/carawayshore/records.py
+++ b/packages/carawayshore/src/carawayshore/records.py
@@ -235,6 +235,11 @@
 
 @record("job_submitted")
 class JobSubmitted(NamedTuple):
+    """``content`` is a digest of the submission, by which a repeated one is recognised.
+
+    ``deadline`` is RFC 3339 in UTC with microseconds, so that texts compare as times do.
+    """
+
     job: str
     queue: str
     team: str
@@ -245,6 +250,7 @@
     repeatable: bool
     deadline: str
     declared_seconds: float
+    content: str = ""
 
 
 @record("job_placed")
@@ -257,12 +263,17 @@
 
 @record("job_finished")
 class JobFinished(NamedTuple):
-    """``result`` is ``succeeded``, ``failed``, ``not-started`` or ``unknown``."""
+    """``result`` is ``succeeded``, ``failed``, ``not-started``, ``stopped`` or ``unknown``.
+
+    ``stopped`` means that the worker confirmed the end of the task. A repeatable job goes on from
+    ``checkpoint`` in its next attempt.
+    """
 
     job: str
     attempt: int
     result: str
     detail: str
+    checkpoint: dict[str, Any] | None = None
 
 
 @record("job_cancelled")
