Take hosts through maintenance in waves

Cause: the folded state knew waves, but nobody planned, started or carried them out. Change: carawayshore.maintenance plans over the hosts that each data centre reports to the global stream; the holder of maintenance starts one wave at a time; the holder of fleet in the wave's data centre drains its hosts within the budget and appends wave_host_done once pools service and worker say that the host serves. wave_host_done names the fence under which its wave started. A drain for a wave that may not begin any more is put back (host_joined with aborted). Operators list jobs, the plan and the reasons for late hosts. Before: no wave ever started.

--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -17,6 +17,10 @@
     """A call failed, and it is not known whether it took effect."""
 
 
+class PlatformUnreached(PlatformError):
+    """No connection was made, so the call had no effect."""
+
+
 class PlatformRefusal(PlatformError):
     """The service answered that it did not do what was asked.
 
@@ -82,6 +86,8 @@
                     if len(data) > MAX_ANSWER_BYTES:
                         raise PlatformError(f"answer of {path} exceeds {MAX_ANSWER_BYTES} bytes")
                 return self._read_answer(answer, data)
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformUnreached(f"{method} {path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformError(f"{method} {path}: {type(error).__name__}: {error}") from error
 
--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -24,6 +24,7 @@
 from carawayd.process.jobindex import JobIndex
 from carawayd.process.jobs import JobController
 from carawayd.process.keys import KeyOwner
+from carawayd.process.maintenance import MaintenanceController
 from carawayd.process.membership import Membership
 from carawayd.process.metrics import Metrics
 from carawayd.process.observations import Observations
@@ -33,6 +34,7 @@
 from carawayd.process.snapshots import SnapshotWriter
 from carawayd.process.streams import StreamReader
 from carawayd.process.sync import StateSync
+from carawayd.process.waves import WaveFollower
 from carawayd.request.answers import KeptAnswers
 from carawayd.request.attempt import Attempts
 from carawayd.request.forward import Forwarder, Inbound
@@ -42,6 +44,7 @@
 from carawayd.version.dispatcher import Dispatcher
 from carawayshore.assignment import FLEET_CLAIM
 from carawayshore.jobs import JOBS_CLAIM
+from carawayshore.waves import MAINTENANCE_CLAIM
 
 if TYPE_CHECKING:
     from carawayd.process.settings import Settings
@@ -82,6 +85,8 @@
     keyed: KeyedRequests
     job_index: JobIndex
     jobs: JobController
+    maintenance: MaintenanceController
+    waves: WaveFollower
     keepers: list[ClaimKeeper]
     controllers: list[Service]
 
@@ -177,6 +182,30 @@
         pools=platform.pools,
         **counted,
     )
+    waves = WaveFollower(
+        keeper,
+        reader,
+        appender,
+        global_reader=global_reader,
+        global_appender=global_appender,
+        inventory=inventory,
+        observations=observations,
+        versions=versions,
+        pools=platform.pools,
+        worker=platform.worker,
+        **common,
+    )
+    fleet.may_go_on = waves.may_go_on
+    maintenance_keeper = ClaimKeeper(
+        MAINTENANCE_CLAIM,
+        reader=global_reader,
+        appender=global_appender,
+        membership=membership,
+        **common,
+    )
+    maintenance = MaintenanceController(
+        maintenance_keeper, global_reader, global_appender, versions=versions, **counted
+    )
     job_keeper = ClaimKeeper(
         JOBS_CLAIM, reader=reader, appender=appender, membership=membership, **common
     )
@@ -189,6 +218,7 @@
         membership=membership,
         peers=peers,
         versions=versions,
+        inventory=inventory,
         worker=platform.worker,
         **counted,
     )
@@ -221,8 +251,10 @@
         keyed=keyed,
         job_index=job_index,
         jobs=jobs,
-        keepers=[keeper, job_keeper],
-        controllers=[fleet, jobs, *writers],
+        maintenance=maintenance,
+        waves=waves,
+        keepers=[keeper, job_keeper, maintenance_keeper],
+        controllers=[fleet, jobs, maintenance, waves, *writers],
     )
 
 
--- a/packages/carawayd/src/carawayd/process/dump.py
+++ b/packages/carawayd/src/carawayd/process/dump.py
@@ -49,6 +49,12 @@
         "jobs": _cut(state.jobs),
         "keys": {"count": len(state.keys)},
         "waves": _cut(state.waves),
+        "stalled": _cut(state.stalled),
+        "maintained": _cut(state.maintained),
+        "reports": {
+            name: {"fence": report.fence, "offset": report.offset, "hosts": len(report.hosts)}
+            for name, report in sorted(state.reports.items())
+        },
         "pause": _convert(state.pause),
     }
 
@@ -117,6 +123,8 @@
         "ejected": {
             pool: health.list_ejected() for pool, health in parts.observations.health.items()
         },
+        "jobs": parts.jobs.describe(),
+        "maintenance": parts.maintenance.describe() | parts.waves.describe(),
         "requests_in_progress": parts.handler.in_progress,
         "exchanges": parts.connections.exchange_count,
         "keys": {"unlogged": parts.keys.unlogged_count, "answers_kept": parts.kept.count},
@@ -159,6 +167,7 @@
         "maintenance": {
             "pause": _convert(parts.global_reader.folded.pause),
             "waves": _cut(parts.global_reader.folded.waves),
+            "stalled": _cut(parts.global_reader.folded.stalled),
             "maintained": len(parts.global_reader.folded.maintained),
         },
     }
--- a/packages/carawayd/src/carawayd/process/fleet.py
+++ b/packages/carawayd/src/carawayd/process/fleet.py
@@ -11,9 +11,11 @@
 from carawayd.platform.common import PlatformError
 from carawayd.process.appender import AppendUnknown, NotAppended, Priority
 from carawayshore import records
-from carawayshore.assignment import HOLD
+from carawayshore.assignment import HOLD, MAINTENANCE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayd.platform.pools import HostStatus, PoolsClient
     from carawayd.process.appender import Appender
     from carawayd.process.claims import ClaimKeeper
@@ -80,6 +82,8 @@
         self._drains: dict[str, asyncio.Task[None]] = {}
         self._unconfirmed: list[str] = []
         self._confirmed_fence = -1
+        # Set by the daemon: whether a drain for a wave, not begun yet, may be carried out.
+        self.may_go_on: Callable[[str], bool] = lambda _name: True
 
     @Service.task
     async def _control(self) -> None:
@@ -154,9 +158,13 @@
         """Carries out the drain of one host from whatever step it has reached."""
         try:
             host = self._reader.folded.hosts[name]
+            if host.reason == MAINTENANCE and await self._abort(name, host):
+                return
             await self._wait_for_barrier(host)
+            if host.reason == MAINTENANCE and await self._abort(name, host):
+                return
             await self._reach_drained(name, host, "drain")
-            if host.reason == "maintenance":
+            if host.reason == MAINTENANCE:
                 await self._reboot(name, host)
             await self._wait_for_return_request(name)
             await self._join_pool(name)
@@ -166,6 +174,21 @@
             logger.warning("drain of %s waits: %s", name, error, extra={"fields": {"host": name}})
             await self._clock.sleep(self._settings.options.controller)
 
+    async def _abort(self, name: str, host: Host) -> bool:
+        """Puts a host back whose drain has not begun and may not any more; returns whether."""
+        if self.may_go_on(name):
+            return False
+        status = await self._look_up(name)
+        if status.operation.startswith(f"{name}-{host.changed}-") or status.state != "serving":
+            return False
+        body = records.HostJoined(
+            name, host.revision, host.draining_to, self._keeper.fence, aborted=True
+        )
+        self._check_claim()
+        (await self._appender.append(body, Priority.FLEET)).unwrap()
+        logger.info("drain of %s is put off", name, extra={"fields": {"host": name}})
+        return True
+
     async def _wait_for_barrier(self, host: Host) -> None:
         """Waits until no entry host can still send work under the old assignment."""
         while not self._membership.barrier.is_complete(self._reader.folded, host.changed):
--- a/packages/carawayd/src/carawayd/process/jobs.py
+++ b/packages/carawayd/src/carawayd/process/jobs.py
@@ -12,13 +12,24 @@
 from carawayd.process.appender import NotAppended, Priority
 from carawayd.process.tasks import TaskKeeper
 from carawayshore import records
+from carawayshore.configuration import TEAM_FIELDS
 from carawayshore.health import HealthSettings, TargetHealth
-from carawayshore.placement import Demand, HostRoom, PlacedTask, Plan, SizeCorrector, plan_jobs
+from carawayshore.options import fill_defaults
+from carawayshore.placement import (
+    Demand,
+    HostRoom,
+    Placed,
+    PlacedTask,
+    Plan,
+    SizeCorrector,
+    plan_jobs,
+)
 
 if TYPE_CHECKING:
     from carawayd.platform.worker import WorkerClient
     from carawayd.process.appender import Appender
     from carawayd.process.claims import ClaimKeeper
+    from carawayd.process.inventory import Inventory
     from carawayd.process.jobindex import JobIndex
     from carawayd.process.membership import Membership
     from carawayd.process.metrics import Metrics
@@ -27,7 +38,8 @@
     from carawayd.process.streams import StreamReader
     from carawayd.version.configuration import Versions
     from carawayshore.clock import Clock
-    from carawayshore.fold import Job
+    from carawayshore.fold import Host, Job
+    from carawayshore.health import Attempt
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +49,9 @@
 # A job that a worker refused waits, so that a refusing worker costs few appends.
 REFUSAL_BACKOFF = timedelta(seconds=0.5)
 LONGEST_BACKOFF = timedelta(seconds=30)
+# Hosts are added within seconds of a start; a pool without any for longer has none.
+EMPTY_POOL_LIMIT = timedelta(seconds=60)
+DEFAULT_TEAM = fill_defaults(TEAM_FIELDS, {})
 TASK_HEALTH = HealthSettings(
     consecutive_failures=3,
     first_backoff=timedelta(seconds=30),
@@ -58,6 +73,7 @@
     membership : Membership
     peers : Peers
     versions : Versions
+    inventory : Inventory
     worker : WorkerClient
     settings : Settings
     clock : Clock
@@ -74,6 +90,7 @@
         membership: Membership,
         peers: Peers,
         versions: Versions,
+        inventory: Inventory,
         worker: WorkerClient,
         settings: Settings,
         clock: Clock,
@@ -86,12 +103,15 @@
         self._appender = appender
         self._index = index
         self._versions = versions
+        self._inventory = inventory
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
         self._submitted: set[tuple[str, int]] = set()
         self._health: dict[str, TargetHealth] = {}
         self._backoff: dict[str, tuple[int, timedelta]] = {}
+        self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._homeless_since: timedelta | None = None
         self.tasks = TaskKeeper(
             keeper,
             reader,
@@ -139,11 +159,37 @@
         ]
         if not demands:
             return Plan([], [], [])
+        rooms = self._list_rooms()
+        plan = plan_jobs(demands, rooms, self._find_quotas(demands))
+        pools = {room.pool for room in rooms}
+        homeless = [demand for demand in demands if demand.pool not in pools]
+        plan.unplaceable.extend(self._list_homeless(homeless))
+        return plan
+
+    def _find_quotas(self, demands: list[Demand]) -> dict[str, int]:
+        """Returns how many jobs each team may still place."""
         teams = self._versions.current.configuration["teams"]
-        quotas = {
-            team: options["max_jobs"] - self._index.by_team[team] for team, options in teams.items()
+        return {
+            team: teams.get(team, DEFAULT_TEAM)["max_jobs"] - self._index.by_team[team]
+            for team in {demand.team for demand in demands}
         }
-        return plan_jobs(demands, self._list_rooms(), quotas)
+
+    def _list_homeless(self, demands: list[Demand]) -> list[tuple[str, str]]:
+        """Returns jobs whose queue is gone, or whose pool has had no hosts for long."""
+        if not demands:
+            self._homeless_since = None
+            return []
+        now = self._clock.elapsed()
+        self._homeless_since = self._homeless_since or now
+        waited = now - self._homeless_since > EMPTY_POOL_LIMIT
+        found = []
+        for demand in demands:
+            if not demand.pool:
+                queue = self._index.find(demand.job).queue
+                found.append((demand.job, f"queue {queue!r} is not configured"))
+            elif waited:
+                found.append((demand.job, f"pool {demand.pool!r} has no hosts"))
+        return found
 
     def _may_place(self, name: str, job: Job) -> bool:
         if (name, job.placement.attempt + 1) in self._submitted:
@@ -160,6 +206,7 @@
             job=name,
             pool=self._find_pool(job),
             team=job.team,
+            declared=job.resources,
             resources=self.corrector.correct(job.queue, job.resources),
             urgent=job.urgent,
             deadline=job.deadline,
@@ -173,14 +220,20 @@
                 host=name,
                 pool=host.pool,
                 resources=host.resources,
-                usable=not host.draining_to
-                and self._health[host.pool].may_use(name)
-                and not self.tasks.is_silent(name),
+                usable=self._is_usable(name, host),
                 tasks=tuple(self._list_tasks(name)),
             )
             for name, host in self._reader.folded.hosts.items()
         ]
 
+    def _is_usable(self, name: str, host: Host) -> bool:
+        return not (
+            host.draining_to
+            or self._inventory.is_leaving(name)
+            or self.tasks.is_silent(name)
+            or not self._health[host.pool].may_use(name)
+        )
+
     def _list_tasks(self, host: str) -> list[PlacedTask]:
         return [
             PlacedTask(
@@ -212,16 +265,20 @@
             self._submit_once(name, job.placement.attempt + 1, body)
         for name in plan.preemptions:
             self.tasks.preempt(name, self._index.find(name))
-        for name, host in plan.placements:
-            self._place(name, host)
+        for placed in plan.placements:
+            self._place(placed)
 
-    def _place(self, name: str, host: str) -> None:
-        job = self._index.find(name)
-        attempt = job.placement.attempt + 1
+    def _place(self, placed: Placed) -> None:
+        """Places one job; at an ejected host the first one is the only probe."""
+        name, host = placed.job, placed.host
+        health = self._health[self._reader.folded.hosts[host].pool]
+        if not health.may_use(host):
+            return
+        attempt = self._index.find(name).placement.attempt + 1
         body = records.JobPlaced(name, attempt, host, self._keeper.fence)
         if self._submit_once(name, attempt, body):
-            reserved = self.corrector.correct(job.queue, job.resources)
-            self.tasks.reserve(name, attempt, reserved)
+            self.tasks.reserve(name, attempt, placed.resources)
+            self._attempts[name, attempt] = health.start(host)
 
     def _submit_once(self, name: str, attempt: int, body: Any) -> bool:
         """Submits a decision about one attempt once; returns whether it was submitted."""
@@ -245,11 +302,12 @@
         """Takes note of how an attempt ended: the worker's health and the job's next try."""
         host = self._reader.folded.hosts.get(job.placement.host)
         health = self._health.get(host.pool) if host else None
-        if health is not None and health.may_use(job.placement.host):
+        attempt = self._attempts.pop((name, job.placement.attempt), None)
+        if health is not None and attempt is not None:
             if result == "succeeded":
-                health.succeed(health.start(job.placement.host))
+                health.succeed(attempt)
             elif result == "failed":
-                health.fail(health.start(job.placement.host))
+                health.fail(attempt)
         if result == "not-started":
             refusals = self._backoff.get(name, (0, timedelta()))[0]
             wait = min(REFUSAL_BACKOFF * 2 ** min(refusals, 10), LONGEST_BACKOFF)
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/maintenance.py
@@ -0,0 +1,149 @@
+"""Start and end of waves over all data centres, by the holder of the claim ``maintenance``."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+
+from carawayd.process.appender import NotAppended, Priority
+from carawayshore import records
+from carawayshore.maintenance import Fleet, Planner, build_fleet, find_stop
+
+if TYPE_CHECKING:
+    from carawayd.process.appender import Appender
+    from carawayd.process.claims import ClaimKeeper
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.settings import Settings
+    from carawayd.process.streams import StreamReader
+    from carawayd.version.configuration import Versions
+    from carawayshore.clock import Clock
+    from carawayshore.fold import Wave
+
+logger = logging.getLogger(__name__)
+
+# A plan for 8,000 hosts takes tens of milliseconds; this keeps planning below 1% of a core.
+PLAN_REST_FACTOR = 100
+
+
+def format_time(clock: Clock) -> str:
+    """Returns the time of day as RFC 3339 in UTC with microseconds."""
+    return clock.now().isoformat(timespec="microseconds")
+
+
+class MaintenanceController(Service):
+    """Starts one wave at a time and ends it when its hosts are done or it has stalled.
+
+    Parameters
+    ----------
+    keeper : ClaimKeeper
+        Of the claim ``maintenance``.
+    reader, appender
+        Of the global stream.
+    versions : Versions
+    settings : Settings
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        keeper: ClaimKeeper,
+        reader: StreamReader,
+        appender: Appender,
+        *,
+        versions: Versions,
+        settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._keeper = keeper
+        self._reader = reader
+        self._appender = appender
+        self._versions = versions
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._pending = False
+        self._progress: tuple[str, int] = ("", 0)
+        self._progressed = clock.elapsed()
+
+    @Service.task
+    async def _control(self) -> None:
+        while not self.should_stop:
+            began = self._clock.elapsed()
+            if self._keeper.holds() and self._versions.current is not None and not self._pending:
+                self._take_step()
+            taken = self._clock.elapsed() - began
+            rest = max(self._settings.options.controller, taken * PLAN_REST_FACTOR)
+            await self._clock.sleep(rest)
+
+    def build_fleet(self) -> Fleet:
+        """Returns the fleet as the folded state shows it; no holder is needed for that."""
+        return build_fleet(self._reader.folded, self._versions.current.configuration)
+
+    def build_planner(self) -> Planner:
+        """Returns the planner of this moment."""
+        return Planner(self.build_fleet(), self._clock.now())
+
+    def _take_step(self) -> None:
+        state = self._reader.folded
+        for name, wave in state.waves.items():
+            self._end_wave(name, wave)
+            return
+        planned = self.build_planner().choose_wave()
+        if planned is None:
+            return
+        name = f"{planned.data_centre}-{planned.rack}-{state.next_offset}"
+        fence, at = self._keeper.fence, format_time(self._clock)
+        self._submit(records.WaveStarted(name, planned.data_centre, planned.hosts, fence, at))
+
+    def _end_wave(self, name: str, wave: Wave) -> None:
+        """Ends a wave that is complete, or whose data centre has made no progress for long.
+
+        A data centre that is cut off must not block the others. What it began stays counted as
+        unavailable, and what it did not begin it skips when it is back.
+        """
+        complete = len(wave.done) == len(wave.hosts)
+        if not complete and not self._is_stalled(name, wave):
+            return
+        if not complete:
+            left = sorted(set(wave.hosts) - set(wave.done))
+            logger.warning("wave %s has stalled", name, extra={"fields": {"left": left}})
+        at = format_time(self._clock)
+        body = records.WaveFinished(name, self._keeper.fence, at, stalled=not complete)
+        self._submit(body)
+
+    def _is_stalled(self, name: str, wave: Wave) -> bool:
+        """Returns whether nothing happened for long; time while paused does not count."""
+        progress = (name, len(wave.done))
+        if progress != self._progress or find_stop(self._reader.folded):
+            self._progress, self._progressed = progress, self._clock.elapsed()
+        return self._clock.elapsed() - self._progressed > self._settings.options.wave_stall
+
+    def _submit(self, body: Any) -> None:
+        """Submits one step; the next one follows when its fate is known."""
+        try:
+            future = self._appender.submit(body, Priority.FLEET)
+        except NotAppended:
+            return
+        self._pending = True
+        future.add_done_callback(self._note_done)
+
+    def _note_done(self, done: Any) -> None:
+        self._pending = False
+        if not done.cancelled():
+            done.exception()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the state of planning for the dump."""
+        idle = self._clock.elapsed() - self._progressed
+        return {
+            "stopped": find_stop(self._reader.folded),
+            "append_pending": self._pending,
+            "wave": self._progress[0],
+            "hosts_done": self._progress[1],
+            "seconds_without_progress": idle.total_seconds(),
+        }
--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -5,6 +5,7 @@
 import hmac
 import json
 import logging
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -13,6 +14,7 @@
 
 from carawayd.process.appender import Appender, AppendUnknown, NotAppended, Priority
 from carawayd.process.dump import build_dump, build_status
+from carawayd.request.jobs import describe_job
 from carawayshore import records
 from carawayshore.assignment import FLEET_CLAIM, HOLD
 from carawayshore.configuration import check_configuration
@@ -20,10 +22,13 @@
 if TYPE_CHECKING:
     from carawayd.process.daemon import Parts
     from carawayshore.fold import Host
+    from carawayshore.maintenance import Planner
 
 logger = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 1024 * 1024
+MAX_LISTED = 10_000
+JOB_FILTERS = ("state", "team", "queue")
 
 
 def _answer(document: Any, status: int = 200) -> web.Response:
@@ -58,6 +63,9 @@
                 web.post("/v1/operator/hosts/{host}/move", self._move),
                 web.post("/v1/operator/hosts/{host}/drain", self._drain),
                 web.post("/v1/operator/hosts/{host}/return", self._return),
+                web.get("/v1/operator/jobs", self._list_jobs),
+                web.get("/v1/operator/maintenance/plan", self._give_plan),
+                web.get("/v1/operator/maintenance/explain", self._explain),
                 web.post("/v1/operator/maintenance/pause", self._pause),
                 web.post("/v1/operator/maintenance/resume", self._resume),
             ]
@@ -196,6 +204,70 @@
         body = records.HostReturnRequested(name, host.revision, self._find_fence())
         return await self._append(self._parts.appender, body, Priority.FLEET)
 
+    async def _list_jobs(self, request: web.Request) -> web.Response:
+        """Lists jobs, the newest first; ``state``, ``team`` and ``queue`` narrow the list."""
+        limit = self._read_limit(request)
+        wanted = {name: request.query[name] for name in JOB_FILTERS if name in request.query}
+        found = [
+            (name, job)
+            for name, job in self._parts.reader.folded.jobs.items()
+            if all(getattr(job, field) == value for field, value in wanted.items())
+        ]
+        found.sort(key=lambda item: -item[1].submitted)
+        shown = [describe_job(name, job) for name, job in found[:limit]]
+        return _answer({"count": len(found), "jobs": shown})
+
+    def _read_limit(self, request: web.Request) -> int:
+        """Returns the query parameter ``limit``.
+
+        Raises
+        ------
+        web.HTTPBadRequest
+            If it is not a whole number from 1 to ``MAX_LISTED``.
+        """
+        text = request.query.get("limit", "200")
+        if not text.isdecimal() or not 1 <= int(text) <= MAX_LISTED:
+            error = {"error": f"limit is {text!r}, accepted: 1 to {MAX_LISTED}"}
+            raise web.HTTPBadRequest(text=json.dumps(error), content_type="application/json")
+        return int(text)
+
+    def _build_planner(self) -> Planner:
+        if self._parts.versions.current is None:
+            error = {"error": "no configuration is known"}
+            raise web.HTTPServiceUnavailable(
+                text=json.dumps(error), content_type="application/json"
+            )
+        return self._parts.maintenance.build_planner()
+
+    async def _give_plan(self, request: web.Request) -> web.Response:
+        """Gives the waves that run, the one to start now, and those to come."""
+        limit, planner = self._read_limit(request), self._build_planner()
+        state, waves = self._parts.global_reader.folded, planner.list_waves()
+        chosen = planner.choose_wave()
+        fleet = self._parts.maintenance.build_fleet()
+        document = {
+            "stopped": fleet.stopped,
+            "wave_seconds": fleet.wave_duration.total_seconds(),
+            "running": {name: wave._asdict() for name, wave in state.waves.items()},
+            "stalled": {name: wave._asdict() for name, wave in state.stalled.items()},
+            "next": chosen._asdict() if chosen else None,
+            "count": len(waves),
+            "waves": [wave._asdict() for wave in waves[:limit]],
+        }
+        return _answer(document)
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        """Gives the hosts that are late or will be, each with the reason."""
+        limit = self._read_limit(request)
+        late = self._build_planner().explain()
+        reasons = Counter(host.reason for host in late)
+        document = {
+            "count": len(late),
+            "reasons": dict(reasons.most_common(limit)),
+            "hosts": [host._asdict() for host in late[:limit]],
+        }
+        return _answer(document)
+
     async def _pause(self, request: web.Request) -> web.Response:
         given = await self._read_document(request, author=str, reason=str)
         body = records.MaintenancePaused(**given)
--- a/packages/carawayd/src/carawayd/process/settings.py
+++ b/packages/carawayd/src/carawayd/process/settings.py
@@ -35,6 +35,7 @@
     Field("slow_caller_seconds", "number", "Longest stall of a caller's reading.", "s", 10.0),
     Field("lease_seconds", "number", "Lease of a task.", "s", 20.0, minimum=1),
     Field("task_poll_seconds", "number", "Longest time between looks at a task.", "s", 1.0),
+    Field("wave_stall_seconds", "number", "Wave without progress.", "s", 1800.0, minimum=1),
     Field("snapshot_records", "integer", "Offsets between snapshots.", "", 1000, minimum=10),
     Field("probe_seconds", "number", "Interval of status probes of a target.", "s", 1.0),
     Field("connect_seconds", "number", "Timeout of a connection to a target.", "s", 1.0),
@@ -86,6 +87,7 @@
     slow_caller: timedelta
     lease: timedelta
     task_poll: timedelta
+    wave_stall: timedelta
     snapshot_records: int
     probe: timedelta
     connect: timedelta
--- a/packages/carawayd/src/carawayd/process/tasks.py
+++ b/packages/carawayd/src/carawayd/process/tasks.py
@@ -9,7 +9,7 @@
 
 from mode import Service
 
-from carawayd.platform.common import PlatformError, PlatformRefusal
+from carawayd.platform.common import PlatformError, PlatformRefusal, PlatformUnreached
 from carawayd.process.appender import NotAppended, Priority
 from carawayshore import records
 from carawayshore.hashing import choose_candidate
@@ -96,6 +96,7 @@
         self._watches: dict[str, asyncio.Task[None]] = {}
         self._actions: dict[str, asyncio.Task[None]] = {}
         self._seen: set[tuple[str, int]] = set()
+        self._tried: set[tuple[str, int]] = set()
         self._finishing: set[tuple[str, int]] = set()
         self._preempted: dict[str, int] = {}
         self._reserved: dict[str, tuple[int, records.Resources]] = {}
@@ -266,8 +267,16 @@
             "payload": job.payload,
             "checkpoint": job.checkpoint,
         }
+        attempt = (name, job.placement.lease)
+        first = attempt not in self._tried and job.placement.fence == self._keeper.fence
+        self._tried.add(attempt)
         try:
             task = await self._worker.start_task(host.address, name, body, host.pool)
+        except PlatformUnreached as error:
+            # Only if no earlier call was made can the attempt be given up without the worker.
+            if first:
+                self._append_result(name, job, "not-started", str(error))
+            return
         except PlatformRefusal:
             # An earlier call with the same lease may still be on its way.
             await self._stop(name, job, host)
@@ -349,6 +358,7 @@
             return
         self._finishing.add(attempt)
         self._seen.discard((name, job.placement.lease))
+        self._tried.discard((name, job.placement.lease))
         future.add_done_callback(lambda done: self._forget(done, attempt))
         self._note_result(name, job, result)
 
--- a/packages/carawayd/src/carawayd/request/jobs.py
+++ b/packages/carawayd/src/carawayd/request/jobs.py
@@ -104,7 +104,8 @@
     )
 
 
-def _describe(name: str, job: Job) -> dict[str, Any]:
+def describe_job(name: str, job: Job) -> dict[str, Any]:
+    """Returns a job as callers and operators see it."""
     outcomes = {"succeeded": Outcome.COMPLETED, "failed": Outcome.COMPLETED}
     never_ran = job.state in TERMINAL_JOB_STATES and job.placement.attempt == 0
     outcome = Outcome.NOT_RUN if never_ran else outcomes.get(job.state, Outcome.UNKNOWN)
@@ -226,7 +227,7 @@
     parts, wait = endpoints.parts, read_wait(request)
     _find_job(parts, segments[0])
     await parts.job_index.wait_for_end(segments[0], wait)
-    return _answer(_describe(segments[0], _find_job(parts, segments[0])))
+    return _answer(describe_job(segments[0], _find_job(parts, segments[0])))
 
 
 @endpoint("DELETE", "/v1/jobs/*")
@@ -241,7 +242,7 @@
         await _append(parts, records.JobCancelled(name))
         job = _find_job(parts, name)
     if job.state in ("cancelled", "cancelling"):
-        return _answer(_describe(name, job), 200 if job.state == "cancelled" else 202)
+        return _answer(describe_job(name, job), 200 if job.state == "cancelled" else 202)
     if job.state in TERMINAL_JOB_STATES:
         detail = f"job {name!r} is {job.state}"
         raise Refusal(Outcome.NOT_RUN, Reason.CANCELLED, status=409, detail=detail)
--- a/packages/carawayshore/src/carawayshore/assignment.py
+++ b/packages/carawayshore/src/carawayshore/assignment.py
@@ -7,7 +7,8 @@
 
 FLEET_CLAIM = "fleet"
 HOLD = "hold"
-DRAIN_REASONS = ("move", "lend", "maintenance", HOLD)
+MAINTENANCE = "maintenance"
+DRAIN_REASONS = ("move", "lend", MAINTENANCE, HOLD)
 
 
 def has_fence(state: StreamState, claim: str, fence: int) -> bool:
@@ -66,8 +67,14 @@
         return reject(f"host {body.host!r} is draining already")
     if body.reason not in DRAIN_REASONS:
         return reject(f"reason {body.reason!r}, accepted: {', '.join(DRAIN_REASONS)}")
+    if body.reason == MAINTENANCE and (not body.wave or body.wave == host.wave):
+        return reject(f"host {body.host!r} went through wave {body.wave!r} already")
     state.hosts[body.host] = host._replace(
-        revision=host.revision + 1, draining_to=body.to_pool, reason=body.reason, changed=offset
+        revision=host.revision + 1,
+        draining_to=body.to_pool,
+        reason=body.reason,
+        changed=offset,
+        draining_wave=body.wave,
     )
     return ACCEPTED
 
@@ -94,8 +101,15 @@
     host = state.hosts[body.host]
     if host.draining_to != body.pool:
         return reject(f"host {body.host!r} is draining to {host.draining_to!r}, not {body.pool!r}")
+    done = host.reason == MAINTENANCE and not body.aborted
     state.hosts[body.host] = host._replace(
-        pool=body.pool, revision=host.revision + 1, draining_to="", reason="", changed=offset
+        pool=body.pool,
+        revision=host.revision + 1,
+        draining_to="",
+        reason="",
+        changed=offset,
+        draining_wave="",
+        wave=host.draining_wave if done else host.wave,
     )
     return ACCEPTED
 
--- a/packages/carawayshore/src/carawayshore/fold.py
+++ b/packages/carawayshore/src/carawayshore/fold.py
@@ -59,7 +59,10 @@
 
 
 class Host(NamedTuple):
-    """Assignment of a host. ``revision`` grows with each change of the host."""
+    """Assignment of a host. ``revision`` grows with each change of the host.
+
+    ``draining_wave`` is the wave that it drains for, ``wave`` the last one that it went through.
+    """
 
     pool: str
     address: str
@@ -71,6 +74,8 @@
     draining_to: str = ""
     reason: str = ""
     changed: int = 0
+    draining_wave: str = ""
+    wave: str = ""
 
 
 class Placement(NamedTuple):
@@ -111,10 +116,35 @@
 
 
 class Wave(NamedTuple):
+    """A rolling batch. ``started`` is an offset, ``at`` the time of its start (RFC 3339)."""
+
     data_centre: str
     hosts: list[str]
     done: list[str]
     started: int
+    fence: int
+    at: str
+
+
+class ReportedHost(NamedTuple):
+    """A host as the holder of ``fleet`` in its data centre last reported it.
+
+    ``condition`` is empty for a serving host, or ``failed``, ``draining`` or ``moving``. ``since``
+    is the time of the first report (RFC 3339).
+    """
+
+    pool: str
+    rack: str
+    condition: str
+    since: str
+
+
+class Report(NamedTuple):
+    """Hosts of one data centre; ``fence`` is that of the claim ``fleet`` in its own stream."""
+
+    fence: int
+    offset: int
+    hosts: dict[str, ReportedHost]
 
 
 class Pause(NamedTuple):
@@ -146,7 +176,10 @@
     keys: dict[str, KeyGrant]
     waves: dict[str, Wave]
     pause: Pause | None
-    maintained: dict[str, int]
+    maintained: dict[str, str]
+    stalled: dict[str, Wave]
+    wave_seconds: float
+    reports: dict[str, Report]
 
 
 Handler = Callable[["StreamState", int, records.Record], Result[None, Rejection]]
@@ -197,7 +230,10 @@
         self.keys: dict[str, KeyGrant] = {}
         self.waves: dict[str, Wave] = {}
         self.pause: Pause | None = None
-        self.maintained: dict[str, int] = {}
+        self.maintained: dict[str, str] = {}
+        self.stalled: dict[str, Wave] = {}
+        self.wave_seconds = 0.0
+        self.reports: dict[str, Report] = {}
 
     def export(self) -> FoldedState:
         """Returns the state as data; the tables are shared, not copied."""
--- a/packages/carawayshore/src/carawayshore/placement.py
+++ b/packages/carawayshore/src/carawayshore/placement.py
@@ -13,11 +13,15 @@
 
 
 class Demand(NamedTuple):
-    """A queued job. ``resources`` are the corrected ones; ``avoid`` is a host tried last."""
+    """A queued job. ``resources`` are the corrected ones; ``avoid`` is a host tried last.
+
+    Where no host is large enough for the corrected size, the declared one counts.
+    """
 
     job: str
     pool: str
     team: str
+    declared: Resources
     resources: Resources
     urgent: bool
     deadline: str
@@ -51,10 +55,16 @@
     tasks: tuple[PlacedTask, ...] = ()
 
 
+class Placed(NamedTuple):
+    job: str
+    host: str
+    resources: Resources
+
+
 class Plan(NamedTuple):
-    """Decisions: (job, host) pairs, (job, reason) pairs, and jobs to stop for urgent ones."""
+    """Decisions: placements, (job, reason) pairs, and jobs to stop for urgent ones."""
 
-    placements: list[tuple[str, str]]
+    placements: list[Placed]
     unplaceable: list[tuple[str, str]]
     preemptions: list[str]
 
@@ -127,21 +137,24 @@
             if host.usable:
                 self._rooms.setdefault(host.pool, []).append(_Room(host))
 
-    def find_obstacle(self, demand: Demand) -> str:
-        """Returns why the demand can never be placed, or an empty string."""
-        key = (demand.pool, demand.resources)
+    def _find_obstacle(self, pool: str, wanted: Resources) -> str:
+        """Returns why no host of the pool could ever hold ``wanted``, or an empty string."""
+        key = (pool, wanted)
         if key not in self._impossible:
-            hosts = self._all.get(demand.pool, [])
-            possible = any(_fits(demand.resources, host.resources) for host in hosts)
-            wanted = ", ".join(
-                f"{name} {value:g}" for name, value in demand.resources._asdict().items()
-            )
-            reason = f"{wanted} fits none of the {len(hosts)} hosts of pool {demand.pool!r}"
-            self._impossible[key] = "" if possible or not hosts else reason
+            hosts = self._all.get(pool, [])
+            possible = any(_fits(wanted, host.resources) for host in hosts)
+            told = ", ".join(f"{name} {value:g}" for name, value in wanted._asdict().items())
+            reason = f"{told} fits none of the {len(hosts)} hosts of pool {pool!r}"
+            self._impossible[key] = "" if possible else reason
         return self._impossible[key]
 
     def place(self, demand: Demand) -> None:
-        obstacle = self.find_obstacle(demand)
+        """Places one job, or keeps room for it, or reports that it fits nowhere."""
+        if not self._all.get(demand.pool):
+            return
+        if self._find_obstacle(demand.pool, demand.resources):
+            demand = demand._replace(resources=demand.declared)
+        obstacle = self._find_obstacle(demand.pool, demand.resources)
         if obstacle:
             self.plan.unplaceable.append((demand.job, obstacle))
             return
@@ -154,7 +167,7 @@
             self._reserve(demand)
             return
         room.free = _subtract(room.free, demand.resources)
-        self.plan.placements.append((demand.job, room.source.host))
+        self.plan.placements.append(Placed(demand.job, room.source.host, demand.resources))
         if demand.team in self._quotas:
             self._quotas[demand.team] -= 1
 
@@ -223,6 +236,8 @@
     quotas : mapping of str to int
         Jobs that each team may still place; a team without an entry has no limit.
 
+    A job whose pool has no hosts at all waits; the caller decides for how long.
+
     Returns
     -------
     Plan
@@ -231,9 +246,9 @@
     Examples
     --------
     >>> size = Resources(1, 1, 0)
-    >>> demand = Demand("j", "p", "t", size, False, "", 0)
-    >>> plan_jobs([demand], [HostRoom("h", "p", Resources(2, 2, 0))], {}).placements
-    [('j', 'h')]
+    >>> demand = Demand("j", "p", "t", size, size, False, "", 0)
+    >>> plan_jobs([demand], [HostRoom("h", "p", Resources(2, 2, 0))], {}).placements[0].host
+    'h'
     """
     planner = _Planner(hosts, quotas)
     for demand in sorted(demands, key=lambda demand: demand.rank):
--- a/packages/carawayshore/src/carawayshore/records.py
+++ b/packages/carawayshore/src/carawayshore/records.py
@@ -206,7 +206,7 @@
     """Starts a move to ``to_pool``; the host's own pool for a drain that ends in its return.
 
     ``reason`` is one of ``move``, ``lend``, ``maintenance`` and ``hold``; a held host stays drained
-    until its return is requested.
+    until its return is requested. ``wave`` is given with the reason ``maintenance``.
     """
 
     host: str
@@ -214,6 +214,7 @@
     to_pool: str
     reason: str
     fence: int
+    wave: str = ""
 
 
 @record("host_return_requested")
@@ -227,10 +228,13 @@
 
 @record("host_joined")
 class HostJoined(NamedTuple):
+    """Ends a drain; ``aborted`` if a host serves on because it may not be missed now."""
+
     host: str
     revision: int
     pool: str
     fence: int
+    aborted: bool = False
 
 
 @record("job_submitted")
@@ -306,23 +310,56 @@
 
 @record("wave_started")
 class WaveStarted(NamedTuple):
+    """``at`` is the time of the start (RFC 3339)."""
+
     wave: str
     data_centre: str
     hosts: list[str]
     fence: int
+    at: str
 
 
 @record("wave_host_done")
 class WaveHostDone(NamedTuple):
+    """Appended by the holder of ``fleet`` in the host's data centre.
+
+    ``fence`` is the one under which the wave started, since the claim ``maintenance`` may be held
+    elsewhere. ``skipped`` if the host was removed, or was not begun before the wave stalled.
+    """
+
     wave: str
     host: str
     fence: int
+    at: str
+    skipped: bool = False
 
 
 @record("wave_finished")
 class WaveFinished(NamedTuple):
+    """``stalled`` if hosts are left over, so that other data centres need not wait for them."""
+
     wave: str
     fence: int
+    at: str
+    stalled: bool = False
+
+
+class HostReport(NamedTuple):
+    """``pool`` is empty for a host that was removed."""
+
+    pool: str
+    rack: str = ""
+    condition: str = ""
+
+
+@record("hosts_reported")
+class HostsReported(NamedTuple):
+    """Changes of a data centre's hosts; ``fence`` is that of its claim ``fleet``."""
+
+    data_centre: str
+    fence: int
+    at: str
+    hosts: dict[str, HostReport]
 
 
 @record("maintenance_paused")
