--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -17,6 +17,10 @@
     """A call failed, and it is not known whether it took effect."""
 
 
+class PlatformUnreached(PlatformError):
+    """No connection was made, so the call had no effect."""
+
+
 class PlatformRefusal(PlatformError):
     """The service answered that it did not do what was asked.
 
@@ -54,7 +58,13 @@
         await self._session.close()
 
     async def call(
-        self, method: str, path: str, *, body: Any = None, timeout: float | None = None
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        timeout: float | None = None,
+        headers: dict[str, str] | None = None,
     ) -> Any:
         """Calls the service and returns the parsed answer.
 
@@ -65,7 +75,9 @@
         PlatformError
             If there was no valid answer.
         """
-        extra = {"timeout": aiohttp.ClientTimeout(total=timeout)} if timeout else {}
+        extra: dict[str, Any] = {"headers": headers}
+        if timeout:
+            extra["timeout"] = aiohttp.ClientTimeout(total=timeout)
         try:
             async with self._session.request(method, self.url + path, json=body, **extra) as answer:
                 data = await answer.content.read(MAX_ANSWER_BYTES)
@@ -74,6 +86,8 @@
                     if len(data) > MAX_ANSWER_BYTES:
                         raise PlatformError(f"answer of {path} exceeds {MAX_ANSWER_BYTES} bytes")
                 return self._read_answer(answer, data)
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformUnreached(f"{method} {path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformError(f"{method} {path}: {type(error).__name__}: {error}") from error
 
