Report references together with other findings of a configuration

Cause: check_configuration returned before the checks of references when any field had a finding. Change: references are checked in whatever parts of the document have the right shape. Before: a document with two field faults and one reference to a missing pool reported 2 findings. After: it reports 3 in one run. A document is accepted or not as before, so the fold is unchanged.

--- a/packages/carawayshore/src/carawayshore/configuration.py
+++ b/packages/carawayshore/src/carawayshore/configuration.py
@@ -7,7 +7,7 @@
 from carawayshore import records
 from carawayshore.findings import Finding, join_pointer
 from carawayshore.fold import ACCEPTED, ConfigurationVersion, StreamState, folds, reject
-from carawayshore.options import Field, check_fields, fill_defaults
+from carawayshore.options import NAME_PATTERN, Field, check_fields, fill_defaults
 
 
 class PoolOptions(TypedDict):
@@ -141,21 +141,30 @@
 def _check_reference(
     document: dict[str, Any], table: str, member: str, to_table: str
 ) -> list[Finding]:
-    """Returns a finding for each ``member`` of ``table`` that names nothing in ``to_table``."""
-    accepted = "one of " + (", ".join(sorted(document.get(to_table, {}))) or "(none is defined)")
+    """Returns a finding for each ``member`` of ``table`` that names nothing in ``to_table``.
+
+    Values of another shape are passed over, since the checks of the fields report them.
+    """
+    entries, known = document.get(table, {}), document.get(to_table, {})
+    if not isinstance(entries, dict) or not isinstance(known, dict):
+        return []
+    accepted = "one of " + (", ".join(sorted(known)) or "(none is defined)")
     return [
         Finding(join_pointer(f"/{table}", name) + f"/{member}", entry[member], accepted)
-        for name, entry in sorted(document.get(table, {}).items())
-        if entry[member] not in document.get(to_table, {})
+        for name, entry in sorted(entries.items())
+        if isinstance(entry, dict)
+        and isinstance(entry.get(member), str)
+        and NAME_PATTERN.fullmatch(entry[member])
+        and entry[member] not in known
     ]
 
 
 def check_configuration(document: Any) -> list[Finding]:
     """Returns all findings about a configuration document, none if it is valid."""
     found = check_fields(CONFIGURATION_FIELDS, document)
-    if found:
+    if not isinstance(document, dict):
         return found
-    if not document["data_centres"]:
+    if document.get("data_centres") == []:
         found.append(Finding("/data_centres", [], "at least one data centre"))
     found += _check_reference(document, "services", "pool", "pools")
     found += _check_reference(document, "queues", "pool", "pools")
