Serve versions seen, hosts and their budgets to operators

Cause: the command needs the versions that an entry host has seen, the hosts with their racks, and the availability budget that taking a host out would use; the status had none of them. Change: GET configuration/versions, GET configuration/versions/{version}, GET hosts and GET hosts/{host}; the status tells services, silence of peers and the caller address. At most 256 versions and 2 MiB of documents are kept. After: one answer has all hosts of the data centre; a preview of one host names each service's use. Conclusion: reads only; no change to what the daemon does.

--- a/packages/carawayd/src/carawayd/process/dump.py
+++ b/packages/carawayd/src/carawayd/process/dump.py
@@ -5,6 +5,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING, Any
 
+from carawayd.process.hostviews import describe_services
 from carawayshore.membership import list_members
 
 if TYPE_CHECKING:
@@ -146,6 +147,7 @@
     return {
         "member": parts.settings.member,
         "data_centre": parts.settings.data_centre,
+        "caller_address": parts.settings.caller_address,
         "unready": parts.find_unreadiness(),
         "log_reachable": parts.membership.is_log_reachable(),
         "log_contact_age_seconds": age.total_seconds() if age is not None else None,
@@ -154,6 +156,11 @@
             parts.settings.member: version.version if version else 0,
             **{name: peer.heartbeat.version for name, peer in sorted(parts.peers.states.items())},
         },
+        "silent_seconds": {
+            name: (parts.clock.elapsed() - peer.heard).total_seconds()
+            for name, peer in sorted(parts.peers.states.items())
+        },
+        "services": describe_services(parts),
         "pools": {pool: _describe_pool(parts, pool) for pool in pools},
         "jobs": _count_jobs(state.jobs),
         "maintenance": {
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/history.py
@@ -0,0 +1,97 @@
+"""Configuration versions that this process has seen since it started, bounded in size."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    from datetime import datetime
+
+    from carawayd.process.streams import StreamReader
+    from carawayshore.clock import Clock
+
+MAX_VERSIONS = 256
+# A document of 54 pools takes about 20 KB, so about 100 documents are kept.
+MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+
+
+class SeenVersion(NamedTuple):
+    """A version and when this process read it.
+
+    Parameters
+    ----------
+    version : int
+    author : str
+    seen : datetime
+        Wall clock time of this entry host; records carry no time of their own.
+    at_start : bool
+        Whether it was read while catching up, so that it may have been published long before.
+    text : str
+        The document as JSON; empty once it was dropped to bound the memory.
+    """
+
+    version: int
+    author: str
+    seen: datetime
+    at_start: bool
+    text: str
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the version without its document."""
+        return {
+            "version": self.version,
+            "author": self.author,
+            "seen": self.seen.isoformat(),
+            "at_start": self.at_start,
+            "document_kept": bool(self.text),
+        }
+
+
+class VersionHistory:
+    """Notes each configuration version that the global stream brings.
+
+    Parameters
+    ----------
+    reader : StreamReader
+        Of the global stream.
+    clock : Clock
+    """
+
+    def __init__(self, reader: StreamReader, clock: Clock) -> None:
+        self.since = clock.now()
+        self._reader = reader
+        self._clock = clock
+        self._versions: deque[SeenVersion] = deque(maxlen=MAX_VERSIONS)
+        reader.listen(lambda applied: self._note())
+        # A state that was adopted from a peer or a snapshot skips the records between.
+        reader.listen_batches(self._note)
+
+    def _note(self) -> None:
+        current = self._reader.folded.configuration
+        if current.version <= (self._versions[-1].version if self._versions else 0):
+            return
+        text = json.dumps(current.document)
+        at_start = not self._reader.caught_up.is_set()
+        seen = SeenVersion(current.version, current.author, self._clock.now(), at_start, text)
+        self._versions.append(seen)
+        self._drop_documents()
+
+    def _drop_documents(self) -> None:
+        left = MAX_DOCUMENT_BYTES
+        for index in range(len(self._versions) - 1, -1, -1):
+            left -= len(self._versions[index].text)
+            if left < 0:
+                self._versions[index] = self._versions[index]._replace(text="")
+
+    def list_versions(self) -> list[SeenVersion]:
+        """Returns the versions seen, oldest first, at most ``MAX_VERSIONS``."""
+        return list(self._versions)
+
+    def find_version(self, version: int) -> SeenVersion | None:
+        """Returns a version whose document is kept, or None."""
+        for seen in self._versions:
+            if seen.version == version and seen.text:
+                return seen
+        return None
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/hostviews.py
@@ -0,0 +1,122 @@
+"""Hosts and availability budgets as this entry host sees them, for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from carawayd.platform.common import PlatformError
+from carawayshore.budget import BudgetSettings, HostCondition, count_unavailable, may_remove
+
+if TYPE_CHECKING:
+    from carawayd.process.daemon import Parts
+    from carawayshore.fold import Host
+
+
+def _find_condition(parts: Parts, name: str, host: Host, ejected: set[str]) -> HostCondition:
+    listed = parts.inventory.hosts.get(name)
+    missing = parts.inventory.read_at is not None and listed is None
+    leaving = parts.inventory.is_leaving(name)
+    return HostCondition(
+        name,
+        host.rack,
+        failed=missing or name in ejected,
+        draining=leaving or host.draining_to == host.pool,
+        moving=host.draining_to not in ("", host.pool),
+    )
+
+
+def build_conditions(parts: Parts, pool: str) -> list[HostCondition]:
+    """Returns the condition of each host of a pool, those moving away included."""
+    ejected = set(parts.observations.find_health(pool).list_ejected())
+    return [
+        _find_condition(parts, name, host, ejected)
+        for name, host in sorted(parts.reader.folded.hosts.items())
+        if host.pool == pool
+    ]
+
+
+def describe_services(parts: Parts) -> dict[str, dict[str, Any]]:
+    """Returns the availability budget of each service and how much of it is used."""
+    version = parts.versions.current
+    if version is None:
+        return {}
+    described = {}
+    for name, options in sorted(version.configuration["services"].items()):
+        conditions = build_conditions(parts, options["pool"])
+        settings = BudgetSettings(options["max_unavailable"])
+        described[name] = {
+            "pool": options["pool"],
+            "hosts": len(conditions),
+            "max_unavailable": options["max_unavailable"],
+            "unavailable": count_unavailable(conditions, settings),
+        }
+    return described
+
+
+def preview_removal(parts: Parts, name: str) -> list[dict[str, Any]]:
+    """Returns the budget of each service on a host's pool before and after taking it out."""
+    version = parts.versions.current
+    host = parts.reader.folded.hosts[name]
+    if version is None:
+        return []
+    conditions = build_conditions(parts, host.pool)
+    after = [item._replace(draining=item.draining or item.host == name) for item in conditions]
+    previews = []
+    for service, options in sorted(version.configuration["services"].items()):
+        if options["pool"] != host.pool:
+            continue
+        settings = BudgetSettings(options["max_unavailable"])
+        previews.append(
+            {
+                "service": service,
+                "max_unavailable": options["max_unavailable"],
+                "unavailable_now": count_unavailable(conditions, settings),
+                "unavailable_then": count_unavailable(after, settings),
+                "within": may_remove(conditions, [name], settings),
+            }
+        )
+    return previews
+
+
+def _describe_host(name: str, host: Host, condition: HostCondition) -> dict[str, Any]:
+    return {
+        "host": name,
+        "pool": host.pool,
+        "rack": host.rack,
+        "address": host.address,
+        "revision": host.revision,
+        "draining_to": host.draining_to,
+        "reason": host.reason,
+        "failed": condition.failed,
+        "leaving": condition.draining and not host.draining_to,
+    }
+
+
+def list_hosts(parts: Parts) -> list[dict[str, Any]]:
+    """Returns all hosts of the data centre in the order of their names."""
+    hosts = parts.reader.folded.hosts
+    described = [
+        _describe_host(item.host, hosts[item.host], item)
+        for pool in sorted({host.pool for host in hosts.values()})
+        for item in build_conditions(parts, pool)
+    ]
+    return sorted(described, key=lambda item: item["host"])
+
+
+async def describe_host(parts: Parts, name: str) -> dict[str, Any]:
+    """Returns one host, its state at the pools service, and what removing it would use.
+
+    Raises
+    ------
+    KeyError
+        If the host does not exist.
+    """
+    host = parts.reader.folded.hosts[name]
+    ejected = set(parts.observations.find_health(host.pool).list_ejected())
+    described = _describe_host(name, host, _find_condition(parts, name, host, ejected))
+    described["budgets"] = preview_removal(parts, name)
+    try:
+        status = await parts.platform.pools.look_up(name)
+    except PlatformError as error:
+        return described | {"pools_service": None, "pools_service_error": str(error)}
+    return described | {"pools_service": status._asdict()}
--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -13,6 +13,8 @@
 
 from carawayd.process.appender import Appender, AppendUnknown, NotAppended, Priority
 from carawayd.process.dump import build_dump, build_status
+from carawayd.process.history import MAX_VERSIONS, VersionHistory
+from carawayd.process.hostviews import describe_host, list_hosts
 from carawayshore import records
 from carawayshore.assignment import FLEET_CLAIM, HOLD
 from carawayshore.configuration import check_configuration
@@ -44,6 +46,7 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
+        self._history = VersionHistory(parts.global_reader, parts.clock)
 
     def build_application(self) -> web.Application:
         """Returns the application with all routes."""
@@ -55,6 +58,10 @@
                 web.get("/v1/operator/metrics", self._give_metrics),
                 web.get("/v1/operator/configuration", self._give_configuration),
                 web.post("/v1/operator/configuration", self._publish),
+                web.get("/v1/operator/configuration/versions", self._give_history),
+                web.get("/v1/operator/configuration/versions/{version}", self._give_version),
+                web.get("/v1/operator/hosts", self._give_hosts),
+                web.get("/v1/operator/hosts/{host}", self._give_host),
                 web.post("/v1/operator/hosts/{host}/move", self._move),
                 web.post("/v1/operator/hosts/{host}/drain", self._drain),
                 web.post("/v1/operator/hosts/{host}/return", self._return),
@@ -135,6 +142,29 @@
         current = self._parts.global_reader.folded.configuration
         return _answer(current._asdict())
 
+    async def _give_history(self, request: web.Request) -> web.Response:
+        versions = [seen.describe() for seen in self._history.list_versions()]
+        document = {"member": self._parts.settings.member, "since": self._history.since.isoformat()}
+        return _answer(document | {"max_versions": MAX_VERSIONS, "versions": versions})
+
+    async def _give_version(self, request: web.Request) -> web.Response:
+        text = request.match_info["version"]
+        seen = self._history.find_version(int(text)) if text.isdecimal() else None
+        if seen is None:
+            kept = [item.version for item in self._history.list_versions() if item.text]
+            error = f"the document of version {text} is not kept here"
+            return _answer({"error": error, "accepted": kept}, 404)
+        return _answer(seen.describe() | {"document": json.loads(seen.text)})
+
+    async def _give_hosts(self, request: web.Request) -> web.Response:
+        return _answer(
+            {"data_centre": self._parts.settings.data_centre, "hosts": list_hosts(self._parts)}
+        )
+
+    async def _give_host(self, request: web.Request) -> web.Response:
+        name, _ = self._find_host(request)
+        return _answer(await describe_host(self._parts, name))
+
     async def _publish(self, request: web.Request) -> web.Response:
         given = await self._read_document(request, base_version=int, document=dict, author=str)
         found = check_configuration(given["document"])
@@ -183,8 +213,9 @@
         version = self._parts.versions.current
         pools = version.configuration["pools"] if version else {}
         if given["pool"] not in pools:
-            error = f"pool {given['pool']!r} does not exist, accepted: {', '.join(sorted(pools))}"
-            return _answer({"outcome": "not-run", "error": error}, 422)
+            error = f"pool {given['pool']!r} does not exist"
+            refusal = {"outcome": "not-run", "error": error, "accepted": sorted(pools)}
+            return _answer(refusal, 422)
         return await self._start_drain(name, host, to_pool=given["pool"], reason="move")
 
     async def _drain(self, request: web.Request) -> web.Response:
