Follow the endpoints of jobs and maintenance

Cause: the job calls take relative deadlines and names with a data centre, and the plan and the reasons of late hosts have endpoints of their own. Change: jobs submit sends these members, jobs list filters at the entry host, and maintenance plan and explain ask maintenance/plan and maintenance/explain. Before: a submission would have been refused for its unknown members.

--- a/packages/carawayctl/src/carawayctl/client.py
+++ b/packages/carawayctl/src/carawayctl/client.py
@@ -198,7 +198,7 @@
         if outcome == Outcome.UNKNOWN:
             raise Unknown(f"{member}: {message}", next_step=LOOK_UP, details={"answer": body})
         findings = body.get("findings")
-        if answer.status == 422 and isinstance(findings, list):
+        if isinstance(findings, list) and all(isinstance(item, dict) for item in findings):
             raise BadDocument(f"the document sent to {member}", [Finding(**f) for f in findings])
         next_step = _NEXT_STEPS.get(answer.status, "correct the value given")
         if answer.status in (404, 405) and not answer.is_json:
--- a/packages/carawayctl/src/carawayctl/commands/jobs.py
+++ b/packages/carawayctl/src/carawayctl/commands/jobs.py
@@ -6,21 +6,20 @@
 import json
 import math
 import secrets
-from datetime import timedelta
 from pathlib import Path
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from carawayctl.documents import read_json
 from carawayctl.errors import BadDocument, ExitStatus, Refused, Unknown
 from carawayctl.output import format_table
 from carawayctl.registry import Context, option, subcommand
-from carawayshore.clock import SystemClock
-from carawayshore.configuration import complete_configuration
 from carawayshore.findings import Finding
 
 LIST_PATH = "/v1/operator/jobs"
 PATH = "/v1/jobs"
+FILTERS = ("state", "team", "queue")
+COLUMNS = ("job", "queue", "team", "state", "host", "detail")
 KNOWN_JOB = "a job of this data centre that has not ended; see `jobs list`"
 
 JOB = option("job", metavar="JOB", help="identifier of the job; see `jobs list`")
@@ -54,26 +53,6 @@
     return address
 
 
-async def _find_queue(context: Context, name: str) -> dict[str, Any]:
-    """Returns the options of a queue of the configuration in force.
-
-    Raises
-    ------
-    Refused
-        If the queue does not exist.
-    """
-    current = await context.client.get("/v1/operator/configuration")
-    queues = complete_configuration(current["document"])["queues"]
-    if name not in queues:
-        raise Refused(
-            f"refused, nothing changed: queue {name!r} does not exist",
-            given=name,
-            accepted=sorted(queues),
-            next_step="name one of the accepted queues, or publish a configuration with this one",
-        )
-    return queues[name]
-
-
 def _read_payload(path: Path | None) -> dict[str, Any]:
     if path is None:
         return {}
@@ -84,27 +63,24 @@
     return payload
 
 
-def _build_submission(arguments: argparse.Namespace, queue: dict[str, Any]) -> dict[str, Any]:
-    seconds = arguments.deadline_seconds
-    if seconds is None:
-        seconds = queue["deadline_seconds"]
-    deadline = SystemClock().now() + timedelta(seconds=seconds)
-    return {
-        "job": arguments.job or f"{arguments.queue}-{secrets.token_hex(8)}",
+def _build_submission(arguments: argparse.Namespace, data_centre: str) -> dict[str, Any]:
+    # A name given by the submitter lets a submission whose answer was lost be looked up.
+    body = {
+        "job": arguments.job or f"{data_centre}:j{secrets.token_hex(8)}",
         "queue": arguments.queue,
         "team": arguments.team,
-        "service": queue["service"],
         "payload": _read_payload(arguments.payload),
         "resources": {
             "processors": arguments.processors,
             "memory_gib": arguments.memory_gib,
             "accelerators": arguments.accelerators,
         },
-        "urgent": queue["urgent"],
         "repeatable": arguments.repeatable,
-        "deadline": deadline.isoformat(),
-        "declared_seconds": arguments.declared_seconds,
+        "run_seconds": arguments.run_seconds,
     }
+    if arguments.deadline_seconds is not None:
+        body["deadline_seconds"] = arguments.deadline_seconds
+    return body
 
 
 @subcommand(
@@ -114,15 +90,15 @@
     option("--team", required=True, help="team that the job counts for"),
     option(
         "--job",
-        help="identifier, so that a submission whose answer was lost can be looked up; "
-        "default: a random one",
+        help="name, after its data centre and ':' if it must run there; the same name is never "
+        "submitted twice; default: a random one in the data centre of the entry host",
     ),
     option("--payload", type=Path, metavar="FILE", help="JSON file with an object"),
     option("--processors", type=_read_amount, default=1.0, help="default: 1"),
     option("--memory-gib", type=_read_amount, default=1.0, help="memory in GiB; default: 1"),
     option("--accelerators", type=int, default=0, help="default: 0"),
     option(
-        "--declared-seconds", type=_read_amount, default=60.0, help="run time in s; default: 60"
+        "--run-seconds", type=_read_amount, default=60.0, help="expected run time in s; default: 60"
     ),
     option(
         "--deadline-seconds", type=_read_amount, help="deadline in s; default: that of the queue"
@@ -130,8 +106,7 @@
     option("--repeatable", action="store_true", help="the job may be started more than once"),
 )
 async def _submit(context: Context) -> int:
-    queue = await _find_queue(context, context.arguments.queue)
-    body = _build_submission(context.arguments, queue)
+    body = _build_submission(context.arguments, context.client.status["data_centre"])
     address = _find_caller_address(context)
     try:
         answer = await context.client.change("POST", PATH, body, address=address, given=body)
@@ -143,30 +118,22 @@
     return ExitStatus.DONE
 
 
-def _list_rows(jobs: list[dict[str, Any]]) -> list[list[Any]]:
-    names = ("job", "queue", "team", "state")
-    rows = []
-    for job in jobs:
-        placement = job.get("placement") or {}
-        host = placement.get("host") if isinstance(placement, dict) else ""
-        rows.append([*(job.get(name, "") for name in names), host or "-", job.get("detail") or "-"])
-    return rows
-
-
 @subcommand(
     "jobs list",
-    "list the jobs of the data centre",
-    option("--state", help="list the jobs in one state only, for example queued"),
+    "list the jobs of the data centre, the newest first",
+    *(option(f"--{name}", help=f"list the jobs of one {name} only") for name in FILTERS),
+    option("--limit", type=int, default=200, help="longest list; default: 200"),
 )
 async def _list(context: Context) -> int:
-    answer = await context.client.get(LIST_PATH)
-    listed = answer["jobs"]
-    if isinstance(listed, dict):
-        listed = [{"job": name} | item for name, item in listed.items()]
-    wanted = context.arguments.state
-    jobs = [job for job in listed if wanted in (None, job.get("state"))]
-    header = ["jobs", "queue", "team", "state", "host", "detail"]
-    context.output.show(answer | {"jobs": jobs}, format_table(header, _list_rows(jobs)))
+    arguments = vars(context.arguments)
+    query = {name: arguments[name] for name in FILTERS if arguments[name] is not None}
+    query["limit"] = arguments["limit"]
+    answer = await context.client.get(f"{LIST_PATH}?{urlencode(query)}", given=query)
+    rows = [[job[name] or "-" for name in COLUMNS] for job in answer["jobs"]]
+    text = format_table(["jobs", *COLUMNS[1:]], rows)
+    if answer["count"] > len(rows):
+        text += f"\n{len(rows)} of {answer['count']} shown; --limit shows more"
+    context.output.show(answer, text)
     return ExitStatus.DONE
 
 
--- a/packages/carawayctl/src/carawayctl/commands/maintenance.py
+++ b/packages/carawayctl/src/carawayctl/commands/maintenance.py
@@ -7,6 +7,7 @@
 
 from carawayctl.commands.status import format_maintenance
 from carawayctl.errors import ExitStatus
+from carawayctl.output import format_table
 from carawayctl.registry import AUTHOR, Context, option, subcommand
 from carawayshore.configuration import complete_configuration
 
@@ -16,7 +17,7 @@
 
 @subcommand("maintenance plan", "show the rolling batches that are planned and in progress")
 async def _plan(context: Context) -> int:
-    plan = await context.client.get(PATH)
+    plan = await context.client.get(f"{PATH}/plan")
     context.output.show(plan, json.dumps(plan, indent=2))
     return ExitStatus.DONE
 
@@ -79,6 +80,13 @@
     return [{"reason": reason, "next_step": step} for reason, step in found]
 
 
+def _format_late(late: dict[str, Any]) -> str:
+    """Returns the hosts that are late or will be, with the reason of each."""
+    rows = [[h["host"], h["data_centre"], h["rack"], h["due"], h["reason"]] for h in late["hosts"]]
+    table = format_table(["late hosts", "data centre", "rack", "due", "reason"], rows)
+    return f"{table}\n{late['count']} host(s) late"
+
+
 @subcommand("maintenance explain", "tell why no rolling batch starts, or that nothing prevents it")
 async def _explain(context: Context) -> int:
     client = context.client
@@ -87,11 +95,13 @@
     claim = dump["streams"]["global"]["claims"]["shown"].get(CLAIM)
     obstacles = list_obstacles(status, complete_configuration(document), claim)
     lines = [f"  {item['reason']}; next: {item['next_step']}" for item in obstacles]
+    late = await client.get(f"{PATH}/explain")
     text = "\n".join(["no rolling batch starts, because:", *lines])
     if not obstacles:
         text = f"nothing prevents rolling batches; {claim['member']} plans them"
     context.output.show(
-        {"obstacles": obstacles, "maintenance": status["maintenance"], "claim": claim},
-        f"{format_maintenance(status['maintenance'])}\n{text}",
+        {"obstacles": obstacles, "maintenance": status["maintenance"], "claim": claim}
+        | {"late": late},
+        f"{format_maintenance(status['maintenance'])}\n{text}\n{_format_late(late)}",
     )
     return ExitStatus.DONE
