--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from mode import Service
 
+import carawayd.request.jobs  # noqa: F401  Registers its endpoints.
 from carawayd.connection.target import Connections
 from carawayd.platform.api import Platform, open_platform
 from carawayd.process.appender import Appender, AppendRate
@@ -20,7 +21,10 @@
 from carawayd.process.endpoints import CallerEndpoints
 from carawayd.process.fleet import FleetController
 from carawayd.process.inventory import Inventory
+from carawayd.process.jobindex import JobIndex
+from carawayd.process.jobs import JobController
 from carawayd.process.keys import KeyOwner
+from carawayd.process.maintenance import MaintenanceController
 from carawayd.process.membership import Membership
 from carawayd.process.metrics import Metrics
 from carawayd.process.observations import Observations
@@ -30,6 +34,7 @@
 from carawayd.process.snapshots import SnapshotWriter
 from carawayd.process.streams import StreamReader
 from carawayd.process.sync import StateSync
+from carawayd.process.waves import WaveFollower
 from carawayd.request.answers import KeptAnswers
 from carawayd.request.attempt import Attempts
 from carawayd.request.forward import Forwarder, Inbound
@@ -38,6 +43,8 @@
 from carawayd.version.configuration import Versions
 from carawayd.version.dispatcher import Dispatcher
 from carawayshore.assignment import FLEET_CLAIM
+from carawayshore.jobs import JOBS_CLAIM
+from carawayshore.waves import MAINTENANCE_CLAIM
 
 if TYPE_CHECKING:
     from carawayd.process.settings import Settings
@@ -76,6 +83,10 @@
     inbound: Inbound
     handler: RequestHandler
     keyed: KeyedRequests
+    job_index: JobIndex
+    jobs: JobController
+    maintenance: MaintenanceController
+    waves: WaveFollower
     keepers: list[ClaimKeeper]
     controllers: list[Service]
 
@@ -205,6 +216,46 @@
         pools=platform.pools,
         **counted,
     )
+    waves = WaveFollower(
+        keeper,
+        reader,
+        appender,
+        global_reader=global_reader,
+        global_appender=global_appender,
+        inventory=inventory,
+        observations=observations,
+        versions=versions,
+        pools=platform.pools,
+        worker=platform.worker,
+        **common,
+    )
+    fleet.may_go_on = waves.may_go_on
+    maintenance_keeper = ClaimKeeper(
+        MAINTENANCE_CLAIM,
+        reader=global_reader,
+        appender=global_appender,
+        membership=membership,
+        **common,
+    )
+    maintenance = MaintenanceController(
+        maintenance_keeper, global_reader, global_appender, versions=versions, **counted
+    )
+    job_keeper = ClaimKeeper(
+        JOBS_CLAIM, reader=reader, appender=appender, membership=membership, **common
+    )
+    job_index = JobIndex(reader)
+    jobs = JobController(
+        job_keeper,
+        reader,
+        appender,
+        index=job_index,
+        membership=membership,
+        peers=peers,
+        versions=versions,
+        inventory=inventory,
+        worker=platform.worker,
+        **counted,
+    )
     writers = [
         SnapshotWriter(each, of, membership=membership, **common)
         for each, of in ((global_reader, global_appender), (reader, appender))
@@ -232,8 +283,12 @@
         inbound=Inbound(clock),
         handler=handler,
         keyed=keyed,
-        keepers=[keeper],
-        controllers=[fleet, *writers],
+        job_index=job_index,
+        jobs=jobs,
+        maintenance=maintenance,
+        waves=waves,
+        keepers=[keeper, job_keeper, maintenance_keeper],
+        controllers=[fleet, jobs, maintenance, waves, *writers],
     )
 
 
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/jobs.py
@@ -0,0 +1,335 @@
+"""Placement of jobs, decided by the holder of the claim ``jobs``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from mode import Service
+
+from carawayd.process.appender import NotAppended, Priority
+from carawayd.process.tasks import TaskKeeper
+from carawayshore import records
+from carawayshore.configuration import TEAM_FIELDS
+from carawayshore.health import HealthSettings, TargetHealth
+from carawayshore.options import fill_defaults
+from carawayshore.placement import (
+    Demand,
+    HostRoom,
+    Placed,
+    PlacedTask,
+    Plan,
+    SizeCorrector,
+    plan_jobs,
+)
+
+if TYPE_CHECKING:
+    from carawayd.platform.worker import WorkerClient
+    from carawayd.process.appender import Appender
+    from carawayd.process.claims import ClaimKeeper
+    from carawayd.process.inventory import Inventory
+    from carawayd.process.jobindex import JobIndex
+    from carawayd.process.membership import Membership
+    from carawayd.process.metrics import Metrics
+    from carawayd.process.peers import Peers
+    from carawayd.process.settings import Settings
+    from carawayd.process.streams import StreamReader
+    from carawayd.version.configuration import Versions
+    from carawayshore.clock import Clock
+    from carawayshore.fold import Host, Job
+    from carawayshore.health import Attempt
+
+logger = logging.getLogger(__name__)
+
+# A plan waits for ten times as long as the last one took, so that it takes a tenth of a core.
+PLAN_REST_FACTOR = 10
+SHORTEST_REST = timedelta(milliseconds=20)
+# A job that a worker refused waits, so that a refusing worker costs few appends.
+REFUSAL_BACKOFF = timedelta(seconds=0.5)
+LONGEST_BACKOFF = timedelta(seconds=30)
+# Hosts are added within seconds of a start; a pool without any for longer has none.
+EMPTY_POOL_LIMIT = timedelta(seconds=60)
+DEFAULT_TEAM = fill_defaults(TEAM_FIELDS, {})
+TASK_HEALTH = HealthSettings(
+    consecutive_failures=3,
+    first_backoff=timedelta(seconds=30),
+    max_backoff=timedelta(minutes=10),
+    probe_timeout=timedelta(seconds=60),
+)
+
+
+class JobController(Service):
+    """Places queued jobs and hands the placed ones to the keeper of tasks.
+
+    Parameters
+    ----------
+    keeper : ClaimKeeper
+        Of the claim ``jobs``.
+    reader, appender
+        Of the stream of the own data centre.
+    index : JobIndex
+    membership : Membership
+    peers : Peers
+    versions : Versions
+    inventory : Inventory
+    worker : WorkerClient
+    settings : Settings
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        keeper: ClaimKeeper,
+        reader: StreamReader,
+        appender: Appender,
+        *,
+        index: JobIndex,
+        membership: Membership,
+        peers: Peers,
+        versions: Versions,
+        inventory: Inventory,
+        worker: WorkerClient,
+        settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self.corrector = SizeCorrector()
+        self._keeper = keeper
+        self._reader = reader
+        self._appender = appender
+        self._index = index
+        self._versions = versions
+        self._inventory = inventory
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._submitted: set[tuple[str, int]] = set()
+        self._health: dict[str, TargetHealth] = {}
+        self._backoff: dict[str, tuple[int, timedelta]] = {}
+        self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._homeless_since: timedelta | None = None
+        self.tasks = TaskKeeper(
+            keeper,
+            reader,
+            appender,
+            index=index,
+            membership=membership,
+            peers=peers,
+            worker=worker,
+            note_result=self._note_result,
+            note_usage=self._note_usage,
+            settings=settings,
+            clock=clock,
+            metrics=metrics,
+        )
+
+    async def on_start(self) -> None:
+        await self.add_runtime_dependency(self.tasks)
+
+    @Service.task
+    async def _control(self) -> None:
+        while not self.should_stop:
+            self._index.changed.clear()
+            began = self._clock.elapsed()
+            if self._keeper.holds() and self._versions.current is not None:
+                self._carry_out(self._make_plan())
+            taken = self._clock.elapsed() - began
+            await self._clock.sleep(max(SHORTEST_REST, taken * PLAN_REST_FACTOR))
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        change = asyncio.ensure_future(self._index.changed.wait())
+        timer = asyncio.ensure_future(self._clock.sleep(self._settings.options.controller))
+        try:
+            await asyncio.wait({change, timer}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            change.cancel()
+            timer.cancel()
+
+    def _make_plan(self) -> Plan:
+        self._update_health()
+        demands = [
+            self._build_demand(name, job)
+            for name in self._index.queued
+            if (job := self._index.find(name)) and self._may_place(name, job)
+        ]
+        if not demands:
+            return Plan([], [], [])
+        rooms = self._list_rooms()
+        plan = plan_jobs(demands, rooms, self._find_quotas(demands))
+        pools = {room.pool for room in rooms}
+        homeless = [demand for demand in demands if demand.pool not in pools]
+        plan.unplaceable.extend(self._list_homeless(homeless))
+        return plan
+
+    def _find_quotas(self, demands: list[Demand]) -> dict[str, int]:
+        """Returns how many jobs each team may still place."""
+        teams = self._versions.current.configuration["teams"]
+        return {
+            team: teams.get(team, DEFAULT_TEAM)["max_jobs"] - self._index.by_team[team]
+            for team in {demand.team for demand in demands}
+        }
+
+    def _list_homeless(self, demands: list[Demand]) -> list[tuple[str, str]]:
+        """Returns jobs whose queue is gone, or whose pool has had no hosts for long."""
+        if not demands:
+            self._homeless_since = None
+            return []
+        now = self._clock.elapsed()
+        self._homeless_since = self._homeless_since or now
+        waited = now - self._homeless_since > EMPTY_POOL_LIMIT
+        found = []
+        for demand in demands:
+            if not demand.pool:
+                queue = self._index.find(demand.job).queue
+                found.append((demand.job, f"queue {queue!r} is not configured"))
+            elif waited:
+                found.append((demand.job, f"pool {demand.pool!r} has no hosts"))
+        return found
+
+    def _may_place(self, name: str, job: Job) -> bool:
+        if (name, job.placement.attempt + 1) in self._submitted:
+            return False
+        waits = self._backoff.get(name)
+        return waits is None or self._clock.elapsed() >= waits[1]
+
+    def _find_pool(self, job: Job) -> str:
+        queue = self._versions.current.configuration["queues"].get(job.queue)
+        return queue["pool"] if queue else ""
+
+    def _build_demand(self, name: str, job: Job) -> Demand:
+        return Demand(
+            job=name,
+            pool=self._find_pool(job),
+            team=job.team,
+            declared=job.resources,
+            resources=self.corrector.correct(job.queue, job.resources),
+            urgent=job.urgent,
+            deadline=job.deadline,
+            submitted=job.submitted,
+            avoid=job.placement.host,
+        )
+
+    def _list_rooms(self) -> list[HostRoom]:
+        return [
+            HostRoom(
+                host=name,
+                pool=host.pool,
+                resources=host.resources,
+                usable=self._is_usable(name, host),
+                tasks=tuple(self._list_tasks(name)),
+            )
+            for name, host in self._reader.folded.hosts.items()
+        ]
+
+    def _is_usable(self, name: str, host: Host) -> bool:
+        return not (
+            host.draining_to
+            or self._inventory.is_leaving(name)
+            or self.tasks.is_silent(name)
+            or not self._health[host.pool].may_use(name)
+        )
+
+    def _list_tasks(self, host: str) -> list[PlacedTask]:
+        return [
+            PlacedTask(
+                job=name,
+                resources=self.tasks.find_reservation(name, job)
+                or self.corrector.correct(job.queue, job.resources),
+                urgent=job.urgent,
+                repeatable=job.repeatable,
+                lease=job.placement.lease,
+                stopping=job.state == "cancelling" or self.tasks.is_preempted(name, job),
+            )
+            for name in self._index.by_host.get(host, ())
+            if (job := self._index.find(name))
+        ]
+
+    def _update_health(self) -> None:
+        by_pool: dict[str, list[str]] = {}
+        for name, host in self._reader.folded.hosts.items():
+            by_pool.setdefault(host.pool, []).append(name)
+        for pool, names in by_pool.items():
+            if pool not in self._health:
+                self._health[pool] = TargetHealth(TASK_HEALTH, self._clock)
+            self._health[pool].set_targets(names)
+
+    def _carry_out(self, plan: Plan) -> None:
+        for name, reason in plan.unplaceable:
+            job = self._index.find(name)
+            body = records.JobUnplaceable(name, reason)
+            self._submit_once(name, job.placement.attempt + 1, body)
+        for name in plan.preemptions:
+            self.tasks.preempt(name, self._index.find(name))
+        for placed in plan.placements:
+            self._place(placed)
+
+    def _place(self, placed: Placed) -> None:
+        """Places one job; at an ejected host the first one is the only probe."""
+        name, host = placed.job, placed.host
+        health = self._health[self._reader.folded.hosts[host].pool]
+        if not health.may_use(host):
+            return
+        attempt = self._index.find(name).placement.attempt + 1
+        body = records.JobPlaced(name, attempt, host, self._keeper.fence)
+        if self._submit_once(name, attempt, body):
+            self.tasks.reserve(name, attempt, placed.resources)
+            self._attempts[name, attempt] = health.start(host)
+
+    def _submit_once(self, name: str, attempt: int, body: Any) -> bool:
+        """Submits a decision about one attempt once; returns whether it was submitted."""
+        if (name, attempt) in self._submitted:
+            return False
+        try:
+            future = self._appender.submit(body, Priority.JOB)
+        except NotAppended:
+            return False
+        self._submitted.add((name, attempt))
+        future.add_done_callback(lambda done: self._forget(done, name, attempt))
+        return True
+
+    def _forget(self, done: asyncio.Future, name: str, attempt: int) -> None:
+        self._submitted.discard((name, attempt))
+        if not done.cancelled():
+            done.exception()
+        self._index.changed.set()
+
+    def _note_result(self, name: str, job: Job, result: str) -> None:
+        """Takes note of how an attempt ended: the worker's health and the job's next try."""
+        host = self._reader.folded.hosts.get(job.placement.host)
+        health = self._health.get(host.pool) if host else None
+        attempt = self._attempts.pop((name, job.placement.attempt), None)
+        if health is not None and attempt is not None:
+            if result == "succeeded":
+                health.succeed(attempt)
+            elif result == "failed":
+                health.fail(attempt)
+        if result == "not-started":
+            refusals = self._backoff.get(name, (0, timedelta()))[0]
+            wait = min(REFUSAL_BACKOFF * 2 ** min(refusals, 10), LONGEST_BACKOFF)
+            self._backoff[name] = (refusals + 1, self._clock.elapsed() + wait)
+        else:
+            self._backoff.pop(name, None)
+
+    def _note_usage(self, job: Job, usage: dict[str, Any]) -> None:
+        try:
+            processors, memory = float(usage["processors"]), float(usage["memory_gib"])
+        except (KeyError, TypeError, ValueError):
+            logger.debug("malformed usage %r", usage)
+            return
+        self.corrector.note(job.queue, job.resources, processors=processors, memory=memory)
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the state of placement for the dump."""
+        return {
+            "queued": len(self._index.queued),
+            "active": self._index.active_count,
+            "undecided_appends": len(self._submitted),
+            "refused_lately": len(self._backoff),
+            "ejected_hosts": {pool: health.list_ejected() for pool, health in self._health.items()},
+            "tasks": self.tasks.describe(),
+        }
