Add a demonstration that judges the promises by what the stand-ins recorded

Change: carawayshore_standins.demo runs two data centres with faults, operators, jobs, moves, a wave and stops, and judges each promise by the records of the stand-ins and of the callers. The load tool can send a call again through another entry host, tells when each call was sent, and finishes what is in progress on SIGTERM. Before: no such program.

--- a/packages/standins/src/carawayshore_standins/callers.py
+++ b/packages/standins/src/carawayshore_standins/callers.py
@@ -14,6 +14,7 @@
 import itertools
 import json
 import random
+import signal
 import sys
 from collections import Counter
 from datetime import timedelta
@@ -26,7 +27,7 @@
 from carawayshore.findings import FindingsError
 from carawayshore.options import Field
 from carawayshore.outcome import OUTCOME_HEADER, Outcome
-from carawayshore_standins.common import load_settings
+from carawayshore_standins.common import format_time, load_settings
 from carawayshore_standins.content import ContentVerifier, generate_pages
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 
 READY_INTERVAL = timedelta(milliseconds=250)
 READY_TIMEOUT_S = 1.0
+RETRY_INTERVAL = timedelta(milliseconds=250)
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
 BROKEN = "broken"
 TIMED_OUT = "timeout"
@@ -55,6 +57,7 @@
     Field("repeatable", "boolean", "Send Carawayshore-Repeatable.", default=False),
     Field("deadline_seconds", "number", "Deadline; 0 for none.", unit="s", default=0.0),
     Field("team", "text", "Team; empty for none.", default=""),
+    Field("attempts", "integer", "Most times a call is sent.", default=1, minimum=1, maximum=100),
     Field("pool", "text", "Pool, to call workers directly; empty for entry hosts.", default=""),
     Field("burst_seconds", "number", "Length of a burst; 0 for a steady rate.", default=0.0),
     Field("quiet_seconds", "number", "Time between bursts.", unit="s", default=0.0),
@@ -71,6 +74,7 @@
     Field("timeout_seconds", "number", "Longest wait for an answer.", unit="s", default=60),
     Field("seed", "integer", "Seed; absent: drawn and printed.", default=None),
     Field("watch_ready", "boolean", "Send to ready entry hosts only.", default=True),
+    Field("output", "text", "File for one JSON line for each call; empty: none.", default=""),
 )
 
 
@@ -156,6 +160,7 @@
             timeout_seconds=settings["timeout_seconds"],
             team=kind["team"],
             pool=kind["pool"],
+            attempts=kind["attempts"],
         )
         yield moment, call
 
@@ -168,11 +173,12 @@
 
 
 async def run_load(
-    settings: dict[str, Any], seed: int, clock: Clock
+    settings: dict[str, Any], seed: int, clock: Clock, *, stopped: asyncio.Event | None = None
 ) -> tuple[list[CallResult], int]:
     """Sends an open-loop load; returns the results and the number of calls that were not sent.
 
-    A call is not sent if as many calls as ``in_progress`` are unanswered when its time comes.
+    A call is not sent if as many calls as ``in_progress`` are unanswered when its time comes. No
+    new call is sent once ``stopped`` is set; those in progress are finished.
     """
     balancer = Balancer(settings["addresses"], clock)
     unsent, sending = 0, set()
@@ -182,10 +188,12 @@
             wait = start + timedelta(seconds=moment) - clock.elapsed()
             if wait > timedelta():
                 await clock.sleep(wait)
+            if stopped is not None and stopped.is_set():
+                break
             if len(sending) >= settings["in_progress"]:
                 unsent += 1
                 continue
-            task = asyncio.create_task(caller.send(call))
+            task = asyncio.create_task(caller.send_until_known(call))
             sending.add(task)
             task.add_done_callback(sending.discard)
         await asyncio.gather(*sending)
@@ -216,6 +224,16 @@
     }
 
 
+async def _run_until_signalled(
+    settings: dict[str, Any], seed: int, clock: Clock
+) -> tuple[list[CallResult], int]:
+    """Runs the load; SIGTERM or SIGINT stops the sending, and what is in progress is finished."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    return await run_load(settings, seed, clock, stopped=stopped)
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description="Sends a bounded open-loop load.")
     parser.add_argument("--settings", type=Path, required=True, help="JSON settings file")
@@ -230,10 +248,10 @@
     given = settings["seed"] if arguments.seed is None else arguments.seed
     seed = random.SystemRandom().randrange(2**31) if given is None else given
     print(json.dumps({"event": "load", "seed": seed}), flush=True)
-    results, unsent = asyncio.run(run_load(settings, seed, SystemClock()))
-    if arguments.output:
+    results, unsent = asyncio.run(_run_until_signalled(settings, seed, SystemClock()))
+    if arguments.output or settings["output"]:
         lines = (json.dumps(result._asdict()) + "\n" for result in results)
-        arguments.output.write_text("".join(lines))
+        Path(arguments.output or settings["output"]).write_text("".join(lines))
     print(json.dumps({"seed": seed, "unsent": unsent} | summarise_results(results)))
     return 0
 
@@ -255,6 +273,8 @@
         Deadline sent (0 for none) and longest wait, in seconds.
     pool : str
         Sends the headers that a worker expects from an entry host, for calls without one.
+    attempts : int
+        Most times that the call is sent.
     """
 
     service: str
@@ -270,6 +290,7 @@
     timeout_seconds: float = 60.0
     team: str = ""
     pool: str = ""
+    attempts: int = 1
 
     @property
     def path(self) -> str:
@@ -287,6 +308,8 @@
         Whether the whole answer belongs to the request; None if there is no answer of a worker.
     latency_seconds : float
         Time from sending to the end of the answer, in seconds.
+    sent : str
+        Time of day of the sending, RFC 3339.
     """
 
     path: str
@@ -299,6 +322,7 @@
     latency_seconds: float
     error: str = ""
     request: str = ""
+    sent: str = ""
 
 
 class Balancer:
@@ -316,9 +340,9 @@
         self._clock = clock
         self._turn = itertools.count()
 
-    def pick(self) -> str:
-        """Returns the next ready entry host, or the next one at all if none is ready."""
-        choice = self._ready or self._addresses
+    def pick(self, *, avoid: str = "") -> str:
+        """Returns the next ready entry host but ``avoid``, or the next one at all if none is."""
+        choice = [a for a in self._ready if a != avoid] or self._addresses
         return choice[next(self._turn) % len(choice)]
 
     async def watch(self) -> None:
@@ -380,14 +404,29 @@
             Entry host to use; the balancer chooses if it is empty.
         """
         address = address or self._balancer.pick()
-        started = self._clock.elapsed()
+        sent, started = format_time(self._clock), self._clock.elapsed()
         status, outcome, verified, error, request = await self._exchange(call, address)
         latency = (self._clock.elapsed() - started).total_seconds()
         parts = (call.path, call.kind, call.key, address, status, outcome, verified)
-        result = CallResult(*parts, latency, error, request)
+        result = CallResult(*parts, latency, error, request, sent)
         self.results.append(result)
         return result
 
+    async def send_until_known(self, call: Call) -> CallResult:
+        """Sends ``call`` up to ``call.attempts`` times, each time through another entry host.
+
+        After a safe-to-retry rejection any call is sent again; after an unknown fate only one that
+        is repeatable or has an idempotency key. Each sending is a result of its own.
+        """
+        result = await self.send(call)
+        for _ in range(call.attempts - 1):
+            may_repeat = call.repeatable or call.key or result.outcome == Outcome.NOT_RUN.value
+            if result.outcome in (Outcome.COMPLETED.value, UNMARKED) or not may_repeat:
+                break
+            await self._clock.sleep(RETRY_INTERVAL)
+            result = await self.send(call, address=self._balancer.pick(avoid=result.address))
+        return result
+
     async def _exchange(self, call: Call, address: str) -> tuple[int, str, bool | None, str, str]:
         body = _send_pages(generate_pages(call.path, call.body_bytes)) if call.body_bytes else None
         status, verified = 0, None
--- /dev/null
+++ b/packages/standins/src/carawayshore_standins/scenario.py
@@ -0,0 +1,363 @@
+"""The demonstration's deployment and its steps: roll-outs, moves, maintenance, stops and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import sys
+from datetime import timedelta
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from carawayshore_standins.client import JsonClient, wait_until
+from carawayshore_standins.evidence import (
+    Evidence,
+    Stop,
+    list_assignments,
+    read_executions,
+    read_operations,
+    read_stream,
+)
+from carawayshore_standins.jobcalls import JobCaller, build_job
+from carawayshore_standins.loads import Load, build_burst, build_steady
+from carawayshore_standins.rollouts import Operators
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable
+
+    from carawayshore.clock import Clock
+    from carawayshore_standins.evidence import Call
+    from carawayshore_standins.launcher import Launcher
+
+STEP_LIMIT = timedelta(seconds=30)
+SLOTS = 8
+# Racks of the pools; a wave takes one rack.
+BOOKING_WORKERS, OFFICE_WORKERS = 3, 2
+DATA_CENTRES = ("umea", "lulea")
+DESCRIPTION = {
+    "data_centres": {
+        name: {
+            "entry_hosts": 2,
+            "pools": {
+                "booking": {"workers": BOOKING_WORKERS},
+                "office": {"workers": OFFICE_WORKERS},
+            },
+        }
+        for name in DATA_CENTRES
+    },
+    "pools": {"reboot_seconds": 0.5},
+    "configuration": {
+        "data_centres": list(DATA_CENTRES),
+        "pools": {"booking": {}, "office": {"spare": True}},
+        "services": {
+            "booking": {"pool": "booking", "max_unavailable": 1},
+            "office": {"pool": "office", "max_unavailable": 1},
+        },
+        "queues": {"nightly": {"pool": "office", "service": "office"}},
+        "teams": {"billing": {}},
+    },
+}
+# Answers that come late and out of order, in each data centre at one worker.
+DISORDER = {"reorder": 3, "reorder_seconds": 0.3, "late_share": 0.2, "late_seconds": 0.5}
+JOBS_PER_DATA_CENTRE = 8
+JOB_SECONDS = (0.3, 3.0)
+HOLD_TIME = timedelta(seconds=4)
+
+
+class Scenario:
+    """Runs the steps against a deployment and collects what was recorded.
+
+    Parameters
+    ----------
+    launcher : Launcher
+        Running.
+    client : JsonClient
+    clock : Clock
+    seed : int
+    short : bool
+        Leaves out the maintenance wave, the held host, the kill and the silent connections.
+    """
+
+    def __init__(
+        self, launcher: Launcher, client: JsonClient, clock: Clock, *, seed: int, short: bool
+    ) -> None:
+        self._launcher = launcher
+        self._client = client
+        self._clock = clock
+        self._seed = seed
+        self._short = short
+        self._draw = random.Random(seed)
+        self._began = clock.elapsed()
+        self._operators = Operators(launcher, client, clock, pool="office")
+        self._jobs = JobCaller(client, clock)
+        self._loads: list[Load] = []
+        self._stops: list[Stop] = []
+        self._spans: dict[str, tuple[float, float]] = {}
+        self._silenced: dict[str, int] = {}
+
+    async def run(self) -> Evidence:
+        """Runs all steps and returns the evidence.
+
+        Raises
+        ------
+        TimeoutError
+            If a step does not come to its end.
+        """
+        try:
+            steady = await self._start_load("steady", build_steady(self._addresses(), self._seed))
+            await self._run_steps()
+            self.report("the callers finish")
+            calls = await steady.finish(stop=True) + await self._finish_bursts(steady)
+            stories = await self._jobs.finish()
+            return await self._collect(calls, stories)
+        finally:
+            await asyncio.gather(*(load.end() for load in self._loads))
+            await self._operators.stop()
+
+    def report(self, message: str) -> None:
+        """Prints a line of progress for people."""
+        elapsed = (self._clock.elapsed() - self._began).total_seconds()
+        print(f"{elapsed:5.1f} s  {message}", file=sys.stderr, flush=True)
+
+    def _addresses(self, data_centre: str = "") -> list[str]:
+        return self._launcher.list_caller_addresses(data_centre)
+
+    def _now(self) -> float:
+        return self._clock.now().timestamp()
+
+    async def _wait(self, condition: Any, what: str) -> Any:
+        return await wait_until(condition, STEP_LIMIT, self._clock, what=what)
+
+    async def _start_load(self, name: str, settings: dict[str, Any]) -> Load:
+        load = Load(name, settings, self._launcher.folder)
+        self._loads.append(load)
+        await load.start()
+        return load
+
+    async def _finish_bursts(self, steady: Load) -> list[Call]:
+        bursts = [await load.finish(stop=False) for load in self._loads if load is not steady]
+        return [call for calls in bursts for call in calls]
+
+    @contextlib.asynccontextmanager
+    async def _span(self, name: str) -> AsyncIterator[None]:
+        began = self._now()
+        yield
+        self._spans[name] = (began, self._now())
+
+    async def _run_steps(self) -> None:
+        await self._set_disorder()
+        self._operators.start()
+        self._start_jobs()
+        await self._roll_out()
+        await self._burst(1.0 if self._short else 3.0)
+        await self._move_hosts()
+        if self._short:
+            await self._stop_and_return("umea-2")
+        else:
+            await self._enable_maintenance()
+            await self._stop_and_return("umea-2")
+            await self._kill_and_return("lulea-1")
+            await self._finish_wave()
+        await self._interrupt_log(timedelta(seconds=2 if self._short else 5))
+        if not self._short:
+            await self._silence("umea-w1")
+
+    async def _set_disorder(self) -> None:
+        for name in DATA_CENTRES:
+            await self._launcher.set_faults(f"{name}-w2", seed=self._seed, **DISORDER)
+
+    def _start_jobs(self) -> None:
+        self.report(f"jobs: {JOBS_PER_DATA_CENTRE} in each data centre, one of them too large")
+        for name in DATA_CENTRES:
+            for number in range(JOBS_PER_DATA_CENTRE):
+                seconds = round(self._draw.uniform(*JOB_SECONDS), 2)
+                repeatable = self._draw.random() < 0.5
+                job = build_job(f"{name}-{number}", run_seconds=seconds, repeatable=repeatable)
+                self._jobs.follow(job, self._addresses(name))
+            large = build_job(f"{name}-large", run_seconds=1, processors=1000)
+            self._jobs.follow(large, self._addresses(name), fits=False)
+
+    async def _roll_out(self) -> None:
+        told = await self._operators.roll_out("quotes", "umea-1")
+        slowest = max(told.seconds.values())
+        self.report(f"configuration: in force at 4 entry hosts, the last after {slowest:.2f} s")
+        race = await self._operators.race({"umea-1": "north", "lulea-2": "south"})
+        self.report(f"race of two operators: {race.accepted} accepted, {race.refused} refused")
+
+    async def _burst(self, seconds: float) -> None:
+        slots = SLOTS * BOOKING_WORKERS * len(DATA_CENTRES)
+        settings = build_burst(self._addresses(), self._seed, slots=slots, seconds=seconds)
+        self.report(f"burst: five times the capacity of pool booking for {seconds:g} s")
+        load = await self._start_load("burst", settings)
+        calls = await load.finish(stop=False)
+        completed = sum(call.outcome == "completed" for call in calls)
+        rejected = sum(call.outcome == "not-run" for call in calls)
+        self.report(f"burst: {len(calls)} calls, {completed} completed, {rejected} rejected")
+
+    async def _operate(self, member: str, path: str, body: dict[str, Any]) -> None:
+        """Sends an operator's command until it is accepted."""
+        address = self._launcher.get_address(member, "operator")
+
+        async def send() -> bool:
+            reply = await self._client.call("POST", address, f"/v1/operator/{path}", body)
+            return reply.status == 200
+
+        await self._wait(send, f"command {path}")
+
+    async def _read_hosts(self) -> dict[str, Any]:
+        return (await self._launcher.read_record("pools"))["hosts"]
+
+    async def _await_host(self, host: str, *, state: str, pool: str) -> None:
+        async def is_there() -> bool:
+            known = (await self._read_hosts())[host]
+            return (known["state"], known["pool"]) == (state, pool)
+
+        await self._wait(is_there, f"host {host} {state} in {pool}")
+
+    async def _move_hosts(self) -> None:
+        """Moves one host for good and holds another one drained, in different pools."""
+        mover = self._draw.choice([f"umea-w{n + 1}" for n in range(1, BOOKING_WORKERS)])
+        self.report(f"move: {mover} from booking to office; the first answer to it gets lost")
+        await self._launcher.set_faults("pools", lose_answers=1)
+        steps: list[Awaitable[None]] = [self._move(mover, "office")]
+        if not self._short:
+            steps.append(self._hold(f"lulea-w{BOOKING_WORKERS + OFFICE_WORKERS}", "office"))
+        await asyncio.gather(*steps)
+        await self._launcher.set_faults("pools")
+
+    async def _move(self, host: str, pool: str) -> None:
+        await self._operate("umea-1", f"hosts/{host}/move", {"pool": pool})
+        await self._await_host(host, state="serving", pool=pool)
+        self.report(f"move: {host} serves {pool}")
+
+    async def _hold(self, host: str, pool: str) -> None:
+        """Keeps a host drained for longer than new work may still come to it."""
+        self.report(f"drain: {host} is held for {HOLD_TIME.total_seconds():g} s")
+        await self._operate("lulea-1", f"hosts/{host}/drain", {})
+        await self._await_host(host, state="drained", pool=pool)
+        await self._clock.sleep(HOLD_TIME)
+        await self._operate("lulea-1", f"hosts/{host}/return", {})
+        await self._await_host(host, state="serving", pool=pool)
+        self.report(f"drain: {host} serves again")
+
+    async def _enable_maintenance(self) -> None:
+        changes = {"maintenance": {"enabled": True, "period_days": 49}}
+        await self._operators.roll_out("maintained", "lulea-2", **changes)
+        self.report("maintenance: enabled, a wave begins")
+
+    async def _list_global(self, record_type: str) -> list[dict[str, Any]]:
+        """Returns the bodies of the records of a type in the stream ``global``."""
+        ends = (await self._launcher.read_record("log"))["streams"]
+        address = self._launcher.get_address("log")
+        records = await read_stream(self._client, address, "global", ends["global"]["end"])
+        return [record["body"] for record in records if record["type"] == record_type]
+
+    async def _finish_wave(self) -> None:
+        """Waits for the end of the first wave, and pauses maintenance."""
+
+        async def is_finished() -> list[dict[str, Any]]:
+            return await self._list_global("wave_finished")
+
+        finished = await self._wait(is_finished, "end of the first wave")
+        body = {"author": "demo", "reason": "one wave is enough"}
+        await self._operate("umea-1", "maintenance/pause", body)
+
+        async def is_serving() -> bool:
+            hosts = await self._read_hosts()
+            return all(host["state"] == "serving" for host in hosts.values())
+
+        await self._wait(is_serving, "return of every host")
+        self.report(f"maintenance: wave {finished[0]['wave']} finished; paused")
+
+    async def _stop_and_return(self, member: str) -> None:
+        began = self._now()
+        self.report(f"planned stop of {member}")
+        status = await self._launcher.stop(member)
+        ended = self._now()
+        await self._launcher.start(member)
+        self._note_stop(member, began, ended, status)
+        self.report(f"planned stop of {member}: status {status}; it is back")
+
+    async def _kill_and_return(self, member: str) -> None:
+        began = self._now()
+        self.report(f"kill of {member}")
+        await self._launcher.kill(member)
+        ended = self._now()
+        await self._launcher.start(member)
+        self._note_stop(member, began, ended, self._launcher.processes[member].exit_status or -9)
+        self.report(f"kill of {member}: it is back")
+
+    def _note_stop(self, member: str, began: float, ended: float, status: int) -> None:
+        address = self._launcher.get_address(member, "caller")
+        self._stops.append(Stop(member, address, began, ended, self._now(), status))
+
+    async def _interrupt_log(self, duration: timedelta) -> None:
+        """Keeps the log down while requests with keys go on; a job submitted then is rejected."""
+        self.report(f"outage of the log for {duration.total_seconds():g} s")
+        async with self._span("log outage"):
+            await self._launcher.set_faults("log", outage=True)
+            submitting = asyncio.ensure_future(self._submit_in_outage())
+            await self._clock.sleep(duration)
+            await submitting
+        await self._launcher.set_faults("log")
+        self.report("outage of the log: over")
+
+    async def _submit_in_outage(self) -> None:
+        job = build_job("outage", run_seconds=0.5)
+        reply = await self._jobs.submit_once(job, self._addresses("lulea")[0])
+        self.report(f"outage of the log: a job submitted now is answered {reply.status}")
+
+    async def _silence(self, host: str) -> None:
+        """Silences the open connections of a worker and waits until their requests are over."""
+        async with self._span("silence"):
+            await self._launcher.set_faults(host, silent=True)
+            record = await self._launcher.read_record(host)
+            self._silenced[host] = record["silent_connections"]
+            self.report(f"silence: {self._silenced[host]} connections of {host}")
+            await self._clock.sleep(timedelta(seconds=6))
+        self.report("silence: observed for 6 s")
+
+    async def _collect(self, calls: list[Call], stories: list[Any]) -> Evidence:
+        roll_outs = await self._operators.stop()
+        records = {
+            name: await self._launcher.read_record(name) for name in self._launcher.processes
+            if name not in self._launcher.list_members()
+        }
+        workers = {name: r for name, r in records.items() if "executions" in r}
+        (self._launcher.folder / "records.json").write_text(json.dumps(records))
+        return Evidence(
+            calls=calls,
+            executions=[e for record in workers.values() for e in read_executions(record)],
+            rejections=[
+                entry | {"host": name} for name, r in workers.items() for entry in r["rejections"]
+            ],
+            dropped=sum(record["executions_dropped"] for record in workers.values()),
+            operations=read_operations(records["pools"]),
+            first_pools=self._list_first_pools(),
+            assignments=await self._read_assignments(records["log"]),
+            configuration=self._operators.document,
+            stops=self._stops,
+            jobs=stories,
+            roll_outs=roll_outs,
+            races=self._operators.races,
+            spans=self._spans,
+            silenced=self._silenced,
+        )
+
+    def _list_first_pools(self) -> dict[str, str]:
+        plan = self._launcher.processes["pools"].plan
+        return {entry["host"]: entry["pool"] for entry in plan.settings["hosts"]}
+
+    async def _read_assignments(
+        self, record: dict[str, Any]
+    ) -> dict[str, list[tuple[float, str, str]]]:
+        """Returns the assignments of all streams by host, in the order of their time."""
+        merged: dict[str, list[tuple[float, str, str]]] = {}
+        for stream, bounds in record["streams"].items():
+            address = self._launcher.get_address("log")
+            records = await read_stream(self._client, address, stream, bounds["end"])
+            for host, told in list_assignments(stream, records, record["appends"]).items():
+                merged.setdefault(host, []).extend(told)
+        return {host: sorted(told) for host, told in merged.items()}
