Read why a worker refused from the body of its answer

Cause: the daemon read the reason of a refusal from the header Carawayshore-Reason, which docs/PROTOCOLS.md (section 5.1) does not define; the reason is a member of the body. A worker without a free slot was therefore taken for one that drains, and left alone for a while. Change: the reason is the member 'reason' of the body; 'slots' and 'connections' are lack of room. Conclusion: a refusal for lack of slots no longer takes the target out.

--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -30,6 +31,8 @@
 WHOLE_ANSWER_BYTES = 64 * 1024
 LARGEST_KEYED_ANSWER_BYTES = 16 * 1024 * 1024
 MISDIRECTED = 421
+# Refusals for lack of room; every other one says that the target takes no work for a while.
+BUSY_REASONS = frozenset({"slots", "connections", "queue-full"})
 
 
 class Unanswered(NamedTuple):
@@ -159,9 +162,9 @@
     ) -> KeptAnswer | web.StreamResponse | Unanswered:
         response = exchange.response
         if response.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
-            return self._note_refusal(exchange)
+            return await self._note_refusal(exchange)
         if response.status == MISDIRECTED:
-            return self._note_refusal(exchange)
+            return await self._note_refusal(exchange)
         headers = copy_headers(response.headers)
         headers.setdefault(OUTCOME_HEADER, Outcome.COMPLETED.value)
         headers[REQUEST_HEADER] = plan.request
@@ -171,10 +174,10 @@
             return await self._read_whole(exchange, headers)
         return await self._stream(request, exchange, headers)
 
-    def _note_refusal(self, exchange: Exchange) -> Unanswered:
+    async def _note_refusal(self, exchange: Exchange) -> Unanswered:
         status = exchange.response.status
-        reason = exchange.response.headers.get("Carawayshore-Reason", "")
-        busy = reason in ("no-slot", "no-slots", "slots", "queue-full")
+        reason = await self._read_reason(exchange)
+        busy = reason in BUSY_REASONS
         if not busy:
             self._slots.note_refusal(exchange.target)
         return Unanswered(
@@ -184,6 +187,18 @@
             detail=f"status {status} {reason}".strip(),
         )
 
+    async def _read_reason(self, exchange: Exchange) -> str:
+        """Returns the member ``reason`` of a refusal's body, empty if it cannot be had."""
+        body = b""
+        try:
+            while len(body) <= WHOLE_ANSWER_BYTES and (piece := await exchange.read()):
+                body += piece
+            document = msgspec.json.decode(body)
+        except (ExchangeError, msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            return ""
+        reason = document.get("reason", "") if isinstance(document, dict) else ""
+        return reason if isinstance(reason, str) else ""
+
     async def _read_whole(
         self, exchange: Exchange, headers: CIMultiDict[str]
     ) -> KeptAnswer | Unanswered:
