Judge silent connections by what callers waited in vain

Submissions with an unknown outcome are counted apart. The steps begin when every entry host serves, so that the roll-out time is that of the change alone. Conclusion: the rows now rest on observations.

--- a/packages/standins/src/carawayshore_standins/client.py
+++ b/packages/standins/src/carawayshore_standins/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -79,7 +78,7 @@
             ) as answer:
                 text = await answer.text()
                 headers, status = answer.headers, answer.status
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Reply(0, {"error": repr(error)})
         try:
             return Reply(status, json.loads(text), headers)
--- a/packages/standins/src/carawayshore_standins/demo.py
+++ b/packages/standins/src/carawayshore_standins/demo.py
@@ -37,9 +37,7 @@
 ROW = f"{{:{PROMISE_WIDTH}}}  {{:{COUNTED_WIDTH}}}  {{}}"
 
 
-async def _run(
-    folder: Path, clock: Clock, *, seed: int, short: bool
-) -> tuple[Evidence, timedelta]:
+async def _run(folder: Path, clock: Clock, *, seed: int, short: bool) -> tuple[Evidence, timedelta]:
     """Returns the evidence and the duration of the whole run, start and end included."""
     began = clock.elapsed()
     async with Launcher(DESCRIPTION, folder) as launcher, JsonClient() as client:
--- a/packages/standins/src/carawayshore_standins/evidence.py
+++ b/packages/standins/src/carawayshore_standins/evidence.py
@@ -92,16 +92,19 @@
         Whether a submission was answered with 201.
     refusals : int
         Submissions answered as safe to retry.
+    unclear : int
+        Submissions without an answer, or with an unknown outcome.
     state : str
         Last state that the caller was told; empty before the first answer.
     """
 
     job: str
     repeatable: bool
-    fits: bool
-    accepted: bool
-    refusals: int
-    state: str
+    fits: bool = True
+    accepted: bool = False
+    refusals: int = 0
+    unclear: int = 0
+    state: str = ""
 
 
 class RollOut(NamedTuple):
--- a/packages/standins/src/carawayshore_standins/jobcalls.py
+++ b/packages/standins/src/carawayshore_standins/jobcalls.py
@@ -55,15 +55,12 @@
 
         A submission without a clear answer is sent again under the same name.
         """
-        self._stories[job["job"]] = JobStory(
-            job["job"], job["repeatable"], fits, accepted=False, refusals=0, state=""
-        )
+        self._stories[job["job"]] = JobStory(job["job"], job["repeatable"], fits)
         self._following.append(asyncio.ensure_future(self._follow(job, addresses)))
 
     async def submit_once(self, job: dict[str, Any], address: str) -> Reply:
         """Submits a job once and notes the answer; it is not followed if it is rejected."""
-        story = JobStory(job["job"], job["repeatable"], True, False, 0, "")
-        self._stories.setdefault(job["job"], story)
+        self._stories.setdefault(job["job"], JobStory(job["job"], job["repeatable"]))
         return await self._submit(job, address)
 
     async def finish(self) -> list[JobStory]:
@@ -80,6 +77,8 @@
             self._change(job["job"], accepted=True)
         elif reply.status and reply.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value:
             self._change(job["job"], refusals=self._stories[job["job"]].refusals + 1)
+        else:
+            self._change(job["job"], unclear=self._stories[job["job"]].unclear + 1)
         return reply
 
     async def _follow(self, job: dict[str, Any], addresses: list[str]) -> None:
--- a/packages/standins/src/carawayshore_standins/promises.py
+++ b/packages/standins/src/carawayshore_standins/promises.py
@@ -19,6 +19,7 @@
 LONGEST_ROLL_OUT_S = 5.0
 LONGEST_NEW_WORK_S = 3.0
 LONGEST_SILENCE_S = 5.0
+LEAST_SILENCE_S = 1.0
 MAX_EXAMPLES = 5
 COMPLETED, NOT_RUN = Outcome.COMPLETED.value, Outcome.NOT_RUN.value
 
@@ -67,7 +68,7 @@
 
 
 def judge_all(evidence: Evidence) -> list[Verdict]:
-    """Returns the verdicts of the promises that the run concerns, in the order of the design page."""
+    """Returns the verdicts of the promises that the run concerns, in the design page's order."""
     verdicts = []
     for text, judge in _judges:
         found = judge(evidence)
@@ -333,37 +334,52 @@
             violations.append(told)
         elif starts > 1 and not story.repeatable:
             violations.append(told + ", may not be repeated")
-        elif not story.accepted and starts:
+        elif not story.accepted and not story.unclear and starts:
             violations.append(told + ", was rejected")
     accepted = sum(story.accepted for story in evidence.jobs)
     refused = sum(story.refusals for story in evidence.jobs)
     starts = sum(len(group) for group in runs.values())
-    counted = f"{accepted} accepted, {refused} submissions rejected, {starts} starts; "
+    unclear = sum(story.unclear for story in evidence.jobs)
+    counted = f"{accepted} accepted, {refused} submissions rejected, {unclear} unclear, "
+    counted += f"{starts} starts; "
     counted += f"{len(violations)} lost or doubled"
     figures = {"accepted": accepted, "rejected_submissions": refused, "starts": starts}
+    figures |= {"unclear_submissions": unclear}
     return Finding(counted, accepted, violations, figures)
 
 
+def _find_wait(call: Call, ran: list[Execution], silenced: dict[str, int], begin: float) -> float:
+    """Returns for how many seconds a caller waited in vain.
+
+    That is the time from the end of its execution at the silenced worker to the answer, or the time
+    until it ran elsewhere, or all its time if it never ran.
+    """
+    lost = [e.ended for e in ran if e.host in silenced and e.ended]
+    if lost:
+        return call.ended - max(min(lost), begin)
+    return (min(e.started for e in ran) if ran else call.ended) - max(call.sent, begin)
+
+
 @promise("A silent connection is noticed within 5 s, and repeatable requests on it are answered")
 def _judge_silence(evidence: Evidence) -> Finding | None:
-    """A call is affected if its caller waited on after the silenced worker had run it."""
+    """A call is affected if its caller waited for more than a second in vain."""
     if "silence" not in evidence.spans:
         return None
     begin, end = evidence.spans["silence"]
     ran = _group_by_path(evidence)
     affected, violations, longest = 0, [], 0.0
     for call in evidence.calls:
-        if call.ended < begin or call.sent > end:
+        if call.ended < begin or call.sent > end or call.outcome == NOT_RUN:
             continue
         if call.kind.startswith("repeatable") and call.outcome != COMPLETED:
             violations.append(f"{call.path}: repeatable, {call.outcome} {call.error}")
-        ends = [e.ended for e in ran[call.path] if e.host in evidence.silenced and e.ended]
-        waits = [call.ended - max(moment, begin) for moment in ends if moment < call.ended - 1]
-        affected += bool(waits)
-        longest = max(longest, *waits, 0.0)
-        if waits and max(waits) > LONGEST_SILENCE_S:
-            violations.append(f"{call.path}: answered {max(waits):.1f} s after its end")
+        wait = _find_wait(call, ran.get(call.path, []), evidence.silenced, begin)
+        affected += wait > LEAST_SILENCE_S
+        longest = max(longest, wait)
+        if wait > LONGEST_SILENCE_S:
+            violations.append(f"{call.path}: waited {wait:.1f} s in vain, then {call.outcome}")
     count = sum(evidence.silenced.values())
-    counted = f"{count} connections fell silent with {affected} answers; longest {longest:.1f} s"
-    figures = {"connections": count, "answers": affected, "longest_seconds": longest}
-    return Finding(counted, count, violations, figures)
+    counted = f"{count} connections fell silent, {affected} calls waited for more than 1 s in vain,"
+    counted += f" the longest {longest:.1f} s"
+    figures = {"connections": count, "affected": affected, "longest_seconds": longest}
+    return Finding(counted, affected, violations, figures)
--- a/packages/standins/src/carawayshore_standins/rollouts.py
+++ b/packages/standins/src/carawayshore_standins/rollouts.py
@@ -66,6 +66,17 @@
         self._numbers = itertools.count(1)
         self._watchers: list[asyncio.Task[None]] = []
 
+    async def await_first(self) -> None:
+        """Waits until every entry host serves a service of the first version."""
+        service = min(self.document["services"])
+
+        async def is_served() -> bool:
+            members = self._launcher.list_members()
+            probes = await asyncio.gather(*(self._probe(m, service) for m in members))
+            return all(reply.status == 200 for reply in probes)
+
+        await wait_until(is_served, ROLL_OUT_LIMIT, self._clock, what=f"service {service}")
+
     def start(self) -> None:
         """Begins to watch all entry hosts."""
         members = self._launcher.list_members()
--- a/packages/standins/src/carawayshore_standins/scenario.py
+++ b/packages/standins/src/carawayshore_standins/scenario.py
@@ -8,9 +8,9 @@
 import random
 import sys
 from datetime import timedelta
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from carawayshore.outcome import OUTCOME_HEADER
 from carawayshore_standins.client import JsonClient, wait_until
 from carawayshore_standins.evidence import (
     Evidence,
@@ -106,6 +106,8 @@
             If a step does not come to its end.
         """
         try:
+            await self._operators.await_first()
+            self.report("every entry host serves")
             steady = await self._start_load("steady", build_steady(self._addresses(), self._seed))
             await self._run_steps()
             self.report("the callers finish")
@@ -160,7 +162,7 @@
             await self._stop_and_return("umea-2")
             await self._kill_and_return("lulea-1")
             await self._finish_wave()
-        await self._interrupt_log(timedelta(seconds=2 if self._short else 5))
+        await self._interrupt_log(timedelta(seconds=3 if self._short else 5))
         if not self._short:
             await self._silence("umea-w1")
 
@@ -294,20 +296,21 @@
         self._stops.append(Stop(member, address, began, ended, self._now(), status))
 
     async def _interrupt_log(self, duration: timedelta) -> None:
-        """Keeps the log down while requests with keys go on; a job submitted then is rejected."""
+        """Keeps the log down while requests with keys go on.
+
+        A job is submitted as the outage begins, when its record may already be on its way, and
+        another one late in the outage, when the entry host knows of it.
+        """
         self.report(f"outage of the log for {duration.total_seconds():g} s")
         async with self._span("log outage"):
             await self._launcher.set_faults("log", outage=True)
-            submitting = asyncio.ensure_future(self._submit_in_outage())
+            self._jobs.follow(build_job("early", run_seconds=0.5), self._addresses("lulea"))
             await self._clock.sleep(duration)
-            await submitting
+            job = build_job("late", run_seconds=0.5)
+            reply = await self._jobs.submit_once(job, self._addresses("umea")[0])
         await self._launcher.set_faults("log")
-        self.report("outage of the log: over")
-
-    async def _submit_in_outage(self) -> None:
-        job = build_job("outage", run_seconds=0.5)
-        reply = await self._jobs.submit_once(job, self._addresses("lulea")[0])
-        self.report(f"outage of the log: a job submitted now is answered {reply.status}")
+        told = reply.headers.get(OUTCOME_HEADER, "nothing")
+        self.report(f"outage of the log: over; a job submitted in it was answered {told}")
 
     async def _silence(self, host: str) -> None:
         """Silences the open connections of a worker and waits until their requests are over."""
@@ -322,7 +325,8 @@
     async def _collect(self, calls: list[Call], stories: list[Any]) -> Evidence:
         roll_outs = await self._operators.stop()
         records = {
-            name: await self._launcher.read_record(name) for name in self._launcher.processes
+            name: await self._launcher.read_record(name)
+            for name in self._launcher.processes
             if name not in self._launcher.list_members()
         }
         workers = {name: r for name, r in records.items() if "executions" in r}
