Add the first cells of the fault matrix

Cause: the promises for requests under faults were not checked from outside the daemon. Change: a table of steps and faults, callers that can be held at a stage, a deployment with relays between entry hosts, and a judge that reads the workers' records, the callers' answers and the log. Before: no check.

--- /dev/null
+++ b/features/matrix/cell.py
@@ -0,0 +1,281 @@
+"""Runs one cell: places requests at a step, lets the faults begin, and judges what happened."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from datetime import datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from matrix.caller import Conversation, Wire
+from matrix.deployment import MEMBERS, SLOTS, TARGETS
+from matrix.faults import EARLY, inject, start_hold
+from matrix.judge import Facts, WorkerRecords, judge_cell, judge_safety
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from matrix.deployment import Deployment
+    from matrix.table import Cell
+
+MODES = ("plain", "repeatable", "keyed")
+DEADLINE_S = 10.0
+PLACE_LIMIT_S = 10.0
+END_LIMIT_S = 60.0
+DWELL_S = 0.2  # Lets a fault be noticed before the requests go on.
+LARGE_ANSWER = 12 * 1024 * 1024  # More than the socket buffers on the way hold.
+LARGE_BODY = 200_000  # More than an entry host keeps for a retry.
+STAGES = {"accept": "head", "admit": "body", "send": "body", "answer": "answer"}
+
+
+class CellRun:
+    """One run of one cell.
+
+    Parameters
+    ----------
+    cell : Cell
+    deployment : Deployment
+    worker_records : WorkerRecords
+    token : str
+        Prefix of the requests' tokens, unique within the deployment.
+    seed : int
+    """
+
+    modes = MODES
+
+    def __init__(
+        self,
+        cell: Cell,
+        deployment: Deployment,
+        worker_records: WorkerRecords,
+        token: str,
+        seed: int,
+    ) -> None:
+        self.cell = cell
+        self.deployment = deployment
+        self.clock = deployment.clock
+        self.token = token
+        self.seed = seed
+        self.target = TARGETS[0]
+        self.talks: list[Conversation] = []
+        self.others: list[Conversation] = []
+        self.moments: dict[str, datetime] = {}
+        self.paused_targets: set[str] = set()
+        self.stop_status: int | None = None
+        self._records = worker_records
+        self._rng = random.Random(f"{seed}:{cell.name}")
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._offsets: dict[str, int] = {}
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _list_addresses(self, number: int) -> list[str]:
+        names = MEMBERS[number % 3 :] + MEMBERS[: number % 3]
+        return [self.deployment.get_address(name, "caller") for name in names]
+
+    def start_other(self, wire: Wire, number: int) -> Conversation:
+        """Starts a request that is judged for safety only."""
+        talk = Conversation(wire, self._list_addresses(number), start_hold(""), self.clock)
+        self.others.append(talk)
+        self.spawn(talk.run())
+        return talk
+
+    def _build_wire(self, number: int) -> Wire:
+        step, mode = self.cell.step.name, MODES[number % 3]
+        body = {"admit": 1000, "send": LARGE_BODY}.get(step, 0)
+        work = {"wait": 1.0, "receive": 0.02}.get(step, 0.1)
+        names = [fault.name for fault in self.cell.faults]
+        declared = work * (50 if number % 2 else 0.02) if "declared-wrong" in names else 0.0
+        method = "POST" if mode != "plain" else "PUT" if body else "GET"
+        size = LARGE_ANSWER if step == "answer" else 0
+        delay = 0.6 if step == "receive" else 0.0
+        payload = self._rng.randbytes(body)
+        return Wire(
+            f"{self.token}-{number}", mode, method, work, size, delay, payload, DEADLINE_S, declared
+        )
+
+    def _start_talks(self) -> None:
+        stage = STAGES.get(self.cell.step.name, "")
+        entry = any(fault.domain == "entry" for fault in self.cell.faults)
+        for number in range(3 if stage == "answer" else 6):
+            # Faults of an entry host concern the first one, so all requests go there.
+            addresses = self._list_addresses(0 if entry else number // 3)
+            wire = self._build_wire(number)
+            self.talks.append(Conversation(wire, addresses, start_hold(stage), self.clock))
+            self.spawn(self.talks[-1].run())
+
+    async def _place(self) -> None:
+        """Starts the requests and waits until they are at the step."""
+        await _PLACEMENTS.get(self.cell.step.name, CellRun._place_held)(self)
+
+    async def _place_held(self) -> None:
+        self._start_talks()
+        for talk in self.talks:
+            await asyncio.wait_for(talk.hold.reached.wait(), PLACE_LIMIT_S)
+
+    async def _place_queued(self) -> None:
+        blocker = Wire("", "plain", "GET", 1.0, 0, 0.0, b"", DEADLINE_S)
+        for number in range(SLOTS * len(TARGETS)):
+            self.start_other(blocker._replace(token=f"{self.token}-blocker{number}"), number)
+        await self._wait_runs(self.others)
+        await self._place_sent()
+
+    async def _place_sent(self) -> None:
+        self._start_talks()
+        for talk in self.talks:
+            await asyncio.wait_for(talk.hold.sent.wait(), PLACE_LIMIT_S)
+        await asyncio.sleep(self._rng.uniform(0, 0.005))
+
+    async def _place_unread(self) -> None:
+        for target in TARGETS:
+            self.deployment.pause(target)
+        self._start_talks()
+        await self.deployment.wait_until(self._is_unread, "data that targets have not read", 1.0)
+
+    def _is_unread(self) -> bool:
+        """Returns whether unread data waits at a target, by the kernel's table of sockets."""
+        ports = {int(self.deployment.get_address(t).rpartition(":")[2]) for t in TARGETS}
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            unread = int(fields[4].partition(":")[2], 16)
+            if unread and int(fields[1].partition(":")[2], 16) in ports:
+                return True
+        return False
+
+    async def _place_receiving(self) -> None:
+        await self._place_held()
+        await self.deployment.wait_until(
+            self._is_receiving, "partly received bodies", PLACE_LIMIT_S
+        )
+
+    async def _is_receiving(self) -> bool:
+        counts = {}
+        for target in TARGETS:
+            receiving = (await self.deployment.read_status(target)).get("receiving", {})
+            counts[target] = sum(size > 0 for size in receiving.values())
+        self.target = max(TARGETS, key=counts.get)
+        return sum(counts.values()) >= len(self.talks)
+
+    async def _place_running(self) -> None:
+        self._start_talks()
+        await self._wait_runs(self.talks)
+
+    async def _place_finished(self) -> None:
+        self._start_talks()
+        await self._wait_runs(self.talks, ended=True)
+
+    async def _wait_runs(self, talks: list[Conversation], *, ended: bool = False) -> None:
+        def is_placed() -> bool:
+            self._records.update()
+            runs = [self._records.list_runs(talk.wire.token) for talk in talks]
+            return all(found and (found[0].ended or not ended) for found in runs)
+
+        await self.deployment.wait_until(is_placed, "requests at their step", PLACE_LIMIT_S)
+        self.target = self._records.list_runs(talks[0].wire.token)[0].host
+
+    async def _begin_faults(self, *, early: bool) -> None:
+        for fault in self.cell.faults:
+            if (fault.name in EARLY) is early:
+                await inject(self, fault.name)
+
+    def _go_on(self) -> None:
+        """Lets the requests go on from their step."""
+        for talk in self.talks:
+            talk.hold.released.set()
+        if self.cell.step.name == "connect":
+            for target in set(TARGETS) - self.paused_targets:
+                if self.deployment.processes[target].is_running():
+                    self.deployment.resume(target)
+
+    async def run(self) -> list[str]:
+        """Returns everything that was violated; empty if the cell passes."""
+        self._offsets = await self._read_ends()
+        problems = []
+        try:
+            await self._begin_faults(early=True)
+            await self._place()
+            await self._begin_faults(early=False)
+            await asyncio.sleep(DWELL_S)
+            self._go_on()
+            await self._finish()
+        except (TimeoutError, RuntimeError) as error:
+            problems.append(f"placement: {error!r}")
+            self._go_on()
+            await self._finish()
+        try:
+            await self.deployment.reset()
+        except (TimeoutError, RuntimeError) as error:
+            problems.append(f"recovery: {error}")
+        return problems + await self._judge()
+
+    async def _finish(self) -> None:
+        """Waits for all callers and for what the faults started."""
+        done, pending = await asyncio.wait(self._tasks, timeout=END_LIMIT_S)
+        for task in pending:
+            task.cancel()
+        if pending:
+            raise RuntimeError(f"{len(pending)} callers or faults did not end")
+        for task in done:
+            task.result()
+
+    async def _read_ends(self) -> dict[str, int]:
+        record = await self.deployment.read_record("log")
+        return {name: stream["end"] for name, stream in record["streams"].items()}
+
+    async def _judge(self) -> list[str]:
+        records = await self._read_records()
+        drained = await self._find_drain()
+        facts = Facts(self.moments, self.target, drained, self.stop_status, records)
+        self._records.update()
+        return judge_cell(self.cell, self.talks, self.others, self._records, facts)
+
+    async def _read_records(self) -> list[dict[str, Any]]:
+        """Returns the records since the cell began, once the grants of what ran are there."""
+        found: list[dict[str, Any]] = []
+        keys = {t.wire.key for t in self.talks if t.wire.key}
+        keys = {key for key in keys if self._records.list_runs(key.partition(":")[2])}
+
+        async def has_grants() -> bool:
+            found.clear()
+            for name, offset in self._offsets.items():
+                found.extend(r["record"] for r in await self.deployment.read_log(name, offset))
+            return keys <= {r["body"].get("key") for r in found if r["type"] == "key_granted"}
+
+        try:
+            await self.deployment.wait_until(has_grants, "grants in the log", 5.0)
+        except TimeoutError:
+            pass  # The judge names the grants that are missing.
+        return found
+
+    async def _find_drain(self) -> datetime | None:
+        if "target-drain" not in self.moments:
+            return None
+        stream = "dc.umea"
+        items = await self.deployment.read_log(stream, self._offsets[stream])
+        offsets = [i["offset"] for i in items if i["record"]["type"] == "host_drain_started"]
+        appends = (await self.deployment.read_record("log"))["appends"]
+        for entry in appends:
+            if (
+                entry["stream"] == stream
+                and offsets
+                and entry["first"] <= offsets[0] < entry["end"]
+            ):
+                return datetime.fromisoformat(entry["at"])
+        return None
+
+    def judge_again(self) -> list[str]:
+        """Judges safety once more, after later cells have run."""
+        self._records.update()
+        return judge_safety([*self.talks, *self.others], self._records)
+
+
+_PLACEMENTS = {
+    "queue": CellRun._place_queued,
+    "pick": CellRun._place_sent,
+    "connect": CellRun._place_unread,
+    "send": CellRun._place_receiving,
+    "wait": CellRun._place_running,
+    "receive": CellRun._place_finished,
+}
--- /dev/null
+++ b/features/matrix/deployment.py
@@ -0,0 +1,226 @@
+"""The processes that serve the cells of the matrix, with faults that add up and are reset."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from carawayshore.clock import SystemClock
+from carawayshore_standins.launcher import Launcher
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+MEMBERS = ("umea-1", "umea-2", "umea-3")
+TARGETS = ("umea-w1", "umea-w2")
+STANDINS = ("log", "hostlist", "pools", "umea-w1", "umea-w2", "umea-w3")
+SLOTS = 4
+POLL = timedelta(milliseconds=20)
+RESET_LIMIT_S = 20.0
+DOCUMENT: dict[str, Any] = {
+    "data_centres": ["umea"],
+    "pools": {"booking": {"max_waiting": 256}, "office": {}},
+    # A retry share of 1 keeps the retry budget, which other features test, out of the verdicts.
+    "services": {
+        "booking": {"pool": "booking", "retry_share": 1.0, "max_unavailable": 2},
+        "office": {"pool": "office"},
+    },
+}
+DESCRIPTION = {
+    "data_centres": {
+        "umea": {"entry_hosts": 3, "pools": {"booking": {"workers": 2}, "office": {"workers": 1}}}
+    },
+    "worker": {"slots": SLOTS},
+    "options": {"balancer_delay_seconds": 0.5},
+    "configuration": DOCUMENT,
+}
+
+
+class Relay:
+    """Carries the messages from one entry host to another, unless it is cut."""
+
+    def __init__(self, source: str, destination: str, address: str, onward: str) -> None:
+        self.ends = {source, destination}
+        self.cut = False
+        self._address = address
+        self._onward = onward
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._onward.rpartition(":")
+        try:
+            onward_reader, onward_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, onward_writer}
+        self._writers |= pair
+        await asyncio.gather(self._pump(reader, onward_writer), self._pump(onward_reader, writer))
+        self._writers -= pair
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                if not self.cut:
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass
+        writer.transport.abort()
+
+    def heal(self) -> None:
+        """Ends the cut; connections that lost bytes are closed, and the entry hosts reconnect."""
+        if self.cut:
+            self.cut = False
+            for writer in self._writers:
+                writer.transport.abort()
+
+    def close(self) -> None:
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+class Deployment(Launcher):
+    """One data centre whose entry hosts reach each other through relays."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(DESCRIPTION, folder, clock=SystemClock())
+        self.clock = self._clock
+        self.relays: list[Relay] = []
+        self._faults: dict[str, dict[str, Any]] = {}
+        for plan in self._groups[-1]:
+            self._insert_relays(plan.name, plan.settings["peers"])
+
+    def _insert_relays(self, source: str, peers: list[dict[str, str]]) -> None:
+        for peer in peers:
+            address, onward = self._ports.reserve(), peer["peer_address"]
+            self.relays.append(Relay(source, peer["member"], address, onward))
+            peer["peer_address"] = address
+
+    async def __aenter__(self) -> Deployment:
+        for relay in self.relays:
+            await relay.start()
+        await super().__aenter__()
+        await self.wait_settled()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await super().__aexit__(*details)
+        for relay in self.relays:
+            relay.close()
+
+    async def wait_until(self, holds: Callable[[], Any], what: str, seconds: float) -> None:
+        """Waits for a condition, which may be asynchronous.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold after ``seconds``.
+        """
+        limit = self.clock.elapsed() + timedelta(seconds=seconds)
+        while True:
+            held = holds()
+            if await held if asyncio.iscoroutine(held) else held:
+                return
+            if self.clock.elapsed() > limit:
+                raise TimeoutError(f"{what} does not hold after {seconds:g} s")
+            await self.clock.sleep(POLL)
+
+    async def add_fault(self, name: str, **faults: Any) -> None:
+        """Adds faults of a stand-in to those that are in force."""
+        self._faults[name] = self._faults.get(name, {}) | faults
+        await self.set_faults(name, **self._faults[name])
+        self._faults[name].pop("silent", None)
+
+    async def call(self, method: str, url: str, **body: Any) -> tuple[int, Any]:
+        """Sends a control call; status 0 if there is no answer."""
+        try:
+            async with self._session.request(method, f"http://{url}", json=body or None) as answer:
+                return answer.status, await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return 0, repr(error)
+
+    async def operate(self, member: str, path: str, **body: Any) -> tuple[int, Any]:
+        address = self.get_address(member, "operator")
+        return await self.call("POST", f"{address}/v1/operator/{path}", **body)
+
+    async def read_log(self, stream: str, offset: int) -> list[dict[str, Any]]:
+        """Returns the records of a stream from ``offset`` on, as the log service has them."""
+        url = f"{self.get_address('log')}/v1/streams/{stream}/records?from={offset}&limit=10000"
+        status, answer = await self.call("GET", url)
+        if status != 200:
+            raise RuntimeError(f"the log answers {status}: {answer}")
+        return answer["records"]
+
+    async def read_status(self, target: str) -> dict[str, Any]:
+        status, answer = await self.call("GET", f"{self.get_address(target)}/v1/status")
+        return answer if status == 200 else {}
+
+    async def reset(self) -> None:
+        """Ends all faults, starts what was killed, and waits until everything serves again."""
+        for relay in self.relays:
+            relay.heal()
+        for name, process in self.processes.items():
+            if process.is_running():
+                self.resume(name)
+        stopped = [n for n, process in self.processes.items() if not process.is_running()]
+        await asyncio.gather(*(self.start(n) for n in stopped if n not in MEMBERS))
+        await asyncio.gather(*(self.set_faults(name) for name in STANDINS))
+        await asyncio.gather(*(self.start(n) for n in stopped if n in MEMBERS))
+        self._faults.clear()
+        await self._return_targets()
+        await self.wait_settled()
+
+    async def _return_targets(self) -> None:
+        for target in TARGETS:
+            status, host = await self.call("GET", f"{self.get_address('pools')}/v1/hosts/{target}")
+            if host["state"] == "serving":
+                if (await self.read_status(target)).get("draining"):
+                    url = f"{self.get_address(target)}/v1/control/return"
+                    await self.call("POST", url, pool="booking")
+                continue
+            await self.wait_until(
+                lambda name=target: self._is_returned(name), f"return of {target}", RESET_LIMIT_S
+            )
+
+    async def _is_returned(self, target: str) -> bool:
+        await self.operate(MEMBERS[1], f"hosts/{target}/return")
+        _, host = await self.call("GET", f"{self.get_address('pools')}/v1/hosts/{target}")
+        return host["state"] == "serving"
+
+    async def wait_settled(self) -> None:
+        """Waits until every entry host gets keyed requests granted and uses both targets."""
+        self._probes = getattr(self, "_probes", 0)
+        self._unserved = {(member, target) for member in MEMBERS for target in TARGETS}
+        await self.wait_until(self._is_settled, "settled view and use of targets", RESET_LIMIT_S)
+
+    async def _is_settled(self) -> bool:
+        granted = await asyncio.gather(*(self._probe(member) for member in MEMBERS * 4))
+        if not all(granted):
+            self._unserved = {(member, target) for member in MEMBERS for target in TARGETS}
+            return False
+        return not self._unserved
+
+    async def _probe(self, member: str) -> bool:
+        self._probes += 1
+        headers = {"Idempotency-Key": f"umea:probe-{self._probes}", "Work-Seconds": "0.01"}
+        url = f"http://{self.get_address(member, 'caller')}/services/booking/probe-{self._probes}"
+        try:
+            async with self._session.post(url, headers=headers) as answer:
+                text = await answer.text()
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        if answer.status == 200:
+            self._unserved.discard((member, json.loads(text)["host"]))
+        return answer.status == 200
--- /dev/null
+++ b/features/matrix/runner.py
@@ -0,0 +1,88 @@
+"""Runs many cells over few deployments."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from matrix.cell import CellRun
+from matrix.deployment import Deployment
+from matrix.judge import WorkerRecords
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from matrix.table import Cell
+
+HISTORY = 1000
+
+
+class CellResult(NamedTuple):
+    problems: list[str]
+    seconds: float
+
+
+class Lane:
+    """One deployment that serves cells one after another; an async context manager."""
+
+    def __init__(self, folder: Path, name: str, seed: int) -> None:
+        folder = folder / name
+        folder.mkdir(parents=True, exist_ok=True)
+        self.deployment = Deployment(folder)
+        self._records = WorkerRecords(folder)
+        self._seed = seed
+        self._name = name
+        self._runs: list[CellRun] = []
+
+    async def __aenter__(self) -> Lane:
+        await self.deployment.__aenter__()
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.deployment.__aexit__(*details)
+
+    async def run(self, cell: Cell) -> CellResult:
+        token = f"{self._name}-{len(self._runs)}"
+        run = CellRun(cell, self.deployment, self._records, token, self._seed)
+        self._runs.append(run)
+        started = time.monotonic()
+        problems = await run.run()
+        return CellResult(problems, time.monotonic() - started)
+
+    def judge_again(self) -> dict[str, list[str]]:
+        """Judges the safety of all cells once more with everything that the workers recorded."""
+        found = {run.cell.name: run.judge_again() for run in self._runs}
+        return {name: problems for name, problems in found.items() if problems}
+
+
+async def _serve(
+    folder: Path, number: int, seed: int, cells: list[Cell], results: dict[str, CellResult]
+) -> None:
+    generation = 0
+    while cells:
+        generation += 1
+        async with Lane(folder, f"lane{number}-{generation}", seed) as lane:
+            while cells:
+                cell = cells.pop(0)
+                result = await lane.run(cell)
+                results[cell.name] = result
+                verdict = "FAILED" if result.problems else "passed"
+                print(f"{verdict} {cell.name} {result.seconds:.1f}s", flush=True)
+                if any(problem.startswith("recovery") for problem in result.problems):
+                    break  # Later cells need a deployment that serves.
+            for name, problems in lane.judge_again().items():
+                known = results[name]
+                fresh = [p for p in problems if p not in known.problems]
+                results[name] = known._replace(problems=known.problems + fresh)
+
+
+async def run_cells(
+    cells: list[Cell], folder: Path, seed: int, lanes: int
+) -> dict[str, CellResult]:
+    """Runs ``cells`` on ``lanes`` deployments at once and returns their results by name."""
+    results: dict[str, CellResult] = {}
+    waiting = list(cells)
+    count = min(lanes, len(waiting))
+    await asyncio.gather(*(_serve(folder, n, seed, waiting, results) for n in range(count)))
+    return results
