Read the worker's table of arriving bodies as the table it is

Cause: the worker's status has 'receiving' as an object (docs/PROTOCOLS.md, section Worker), the daemon took it for a list. Every status was malformed, so every probe failed and every request that ran longer than 4 s was aborted as if its target could not be reached. Change: WorkerStatus.receiving is a table from request to bytes. Conclusion: stragglers are waited for again and silent connections are told from dead targets.

--- a/packages/carawayd/src/carawayd/platform/worker.py
+++ b/packages/carawayd/src/carawayd/platform/worker.py
@@ -13,9 +13,9 @@
 
 
 class WorkerStatus(NamedTuple):
-    """``running``, ``receiving`` and ``finished`` are identifiers of requests.
+    """``running`` and ``finished`` are identifiers of requests.
 
-    A request whose body is still arriving is among ``receiving``.
+    ``receiving`` has the bytes received so far of requests whose body is still arriving.
     """
 
     host: str
@@ -26,7 +26,7 @@
     running: frozenset[str]
     finished: frozenset[str]
     tasks: list[dict[str, Any]]
-    receiving: frozenset[str] = frozenset()
+    receiving: dict[str, int] = {}
 
 
 @platform_client("worker")
