Answer unknown when an earlier attempt of a repeatable request may have run

Cause: the outcome of a refused request was that of its last attempt alone. After an attempt whose answer was lost, a retry that found no slot before the deadline answered not-run. Change: attempt_until_answered remembers an attempt that may have run, and then answers unknown. That the retry finds no slot is a fault of its own.

--- a/packages/carawayd/src/carawayd/request/handler.py
+++ b/packages/carawayd/src/carawayd/request/handler.py
@@ -189,19 +189,27 @@
             With the outcome of the whole request.
         """
         tried: frozenset[str] = frozenset()
-        for number in itertools.count(1):
-            assigned = first if number == 1 and first else None
-            if assigned is None:
-                try:
-                    assigned = await self.acquire(plan, dispatcher, number, tried)
-                except Refusal as refusal:
-                    return await self._try_elsewhere(request, plan, body, refusal)
-            result = await self._attempt(request, plan, body, dispatcher, assigned)
-            if not isinstance(result, Unanswered):
-                return result
-            tried = tried | {assigned.target}
-            self._check_retry(plan, body, result, number)
-            await self._pause(plan, result, number)
+        may_have_run = False
+        try:
+            for number in itertools.count(1):
+                assigned = first if number == 1 and first else None
+                if assigned is None:
+                    try:
+                        assigned = await self.acquire(plan, dispatcher, number, tried)
+                    except Refusal as refusal:
+                        return await self._try_elsewhere(request, plan, body, refusal)
+                result = await self._attempt(request, plan, body, dispatcher, assigned)
+                if not isinstance(result, Unanswered):
+                    return result
+                may_have_run = may_have_run or result.outcome is Outcome.UNKNOWN
+                tried = tried | {assigned.target}
+                self._check_retry(plan, body, result, number)
+                await self._pause(plan, result, number)
+        except Refusal as refusal:
+            # The last attempt alone did not run; an earlier one of this request may have.
+            if may_have_run:
+                refusal.outcome = Outcome.UNKNOWN
+            raise
         raise AssertionError("the loop ends by a return or a refusal")
 
     async def _attempt(
