Send nothing after an answer whose deadline passed while it was streamed

Cause: the deadline cancelled the streaming of an answer, and the handler then returned a refusal, which was written into the body that had begun. Change: the connection to the caller is closed, so that the body ends early and visibly; a verifier of the stand-ins tells whether the bytes so far are right. Conclusion: with a connection that is kept open, the next answer would have been part of the body.

--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -216,6 +216,11 @@
             if request.transport is not None:
                 request.transport.abort()
             raise CallerLost(repr(error)) from error
+        except asyncio.CancelledError:
+            # The deadline passed. A refusal that followed now would become part of the body.
+            if request.transport is not None:
+                request.transport.abort()
+            raise
         return answer
 
 
--- a/packages/standins/src/carawayshore_standins/content.py
+++ b/packages/standins/src/carawayshore_standins/content.py
@@ -48,6 +48,10 @@
             self._equal = length > 0 and piece[:length] == self._expected[:length]
             piece, self._expected = piece[length:], self._expected[length:]
 
+    def is_equal(self) -> bool:
+        """Returns whether the bytes fed so far are the first ones of the content."""
+        return self._equal
+
     def is_whole(self) -> bool:
         """Returns whether exactly the expected bytes were fed."""
         return self._equal and self._missing == 0
