Retry a request elsewhere when its target cannot be reached

Cause: a retry prefers targets that were not tried, but only among those with a free slot. An entry host that owns slots of the dead target alone sent the retry there again, before a loan for another target could arrive.

--- a/packages/carawayd/src/carawayd/process/slots.py
+++ b/packages/carawayd/src/carawayd/process/slots.py
@@ -159,7 +159,7 @@
             del self.in_use[target]
 
     def note_refusal(self, target: str) -> None:
-        """Leaves a target alone for a while that said it drains or serves another pool."""
+        """Leaves a target alone for a while that refuses, or that cannot be reached."""
         self._refusing[target] = self._clock.elapsed() + REFUSAL_PAUSE
 
     def _handle(self, header: Header, body) -> None:
--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -147,7 +147,11 @@
         except ExchangeError as error:
             if error.failure is Failure.NOT_SENT:
                 return Unanswered(Outcome.NOT_RUN, Reason.NO_TARGET, detail=str(error))
-            return await self._find_fate(identifier, address, Reason.LOST_ANSWER)
+            fate = await self._find_fate(identifier, address, Reason.LOST_ANSWER)
+            if error.failure is Failure.UNREACHABLE:
+                # A free slot of its own would draw the retry to the same target.
+                self._slots.note_refusal(target)
+            return fate
 
     async def _find_fate(self, identifier: str, address: str, reason: Reason) -> Unanswered:
         state = await self._connections.revoke(identifier, address)
