Find silent connections while the body of a request is on its way

Cause: a request whose body the worker was still receiving counted as known, although the worker got no more of it over the silent connection; the entry host waited until the deadline. Change: an exchange counts what it sent; it is in order while the worker has all of it or more than at the probe before. A caller that sends slowly is thereby still no silent connection.

--- a/packages/carawayd/src/carawayd/connection/target.py
+++ b/packages/carawayd/src/carawayd/connection/target.py
@@ -17,7 +17,7 @@
 from carawayd.platform.common import PlatformError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterable
+    from collections.abc import AsyncIterable, AsyncIterator
 
     from carawayd.platform.worker import WorkerClient, WorkerStatus
     from carawayd.process.metrics import Metrics
@@ -81,11 +81,26 @@
         self.response: aiohttp.ClientResponse | None = None
         self.failure: Failure | None = None
         self.missing_since: timedelta | None = None
+        self.uploaded = 0
+        self.received = -1
         self._clock = clock
         self.started = clock.elapsed()
         self.progressed = self.started
         self._task: asyncio.Task[aiohttp.ClientResponse] | None = None
 
+    async def _count(self, body: AsyncIterable[bytes]) -> AsyncIterator[bytes]:
+        async for piece in body:
+            self.uploaded += len(piece)
+            yield piece
+
+    def note_received(self, received: int | None) -> bool:
+        """Returns whether the worker is receiving the body: it has all that was sent, or more
+        than at the probe before. A caller that sends slowly is no silent connection.
+        """
+        moving = received is not None and (received != self.received or received >= self.uploaded)
+        self.received = -1 if received is None else received
+        return moving
+
     async def send(self, session: aiohttp.ClientSession, outgoing: Outgoing) -> None:
         """Sends the request and waits for the head of the answer.
 
@@ -94,12 +109,17 @@
         ExchangeError
             If there is none.
         """
+        body = outgoing.body
+        if isinstance(body, bytes):
+            self.uploaded = len(body)
+        elif body is not None:
+            body = self._count(body)
         self._task = asyncio.ensure_future(
             session.request(
                 outgoing.method,
                 outgoing.url,
                 headers=outgoing.headers,
-                data=outgoing.body,
+                data=body,
                 allow_redirects=False,
             )
         )
@@ -256,7 +276,8 @@
     def _judge(self, exchange: Exchange, status: WorkerStatus) -> None:
         """Aborts an exchange that the worker does not run and that makes no progress."""
         now = self._clock.elapsed()
-        known = exchange.request in status.running or exchange.request in status.receiving
+        receiving = exchange.note_received(status.receiving.get(exchange.request))
+        known = exchange.request in status.running or receiving
         if known or now - exchange.progressed < QUIET:
             exchange.missing_since = None
             return
