Let slow callers be slow in every piece they send

Cause: the pieces were cut before the fault began, so the caller sent two pieces without a pause. Change: callers of the cells caller-slow are slow from the start. Conclusion: a slow caller is not taken for a silent connection.

--- a/features/matrix/cell.py
+++ b/features/matrix/cell.py
@@ -24,6 +24,7 @@
 DEADLINE_S = 10.0
 PLACE_LIMIT_S = 10.0
 END_LIMIT_S = 60.0
+SLOW_SECONDS = 4.0  # Beyond the time in which a silent connection is found.
 DWELL_S = 0.2  # Lets a fault be noticed before the requests go on.
 LARGE_ANSWER = 12 * 1024 * 1024  # More than the socket buffers on the way hold.
 LARGE_BODY = 200_000  # More than an entry host keeps for a retry.
@@ -113,6 +114,7 @@
             names = [fault.name for fault in self.cell.faults]
             if "caller-slow" in names:
                 self.talks[-1].patience = PLACE_LIMIT_S
+                self.talks[-1].hold.slow_seconds = SLOW_SECONDS
             if "deadline-passes" in names:
                 self.talks[-1].retries = 1
             self.spawn(self.talks[-1].run())
--- a/features/matrix/faults.py
+++ b/features/matrix/faults.py
@@ -172,8 +172,7 @@
 
 @injects("caller-slow")
 async def _slow_caller(run: CellRun) -> None:
-    for talk in run.talks:
-        talk.hold.slow_seconds = 4.0
+    """The callers are slow from the start."""
 
 
 @injects("caller-retries")
