Judge drains of unreachable entry hosts by the pools service

Cause: a drain waits for an entry host that is cut off, which cannot know of it; and the judge read the log's grants before it knew which keys had run. Change: under faults of an entry host a drain begins with the operation of the pools service; the workers' records are read before the grants are awaited. Conclusion: faults of the check, not of the daemon.

--- a/features/matrix/cell.py
+++ b/features/matrix/cell.py
@@ -252,6 +252,7 @@
     async def _read_records(self) -> list[dict[str, Any]]:
         """Returns the records since the cell began, once the grants of what ran are there."""
         found: list[dict[str, Any]] = []
+        self._records.update()
         keys = {t.wire.key for t in self.talks if t.wire.key}
         keys = {key for key in keys if self._records.list_runs(key.partition(":")[2])}
 
@@ -266,18 +267,25 @@
         return found
 
     async def _find_drain(self) -> datetime | None:
+        """Returns when the drain began: with its record in the log.
+
+        A drain waits for entry hosts that cannot be reached (design page, section 5.2), so under
+        their faults it begins with the operation of the pools service.
+        """
         if "target-drain" not in self.moments:
             return None
+        if any(fault.domain == "entry" for fault in self.cell.faults):
+            operations = (await self.deployment.read_record("pools"))["operations"]
+            moments = [datetime.fromisoformat(o["at"]) for o in operations if o["kind"] == "drain"]
+            since = self.moments["target-drain"]
+            return next((moment for moment in moments if moment >= since), None)
         stream = "dc.umea"
         items = await self.deployment.read_log(stream, self._offsets[stream])
         offsets = [i["offset"] for i in items if i["record"]["type"] == "host_drain_started"]
         appends = (await self.deployment.read_record("log"))["appends"]
         for entry in appends:
-            if (
-                entry["stream"] == stream
-                and offsets
-                and entry["first"] <= offsets[0] < entry["end"]
-            ):
+            covers = offsets and entry["first"] <= offsets[0] < entry["end"]
+            if entry["stream"] == stream and covers:
                 return datetime.fromisoformat(entry["at"])
         return None
 
