Name a silent pools service, token and job in refusals

Change: the wait names the pools service; these refusals name what is accepted. Before: a move during an outage of the pools service showed the step of the barrier.

--- a/packages/carawayctl/src/carawayctl/client.py
+++ b/packages/carawayctl/src/carawayctl/client.py
@@ -207,6 +207,9 @@
         if self.status and self.cut_off and answer.status in (409, 503):
             message += f" (entry host {member} is cut off from the log)"
             next_step = "name an --entry-host that reaches the log, or wait until this one does"
+        if answer.status == 401:
+            given = "a token that is not valid" if self._headers else "no token"
+            accepted = "the token in the file that operator_token_file in its settings names"
         raise Refused(
             f"refused by {member}, nothing changed: {message} (HTTP status {answer.status})",
             given=given,
--- a/packages/carawayctl/src/carawayctl/commands/hosts.py
+++ b/packages/carawayctl/src/carawayctl/commands/hosts.py
@@ -16,6 +16,7 @@
 from carawayshore.clock import SystemClock
 
 PATH = "/v1/operator/hosts"
+POOLS_SERVICE_LOST = "waits: the pools service does not answer"
 POLL_INTERVAL = timedelta(milliseconds=500)
 
 HOST = option("host", metavar="HOST", help="name of the host; see `hosts list`")
@@ -138,9 +139,11 @@
 
 def _follow_move(pool: str) -> Progress:
     def judge(host: dict[str, Any]) -> tuple[str, bool]:
-        state = (host["pools_service"] or {}).get("state", "serving")
         if host["draining_to"] not in ("", pool):
             return "replaced", False
+        if host["pools_service"] is None:
+            return POOLS_SERVICE_LOST, False
+        state = host["pools_service"]["state"]
         if host["draining_to"]:
             steps = {
                 "serving": "waits until every entry host has applied the drain",
@@ -157,9 +160,11 @@
 
 
 def _follow_drain(host: dict[str, Any]) -> tuple[str, bool]:
-    state = (host["pools_service"] or {}).get("state", "")
     if host["reason"] != "hold":
         return "replaced", False
+    if host["pools_service"] is None:
+        return POOLS_SERVICE_LOST, False
+    state = host["pools_service"]["state"]
     if state == "drained":
         return "is drained and held", True
     return ("drains: work in progress finishes" if state == "draining" else "waits to drain"), False
--- a/packages/carawayctl/src/carawayctl/commands/jobs.py
+++ b/packages/carawayctl/src/carawayctl/commands/jobs.py
@@ -20,6 +20,7 @@
 PATH = "/v1/jobs"
 FILTERS = ("state", "team", "queue")
 COLUMNS = ("job", "queue", "team", "state", "host", "detail")
+NEW_JOB = "a name of --job that is not in use, or the content first submitted under it"
 KNOWN_JOB = "a job of this data centre that has not ended; see `jobs list`"
 
 JOB = option("job", metavar="JOB", help="identifier of the job; see `jobs list`")
@@ -109,7 +110,9 @@
     body = _build_submission(context.arguments, context.client.status["data_centre"])
     address = _find_caller_address(context)
     try:
-        answer = await context.client.change("POST", PATH, body, address=address, given=body)
+        answer = await context.client.change(
+            "POST", PATH, body, address=address, given=body, accepted=NEW_JOB
+        )
     except Unknown as error:
         error.next_step = f"look it up with `jobs show {body['job']}` before you submit it again"
         error.details["job"] = body["job"]
@@ -141,7 +144,8 @@
 async def _show(context: Context) -> int:
     path = f"{PATH}/{quote(context.arguments.job, safe='')}"
     address, name = _find_caller_address(context), context.arguments.job
-    job = await context.client.get(path, address=address, given=name, accepted=KNOWN_JOB)
+    accepted = "a job that its data centre knows; see `jobs list`"
+    job = await context.client.get(path, address=address, given=name, accepted=accepted)
     context.output.show(job, json.dumps(job, indent=2))
     return ExitStatus.DONE
 
