Count a queue's service in the preview of a budget

Cause: jobs of a queue count against the budget of its service on the queue's own pool. Change: the preview lists services that use the pool directly or through a queue. Before: only services whose own pool it is were shown. After: both are shown; hosts of a pool that only a queue uses are covered.

--- a/packages/carawayd/src/carawayd/process/hostviews.py
+++ b/packages/carawayd/src/carawayd/process/hostviews.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from carawayd.process.daemon import Parts
+    from carawayshore.configuration import Configuration
     from carawayshore.fold import Host
 
 
@@ -53,6 +54,13 @@
     return described
 
 
+def _list_users(configuration: Configuration, pool: str) -> list[str]:
+    """Returns the services whose budget a pool's hosts count for, through a queue or directly."""
+    users = {name for name, item in configuration["services"].items() if item["pool"] == pool}
+    users |= {item["service"] for item in configuration["queues"].values() if item["pool"] == pool}
+    return sorted(users)
+
+
 def preview_removal(parts: Parts, name: str) -> list[dict[str, Any]]:
     """Returns the budget of each service on a host's pool before and after taking it out."""
     version = parts.versions.current
@@ -62,14 +70,13 @@
     conditions = build_conditions(parts, host.pool)
     after = [item._replace(draining=item.draining or item.host == name) for item in conditions]
     previews = []
-    for service, options in sorted(version.configuration["services"].items()):
-        if options["pool"] != host.pool:
-            continue
-        settings = BudgetSettings(options["max_unavailable"])
+    for service in _list_users(version.configuration, host.pool):
+        limit = version.configuration["services"][service]["max_unavailable"]
+        settings = BudgetSettings(limit)
         previews.append(
             {
                 "service": service,
-                "max_unavailable": options["max_unavailable"],
+                "max_unavailable": limit,
                 "unavailable_now": count_unavailable(conditions, settings),
                 "unavailable_then": count_unavailable(after, settings),
                 "within": may_remove(conditions, [name], settings),
