--- a/features/examples.feature
+++ b/features/examples.feature
@@ -17,3 +17,8 @@
     # Guards against docs/SETTINGS.md and docs/CONFIGURATION.md that are out of date.
     When the reference pages are checked
     Then no page is out of date
+
+  Scenario: The page for the person on call names only what exists
+    # Guards against a page that sends somebody at night to a counter or reason that is not there.
+    When the names on the page for the person on call are collected
+    Then each counter, reason, dump member and subcommand exists
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -17,7 +18,14 @@
     start_command,
 )
 
+from carawayctl.registry import list_subcommands
+from carawayd.process import dump
+from carawayd.process.metrics import Metrics
+from carawayd.request.answers import Reason
+
 ROOT = Path(__file__).resolve().parent.parent.parent
+# Members of the dump whose names come from tuples or from records.
+DUMP_VALUES = {"fleet", "applied"}
 NO_LISTENER = "127.0.0.1:1"
 
 
@@ -276,3 +284,32 @@
 @then("no page is out of date")
 def expect_current_pages(context):
     assert context.checked.returncode == 0, context.checked.stdout + context.checked.stderr
+
+
+@when("the names on the page for the person on call are collected")
+def collect_names(context):
+    context.page = (ROOT / "docs" / "operators" / "oncall.md").read_text()
+
+
+@then("each counter, reason, dump member and subcommand exists")
+def expect_names(context):
+    page = context.page
+    metrics = Metrics().format_text().decode()
+    counters = set(re.findall(r"`(caraway_\w+)`", page))
+    unknown = {n for n in counters if f"# TYPE {n} " not in metrics}
+    reasons = {n for part in re.findall(r"Callers get ([^|]*)", page) for n in _find_names(part)}
+    unknown |= reasons - set(Reason) - {"unknown"}
+    source = Path(dump.__file__).read_text()
+    members = {
+        n for part in re.findall(r"^\|.*?dump ([^|;]*)", page, re.M) for n in _find_names(part)
+    }
+    unknown |= {n for n in members if f'"{n}"' not in source} - DUMP_VALUES
+    paths = {" ".join(item.path) for item in list_subcommands()}
+    words = re.findall(r"`((?:config|hosts|jobs|maintenance) [a-z]+)", page)
+    unknown |= set(words) - paths
+    assert counters and reasons and members and words, page
+    assert not unknown, unknown
+
+
+def _find_names(text):
+    return re.findall(r"`([\w-]+)`", text)
