Refuse an operator's drain beyond the availability budget

Cause: only the command checked the budget; a drain over HTTP passed by it, and the bearer token was accepted without the word Bearer. Change: the endpoint checks as well, with over_budget=true as the way around; the header is compared whole. Before: the second drain of a pool of two hosts with a budget of one was accepted. After: 409; the scenario passes. Conclusion: two operators at two entry hosts can still race each other past the check.

--- a/packages/carawayctl/src/carawayctl/commands/hosts.py
+++ b/packages/carawayctl/src/carawayctl/commands/hosts.py
@@ -223,9 +223,10 @@
         output.show(result | {"accepted": False, "dry_run": True}, text)
         return ExitStatus.DONE
     _check_budgets(context, host)
+    regardless = "?over_budget=true" if arguments.over_budget else ""
     await context.client.change(
         "POST",
-        _build_path(arguments.host, verb),
+        _build_path(arguments.host, verb) + regardless,
         body,
         given={"host": arguments.host} | (body or {}),
         accepted="a host that is serving, and a pool of the configuration",
--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -15,7 +15,7 @@
 from carawayd.process.appender import Appender, AppendUnknown, NotAppended, Priority
 from carawayd.process.dump import build_dump, build_status
 from carawayd.process.history import MAX_VERSIONS, VersionHistory
-from carawayd.process.hostviews import describe_host, list_hosts
+from carawayd.process.hostviews import describe_host, list_hosts, preview_removal
 from carawayd.request.jobs import describe_job
 from carawayshore import records
 from carawayshore.assignment import FLEET_CLAIM, HOLD
@@ -90,8 +90,8 @@
             token = self._read_token()
         except OSError as error:
             return _answer({"error": f"the token file cannot be read: {error.strerror}"}, 503)
-        given = request.headers.get("Authorization", "").removeprefix("Bearer ")
-        if token and not hmac.compare_digest(token.encode(), given.encode()):
+        given = request.headers.get("Authorization", "")
+        if token and not hmac.compare_digest(f"Bearer {token}".encode(), given.encode()):
             return _answer({"error": "the header Authorization has no valid bearer token"}, 401)
         return await handler(request)
 
@@ -210,8 +210,13 @@
         return claim.fence if claim else -1
 
     async def _start_drain(
-        self, name: str, host: Host, *, to_pool: str, reason: str
+        self, request: web.Request, name: str, host: Host, *, to_pool: str, reason: str
     ) -> web.Response:
+        """Starts a drain that the availability budgets allow, or that was asked for regardless."""
+        over = [item for item in preview_removal(self._parts, name) if not item["within"]]
+        if over and request.query.get("over_budget") != "true":
+            error = "the availability budget does not allow it; over_budget=true does it regardless"
+            return _answer({"outcome": "not-run", "error": error, "budgets": over}, 409)
         body = records.HostDrainStarted(name, host.revision, to_pool, reason, self._find_fence())
         return await self._append(self._parts.appender, body, Priority.FLEET)
 
@@ -224,11 +229,11 @@
             error = f"pool {given['pool']!r} does not exist"
             refusal = {"outcome": "not-run", "error": error, "accepted": sorted(pools)}
             return _answer(refusal, 422)
-        return await self._start_drain(name, host, to_pool=given["pool"], reason="move")
+        return await self._start_drain(request, name, host, to_pool=given["pool"], reason="move")
 
     async def _drain(self, request: web.Request) -> web.Response:
         name, host = self._find_host(request)
-        return await self._start_drain(name, host, to_pool=host.pool, reason=HOLD)
+        return await self._start_drain(request, name, host, to_pool=host.pool, reason=HOLD)
 
     async def _return(self, request: web.Request) -> web.Response:
         name, host = self._find_host(request)
