Measure planners and idle entry hosts for the capacity page

Cause: docs/CAPACITY.md needs slopes that a command can repeat. Change: cases capacity-planners and idle. Before: no figure.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -28,6 +28,9 @@
 MEMORY_REQUESTS = 100_000
 # The allocator and caches of bounded size settle within this.
 FLAT_KIB = 2 * 1024
+IDLE_SETTLE_SECONDS = 5
+IDLE_SECONDS = 30
+CONTROL_SHARE = 0.029
 TICKS = os.sysconf("SC_CLK_TCK")
 DESCRIPTION = {
     "data_centres": {"umea": {"entry_hosts": 1, "pools": {"booking": {"workers": 4}}}},
@@ -157,3 +160,33 @@
     goal = f"resident memory grows by at most {FLAT_KIB} KiB over {MEMORY_REQUESTS} requests"
     detail = {"unit": "KiB", "grown": grown}
     yield Line("memory", seed, before, after, after / before, goal, grown <= FLAT_KIB, detail)
+
+
+async def _idle() -> tuple[float, int]:
+    description = DESCRIPTION | {
+        "data_centres": {
+            name: {"entry_hosts": 2, "pools": {"booking": {"workers": 2}}}
+            for name in ("umea", "lulea", "pitea")
+        }
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        async with Launcher(description, Path(folder)) as launcher:
+            pids = [launcher.processes[name].pid for name in launcher.list_members()]
+            await asyncio.sleep(IDLE_SETTLE_SECONDS)
+            before = [_read_processor_seconds(pid) for pid in pids]
+            await asyncio.sleep(IDLE_SECONDS)
+            shares = [
+                (_read_processor_seconds(pid) - start) / IDLE_SECONDS
+                for pid, start in zip(pids, before, strict=True)
+            ]
+            return max(shares), max(_read_resident_kib(pid) for pid in pids)
+
+
+@case("idle")
+def run_idle(seed: int) -> Iterator[Line]:
+    """Measures an entry host without requests, the busiest of six in three data centres."""
+    share, resident = asyncio.run(_idle())
+    goal = f"processor time of control <= {CONTROL_SHARE} of a core"
+    ratio = share / CONTROL_SHARE
+    detail = {"unit": "share of a core", "resident_kib": resident}
+    yield Line("idle", seed, CONTROL_SHARE, share, ratio, goal, ratio <= 1, detail)
--- /dev/null
+++ b/benchmarks/planners.py
@@ -0,0 +1,100 @@
+"""Time and memory of the planners against 100, 1,000 and 8,000 workers in 54 pools."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from datetime import UTC, datetime, timedelta
+
+from benchmarks.report import Line, case
+from carawayshore.maintenance import Fleet, FleetHost, Limit, Planner
+from carawayshore.placement import Demand, HostRoom, plan_jobs
+from carawayshore.records import Resources
+
+SIZES = (100, 1_000, 8_000)
+POOLS = 54
+DATA_CENTRES = 11
+RACK_HOSTS = 4
+QUEUED_JOBS = 200
+ROUNDS = 3
+NOW = datetime(2026, 6, 1, tzinfo=UTC)
+PERIOD = timedelta(weeks=7)
+# Control may take this share of a core.
+SHARE = 0.029
+# The whole control share is averaged over a minute; one plan must not take longer than its part.
+PLAN_GOAL_SECONDS = 60 * SHARE
+MEMORY_GOAL_BYTES = 32 * 1024 * 1024
+HOST_SIZE = Resources(32, 128, 2)
+JOB_SIZE = Resources(2, 8, 0)
+
+
+def _build_fleet(count: int) -> Fleet:
+    hosts = [
+        FleetHost(
+            f"w{number}",
+            f"dc-{number % DATA_CENTRES}",
+            f"r{number // (RACK_HOSTS * DATA_CENTRES)}",
+            f"pool-{number % POOLS}",
+            "failed" if number % 150 == 0 else "",
+            NOW - PERIOD,
+            NOW - PERIOD * (number % 100) / 100,
+        )
+        for number in range(count)
+    ]
+    limits = {f"pool-{number}": Limit(4, f"service-{number}") for number in range(POOLS)}
+    return Fleet(hosts, limits, PERIOD, timedelta(minutes=15))
+
+
+def _plan_wave(count: int) -> None:
+    Planner(_build_fleet(count), NOW).choose_wave()
+
+
+def _plan_placements(count: int) -> None:
+    """Plans one data centre's part of the jobs."""
+    here = max(1, count // DATA_CENTRES)
+    hosts = [HostRoom(f"w{number}", f"pool-{number % POOLS}", HOST_SIZE) for number in range(here)]
+    demands = [
+        Demand(
+            f"j{number}", f"pool-{number % POOLS}", "team", JOB_SIZE, JOB_SIZE, number % 10 == 0,
+            "2026-06-01T07:00:00+00:00", number,
+        )
+        for number in range(QUEUED_JOBS)
+    ]  # fmt: skip
+    plan_jobs(demands, hosts, {})
+
+
+def _measure(call: Callable[[], None]) -> tuple[float, int]:
+    """Returns the least processor time in seconds and the peak of memory in bytes."""
+    times = []
+    for _ in range(ROUNDS):
+        start = time.process_time_ns()
+        call()
+        times.append((time.process_time_ns() - start) / 1e9)
+    tracemalloc.start()
+    call()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return min(times), peak
+
+
+@case("capacity-planners")
+def run_planners(seed: int) -> Iterator[Line]:
+    """Measures the plan of the next wave and the plan of one data centre's jobs."""
+    for name, plan in (("wave", _plan_wave), ("placement", _plan_placements)):
+        figures = [_measure(lambda n=size, p=plan: p(n)) for size in SIZES]
+        seconds = [item[0] for item in figures]
+        slope = (seconds[-1] - seconds[0]) / (SIZES[-1] - SIZES[0])
+        met = seconds[-1] <= PLAN_GOAL_SECONDS and figures[-1][1] <= MEMORY_GOAL_BYTES
+        goal = f"<= {PLAN_GOAL_SECONDS:.2f} s and <= {MEMORY_GOAL_BYTES} bytes at 8,000 workers"
+        detail = {
+            "unit": "s",
+            "sizes": SIZES,
+            "seconds": [round(item, 6) for item in seconds],
+            "peak_bytes": [item[1] for item in figures],
+            "slope": slope,
+        }
+        ratio = seconds[-1] / seconds[0]
+        yield Line(
+            f"capacity-planners/{name}", seed, seconds[0], seconds[-1], ratio, goal, met, detail
+        )
