Keep a data centre that is cut off from blocking maintenance and jobs

Cause: a wave of a data centre without the log never ended, and what it had out of service when it was cut off counted against the pool for ever. A job name was known in one data centre only, so that a submission repeated in another one ran the job again. A job name has a home data centre, by its prefix or by rendezvous hashing, and job calls are forwarded there.

--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -30,6 +30,7 @@
 from carawayd.process.observations import Observations
 from carawayd.process.operators import OperatorEndpoints
 from carawayd.process.peers import Peers
+from carawayd.process.reports import ReportWatch
 from carawayd.process.slots import Slots
 from carawayd.process.snapshots import SnapshotWriter
 from carawayd.process.streams import StreamReader
@@ -182,6 +183,7 @@
         pools=platform.pools,
         **counted,
     )
+    watch = ReportWatch(global_reader, **common)
     waves = WaveFollower(
         keeper,
         reader,
@@ -191,6 +193,7 @@
         inventory=inventory,
         observations=observations,
         versions=versions,
+        watch=watch,
         pools=platform.pools,
         worker=platform.worker,
         **common,
@@ -204,7 +207,12 @@
         **common,
     )
     maintenance = MaintenanceController(
-        maintenance_keeper, global_reader, global_appender, versions=versions, **counted
+        maintenance_keeper,
+        global_reader,
+        global_appender,
+        versions=versions,
+        watch=watch,
+        **counted,
     )
     job_keeper = ClaimKeeper(
         JOBS_CLAIM, reader=reader, appender=appender, membership=membership, **common
--- a/packages/carawayd/src/carawayd/process/maintenance.py
+++ b/packages/carawayd/src/carawayd/process/maintenance.py
@@ -15,6 +15,7 @@
     from carawayd.process.appender import Appender
     from carawayd.process.claims import ClaimKeeper
     from carawayd.process.metrics import Metrics
+    from carawayd.process.reports import ReportWatch
     from carawayd.process.settings import Settings
     from carawayd.process.streams import StreamReader
     from carawayd.version.configuration import Versions
@@ -42,6 +43,7 @@
     reader, appender
         Of the global stream.
     versions : Versions
+    watch : ReportWatch
     settings : Settings
     clock : Clock
     metrics : Metrics
@@ -54,6 +56,7 @@
         appender: Appender,
         *,
         versions: Versions,
+        watch: ReportWatch,
         settings: Settings,
         clock: Clock,
         metrics: Metrics,
@@ -63,6 +66,7 @@
         self._reader = reader
         self._appender = appender
         self._versions = versions
+        self._watch = watch
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -82,7 +86,8 @@
 
     def build_fleet(self) -> Fleet:
         """Returns the fleet as the folded state shows it; no holder is needed for that."""
-        return build_fleet(self._reader.folded, self._versions.current.configuration)
+        configuration = self._versions.current.configuration
+        return build_fleet(self._reader.folded, configuration, silent=self._watch.list_silent())
 
     def build_planner(self) -> Planner:
         """Returns the planner of this moment."""
@@ -141,6 +146,7 @@
         """Returns the state of planning for the dump."""
         idle = self._clock.elapsed() - self._progressed
         return {
+            "silent_data_centres": sorted(self._watch.list_silent()),
             "stopped": find_stop(self._reader.folded),
             "append_pending": self._pending,
             "wave": self._progress[0],
--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -262,6 +262,7 @@
         late = self._build_planner().explain()
         reasons = Counter(host.reason for host in late)
         document = {
+            "stopped": self._parts.maintenance.build_fleet().stopped,
             "count": len(late),
             "reasons": dict(reasons.most_common(limit)),
             "hosts": [host._asdict() for host in late[:limit]],
--- a/packages/carawayd/src/carawayd/process/waves.py
+++ b/packages/carawayd/src/carawayd/process/waves.py
@@ -37,6 +37,7 @@
     from carawayd.process.claims import ClaimKeeper
     from carawayd.process.inventory import Inventory
     from carawayd.process.observations import Observations
+    from carawayd.process.reports import ReportWatch
     from carawayd.process.settings import Settings
     from carawayd.process.streams import StreamReader
     from carawayd.version.configuration import Versions
@@ -119,6 +120,7 @@
     inventory : Inventory
     observations : Observations
     versions : Versions
+    watch : ReportWatch
     pools : PoolsClient
     worker : WorkerClient
     settings : Settings
@@ -136,6 +138,7 @@
         inventory: Inventory,
         observations: Observations,
         versions: Versions,
+        watch: ReportWatch,
         pools: PoolsClient,
         worker: WorkerClient,
         settings: Settings,
@@ -150,6 +153,7 @@
         self._inventory = inventory
         self._observations = observations
         self._versions = versions
+        self._watch = watch
         self._pools = pools
         self._worker = worker
         self._settings = settings
@@ -197,9 +201,10 @@
     @Service.task
     async def _report(self) -> None:
         while not self.should_stop:
+            self._watch.check()
             if self._keeper.holds() and self._global_reader.caught_up.is_set():
                 changes = self._list_changes()
-                if changes:
+                if changes or self._watch.is_due(self._own):
                     at = format_time(self._clock)
                     body = records.HostsReported(self._own, self._keeper.fence, at, changes)
                     await self._append(self._global_appender, body)
@@ -297,7 +302,8 @@
     def list_pool(self, pool: str) -> list[HostCondition]:
         """Returns a pool's hosts in all data centres: the own ones exactly, others as reported."""
         state = self._global_reader.folded
-        others = list_pool_conditions(state, pool, except_data_centre=self._own)
+        left_out = self._watch.list_silent() | {self._own}
+        others = list_pool_conditions(state, pool, left_out=left_out)
         own = [
             build_condition(name, self._own, host.rack, self._find_condition(name, host))
             for name, host in self._reader.folded.hosts.items()
--- a/packages/carawayd/src/carawayd/request/jobs.py
+++ b/packages/carawayd/src/carawayd/request/jobs.py
@@ -14,9 +14,11 @@
 from carawayd.process.appender import AppendUnknown, NotAppended, Priority
 from carawayd.process.endpoints import endpoint, read_wait
 from carawayd.request.answers import REASON_HEADER, Reason, Refusal
+from carawayd.request.jobhome import forward_job
 from carawayshore import records
 from carawayshore.findings import Finding
 from carawayshore.fold import TERMINAL_JOB_STATES
+from carawayshore.keys import choose_home
 from carawayshore.options import Field, check_fields, fill_defaults
 from carawayshore.outcome import OUTCOME_HEADER, Outcome
 
@@ -26,6 +28,8 @@
     from carawayshore.configuration import Configuration
     from carawayshore.fold import Job, Rejection
 
+# Longest time by which an entry host with a working log reads later than another.
+READ_LAG = timedelta(seconds=0.5)
 # A record must fit into a batch of the log together with others.
 MAX_BODY_BYTES = 64 * 1024
 RESOURCE_FIELDS = (
@@ -34,7 +38,12 @@
     Field("accelerators", "integer", "Accelerators.", "", 0, maximum=100_000),
 )
 JOB_FIELDS = (
-    Field("job", "name", "Name of the job; a repeated submission under it runs once."),
+    Field(
+        "job",
+        "homed_name",
+        "Name of the job, after its data centre and ':' if it must run there; a repeated "
+        "submission under it runs once.",
+    ),
     Field("queue", "name", "Queue of the configuration.", required=True),
     Field("team", "name", "Team whose quota the job counts against.", required=True),
     Field("payload", "members", "Content of the job, passed to the worker.", default={}),
@@ -75,6 +84,12 @@
         accepted = ", ".join(sorted(configuration["queues"])) or "(none is defined)"
         if all(item.pointer != "/queue" for item in found):
             found.append(Finding("/queue", queue, "one of " + accepted))
+    name = document.get("job") if isinstance(document, dict) else None
+    if isinstance(name, str) and name.count(":") == 1:
+        data_centres = configuration["data_centres"]
+        if name.partition(":")[0] not in data_centres:
+            accepted = "a name after one of the data centres " + ", ".join(data_centres)
+            found.append(Finding("/job", name, accepted))
     return found
 
 
@@ -83,7 +98,7 @@
 ) -> records.JobSubmitted:
     """Returns the record of a valid submission; the digest leaves out what time adds."""
     given = fill_defaults(JOB_FIELDS, document)
-    name = given.pop("job") or "j" + secrets.token_hex(16)
+    name = given.pop("job") or f"{parts.settings.data_centre}:j{secrets.token_hex(16)}"
     content = hashlib.sha256(msgspec.json.encode(given, order="sorted")).hexdigest()
     queue = configuration["queues"][given["queue"]]
     seconds = given["deadline_seconds"]
@@ -126,8 +141,8 @@
     }
 
 
-async def _read_document(request: web.BaseRequest) -> Any:
-    """Returns the parsed body.
+async def _read_document(request: web.BaseRequest) -> tuple[bytes, Any]:
+    """Returns the body and what it says.
 
     Raises
     ------
@@ -143,7 +158,7 @@
         detail = f"the body exceeds {MAX_BODY_BYTES} bytes"
         raise Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, status=413, detail=detail)
     try:
-        return msgspec.json.decode(data)
+        return data, msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         detail = f"the body is not JSON: {error}"
         raise Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, status=400, detail=detail) from error
@@ -181,8 +196,27 @@
     return None if isinstance(result, Success) else result.failure()
 
 
-def _find_job(parts: Parts, name: str) -> Job:
-    job = parts.job_index.find(name)
+def _find_home(parts: Parts, name: str | None) -> str:
+    """Returns the data centre that owns the name; a job without a name belongs here.
+
+    A name has one home, so that a submission repeated in another data centre is recognised.
+    """
+    if not name:
+        return parts.settings.data_centre
+    return choose_home(name, parts.handler.find_version().configuration["data_centres"])
+
+
+async def _find_job(parts: Parts, name: str) -> Job:
+    """Returns a job; waits shortly, since another entry host may have accepted it just now.
+
+    Raises
+    ------
+    Refusal
+        If the job does not become known.
+    """
+    deadline = parts.clock.elapsed() + READ_LAG
+    while (job := parts.job_index.find(name)) is None and parts.clock.elapsed() < deadline:
+        await parts.clock.sleep(READ_LAG / 20)
     if job is None:
         detail = f"job {name!r} is not known in data centre {parts.settings.data_centre!r}"
         raise Refusal(Outcome.NOT_RUN, Reason.NO_JOB, status=404, detail=detail)
@@ -203,10 +237,13 @@
 ) -> web.Response:
     parts = endpoints.parts
     version = parts.handler.find_version()
-    document = await _read_document(request)
+    data, document = await _read_document(request)
     found = find_findings(document, version.configuration)
     if found:
         return _answer_findings(found)
+    home = _find_home(parts, document.get("job"))
+    if home != parts.settings.data_centre:
+        return await forward_job(parts, request, home, data=data)
     body = build_record(document, parts, version.configuration)
     known = parts.job_index.find(body.job)
     if known is not None:
@@ -225,9 +262,12 @@
     endpoints: CallerEndpoints, request: web.BaseRequest, segments: list[str]
 ) -> web.Response:
     parts, wait = endpoints.parts, read_wait(request)
-    _find_job(parts, segments[0])
+    home = _find_home(parts, segments[0])
+    if home != parts.settings.data_centre:
+        return await forward_job(parts, request, home, wait=wait.total_seconds())
+    await _find_job(parts, segments[0])
     await parts.job_index.wait_for_end(segments[0], wait)
-    return _answer(describe_job(segments[0], _find_job(parts, segments[0])))
+    return _answer(describe_job(segments[0], await _find_job(parts, segments[0])))
 
 
 @endpoint("DELETE", "/v1/jobs/*")
@@ -236,11 +276,14 @@
 ) -> web.Response:
     """Cancels a job; one that runs ends only when its worker has stopped it."""
     parts, name = endpoints.parts, segments[0]
-    job = _find_job(parts, name)
+    home = _find_home(parts, name)
+    if home != parts.settings.data_centre:
+        return await forward_job(parts, request, home)
+    job = await _find_job(parts, name)
     if job.state not in TERMINAL_JOB_STATES and job.state != "cancelling":
         _check_ready(parts)
         await _append(parts, records.JobCancelled(name))
-        job = _find_job(parts, name)
+        job = await _find_job(parts, name)
     if job.state in ("cancelled", "cancelling"):
         return _answer(describe_job(name, job), 200 if job.state == "cancelled" else 202)
     if job.state in TERMINAL_JOB_STATES:
--- a/packages/carawayshore/src/carawayshore/maintenance.py
+++ b/packages/carawayshore/src/carawayshore/maintenance.py
@@ -55,6 +55,8 @@
         Why no wave starts at all, or an empty string.
     stalled : dict of str to str
         Stalled wave by data centre.
+    silent : frozenset of str
+        Data centres that do not report; the budgets of the others leave their hosts out.
     """
 
     hosts: list[FleetHost]
@@ -63,6 +65,7 @@
     wave_duration: timedelta
     stopped: str = ""
     stalled: dict[str, str] = {}
+    silent: frozenset[str] = frozenset()
 
 
 class PlannedWave(NamedTuple):
@@ -104,7 +107,9 @@
     return "" if is_enabled(state) else "maintenance is not enabled in the configuration"
 
 
-def build_fleet(state: StreamState, configuration: Configuration) -> Fleet:
+def build_fleet(
+    state: StreamState, configuration: Configuration, *, silent: frozenset[str] = frozenset()
+) -> Fleet:
     """Returns the fleet of the folded global stream."""
     epoch = datetime.fromtimestamp(0, UTC)
     hosts = [
@@ -128,6 +133,7 @@
         wave_duration=duration or DEFAULT_WAVE_DURATION,
         stopped=find_stop(state),
         stalled={wave.data_centre: name for name, wave in sorted(state.stalled.items())},
+        silent=silent,
     )
 
 
@@ -143,13 +149,13 @@
 
 
 def list_pool_conditions(
-    state: StreamState, pool: str, *, except_data_centre: str
+    state: StreamState, pool: str, *, left_out: frozenset[str]
 ) -> list[HostCondition]:
-    """Returns the reported conditions of a pool's hosts in all other data centres."""
+    """Returns the reported conditions of a pool's hosts outside the data centres ``left_out``."""
     return [
         build_condition(name, data_centre, host.rack, host.condition)
         for data_centre, report in sorted(state.reports.items())
-        if data_centre != except_data_centre
+        if data_centre not in left_out
         for name, host in report.hosts.items()
         if host.pool == pool
     ]
@@ -176,6 +182,8 @@
         self._now = now
         self._conditions: dict[str, list[HostCondition]] = {}
         for host in fleet.hosts:
+            if host.data_centre in fleet.silent:
+                continue
             condition = build_condition(host.host, host.data_centre, host.rack, host.condition)
             self._conditions.setdefault(host.pool, []).append(condition)
         self._budget_obstacles: dict[str, str] = {}
@@ -196,6 +204,8 @@
         fleet = self._fleet
         if fleet.stopped:
             return fleet.stopped
+        if host.data_centre in fleet.silent:
+            return f"data centre {host.data_centre} does not report"
         if host.data_centre in fleet.stalled:
             wave = fleet.stalled[host.data_centre]
             return f"wave {wave} of data centre {host.data_centre} is stalled"
@@ -294,6 +304,5 @@
             )
         permanent = self._fleet.limits.get(host.pool)
         if permanent is not None and permanent.max_unavailable == 0:
-            return obstacle or f"service {permanent.service} allows no unavailable host"
-        # Nothing will change by itself while maintenance is stopped.
-        return self._fleet.stopped
+            return f"service {permanent.service} allows no unavailable host"
+        return ""
--- a/packages/carawayshore/src/carawayshore/options.py
+++ b/packages/carawayshore/src/carawayshore/options.py
@@ -99,6 +99,14 @@
     return [Finding(pointer, value, "a name of lower case letters, digits and '-', at most 41")]
 
 
+@check("homed_name")
+def _check_homed_name(field: Field, value: Any, pointer: str) -> list[Finding]:
+    parts = value.split(":") if isinstance(value, str) else []
+    if len(parts) in (1, 2) and all(NAME_PATTERN.fullmatch(part) for part in parts):
+        return []
+    return [Finding(pointer, value, "a name, or a data centre, ':' and a name")]
+
+
 @check("choice")
 def _check_choice(field: Field, value: Any, pointer: str) -> list[Finding]:
     if value in field.choices:
