--- /dev/null
+++ b/features/steps/maintenance_steps.py
@@ -0,0 +1,365 @@
+"""Steps of the features about maintenance."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from types import SimpleNamespace
+
+from behave import given, then, when
+from builders import build_configuration
+from builders_jobs import (
+    HOLDER,
+    START,
+    Deployment,
+    FakeLog,
+    JobStream,
+    WaveStream,
+    build_fleet,
+    build_racks,
+    build_test_settings,
+)
+
+from carawayd.process.waves import WaveFollower
+from carawayshore import records
+from carawayshore.configuration import complete_configuration
+from carawayshore.maintenance import Planner
+from carawayshore.testing import ManualClock
+
+
+@given("{racks:d} racks of 4 hosts with a budget of {budget:d}")
+def build_plan(context, racks, budget):
+    context.fleet, context.now = build_fleet(build_racks(racks), budget), START
+
+
+@given("racks of 4 hosts in 2 data centres with a budget of {budget:d}")
+def build_two(context, budget):
+    other = [
+        host._replace(host="l" + host.host, data_centre="lulea")
+        for host in build_racks(1, since=START + timedelta(hours=1))
+    ]
+    context.fleet, context.now = build_fleet(build_racks(1) + other, budget), START
+
+
+@given("one host is {first} and one is {second}")
+def set_conditions(context, first, second):
+    hosts = list(context.fleet.hosts)
+    hosts[0], hosts[4] = hosts[0]._replace(condition=first), hosts[4]._replace(condition=second)
+    context.fleet = context.fleet._replace(hosts=hosts)
+
+
+@then("no wave is chosen now")
+def expect_no_wave(context):
+    assert Planner(context.fleet, context.now).choose_wave() is None
+
+
+@then("the reason names the service booking")
+def expect_reason(context):
+    reason = Planner(context.fleet, context.now).find_obstacle(context.fleet.hosts[1])
+    assert "service booking allows 2" in reason, reason
+
+
+@then("the chosen wave has 4 hosts of one rack and data centre")
+def expect_one_rack(context):
+    wave = Planner(context.fleet, context.now).choose_wave()
+    assert wave.hosts == [f"h0-{n}" for n in range(4)], wave
+
+
+@when("waves of {hours:d} hours are carried out for {days:d} days")
+def carry_out(context, hours, days):
+    context.done = {}
+    duration = timedelta(hours=hours)
+    while context.now < START + timedelta(days=days):
+        wave = Planner(context.fleet, context.now).choose_wave()
+        context.now += duration
+        if wave is None:
+            continue
+        for name in wave.hosts:
+            context.done.setdefault(name, []).append(context.now)
+        hosts = [
+            host._replace(maintained=context.now) if host.host in wave.hosts else host
+            for host in context.fleet.hosts
+        ]
+        context.fleet = context.fleet._replace(hosts=hosts)
+
+
+@then("every host was maintained, and none twice within {days:d} days")
+def expect_each_once(context, days):
+    assert set(context.done) == {host.host for host in context.fleet.hosts}
+    for times in context.done.values():
+        gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+        assert all(gap >= timedelta(days=days) for gap in gaps), gaps
+
+
+@when("waves take {hours:d} hours each")
+def slow_down(context, hours):
+    context.fleet = context.fleet._replace(wave_duration=timedelta(hours=hours))
+
+
+@then("the last {count:d} hosts are explained as late because the waves take too long")
+def expect_late(context, count):
+    late = Planner(context.fleet, context.now).explain()
+    assert len(late) == count, len(late)
+    assert all("the waves before it take until" in host.reason for host in late), late[0]
+
+
+@then("every host is explained as late because of the service booking")
+def expect_all_late(context):
+    late = Planner(context.fleet, context.now).explain()
+    assert len(late) == len(context.fleet.hosts), late
+    assert all("service booking" in host.reason for host in late), late
+
+
+@when("the data centre umea is silent with 1 host out of service")
+def silence(context):
+    hosts = list(context.fleet.hosts)
+    hosts[0] = hosts[0]._replace(condition="draining")
+    context.fleet = context.fleet._replace(hosts=hosts, silent=frozenset({"umea"}))
+
+
+@then("the chosen wave is in lulea")
+def expect_lulea(context):
+    assert Planner(context.fleet, context.now).choose_wave().data_centre == "lulea"
+
+
+@given("a global stream with reported hosts")
+def build_global(context):
+    context.stream = WaveStream()
+
+
+@when("a wave of {host} has started")
+def start_wave(context, host):
+    context.stream.start("w", host.partition("-")[0], [host]).unwrap()
+
+
+@when("maintenance is paused")
+def pause(context):
+    context.stream.append(HOLDER, records.MaintenancePaused("anna", "peak")).unwrap()
+
+
+@when("maintenance is disabled")
+def disable(context):
+    body = records.ConfigurationPublished(1, build_configuration(), HOLDER)
+    context.stream.append(HOLDER, body).unwrap()
+
+
+@when("a wave of {host} has stalled")
+def stall(context, host):
+    start_wave(context, host)
+    _finish_wave(context, stalled=True).unwrap()
+
+
+def _finish_wave(context, stalled=False):
+    body = records.WaveFinished("w", context.stream.fence, START.isoformat(), stalled)
+    return context.stream.append(HOLDER, body)
+
+
+@then("starting a wave of {host} is rejected")
+def expect_rejected(context, host):
+    assert context.stream.start("x", host.partition("-")[0], [host]).failure().reason
+
+
+@then("a wave of {hosts} under {fence} is {result}")
+def expect_result(context, hosts, fence, result):
+    number = context.stream.fence if fence == "its fence" else 0
+    started = context.stream.start("w", "umea", hosts.split(", "), number)
+    assert (started.value_or("rejected") or "accepted") == result, started
+
+
+@when("a wave of umea-w1 and umea-w2 has started and the claim changes hands")
+def start_and_hand_over(context):
+    context.old = context.stream.fence
+    context.stream.start("w", "umea", ["umea-w1", "umea-w2"]).unwrap()
+    context.stream.take(HOLDER, "maintenance").unwrap()
+
+
+@then("finishing umea-w1 under the fence of the wave is accepted once")
+def expect_once(context):
+    stream = context.stream
+    assert stream.finish_host("w", "umea-w1", stream.fence).failure().reason
+    stream.finish_host("w", "umea-w1", context.old).unwrap()
+    assert stream.finish_host("w", "umea-w1", context.old).failure().reason
+    assert set(stream.state.maintained) == {"umea-w1"}
+
+
+@then("the wave can be ended only when umea-w2 is finished or it has stalled")
+def expect_end(context):
+    stream = context.stream
+    assert _finish_wave(context).failure().reason
+    _finish_wave(context, stalled=True).unwrap()
+    assert set(stream.state.stalled) == {"w"} and not stream.state.waves
+    stream.finish_host("w", "umea-w2", context.old).unwrap()
+    assert not stream.state.stalled
+
+
+@given("a data centre whose host w1 has started to drain for a wave")
+def build_follower(context):
+    context.own, context.stream = JobStream(hosts=3), WaveStream()
+    names = {f"w{n}": "" for n in range(1, 4)}
+    context.stream.report("umea", names)
+    context.stream.start("wave", "umea", ["w1", "w2"]).unwrap()
+    version = SimpleNamespace(configuration=complete_configuration(build_configuration()))
+    health = SimpleNamespace(list_ejected=list)
+    reader = FakeLog(context.stream)
+    reader.contact_age = timedelta
+    context.follower = WaveFollower(
+        SimpleNamespace(holds=lambda: True, fence=context.own.state.claims["fleet"].fence),
+        FakeLog(context.own),
+        FakeLog(context.own),
+        global_reader=reader,
+        global_appender=reader,
+        inventory=SimpleNamespace(hosts=names, read_at=None),
+        observations=SimpleNamespace(find_health=lambda pool: health),
+        versions=SimpleNamespace(current=version),
+        watch=SimpleNamespace(list_silent=lambda: frozenset({"lulea"})),
+        pools=None,
+        worker=None,
+        settings=build_test_settings(),
+        clock=ManualClock(),
+    )
+    assert context.follower.may_begin("w1", "wave")
+    _change_host(context, records.HostDrainStarted, "booking", "maintenance", wave="wave")
+
+
+def _change_host(context, kind, *values, wave=None):
+    """Appends a record about w1 at its current revision."""
+    state = context.own.state
+    fence, revision = state.claims["fleet"].fence, state.hosts["w1"].revision
+    extra = {"wave": wave} if wave else {}
+    context.own.add(kind("w1", revision, *values, fence, **extra)).unwrap()
+
+
+@then("the drain may go on")
+def expect_going_on(context):
+    assert context.follower.may_go_on("w1")
+
+
+@then("the drain may not go on")
+def expect_put_back(context):
+    assert not context.follower.may_go_on("w1")
+
+
+@when("another host of the pool fails")
+def fail_host(context):
+    context.follower.probes._misses["w3"] = 2
+
+
+@when("that host is back and the wave has ended")
+def end_wave(context):
+    context.follower.probes._misses.clear()
+    assert context.follower.may_go_on("w1")
+    body = records.WaveFinished("wave", context.stream.fence, START.isoformat(), True)
+    context.stream.append(HOLDER, body).unwrap()
+
+
+@when("w1 has joined and is not confirmed yet")
+def join_host(context):
+    _change_host(context, records.HostJoined, "booking")
+
+
+@when("w1 is confirmed")
+def confirm_host(context):
+    context.stream.finish_host("wave", "w1", context.stream.fence).unwrap()
+
+
+@then("w2 may not begin to drain")
+def expect_waiting(context):
+    assert not context.follower.may_begin("w2", "wave")
+
+
+@then("w2 may begin to drain")
+def expect_next(context):
+    assert context.follower.may_begin("w2", "wave")
+
+
+@given("a running deployment for maintenance with a job of 12 s that runs once")
+def start_deployment(context):
+    configuration = {
+        "data_centres": ["umea", "lulea"],
+        "pools": {"booking": {}},
+        "services": {"booking": {"pool": "booking"}},
+        "queues": {"routes": {"pool": "booking", "service": "booking"}},
+        "maintenance": {"enabled": True},
+    }
+    context.deployment = Deployment({"umea": 4, "lulea": 2}, configuration=configuration)
+    context.add_cleanup(context.deployment.close)
+    payload = {"run_seconds": 12}
+    body = {"job": "umea:long", "queue": "routes", "team": "crew", "payload": payload}
+    assert context.deployment.call("POST", "umea-1", "/v1/jobs", body=body)[0] == 201
+    context.statuses = []
+    for _ in range(50):
+        _request(context)
+        if context.statuses[-2:] == [200, 200]:
+            break
+        # Hosts are added within a second of the start, before any wave.
+        context.deployment.sleep(0.1)
+    context.statuses = []
+
+
+def _request(context):
+    path = "/services/booking/slots"
+    context.statuses += [context.deployment.call("GET", m, path)[0] for m in ("umea-1", "lulea-1")]
+
+
+def _list_operations(context, kind=""):
+    record = context.deployment.run(context.deployment.launcher.read_record("pools"))
+    return [entry for entry in record["operations"] if kind in ("", entry["kind"])]
+
+
+@when("requests are sent until maintenance is paused after the first drain")
+def pause_after_drain(context):
+    for _ in range(300):
+        _request(context)
+        if _list_operations(context, "drain"):
+            break
+        context.deployment.sleep(0.1)
+    path, body = "/v1/operator/maintenance/pause", {"author": "anna", "reason": "peak"}
+    answer = context.deployment.call("POST", "umea-1", path, role="operator", body=body)
+    assert answer[0] == 200, answer
+    context.drains = len(_list_operations(context, "drain"))
+
+
+@then("no further drain begins within {seconds:d} s")
+def expect_no_drain(context, seconds):
+    context.deployment.sleep(seconds)
+    assert len(_list_operations(context, "drain")) == context.drains == 1
+
+
+@when("maintenance is resumed while a worker is paused for {seconds:d} s")
+def resume(context, seconds):
+    deployment = context.deployment
+    deployment.launcher.pause("umea-w4")
+    path = "/v1/operator/maintenance/resume"
+    deployment.call("POST", "umea-1", path, role="operator", body={"author": "anna"})
+    # The failure is noticed within 3 s: two probes with a timeout of 1 s, and the report.
+    deployment.sleep(3)
+    noticed = len(_list_operations(context, "drain"))
+    deployment.sleep(seconds - 3)
+    assert len(_list_operations(context, "drain")) == noticed, "a drain began without budget"
+    deployment.launcher.resume("umea-w4")
+
+
+@then("all hosts are maintained within {seconds:d} s, never more than {budget:d} at once")
+def expect_all_maintained(context, seconds, budget):
+    workers = set(context.deployment.list_workers())
+    for _ in range(seconds * 2):
+        _request(context)
+        if {entry["host"] for entry in _list_operations(context, "return")} == workers:
+            break
+        context.deployment.sleep(0.5)
+    operations = sorted(_list_operations(context), key=lambda entry: entry["at"])
+    assert {entry["host"] for entry in operations if entry["kind"] == "reboot"} == workers
+    out: set[str] = set()
+    for entry in operations:
+        (out.discard if entry["kind"] == "return" else out.add)(entry["host"])
+        assert len(out) <= budget, operations
+    first, last = (datetime.fromisoformat(operations[n]["at"]) for n in (0, -1))
+    print(f"{len(workers)} hosts in {(last - first).total_seconds():.0f} s")
+
+
+@then("the job has succeeded in one run, and no request was cut off")
+def expect_untouched(context):
+    answer = context.deployment.call("GET", "umea-1", "/v1/jobs/umea:long?wait=30")
+    assert answer[2]["state"] == "succeeded", answer
+    runs = [entry["result"] for entry in context.deployment.list_executions() if "job" in entry]
+    assert runs == ["succeeded"], runs
+    assert set(context.statuses) == {200} and len(context.statuses) > 20, context.statuses
--- a/packages/carawayshore/src/carawayshore/placement.py
+++ b/packages/carawayshore/src/carawayshore/placement.py
@@ -9,7 +9,7 @@
 
 ROUNDING = 1e-9
 # Bounds the time of one plan; the rest of the queue follows in the next one.
-MAX_PLACEMENTS = 200
+MAX_DECISIONS = 200
 
 
 class Demand(NamedTuple):
@@ -241,7 +241,7 @@
     Returns
     -------
     Plan
-        At most ``MAX_PLACEMENTS`` placements; the rest follows when they are in the log.
+        At most about ``MAX_DECISIONS`` of them; the rest follows when these are in the log.
 
     Examples
     --------
@@ -252,7 +252,8 @@
     """
     planner = _Planner(hosts, quotas)
     for demand in sorted(demands, key=lambda demand: demand.rank):
-        if len(planner.plan.placements) >= MAX_PLACEMENTS:
+        decided = len(planner.plan.placements) + len(planner.plan.preemptions)
+        if decided >= MAX_DECISIONS:
             break
         planner.place(demand)
     return planner.plan
