--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -6,11 +6,7 @@
 import random
 import time
 from collections import Counter
-<<<<<<< HEAD
-from datetime import datetime
-=======
 from datetime import datetime, timedelta
->>>>>>> jobs
 
 from behave import given, then, when
 from builders_jobs import SIZE, Deployment, JobStream, TaskBench, build_submission
@@ -284,29 +280,17 @@
         for name in names:
             bench.submit(name)
             bench.place(name)
-<<<<<<< HEAD
-        await bench.run(1)
-        context.before = len(bench.stream.log)
-        for name in names:
-            bench.log.submit(records.JobCancelled(name))
-        await bench.run(10)
-=======
         await bench.run(5)
         bench.worker.latency = timedelta(seconds=0.5)
         context.before = len(bench.stream.log)
         for name in names:
             bench.log.submit(records.JobCancelled(name))
         await bench.run(30)
->>>>>>> jobs
 
     _run_bench(context, scenario)
 
 
-<<<<<<< HEAD
-@then("the worker got {count:d} stops and the log {results:d} results, and all are cancelled")
-=======
 @then("the worker got {count:d} slow stops and the log {results:d} results, and all are cancelled")
->>>>>>> jobs
 def expect_cost(context, count, results):
     bench = context.bench
     assert bench.worker.calls["stop"] == count, bench.worker.calls
