Cover the pairs of faults that the covering array leaves out

Cause: allpairspy with a filter left out 5 of the 46 sensible pairs, for example entry-killed with silent; the check of the table found it. Conclusion: every sensible pair has a scenario.

--- a/features/matrix/table.py
+++ b/features/matrix/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import NamedTuple
 
 from allpairspy import AllPairs
@@ -264,7 +265,7 @@
     "caller-retries at wait",
     "burst at queue",
     "configuration at wait",
-    "log-down + target-killed at wait",
+    "log-down + target-paused at wait",
 )
 
 
@@ -281,7 +282,14 @@
 
 def list_pairs() -> list[Cell]:
     """Returns pairs of faults; each pair occurs, and each fault occurs at each step."""
-    rows = AllPairs([PAIR_FIRSTS, PAIR_SECONDS, PAIR_STEPS], filter_func=_is_sensible)
+    lists = [PAIR_FIRSTS, PAIR_SECONDS, PAIR_STEPS]
+    rows = [tuple(row) for row in AllPairs(lists, filter_func=_is_sensible)]
+    # With a filter, the library leaves some pairs out.
+    covered = {row[:2] for row in rows}
+    for pair in itertools.product(PAIR_FIRSTS, PAIR_SECONDS):
+        if pair not in covered and _is_sensible(list(pair)):
+            steps = [step for step in PAIR_STEPS if _is_sensible([*pair, step])]
+            rows.append((*pair, steps[len(rows) % len(steps)]))
     return [Cell(_STEP[step], (_FAULT[a], _FAULT[b])) for a, b, step in rows]
 
 
--- a/features/matrix_requests.feature
+++ b/features/matrix_requests.feature
@@ -25,6 +25,7 @@
       | burst | queue | answered | answered |
       | configuration | wait | answered | answered |
       | target-drain | queue | answered | answered |
+      | log-down + target-paused | wait | answered | unclear |
 
     @whole
     Examples: whole
@@ -211,6 +212,13 @@
       | caller-retries | send | answered | answered |
       | caller-retries | receive | answered | answered |
       | caller-retries | answer | answered | unclear |
+      | deadline-passes | admit | unclear | unclear |
+      | deadline-passes | queue | unclear | unclear |
+      | deadline-passes | connect | unclear | unclear |
+      | deadline-passes | send | unclear | unclear |
+      | deadline-passes | wait | unclear | unclear |
+      | deadline-passes | receive | unclear | unclear |
+      | deadline-passes | answer | unclear | unclear |
       | burst | accept | answered | answered |
       | burst | admit | answered | answered |
       | burst | pick | answered | answered |
@@ -265,7 +273,6 @@
       | cut-both + target-killed | wait | answered | unclear |
       | planned-stop + silent | connect | answered | unclear |
       | log-down + answers-lost | receive | answered | unclear |
-      | log-down + target-paused | wait | answered | unclear |
       | planned-stop + target-drain | receive | answered | settled |
       | cut-both + configuration | receive | answered | unclear |
       | cut-log + caller-retries | receive | answered | answered |
@@ -281,3 +288,8 @@
       | log-down + silent | receive | answered | unclear |
       | log-down + caller-retries | connect | answered | answered |
       | log-down + answers-lost | send | settled | unclear |
+      | entry-killed + silent | wait | settled | unclear |
+      | entry-paused + burst | receive | answered | settled |
+      | cut-log + answers-lost | queue | answered | unclear |
+      | cut-both + caller-retries | pick | answered | unclear |
+      | planned-stop + target-killed | connect | answered | unclear |
