Probe with more requests than own slots when a cell is reset

Cause: an entry host uses its own slots first, so few probes never reached the targets of which it owns no slot; the reset waited 5 s in vain and the deployment was replaced. Change: the probes of the reset use all slots.

--- a/features/matrix/deployment.py
+++ b/features/matrix/deployment.py
@@ -233,12 +233,14 @@
         return all(await asyncio.gather(*(self._probe(member) for member in MEMBERS * 4)))
 
     async def _is_used(self) -> bool:
-        await asyncio.gather(*(self._probe(member) for member in MEMBERS * 4 if self._unserved))
+        # An entry host uses its own slots first; only more requests than those reach every target.
+        await asyncio.gather(*(self._probe(member, 0.1) for member in MEMBERS * 6))
         return not self._unserved
 
-    async def _probe(self, member: str) -> bool:
+    async def _probe(self, member: str, work_seconds: float = 0.01) -> bool:
         self._probes += 1
-        headers = {"Idempotency-Key": f"umea:probe-{self._probes}", "Work-Seconds": "0.01"}
+        headers = {"Idempotency-Key": f"umea:probe-{self._probes}"}
+        headers["Work-Seconds"] = f"{work_seconds:g}"
         url = f"http://{self.get_address(member, 'caller')}/services/booking/probe-{self._probes}"
         try:
             async with self._session.post(url, headers=headers) as answer:
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -29,7 +29,7 @@
     parser.add_argument("--cell", action="append", default=[], help="name of a cell; repeatable")
     parser.add_argument("--match", default="", help="run the cells whose name contains this")
     parser.add_argument("--seed", type=int, help="seed of random choices; default: drawn")
-    parser.add_argument("--lanes", type=int, default=6, help="deployments at once; default: 6")
+    parser.add_argument("--lanes", type=int, default=8, help="deployments at once; default: 8")
     parser.add_argument(
         "--folder", type=Path, help="folder of logs and records; default: temporary"
     )
