Close idle connections to a target when one of them went silent

Cause: what loses track of one connection loses track of others. The retry took the next idle connection to the same target, which was silent too, and so on until the deadline. Change: a silent connection closes the idle ones to the same address. aiohttp has no public call for one address; the private table of idle connections is used, as _retry_connection is already. Conclusion: a repeatable request needs one detection, not one for each idle connection.

--- a/packages/carawayd/src/carawayd/connection/target.py
+++ b/packages/carawayd/src/carawayd/connection/target.py
@@ -290,6 +290,17 @@
                 "connection to %s went silent", exchange.target, extra={"fields": fields}
             )
             exchange.abort(Failure.SILENT)
+            self._close_idle(exchange.address)
+
+    def _close_idle(self, address: str) -> None:
+        """Closes the idle connections to an address, which may have gone silent as well.
+
+        The library offers this for all addresses together only.
+        """
+        idle = self._session.connector._conns
+        for key in [key for key in idle if f"{key.host}:{key.port}" == address]:
+            for connection, _ in idle.pop(key):
+                connection.close()
 
     async def revoke(self, exchange_request: str, address: str) -> str:
         """Returns the state of an attempt at its worker, which will not start it any more.
