--- a/packages/carawayd/src/carawayd/connection/target.py
+++ b/packages/carawayd/src/carawayd/connection/target.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from datetime import timedelta
@@ -219,9 +218,10 @@
         # that breaks, even one that carries an idempotency key.
         self._session._retry_connection = False
 
-    @contextlib.asynccontextmanager
-    async def open_exchange(self, request: str, target: str, address: str, outgoing: Outgoing):
-        """Sends a request and gives its exchange, whose answer has begun.
+    async def open_exchange(
+        self, request: str, target: str, address: str, outgoing: Outgoing
+    ) -> Exchange:
+        """Sends a request and returns its exchange, whose answer has begun; close it in any case.
 
         Raises
         ------
@@ -232,13 +232,18 @@
         self._exchanges.setdefault(target, {})[request] = exchange
         try:
             await exchange.send(self._session, outgoing)
-            yield exchange
-        finally:
-            exchange.close()
-            running = self._exchanges[target]
-            del running[request]
-            if not running:
-                del self._exchanges[target]
+        except BaseException:
+            self.close_exchange(exchange)
+            raise
+        return exchange
+
+    def close_exchange(self, exchange: Exchange) -> None:
+        """Ends an exchange; a probe does not look at it any more."""
+        exchange.close()
+        running = self._exchanges[exchange.target]
+        del running[exchange.request]
+        if not running:
+            del self._exchanges[exchange.target]
 
     @property
     def exchange_count(self) -> int:
--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -141,10 +141,13 @@
         remaining = plan.deadline - self._clock.elapsed()
         try:
             async with asyncio.timeout(max(0.0, remaining.total_seconds())):
-                async with self._connections.open_exchange(
+                exchange = await self._connections.open_exchange(
                     identifier, target, address, outgoing
-                ) as exchange:
+                )
+                try:
                     return await self._answer(request, plan, exchange, whole=whole)
+                finally:
+                    self._connections.close_exchange(exchange)
         except TimeoutError:
             return await self._find_fate(identifier, address, Reason.DEADLINE)
         except ExchangeError as error:
--- a/packages/carawayd/src/carawayd/request/body.py
+++ b/packages/carawayd/src/carawayd/request/body.py
@@ -36,11 +36,12 @@
 
 def copy_headers(headers) -> CIMultiDict[str]:
     """Returns the headers that concern the message and not one connection."""
-    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    connection = headers.get("Connection")
+    left_out = HOP_BY_HOP
+    if connection is not None:
+        left_out = left_out.union(name.strip().lower() for name in connection.split(","))
     return CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if name.lower() not in HOP_BY_HOP and name.lower() not in named
+        [(name, value) for name, value in headers.items() if name.lower() not in left_out]
     )
 
 
--- a/packages/carawayd/src/carawayd/version/dispatcher.py
+++ b/packages/carawayd/src/carawayd/version/dispatcher.py
@@ -171,7 +171,8 @@
                 entry.future.set_exception(
                     Refusal(Outcome.NOT_RUN, Reason.NO_TARGET, detail=f"pool {self.pool}")
                 )
-            free = self._count_free(self._list_usable())
+            if len(self._queue):
+                free = self._count_free(self._list_usable())
 
     def _expire(self) -> None:
         for waiting in self._queue.expire():
