Pass further headers of a forwarded request as they are

Cause: header names were built from argument names for each request. Change: the headers come as a mapping.

--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -75,14 +75,18 @@
         self._clock = clock
 
     def build_outgoing(
-        self, request: web.BaseRequest, plan: Plan, body: RequestBody, *, address: str, **extra: str
+        self,
+        request: web.BaseRequest,
+        plan: Plan,
+        body: RequestBody,
+        address: str,
+        extra: dict[str, str],
     ) -> Outgoing:
         """Returns the request as it is sent on, with the deadline that is left."""
         headers = copy_headers(request.headers)
         remaining = max(0.001, (plan.deadline - self._clock.elapsed()).total_seconds())
         headers[DEADLINE_HEADER] = f"{remaining:.3f}"
-        for name, value in extra.items():
-            headers["-".join(part.capitalize() for part in name.split("_"))] = value
+        headers.update(extra)
         return Outgoing(request.method, f"http://{address}{request.raw_path}", headers, body.open())
 
     async def run(
@@ -118,9 +122,8 @@
             request,
             plan,
             body,
-            address=address,
-            carawayshore_request=identifier,
-            carawayshore_pool=pool,
+            address,
+            {REQUEST_HEADER: identifier, POOL_HEADER: pool},
         )
         return await self.exchange(
             request, plan, outgoing, identifier, assigned.target, address, whole=whole
--- a/packages/carawayd/src/carawayd/request/forward.py
+++ b/packages/carawayd/src/carawayd/request/forward.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from carawayd.request.answers import KeptAnswer, Reason, Refusal
+from carawayd.request.answers import REQUEST_HEADER, KeptAnswer, Reason, Refusal
 from carawayd.request.attempt import Unanswered, build_answer
+from carawayd.request.plan import HOPS_HEADER
 from carawayshore.outcome import OUTCOME_HEADER, Outcome
 
 if TYPE_CHECKING:
@@ -108,9 +109,8 @@
             request,
             plan,
             body,
-            address=address,
-            carawayshore_request=identifier,
-            carawayshore_hops=str(plan.hops + 1),
+            address,
+            {REQUEST_HEADER: identifier, HOPS_HEADER: str(plan.hops + 1)},
         )
         result = await self._attempts.exchange(
             request, plan, outgoing, identifier, f"entry {member}", address, whole=False
