Wait for another target before a retry goes back to a tried one, and refuse late in a planned stop

A retry took the free slot of the target it had tried although another target's slot could be lent; and a planned stop gave up borrowing, and refused requests, before the balancer had turned away. Change: a retry waits up to 1 s for a loan elsewhere; requests are refused only after balancer_delay, and loans are handed back once the requests are finished. Ruled out: equal parts of slots for every member; the property test of shared slots found a slot held twice (docs/decisions/011).

--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -356,11 +356,13 @@
         for keeper in parts.keepers:
             keeper.release()
         parts.membership.stopping = True
-        parts.slots.hand_back()
+        # The balancer needs this long to notice; requests that it sends meanwhile are served.
         await parts.clock.sleep(options.balancer_delay)
+        parts.membership.refusing = True
         deadline = parts.clock.elapsed() + options.stop_limit
         while self._is_busy() and parts.clock.elapsed() < deadline:
             await parts.clock.sleep(DRAIN_INTERVAL)
+        parts.slots.hand_back()
         await parts.membership.leave()
         logger.info("planned stop ends", extra={"fields": {"busy": self._is_busy()}})
         await self.stop()
--- a/packages/carawayd/src/carawayd/process/membership.py
+++ b/packages/carawayd/src/carawayd/process/membership.py
@@ -67,6 +67,7 @@
         self.joined = asyncio.Event()
         self.barrier = Barrier()
         self.stopping = False
+        self.refusing = False
         self.superseded = asyncio.Event()
         self.loads: Callable[[], dict[str, int]] = dict
         self.has_unlogged_grants: Callable[[], bool] = lambda: False
--- a/packages/carawayd/src/carawayd/request/handler.py
+++ b/packages/carawayd/src/carawayd/request/handler.py
@@ -95,7 +95,7 @@
         Refusal
             If this process serves nothing at this moment.
         """
-        if self._membership.stopping:
+        if self._membership.refusing:
             raise Refusal(Outcome.NOT_RUN, Reason.STOPPING)
         if self._versions.current is None:
             raise Refusal(Outcome.NOT_RUN, Reason.NOT_READY)
--- a/packages/carawayd/src/carawayd/version/dispatcher.py
+++ b/packages/carawayd/src/carawayd/version/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from datetime import timedelta
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayd.request.answers import Reason, Refusal
@@ -15,7 +16,6 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Mapping
-    from datetime import timedelta
 
     from carawayd.process.metrics import Metrics
     from carawayd.process.observations import Observations
@@ -32,6 +32,10 @@
 }
 
 
+# A loan arrives within some tens of milliseconds; after this, a tried target is better than none.
+RETRY_WAIT = timedelta(seconds=1)
+
+
 class Assigned(NamedTuple):
     """A slot that a request was given."""
 
@@ -85,6 +89,7 @@
         self._running = RunningWork(queue_settings, clock)
         self._entries: dict[str, _Entry] = {}
         self._known_targets: list[str] = []
+        self._set_aside: list[Waiting] = []
         self._admission = Admission(self._queue, self._predictor, clock, rng, queue_settings)
 
     @property
@@ -131,12 +136,14 @@
         future = asyncio.get_running_loop().create_future()
         self._queue.push(decision)
         self._entries[decision.request] = _Entry(decision, tried, future)
+        self._take_up_again()
         self._expire()
         self._assign_waiting(free)
         try:
             assigned = await future
         except asyncio.CancelledError:
-            self._queue.remove(decision)
+            if not self._queue.remove(decision) and decision in self._set_aside:
+                self._set_aside.remove(decision)
             if future.done() and not future.cancelled() and future.exception() is None:
                 self.release(future.result())
             raise
@@ -151,6 +158,7 @@
 
     def assign_slots(self) -> None:
         """Gives free slots to waiting requests and refuses the expired ones."""
+        self._take_up_again()
         if not len(self._queue):
             return
         self._expire()
@@ -166,6 +174,9 @@
             entry = self._entries[waiting.request]
             if entry.future.done():
                 continue
+            if self._should_wait_longer(entry, free):
+                self._set_aside.append(waiting)
+                continue
             if not self._assign(entry, free):
                 # The slot went to somebody else since it was counted.
                 entry.future.set_exception(
@@ -174,6 +185,25 @@
             if len(self._queue):
                 free = self._count_free(self._list_usable())
 
+    def _should_wait_longer(self, entry: _Entry, free: Mapping[str, int]) -> bool:
+        """Returns whether a retry should wait for a loan of a slot at a target not tried yet."""
+        if not entry.tried or self._clock.elapsed() - entry.waiting.since > RETRY_WAIT:
+            return False
+        untried = free.keys() - entry.tried
+        return bool(untried) and not any(free[target] for target in untried)
+
+    def _take_up_again(self) -> None:
+        """Puts retries that wait for another target back into the queue."""
+        set_aside, self._set_aside = self._set_aside, []
+        for waiting in set_aside:
+            entry = self._entries.get(waiting.request)
+            if entry is None or entry.future.done():
+                continue
+            if self._queue.is_full:
+                entry.future.set_exception(Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL))
+            else:
+                self._queue.push(waiting)
+
     def _expire(self) -> None:
         for waiting in self._queue.expire():
             entry = self._entries.get(waiting.request)
@@ -226,8 +256,9 @@
 
     def count_demand(self) -> dict[str, int]:
         """Returns the waiting requests spread over the targets that could take them."""
-        if not len(self._queue):
+        wanted = len(self._queue) + len(self._set_aside)
+        if not wanted:
             return {}
         usable = self._list_usable()
-        each = -(-len(self._queue) // max(1, len(usable)))
+        each = -(-wanted // max(1, len(usable)))
         return dict.fromkeys(usable, each)
