--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,9 @@
 demo: setup
 	@$(RUN) -m carawayshore_standins.demo $(if $(JSON),--json)
 
-# Keeps the demonstration set running until interrupted.
+# Keeps the demonstration set running until interrupted; JSON=1 prints one JSON object.
 serve: setup
-	@$(RUN) -m carawayshore_standins.launcher
+	@$(RUN) -m carawayshore_standins.launcher $(if $(JSON),--json)
 
 test: setup
 	@$(RUN) tools/check.py
--- a/packages/standins/src/carawayshore_standins/launcher.py
+++ b/packages/standins/src/carawayshore_standins/launcher.py
@@ -2,7 +2,7 @@
 
 Examples
 --------
-``python -m carawayshore_standins.launcher [--description FILE] [--folder FOLDER]``
+``python -m carawayshore_standins.launcher [--description FILE] [--folder FOLDER] [--json]``
 
 >>> async with Launcher(description, folder) as launcher:  # doctest: +SKIP
 ...     await launcher.kill("umea-1")
@@ -28,6 +28,7 @@
 from carawayshore.findings import FindingsError
 from carawayshore.options import Field
 from carawayshore_standins.common import load_settings, read_fields
+from carawayshore_standins.overview import format_overview
 from carawayshore_standins.ports import PortReserver
 from carawayshore_standins.processes import ManagedProcess, ProcessPlan
 
@@ -71,14 +72,16 @@
         "data_centres": ["umea", "lulea"],
         "pools": {"booking": {}, "office": {"spare": True}},
         "services": {"booking": {"pool": "booking"}, "office": {"pool": "office"}},
+        "queues": {"nightly": {"pool": "office", "service": "office"}},
+        "teams": {"billing": {}},
     },
 }
 
 
-async def _run(description: dict[str, Any], folder: Path) -> None:
+async def _run(description: dict[str, Any], folder: Path, *, as_json: bool) -> None:
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
-    running = asyncio.ensure_future(_run_until_cancelled(description, folder))
+    running = asyncio.ensure_future(_run_until_cancelled(description, folder, as_json=as_json))
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, interrupted.set)
     waiting = asyncio.ensure_future(interrupted.wait())
@@ -89,9 +92,13 @@
         await running
 
 
-async def _run_until_cancelled(description: dict[str, Any], folder: Path) -> None:
+async def _run_until_cancelled(description: dict[str, Any], folder: Path, *, as_json: bool) -> None:
     async with Launcher(description, folder) as launcher:
-        print(json.dumps({"event": "ready", "processes": launcher.describe()}), flush=True)
+        if as_json:
+            print(json.dumps({"event": "ready", "processes": launcher.describe()}), flush=True)
+        else:
+            is_default = description is DEFAULT_DESCRIPTION
+            print(format_overview(launcher, commands=is_default), flush=True)
         await asyncio.Event().wait()
 
 
@@ -99,6 +106,7 @@
     parser = argparse.ArgumentParser(description="Runs a whole deployment on loopback.")
     parser.add_argument("--description", type=Path, help="JSON file; default: two data centres")
     parser.add_argument("--folder", type=Path, help="folder for files; default: a temporary one")
+    parser.add_argument("--json", action="store_true", help="one JSON object instead of a table")
     arguments = parser.parse_args()
     try:
         description = DEFAULT_DESCRIPTION
@@ -107,7 +115,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = arguments.folder or Path(temporary)
             folder.mkdir(parents=True, exist_ok=True)
-            asyncio.run(_run(description, folder))
+            asyncio.run(_run(description, folder, as_json=arguments.json))
     except FindingsError as error:
         print(error, file=sys.stderr)
         return 2
