--- a/features/virtual.py
+++ b/features/virtual.py
@@ -32,11 +32,14 @@
 class LoopClock:
     """Clock of the running event loop, whose time is virtual."""
 
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+
     def now(self) -> datetime:
         return datetime(2026, 1, 1, tzinfo=UTC) + self.elapsed()
 
     def elapsed(self) -> timedelta:
-        return timedelta(seconds=asyncio.get_running_loop().time())
+        return timedelta(seconds=self._loop.time())
 
     async def sleep(self, duration: timedelta) -> None:
         await asyncio.sleep(duration.total_seconds())
@@ -272,6 +275,11 @@
         self.pools.hosts = {
             name: HostStatus(name, host.pool, "serving", "") for name, host in self.listed.items()
         }
+        for name in names:
+            address = "127.0.0.1:1"
+            self.listed[name] = ListedHost(
+                name, "entry", DATA_CENTRE, "", "", address, "live", 0, 0, 0, 0, 0
+            )
         self.hosts: dict[str, EntryHost] = {}
         self.granted: dict[str, set[str]] = {}
         self.published: dict[int, str] = {}
@@ -281,10 +289,8 @@
 
     def build_settings(self, name: str):
         options = {
-            "key_quarantine_seconds": 5,
             "snapshot_records": 100,
             "seed": self.rng.randrange(1, 999),
-            "hostlist_lag_seconds": 1000,
         }
         peers = [
             {"member": peer, "data_centre": DATA_CENTRE, "peer_address": f"127.0.0.1:{n}",
--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -25,7 +25,7 @@
 from carawayd.process.jobs import JobController
 from carawayd.process.keys import KeyOwner
 from carawayd.process.maintenance import MaintenanceController
-from carawayd.process.membership import Membership
+from carawayd.process.membership import GLOBAL_STREAM, Membership
 from carawayd.process.metrics import Metrics
 from carawayd.process.observations import Observations
 from carawayd.process.operators import OperatorEndpoints
@@ -54,7 +54,6 @@
 
 logger = logging.getLogger(__name__)
 
-GLOBAL_STREAM = "global"
 DRAIN_INTERVAL = timedelta(milliseconds=50)
 
 
