--- a/features/evidence_builders.py
+++ b/features/evidence_builders.py
@@ -103,7 +103,10 @@
             "services": {"booking": {"pool": "booking"}, "office": {"pool": "office"}},
         },
         stops=[Stop("umea-1", UMEA, 31, 32, 33, 0), Stop("lulea-1", LULEA, 40, 41, 42, -9)],
-        jobs=[JobStory("j1", False, accepted=True, state="succeeded"), JobStory("j2", False)],
+        jobs=[
+            JobStory("j1", False, insisted=True, accepted=True, state="succeeded"),
+            JobStory("j2", False),
+        ],
         roll_outs=[RollOut("quotes", {"umea-1": 0.2}, 0, 10)],
         races=[Race(["north"], ["south"], 0)],
         spans={"log outage": (49, 52), "silence": (60.2, 66)},
@@ -231,6 +234,11 @@
     return evidence._replace(executions=[e for e in evidence.executions if e.kind == "request"])
 
 
+@_fault("a job that is never accepted")
+def _reject_job(evidence: Evidence) -> Evidence:
+    return _add(evidence, "jobs", JobStory("j3", False, insisted=True, refusals=100))
+
+
 @_fault("a doubled job")
 def _double_job(evidence: Evidence) -> Evidence:
     return _add(evidence, "executions", build_task("j1", 11, result="cut-off"))
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -30,6 +30,7 @@
       | a configuration that reverts      | An accepted configuration                  |
       | two winners of a race             | An accepted configuration                  |
       | a lost job                        | No job is lost                             |
+      | a job that is never accepted      | No job is lost                             |
       | a doubled job                     | No job is lost                             |
       | a rejected job that ran           | No job is lost                             |
       | a silence noticed after 6 s       | A silent connection                        |
--- a/packages/standins/src/carawayshore_standins/evidence.py
+++ b/packages/standins/src/carawayshore_standins/evidence.py
@@ -88,6 +88,8 @@
 
     Parameters
     ----------
+    insisted : bool
+        Whether the caller submitted the job until it was accepted, and awaited its end.
     accepted : bool
         Whether a submission was answered with 201.
     refusals : int
@@ -101,6 +103,7 @@
     job: str
     repeatable: bool
     fits: bool = True
+    insisted: bool = False
     accepted: bool = False
     refusals: int = 0
     unclear: int = 0
--- a/packages/standins/src/carawayshore_standins/jobcalls.py
+++ b/packages/standins/src/carawayshore_standins/jobcalls.py
@@ -55,7 +55,7 @@
 
         A submission without a clear answer is sent again under the same name.
         """
-        self._stories[job["job"]] = JobStory(job["job"], job["repeatable"], fits)
+        self._stories[job["job"]] = JobStory(job["job"], job["repeatable"], fits, insisted=True)
         self._following.append(asyncio.ensure_future(self._follow(job, addresses)))
 
     async def submit_once(self, job: dict[str, Any], address: str) -> Reply:
--- a/packages/standins/src/carawayshore_standins/promises.py
+++ b/packages/standins/src/carawayshore_standins/promises.py
@@ -330,7 +330,9 @@
         told = f"job {story.job}, told {story.state or 'nothing'}: {starts} starts, "
         told += f"{succeeded} successes"
         expected = ("succeeded", 1) if story.fits else ("unplaceable", 0)
-        if story.accepted and (story.state, succeeded) != expected:
+        if story.insisted and not story.accepted:
+            violations.append(told + ", was never accepted")
+        elif story.accepted and (story.state, succeeded) != expected:
             violations.append(told)
         elif starts > 1 and not story.repeatable:
             violations.append(told + ", may not be repeated")
--- a/packages/standins/src/carawayshore_standins/scenario.py
+++ b/packages/standins/src/carawayshore_standins/scenario.py
@@ -124,8 +124,8 @@
         elapsed = (self._clock.elapsed() - self._began).total_seconds()
         print(f"{elapsed:5.1f} s  {message}", file=sys.stderr, flush=True)
 
-    def _addresses(self, data_centre: str = "") -> list[str]:
-        return self._launcher.list_caller_addresses(data_centre)
+    def _addresses(self) -> list[str]:
+        return self._launcher.list_caller_addresses()
 
     def _now(self) -> float:
         return self._clock.now().timestamp()
@@ -177,10 +177,10 @@
             for number in range(JOBS_PER_DATA_CENTRE):
                 seconds = round(self._draw.uniform(*JOB_SECONDS), 2)
                 repeatable = self._draw.random() < 0.5
-                job = build_job(f"{name}-{number}", run_seconds=seconds, repeatable=repeatable)
-                self._jobs.follow(job, self._addresses(name))
-            large = build_job(f"{name}-large", run_seconds=1, processors=1000)
-            self._jobs.follow(large, self._addresses(name), fits=False)
+                job = build_job(f"{name}:job-{number}", run_seconds=seconds, repeatable=repeatable)
+                self._jobs.follow(job, self._draw.sample(self._addresses(), 4))
+            large = build_job(f"{name}:large", run_seconds=1, processors=1000)
+            self._jobs.follow(large, self._addresses(), fits=False)
 
     async def _roll_out(self) -> None:
         told = await self._operators.roll_out("quotes", "umea-1")
@@ -303,10 +303,10 @@
         self.report(f"outage of the log for {duration.total_seconds():g} s")
         async with self._span("log outage"):
             await self._launcher.set_faults("log", outage=True)
-            self._jobs.follow(build_job("early", run_seconds=0.5), self._addresses("lulea"))
+            self._jobs.follow(build_job("early", run_seconds=0.5), self._addresses())
             await self._clock.sleep(duration)
             job = build_job("late", run_seconds=0.5)
-            reply = await self._jobs.submit_once(job, self._addresses("umea")[0])
+            reply = await self._jobs.submit_once(job, self._addresses()[0])
         await self._launcher.set_faults("log")
         told = reply.headers.get(OUTCOME_HEADER, "nothing")
         self.report(f"outage of the log: over; a job submitted in it was answered {told}")
