Show that two operators who drain at once pass the availability budget

Cause: the operators' endpoints check the budget against their own state and then append; the records of two operators both take effect. Before: no test had two operators who take hosts out at the same moment. Conclusion: the budget needs a check where the records are ordered, or before the drain is carried out.

--- /dev/null
+++ b/features/race_builders.py
@@ -0,0 +1,74 @@
+"""Runs the deployment of the demonstration for one scenario, with calls of operators."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from carawayshore.clock import SystemClock
+from carawayshore_standins.client import JsonClient, Reply, wait_until
+from carawayshore_standins.evidence import Operation, read_operations
+from carawayshore_standins.launcher import Launcher
+from carawayshore_standins.rollouts import Operators
+from carawayshore_standins.scenario import DESCRIPTION
+
+LIMIT = timedelta(seconds=30)
+RUN_LIMIT_S = 90.0
+
+
+class OperatorHarness:
+    """A running deployment whose entry hosts all serve."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._folder = tempfile.TemporaryDirectory()
+        self._launcher = Launcher(DESCRIPTION, Path(self._folder.name))
+        self._client = JsonClient()
+        self._clock = SystemClock()
+        self.run(self._open())
+
+    async def _open(self) -> None:
+        await self._launcher.__aenter__()
+        await self._client.__aenter__()
+        operators = Operators(self._launcher, self._client, self._clock, pool="office")
+        await operators.await_first()
+
+    def run(self, work: Any) -> Any:
+        return self._loop.run_until_complete(asyncio.wait_for(work, RUN_LIMIT_S))
+
+    async def drain_at_once(self, hosts: dict[str, str]) -> list[Reply]:
+        """Drains hosts at the same moment, each through the entry host of its entry."""
+        calls = [
+            self._client.call(
+                "POST",
+                self._launcher.get_address(member, "operator"),
+                f"/v1/operator/hosts/{host}/drain",
+                {},
+            )
+            for host, member in hosts.items()
+        ]
+        return await asyncio.gather(*calls)
+
+    async def await_drains(self, hosts: list[str]) -> list[Operation]:
+        """Returns the operations of the pools service once it has drained ``hosts``."""
+
+        async def is_drained() -> bool:
+            known = (await self._launcher.read_record("pools"))["hosts"]
+            return all(known[host]["state"] == "drained" for host in hosts)
+
+        await wait_until(is_drained, LIMIT, self._clock, what=f"drain of {hosts}")
+        return read_operations(await self._launcher.read_record("pools"))
+
+    def list_first_pools(self) -> dict[str, str]:
+        """Returns the pool of each host at the start."""
+        plan = self._launcher.processes["pools"].plan
+        return {entry["host"]: entry["pool"] for entry in plan.settings["hosts"]}
+
+    def close(self) -> None:
+        self.run(self._client.__aexit__(None, None, None))
+        self.run(self._launcher.__aexit__(None, None, None))
+        self._folder.cleanup()
+        self._loop.close()
--- /dev/null
+++ b/features/steps/race_steps.py
@@ -0,0 +1,36 @@
+"""Steps of operators who act at the same moment."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from race_builders import OperatorHarness
+
+from carawayshore_standins.promises import count_out
+
+
+@given("a running deployment of two data centres")
+def start_data_centres(context):
+    context.operators = OperatorHarness()
+    context.add_cleanup(context.operators.close)
+
+
+@when("{host:S} is drained through {first:S} and {other:S} through {second:S} at the same moment")
+def drain_two(context, host, first, other, second):
+    operators = context.operators
+    replies = operators.run(operators.drain_at_once({host: first, other: second}))
+    told = dict(zip((host, other), replies, strict=True))
+    context.drained = [name for name, reply in told.items() if reply.status == 200]
+    print({name: reply.status for name, reply in told.items()})
+
+
+@when("the pools service has taken up every accepted drain")
+def await_drains(context):
+    operators = context.operators
+    assert context.drained
+    context.operations = operators.run(operators.await_drains(context.drained))
+
+
+@then("at most {count:d} host of {pool} was out of service at once")
+def expect_most_out(context, count, pool):
+    most = count_out(context.operations, context.operators.list_first_pools())[pool]
+    assert most <= count, f"{most} hosts of {pool} were out of service at once: {context.drained}"
--- a/packages/standins/src/carawayshore_standins/promises.py
+++ b/packages/standins/src/carawayshore_standins/promises.py
@@ -95,7 +95,7 @@
     return groups
 
 
-def _count_out(operations: list[Operation], pools: dict[str, str]) -> dict[str, int]:
+def count_out(operations: list[Operation], pools: dict[str, str]) -> dict[str, int]:
     """Returns the most hosts of each pool that were out of service at one moment.
 
     A host is out of the pool that it leaves, from the drain to the return.
@@ -114,7 +114,7 @@
 
 @promise("Every service stays within its availability budget")
 def _judge_budget(evidence: Evidence) -> Finding:
-    most = _count_out(evidence.operations, evidence.first_pools)
+    most = count_out(evidence.operations, evidence.first_pools)
     services = complete_configuration(evidence.configuration)["services"]
     violations, shown = [], []
     for name, options in sorted(services.items()):
