--- a/packages/standins/src/carawayshore_standins/overview.py
+++ b/packages/standins/src/carawayshore_standins/overview.py
@@ -35,10 +35,10 @@
     first = launcher.list_members()[0]
     caller = launcher.get_address(first, "caller")
     operator = launcher.get_address(first, "operator")
+    job = '{"job": "bill-1", "queue": "nightly", "team": "billing", "run_seconds": 2}'
     return [
         f"curl -i -X POST -H 'Idempotency-Key: order-1' http://{caller}/services/booking/orders",
-        f"""curl -d '{{"job": "bill-1", "queue": "nightly", "team": "billing"}}' """
-        f"http://{caller}/v1/jobs",
+        f"curl -d '{job}' http://{caller}/v1/jobs",
         f"curl http://{operator}/v1/operator/status",
     ]
 
