Reject the second of two racing drains in one data centre

Cause: two operators who drain at the same moment were each told that the budget allows one more host; the check and the append are two steps. Change: the record names how many hosts of the pool were draining when the budget was checked, and is rejected if that has changed.

--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -18,7 +18,7 @@
 from carawayd.process.hostviews import describe_host, list_hosts, preview_removal
 from carawayd.request.jobs import describe_job
 from carawayshore import records
-from carawayshore.assignment import FLEET_CLAIM, HOLD
+from carawayshore.assignment import FLEET_CLAIM, HOLD, count_draining
 from carawayshore.configuration import check_configuration
 
 if TYPE_CHECKING:
@@ -213,11 +213,14 @@
         self, request: web.Request, name: str, host: Host, *, to_pool: str, reason: str
     ) -> web.Response:
         """Starts a drain that the availability budgets allow, or that was asked for regardless."""
+        seen = count_draining(self._parts.reader.folded, host.pool)
         over = [item for item in preview_removal(self._parts, name) if not item["within"]]
         if over and request.query.get("over_budget") != "true":
             error = "the availability budget does not allow it; over_budget=true does it regardless"
             return _answer({"outcome": "not-run", "error": error, "budgets": over}, 409)
-        body = records.HostDrainStarted(name, host.revision, to_pool, reason, self._find_fence())
+        body = records.HostDrainStarted(
+            name, host.revision, to_pool, reason, self._find_fence(), draining_seen=seen
+        )
         return await self._append(self._parts.appender, body, Priority.FLEET)
 
     async def _move(self, request: web.Request) -> web.Response:
--- a/packages/carawayshore/src/carawayshore/assignment.py
+++ b/packages/carawayshore/src/carawayshore/assignment.py
@@ -56,6 +56,11 @@
     return ACCEPTED
 
 
+def count_draining(state: StreamState, pool: str) -> int:
+    """Returns how many hosts of a pool are draining or moving away."""
+    return sum(host.pool == pool and bool(host.draining_to) for host in state.hosts.values())
+
+
 @folds(records.HostDrainStarted)
 def _start_drain(state: StreamState, offset: int, item: records.Record):
     body: records.HostDrainStarted = item.body
@@ -69,6 +74,9 @@
         return reject(f"reason {body.reason!r}, accepted: {', '.join(DRAIN_REASONS)}")
     if body.reason == MAINTENANCE and (not body.wave or body.wave == host.wave):
         return reject(f"host {body.host!r} went through wave {body.wave!r} already")
+    draining = count_draining(state, host.pool)
+    if body.draining_seen not in (-1, draining):
+        return reject(f"{draining} hosts of pool {host.pool!r} drain, not {body.draining_seen}")
     state.hosts[body.host] = host._replace(
         revision=host.revision + 1,
         draining_to=body.to_pool,
--- a/packages/carawayshore/src/carawayshore/records.py
+++ b/packages/carawayshore/src/carawayshore/records.py
@@ -206,7 +206,9 @@
     """Starts a move to ``to_pool``; the host's own pool for a drain that ends in its return.
 
     ``reason`` is one of ``move``, ``lend``, ``maintenance`` and ``hold``; a held host stays drained
-    until its return is requested. ``wave`` is given with the reason ``maintenance``.
+    until its return is requested. ``wave`` is given with the reason ``maintenance``. With
+    ``draining_seen`` the record is valid only while so many hosts of the pool drain, so that two
+    drains that were each within an availability budget do not exceed it together.
     """
 
     host: str
@@ -215,6 +217,7 @@
     reason: str
     fence: int
     wave: str = ""
+    draining_seen: int = -1
 
 
 @record("host_return_requested")
