--- a/packages/carawayd/src/carawayd/process/slots.py
+++ b/packages/carawayd/src/carawayd/process/slots.py
@@ -178,9 +178,11 @@
             )
         return self._had_slot
 
-    def available(self, target: str) -> int:
-        """Returns how many requests may be started at a target now."""
-        return self._ledger.available(target) if self._ledger else 0
+    def count_available(self, targets: list[str]) -> dict[str, int]:
+        """Returns how many requests may be started at each target now."""
+        if self._ledger is None:
+            return dict.fromkeys(targets, 0)
+        return self._ledger.count_available(targets)
 
     def acquire(self, target: str) -> Held | None:
         """Returns the right to start one request, or None if there is none or serving ended."""
--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -51,10 +51,6 @@
     """The caller went away or reads too slowly; its connection was closed."""
 
 
-def _list_headers(headers: CIMultiDict[str]) -> list[tuple[str, str]]:
-    return [(str(name), str(value)) for name, value in headers.items()]
-
-
 class Attempts:
     """Carries out attempts.
 
@@ -222,7 +218,7 @@
                 return Unanswered(Outcome.UNKNOWN, Reason.LOST_ANSWER, detail=detail)
         outcome = Outcome(headers[OUTCOME_HEADER])
         return KeptAnswer(
-            exchange.response.status, _list_headers(headers), b"".join(pieces), outcome
+            exchange.response.status, list(headers.items()), b"".join(pieces), outcome
         )
 
     async def _stream(
--- a/packages/carawayd/src/carawayd/request/keyed.py
+++ b/packages/carawayd/src/carawayd/request/keyed.py
@@ -52,7 +52,9 @@
 def encode_kept(answer: KeptAnswer) -> bytes:
     """Returns the document of a kept answer."""
     body = base64.b64encode(answer.body).decode()
-    document = KeptDocument(answer.status, answer.headers, body, answer.outcome, answer.released)
+    # The codec refuses the string type of header names that the HTTP library uses.
+    headers = [(str(name), str(value)) for name, value in answer.headers]
+    document = KeptDocument(answer.status, headers, body, answer.outcome, answer.released)
     return msgspec.json.encode(document)
 
 
--- a/packages/carawayd/src/carawayd/version/dispatcher.py
+++ b/packages/carawayd/src/carawayd/version/dispatcher.py
@@ -154,7 +154,7 @@
         return assigned
 
     def _count_free(self, usable: list[str]) -> dict[str, int]:
-        return {target: self._slots.available(target) for target in usable}
+        return self._slots.count_available(usable)
 
     def assign_slots(self) -> None:
         """Gives free slots to waiting requests and refuses the expired ones."""
--- a/packages/carawayshore/src/carawayshore/shares.py
+++ b/packages/carawayshore/src/carawayshore/shares.py
@@ -316,7 +316,14 @@
 
     def available(self, target: str) -> int:
         """Returns how many requests may be started at ``target`` now."""
+        return self._count_available(target, self._clock.elapsed())
+
+    def count_available(self, targets: Iterable[str]) -> dict[str, int]:
+        """Returns how many requests may be started at each of ``targets`` now."""
         now = self._clock.elapsed()
+        return {target: self._count_available(target, now) for target in targets}
+
+    def _count_available(self, target: str, now: timedelta) -> int:
         known = self._counts.get(target)
         if known is not None and now < known[1]:
             return known[0]
