Answer peers that the settings do not name

Cause: only entry hosts named in the settings were connected, so a replacement under a new name heard nobody, its barriers never completed and no view settled. Change: heartbeats carry addresses, and a process connects to a peer that it hears for the first time; a scenario for a late duplicate shows what the producer's sequence is for. Before: no link to a new entry host.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -164,7 +164,8 @@
 
 
 def _measure_heartbeat(loads: dict[str, int], streams: dict[str, int]) -> int:
-    heartbeat = Heartbeat(1, streams, streams, 0.5, loads, True, False, True, 1)
+    addresses = ("10.0.200.200:7000", "10.0.200.200:8080")
+    heartbeat = Heartbeat(1, streams, streams, 0.5, loads, True, False, True, 1, *addresses)
     frames = encode_message(heartbeat, member="umea-1", incarnation=10**6, data_centre="umea")
     return sum(len(frame) for frame in frames) + WIRE_OVERHEAD_BYTES
 
--- a/features/builders.py
+++ b/features/builders.py
@@ -42,7 +42,11 @@
         return self._apply(Record(producer, self._sequences[producer], body))
 
     def repeat_last(self):
-        return self._apply(self.log[-1])
+        return self.repeat(self.log[-1])
+
+    def repeat(self, item: Record):
+        """Appends a record once more, as a producer does whose answer was lost."""
+        return self._apply(item)
 
     def join(self, member: str):
         """Joins a new incarnation of ``member``."""
--- a/features/log_order.feature
+++ b/features/log_order.feature
@@ -78,3 +78,12 @@
     Then it has nothing to append
     When the clock advances by 0.2 s
     Then it appends that it takes the claim
+
+  Scenario: A late duplicate of a pause does not pause maintenance again
+    # Guards against a repeated append whose precondition has become true again.
+    Given a stream with the members umea-1, umea-2
+    When umea-1 pauses maintenance
+    And umea-2 resumes maintenance
+    And the append of umea-1 arrives once more
+    Then the record is rejected
+    And maintenance is not paused
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -20,6 +20,27 @@
         context.stream.join(name)
 
 
+@when("{name} pauses maintenance")
+def pause_maintenance(context, name):
+    context.stream.append(name, records.MaintenancePaused(name, "test")).unwrap()
+    context.paused = context.stream.log[-1]
+
+
+@when("{name} resumes maintenance")
+def resume_maintenance(context, name):
+    context.stream.append(name, records.MaintenanceResumed(name)).unwrap()
+
+
+@when("the append of {name} arrives once more")
+def repeat_pause(context, name):
+    context.result = context.stream.repeat(context.paused)
+
+
+@then("maintenance is not paused")
+def expect_not_paused(context):
+    assert context.stream.state.pause is None, context.stream.state.pause
+
+
 @given("a host {host} of the pool {pool}")
 def add_host(context, host, pool):
     resources = records.Resources(16, 64)
--- a/features/virtual.py
+++ b/features/virtual.py
@@ -215,6 +215,9 @@
                 self.links[peer.member] = FakeLink(self, peer.member)
                 self.data_centres[peer.member] = peer.data_centre
 
+    async def connect(self, peer: Any) -> None:
+        """All members are connected from the start."""
+
     @Service.task
     async def _receive(self) -> None:
         """Messages arrive through the cluster."""
--- a/packages/carawayd/src/carawayd/process/membership.py
+++ b/packages/carawayd/src/carawayd/process/membership.py
@@ -207,6 +207,8 @@
             stopping=self.stopping,
             joined=self.is_member(),
             version=self._global_reader.folded.configuration.version,
+            peer_address=self._settings.peer_address,
+            caller_address=self._settings.caller_address,
         )
 
     def _handle_heartbeat(self, header: Header, body: Heartbeat) -> None:
--- a/packages/carawayd/src/carawayd/process/messages.py
+++ b/packages/carawayd/src/carawayd/process/messages.py
@@ -76,7 +76,8 @@
     ``applied`` gives the next offset of each stream that barriers may count on, ``own_applied``
     the one that was folded. ``log_contact_age`` is in seconds, -1 if the log never answered.
     ``loads`` maps a target to the requests in progress there; peers of other data centres get
-    their sum alone, under an empty name, and only the offset of the global stream.
+    their sum alone, under an empty name, and only the offset of the global stream. The addresses
+    let peers answer an entry host that their settings do not name yet.
     """
 
     sequence: int
@@ -88,6 +89,8 @@
     stopping: bool
     joined: bool
     version: int
+    peer_address: str
+    caller_address: str
 
 
 @message("state_request")
--- a/packages/carawayd/src/carawayd/process/peers.py
+++ b/packages/carawayd/src/carawayd/process/peers.py
@@ -20,10 +20,11 @@
     decode_message,
     encode_message,
 )
+from carawayd.process.settings import Peer
 
 if TYPE_CHECKING:
     from carawayd.process.metrics import Metrics
-    from carawayd.process.settings import Peer, Settings
+    from carawayd.process.settings import Settings
     from carawayshore.clock import Clock
 
 logger = logging.getLogger(__name__)
@@ -61,6 +62,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
+        self._learned: dict[str, Peer] = {}
         self._handlers: dict[type, list[Handler]] = {}
         self._context: zmq.asyncio.Context | None = None
         self._socket: zmq.asyncio.Socket | None = None
@@ -160,6 +162,21 @@
         elif header.incarnation < known.header.incarnation:
             return
         self.states[header.member] = PeerState(header, body, self._clock.elapsed())
+        link = self.links.get(header.member)
+        if link is None or link.address != body.peer_address:
+            self._learned[header.member] = Peer(
+                header.member, header.data_centre, body.peer_address, body.caller_address
+            )
+
+    @Service.task
+    async def _connect_learned(self) -> None:
+        """Connects to entry hosts that were replaced or that the settings do not name."""
+        while not self.should_stop:
+            learned, self._learned = self._learned, {}
+            for peer in learned.values():
+                logger.info("peer %s is at %s", peer.member, peer.peer_address)
+                await self.connect(peer)
+            await self._clock.sleep(self._settings.options.heartbeat)
 
     async def on_shutdown(self) -> None:
         self._socket.close()
