--- a/packages/carawayd/src/carawayd/process/fleet.py
+++ b/packages/carawayd/src/carawayd/process/fleet.py
@@ -186,7 +186,9 @@
             name, host.revision, host.draining_to, self._keeper.fence, aborted=True
         )
         self._check_claim()
-        (await self._appender.append(body, Priority.FLEET)).unwrap()
+        result = await self._appender.append(body, Priority.FLEET)
+        if not isinstance(result, Success):
+            raise ClaimLost
         logger.info("drain of %s is put off", name, extra={"fields": {"host": name}})
         return True
 
