--- a/packages/carawayshore/src/carawayshore/assignment.py
+++ b/packages/carawayshore/src/carawayshore/assignment.py
@@ -8,7 +8,9 @@
 FLEET_CLAIM = "fleet"
 HOLD = "hold"
 MAINTENANCE = "maintenance"
-DRAIN_REASONS = ("move", "lend", MAINTENANCE, HOLD)
+LEND = "lend"
+MOVE = "move"
+DRAIN_REASONS = (MOVE, LEND, MAINTENANCE, HOLD)
 
 
 def has_fence(state: StreamState, claim: str, fence: int) -> bool:
@@ -92,6 +94,14 @@
     return ACCEPTED
 
 
+def _find_home(host: Host, pool: str) -> str:
+    """Returns the pool that lends the host once it has joined ``pool``, or an empty string."""
+    if host.reason not in (MOVE, LEND):
+        return host.home
+    home = host.home or host.pool
+    return home if host.reason == LEND and home != pool else ""
+
+
 @folds(records.HostJoined)
 def _join(state: StreamState, offset: int, item: records.Record):
     body: records.HostJoined = item.body
@@ -110,6 +120,7 @@
         changed=offset,
         draining_wave="",
         wave=host.draining_wave if done else host.wave,
+        home=_find_home(host, body.pool),
     )
     return ACCEPTED
 
--- a/packages/carawayshore/src/carawayshore/configuration.py
+++ b/packages/carawayshore/src/carawayshore/configuration.py
@@ -42,6 +42,16 @@
     enabled: bool
 
 
+class LendingOptions(TypedDict):
+    enabled: bool
+    waiting_weight: float
+    buffer_weight: float
+    move_weight: float
+    window_seconds: float
+    min_stay_seconds: float
+    max_moves: int
+
+
 class Configuration(TypedDict):
     """A valid document with all defaults filled in."""
 
@@ -51,6 +61,7 @@
     queues: dict[str, QueueOptions]
     teams: dict[str, TeamOptions]
     maintenance: MaintenanceOptions
+    lending: LendingOptions
 
 
 POOL_FIELDS = (
@@ -128,6 +139,34 @@
     Field("period_days", "number", "Every host is maintained once in this time.", "days", 49.0),
     Field("enabled", "boolean", "Whether new waves start.", default=False),
 )
+LENDING_FIELDS = (
+    Field("enabled", "boolean", "Whether hosts of the spare pool are lent.", default=True),
+    Field("waiting_weight", "number", "Cost of one request that waits for one second.", "", 1.0),
+    Field(
+        "buffer_weight",
+        "number",
+        "Cost of one slot of a spare host that is idle for one second.",
+        "",
+        0.1,
+    ),
+    Field("move_weight", "number", "Cost of one move of a host.", "", 20.0),
+    Field(
+        "window_seconds",
+        "number",
+        "Time constant of the averages of demand; it should exceed the interval between bursts.",
+        "s",
+        30.0,
+        minimum=1,
+    ),
+    Field(
+        "min_stay_seconds",
+        "number",
+        "Time for which a host that was lent or brought back is not moved again.",
+        "s",
+        1_800.0,
+    ),
+    Field("max_moves", "integer", "Moves that may be in progress at once.", "hosts", 2),
+)
 CONFIGURATION_FIELDS = (
     Field("data_centres", "names", "Data centres of the deployment.", required=True),
     Field("pools", "mapping", "Pools of hosts by name.", required=True, fields=POOL_FIELDS),
@@ -135,6 +174,7 @@
     Field("queues", "mapping", "Job queues by name.", fields=QUEUE_FIELDS),
     Field("teams", "mapping", "Teams by name.", fields=TEAM_FIELDS),
     Field("maintenance", "object", "Maintenance of hosts.", fields=MAINTENANCE_FIELDS),
+    Field("lending", "object", "Lending of spare hosts.", fields=LENDING_FIELDS),
 )
 
 
@@ -159,6 +199,21 @@
     ]
 
 
+def _check_spare_pools(pools: Any) -> list[Finding]:
+    """Returns a finding for each spare pool after the first one."""
+    if not isinstance(pools, dict):
+        return []
+    spare = [
+        name
+        for name, options in sorted(pools.items())
+        if isinstance(options, dict) and options.get("spare") is True
+    ]
+    return [
+        Finding(join_pointer("/pools", name) + "/spare", True, f"false, since {spare[0]} is spare")
+        for name in spare[1:]
+    ]
+
+
 def check_configuration(document: Any) -> list[Finding]:
     """Returns all findings about a configuration document, none if it is valid."""
     found = check_fields(CONFIGURATION_FIELDS, document)
@@ -169,7 +224,7 @@
     found += _check_reference(document, "services", "pool", "pools")
     found += _check_reference(document, "queues", "pool", "pools")
     found += _check_reference(document, "queues", "service", "services")
-    return found
+    return found + _check_spare_pools(document.get("pools"))
 
 
 def complete_configuration(document: dict[str, Any]) -> Configuration:
--- a/packages/carawayshore/src/carawayshore/fold.py
+++ b/packages/carawayshore/src/carawayshore/fold.py
@@ -62,6 +62,7 @@
     """Assignment of a host. ``revision`` grows with each change of the host.
 
     ``draining_wave`` is the wave that it drains for, ``wave`` the last one that it went through.
+    ``home`` is the pool that lent it, empty while it is not lent.
     """
 
     pool: str
@@ -76,6 +77,7 @@
     changed: int = 0
     draining_wave: str = ""
     wave: str = ""
+    home: str = ""
 
 
 class Placement(NamedTuple):
