Lend spare hosts from the holder of the claim fleet

Cause: the decisions need the demand of all entry hosts and records in the log. Waves and lending share a lock from the check of a budget until the record is read back. Counters for moves, idle spare slots and short work behind long work; the dump has the last decision and the obstacles.

--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -18,12 +18,14 @@
 from carawayd.platform.api import Platform, open_platform
 from carawayd.process.appender import Appender, AppendRate
 from carawayd.process.claims import ClaimKeeper
+from carawayd.process.demand import DemandWatch
 from carawayd.process.endpoints import CallerEndpoints
 from carawayd.process.fleet import FleetController
 from carawayd.process.inventory import Inventory
 from carawayd.process.jobindex import JobIndex
 from carawayd.process.jobs import JobController
 from carawayd.process.keys import KeyOwner
+from carawayd.process.lending import LendingController
 from carawayd.process.maintenance import MaintenanceController
 from carawayd.process.membership import GLOBAL_STREAM, Membership
 from carawayd.process.metrics import Metrics
@@ -87,6 +89,7 @@
     jobs: JobController
     maintenance: MaintenanceController
     waves: WaveFollower
+    lending: LendingController
     keepers: list[ClaimKeeper]
     controllers: list[Service]
 
@@ -234,6 +237,25 @@
         **common,
     )
     fleet.may_go_on = waves.may_go_on
+    demand = DemandWatch(
+        membership=membership,
+        peers=peers,
+        versions=versions,
+        observations=observations,
+        **counted,
+    )
+    lending = LendingController(
+        keeper,
+        reader,
+        appender,
+        demand=demand,
+        membership=membership,
+        waves=waves,
+        slots=slots,
+        inventory=inventory,
+        versions=versions,
+        **counted,
+    )
     maintenance_keeper = ClaimKeeper(
         MAINTENANCE_CLAIM,
         reader=global_reader,
@@ -296,8 +318,9 @@
         jobs=jobs,
         maintenance=maintenance,
         waves=waves,
+        lending=lending,
         keepers=[keeper, job_keeper, maintenance_keeper],
-        controllers=[fleet, jobs, maintenance, waves, *writers],
+        controllers=[fleet, jobs, maintenance, waves, demand, lending, *writers],
     )
 
 
--- a/packages/carawayd/src/carawayd/process/dump.py
+++ b/packages/carawayd/src/carawayd/process/dump.py
@@ -126,6 +126,7 @@
         },
         "jobs": parts.jobs.describe(),
         "maintenance": parts.maintenance.describe() | parts.waves.describe(),
+        "lending": parts.lending.describe(),
         "requests_in_progress": parts.handler.in_progress,
         "exchanges": parts.connections.exchange_count,
         "keys": {"unlogged": parts.keys.unlogged_count, "answers_kept": parts.kept.count},
--- a/packages/carawayd/src/carawayd/process/membership.py
+++ b/packages/carawayd/src/carawayd/process/membership.py
@@ -33,6 +33,8 @@
 # Peers of other data centres get every fourth heartbeat: 88 entry hosts that sent each other every
 # one would exceed the 9 KB/s of control traffic at each by far.
 DISTANT_EVERY = 4
+# Lending averages demand over tens of seconds, so one report a second is enough.
+DEMAND_EVERY = 4
 GLOBAL_STREAM = "global"
 TEMPORARY_INCARNATION_BITS = 40
 
@@ -69,6 +71,7 @@
         self.stopping = False
         self.superseded = asyncio.Event()
         self.loads: Callable[[], dict[str, int]] = dict
+        self.pool_demand: Callable[[], dict[str, tuple[int, int, int]]] = dict
         self.has_unlogged_grants: Callable[[], bool] = lambda: False
         self._reader = reader
         self._appender = appender
@@ -174,6 +177,7 @@
             loads={"": sum(heartbeat.loads.values())},
             applied={},
             own_applied={GLOBAL_STREAM: heartbeat.own_applied[GLOBAL_STREAM]},
+            pools={},
         )
         for member in self._peers.links:
             if self._peers.data_centres.get(member) == self._settings.data_centre:
@@ -206,6 +210,7 @@
             stopping=self.stopping,
             joined=self.is_member(),
             version=self._global_reader.folded.configuration.version,
+            pools=self.pool_demand() if self._sequence % DEMAND_EVERY == 0 else {},
         )
 
     def _handle_heartbeat(self, header: Header, body: Heartbeat) -> None:
--- a/packages/carawayd/src/carawayd/process/messages.py
+++ b/packages/carawayd/src/carawayd/process/messages.py
@@ -76,7 +76,9 @@
     ``applied`` gives the next offset of each stream that barriers may count on, ``own_applied``
     the one that was folded. ``log_contact_age`` is in seconds, -1 if the log never answered.
     ``loads`` maps a target to the requests in progress there; peers of other data centres get
-    their sum alone, under an empty name, and only the offset of the global stream.
+    their sum alone, under an empty name, and only the offset of the global stream. ``pools`` maps
+    some pools, in every fourth heartbeat, to the requests that wait, run, and were refused for
+    lack of slots since the process started.
     """
 
     sequence: int
@@ -88,6 +90,7 @@
     stopping: bool
     joined: bool
     version: int
+    pools: dict[str, tuple[int, int, int]] = {}
 
 
 @message("state_request")
--- a/packages/carawayd/src/carawayd/process/metrics.py
+++ b/packages/carawayd/src/carawayd/process/metrics.py
@@ -78,6 +78,20 @@
             "caraway_peer_frames", "Peer frames by type and result.", "type", "result"
         )
         self.moves = self._add_counter("caraway_host_moves", "Finished moves by reason.", "reason")
+        self.lending = self._add_counter(
+            "caraway_lending_moves", "Moves started by lending, by reason.", "reason"
+        )
+        self.spare_idle = self._add_counter(
+            "caraway_spare_idle_slot_seconds",
+            "Idle slots of spare hosts over time, by the pool that they serve; "
+            "counted by the holder of the claim fleet.",
+            "pool",
+        )
+        self.short_blocked = self._add_counter(
+            "caraway_short_blocked_seconds",
+            "Time that short requests waited while long ones ran, summed over the requests.",
+            "pool",
+        )
         self.key_claims = self._add_counter(
             "caraway_key_claims", "Claims of idempotency keys by decision.", "decision"
         )
--- a/packages/carawayd/src/carawayd/process/observations.py
+++ b/packages/carawayd/src/carawayd/process/observations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from carawayshore.health import HealthSettings, TargetHealth
@@ -14,7 +15,7 @@
 
 
 class Observations:
-    """Run times, target health and retry budgets.
+    """Run times, target health, refusals and retry budgets.
 
     Parameters
     ----------
@@ -26,6 +27,8 @@
         self.predictor = Predictor(clock)
         self.speeds = TargetSpeeds(clock)
         self.health: dict[str, TargetHealth] = {}
+        # Requests refused for lack of slots by pool, since the process started.
+        self.refusals: Counter[str] = Counter()
         self._budgets: dict[tuple[str, float], RetryBudget] = {}
 
     def find_health(self, pool: str) -> TargetHealth:
--- a/packages/carawayd/src/carawayd/process/waves.py
+++ b/packages/carawayd/src/carawayd/process/waves.py
@@ -160,6 +160,9 @@
         self._clock = clock
         self.probes = HostProbes(worker, clock, settings.options.probe)
         self._first_seen: dict[str, timedelta] = {}
+        # Held from the check of a budget until the drain is read back, by lending too: each of the
+        # two would otherwise take the last host that the budget allows.
+        self.drain_lock = asyncio.Lock()
 
     @property
     def _own(self) -> str:
@@ -260,8 +263,10 @@
                 continue
             elif stalled or self._find_condition(host_name, host) == "failed":
                 await self._report_done(name, wave, host_name, skipped=True)
-            elif settled and self.may_begin(host_name, name):
-                await self._start_drain(name, host_name, host)
+            elif settled:
+                async with self.drain_lock:
+                    if self.may_begin(host_name, name):
+                        await self._start_drain(name, host_name, host)
 
     async def _report_joined(self, name: str, wave: Wave, host: str) -> None:
         """Reports a host once it serves again, not when its return was merely asked for."""
--- a/packages/carawayd/src/carawayd/version/dispatcher.py
+++ b/packages/carawayd/src/carawayd/version/dispatcher.py
@@ -99,6 +99,11 @@
     def running_count(self) -> int:
         return len(self._running)
 
+    @property
+    def blocked_count(self) -> int:
+        """Returns the short requests that wait while long ones run."""
+        return self._queue.count_waiting().short if self._running.count().long else 0
+
     def _list_usable(self) -> list[str]:
         targets = self._slots.list_targets(self.pool)
         if targets != self._known_targets:
@@ -125,6 +130,7 @@
         slots = max(1, sum(free.values()) + in_use.total)
         decision = self._admission.decide(request, slots, in_use)
         if isinstance(decision, admission.Refusal):
+            self._note_refusal(decision.reason, has_free_slots=any(free.values()))
             raise Refusal(
                 Outcome.NOT_RUN, _REASONS[decision.reason], retry_after=decision.retry_after
             )
@@ -146,6 +152,12 @@
         self._metrics.wait.observe(work_class, assigned.started - decision.since)
         return assigned
 
+    def _note_refusal(self, reason: RefusalReason, *, has_free_slots: bool) -> None:
+        """Counts a refusal that more slots would have avoided."""
+        unmet = reason is RefusalReason.DEADLINE and not has_free_slots
+        if unmet or reason in (RefusalReason.QUEUE_FULL, RefusalReason.NO_SLOTS):
+            self._observations.refusals[self.pool] += 1
+
     def _count_free(self, usable: list[str]) -> dict[str, int]:
         return {target: self._slots.available(target) for target in usable}
 
@@ -177,6 +189,7 @@
         for waiting in self._queue.expire():
             entry = self._entries.get(waiting.request)
             if entry is not None and not entry.future.done():
+                self._observations.refusals[self.pool] += 1
                 entry.future.set_exception(Refusal(Outcome.NOT_RUN, Reason.DEADLINE, status=504))
 
     def _assign(self, entry: _Entry, free: Mapping[str, int]) -> bool:
