--- a/packages/carawayshore/src/carawayshore/lending.py
+++ b/packages/carawayshore/src/carawayshore/lending.py
@@ -330,7 +330,9 @@
         staying = [
             item.host
             for item in pool.hosts
-            if item.host in available and item.host not in (host.host, *taken)
+            if item.host in available
+            and not item.draining_to
+            and item.host not in (host.host, *taken)
         ]
         least = self._kept if name == self._spare else pool.min_serving
         if len(staying) < least:
