--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from benchmarks.report import Line, case
+from carawayd.process.demand import POOLS_PER_HEARTBEAT
 from carawayd.process.messages import Heartbeat, encode_message
 from carawayd.process.slots import LOADS_PER_HEARTBEAT
 from carawayshore import records
@@ -163,8 +164,12 @@
     yield _build_line("capacity-shares/view", seed, small, large, "s", at_size, PROCESSOR_GOAL)
 
 
-def _measure_heartbeat(loads: dict[str, int], streams: dict[str, int]) -> int:
-    heartbeat = Heartbeat(1, streams, streams, 0.5, loads, True, False, True, 1)
+def _measure_heartbeat(
+    loads: dict[str, int],
+    streams: dict[str, int],
+    pools: dict[str, tuple[int, int, int]] | None = None,
+) -> int:
+    heartbeat = Heartbeat(1, streams, streams, 0.5, loads, True, False, True, 1, pools or {})
     frames = encode_message(heartbeat, member="umea-1", incarnation=10**6, data_centre="umea")
     return sum(len(frame) for frame in frames) + WIRE_OVERHEAD_BYTES
 
@@ -179,7 +184,9 @@
         # All targets of the data centre in use, spread over its entry hosts.
         busy = min(WORKERS_OF_DATA_CENTRE // members, LOADS_PER_HEARTBEAT)
         loads = {f"umea-w{number}": 4 for number in range(busy)}
-        near = _measure_heartbeat(loads, streams) * HEARTBEATS_PER_SECOND
+        pools = {f"customer-line-{n}": (200, 400, 10**6) for n in range(POOLS_PER_HEARTBEAT)}
+        near = _measure_heartbeat(loads, streams) * (HEARTBEATS_PER_SECOND - 1)
+        near += _measure_heartbeat(loads, streams, pools)
         rates.append((members - 1) * near + 10 * members * distant)
     for members, rate in zip((2, MEMBERS), rates, strict=True):
         yield _build_line(
--- a/benchmarks/engine.py
+++ b/benchmarks/engine.py
@@ -95,16 +95,33 @@
 
 
 class _Pool:
-    """Targets with slots, and the books that both dispatchers keep about them."""
+    """Targets with slots, and the books that both dispatchers keep about them.
+
+    A target in ``closed`` finishes what it runs and is given nothing more.
+    """
 
     def __init__(self, events: Events, factors: Sequence[float]) -> None:
         self.events = events
         self.factors = {f"w{n}": factor for n, factor in enumerate(factors)}
         self.in_use = dict.fromkeys(self.factors, 0)
+        self.closed: set[str] = set()
         self.outcomes = Outcomes([], [], [])
 
+    def list_open(self) -> dict[str, int]:
+        """Returns the slots in use of each target that may be given work."""
+        if not self.closed:
+            return self.in_use
+        return {name: used for name, used in self.in_use.items() if name not in self.closed}
+
     def count_free(self) -> int:
-        return SLOTS * len(self.in_use) - sum(self.in_use.values())
+        in_use = self.list_open()
+        return SLOTS * len(in_use) - sum(in_use.values())
+
+    def add(self, target: str) -> None:
+        """Adds a target of factor 1, or opens it again."""
+        self.factors[target] = 1.0
+        self.in_use.setdefault(target, 0)
+        self.closed.discard(target)
 
     def start(self, arrival: Arrival, target: str, done: Callable[[float], None]) -> None:
         now = self.events.now_s
@@ -164,7 +181,6 @@
         self.running = RunningWork(settings, events.clock)
         self.speeds = TargetSpeeds(events.clock)
         self.admission = Admission(self.queue, self.predictor, events.clock, random, settings)
-        self.slots = SLOTS * len(pool.in_use)
         self.arrivals: dict[str, Arrival] = {}
         self._numbers = itertools.count()
 
@@ -173,7 +189,9 @@
         declared = None if arrival.declared_s is None else timedelta(seconds=arrival.declared_s)
         remaining = timedelta(seconds=arrival.deadline_s)
         request = Request(name, "service", arrival.kind, "team", remaining, declared)
-        decision = self.admission.decide(request, self.slots, self.running.count())
+        decision = self.admission.decide(
+            request, SLOTS * len(self.pool.list_open()), self.running.count()
+        )
         if isinstance(decision, Refusal):
             self.pool.outcomes.refused.append(arrival)
             return
@@ -200,7 +218,7 @@
                 0,
                 item.predicted * self.speeds.find_factor(target),
             )
-            for target, used in self.pool.in_use.items()
+            for target, used in self.pool.list_open().items()
         ]
         target = choose_target(candidates, self.random).target
         self.running.start(item)
