Name the pool in a step about lending

Cause: the step '{pool} has {count} hosts' also matched 'the host list has 0 hosts' of standins.feature. Change: the step begins with 'the pool'. Before: make test: 171 passed, 4 failed, one of them in standins.feature. After: standins.feature and lending.feature: 28 passed, 0 failed. The whole suite was not run again.

--- a/features/lending.feature
+++ b/features/lending.feature
@@ -17,14 +17,14 @@
     # Guards against a spare pool that is lent out below min_serving.
     Given pools booking, quotes and the spare pool office of 3 hosts each
     When 100 requests wait in booking for 600 s
-    Then office has 2 hosts
+    Then the pool office has 2 hosts
 
   Scenario: The spare pool keeps what its own demand takes
     # Guards against a spare pool that is short itself afterwards.
     Given pools booking, quotes and the spare pool office of 8 hosts each
     When 30 requests run in office for 120 s
     And 100 requests wait in booking beside 30 that run in office, 300 s long
-    Then office has 6 hosts
+    Then the pool office has 6 hosts
 
   Scenario Outline: A budget that is used up keeps hosts in their pool
     # Guards against a move that exceeds the availability budget with hosts that are out already.
@@ -52,7 +52,7 @@
     And nothing is asked for 1700 s
     Then there were 2 moves
     When nothing is asked for 300 s
-    Then office has 8 hosts
+    Then the pool office has 8 hosts
 
   Scenario: A host that is still needed stays
     # Guards against moves back and forth while the demand lasts.
--- a/features/steps/lending_steps.py
+++ b/features/steps/lending_steps.py
@@ -159,7 +159,7 @@
     assert context.fleet.most_moving <= count, context.fleet.most_moving
 
 
-@then("{pool} has {count:d} hosts")
+@then("the pool {pool} has {count:d} hosts")
 def expect_hosts(context, pool, count):
     hosts = sorted(name for name, current in context.fleet.pool_of.items() if current == pool)
     assert len(hosts) == count, hosts
