--- a/packages/carawayd/src/carawayd/process/messages.py
+++ b/packages/carawayd/src/carawayd/process/messages.py
@@ -77,7 +77,9 @@
     the one that was folded. ``log_contact_age`` is in seconds, -1 if the log never answered.
     ``loads`` maps a target to the requests in progress there; peers of other data centres get
     their sum alone, under an empty name, and only the offset of the global stream. The addresses
-    let peers answer an entry host that their settings do not name yet.
+    let peers answer an entry host that their settings do not name yet. ``pools`` maps some pools,
+    in every fourth heartbeat, to the requests that wait, run, and were refused for lack of slots
+    since the process started.
     """
 
     sequence: int
@@ -91,6 +93,7 @@
     version: int
     peer_address: str
     caller_address: str
+    pools: dict[str, tuple[int, int, int]] = {}
 
 
 @message("state_request")
