Add the fault matrix of the fleet

Cause: the fleet's promises were tested by few scenarios, not step by fault. Before: no matrix for the fleet.

--- /dev/null
+++ b/features/matrix/fleet_deployment.py
@@ -0,0 +1,172 @@
+"""Two data centres with short claims and leases, whose entry hosts reach each other by relays."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from carawayshore.clock import SystemClock
+from carawayshore_standins.launcher import Launcher
+from matrix.deployment import Deployment
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+MEMBERS = ("umea-1", "umea-2", "umea-3")
+REMOTE = "lulea-1"
+BOOKING = ("umea-w1", "umea-w2", "umea-w3", "umea-w4")
+WORKERS = (*BOOKING, "umea-w5", "umea-w6", "lulea-w1")
+PLATFORM = ("log", "hostlist", "pools")
+STREAM = "dc.umea"
+BUDGET = 2
+LEASE_SECONDS = 3.0
+RETENTION = 100
+RESET_LIMIT_S = 40.0
+DOCUMENT: dict[str, Any] = {
+    "data_centres": ["umea", "lulea"],
+    "pools": {"booking": {}, "office": {}},
+    "services": {
+        "booking": {"pool": "booking", "retry_share": 1.0, "max_unavailable": BUDGET},
+        "office": {"pool": "office", "max_unavailable": 1},
+    },
+    "queues": {"routes": {"pool": "booking", "service": "booking"}},
+}
+DESCRIPTION = {
+    "data_centres": {
+        "umea": {"entry_hosts": 3, "pools": {"booking": {"workers": 4}, "office": {"workers": 2}}},
+        "lulea": {"entry_hosts": 1, "pools": {"booking": {"workers": 1}}},
+    },
+    "worker": {"slots": 8, "processors": 16},
+    "pools": {"reboot_seconds": 0.3},
+    "options": {
+        "claim_lifetime_seconds": 2.0,
+        "claim_margin_seconds": 0.4,
+        "heartbeat_seconds": 0.1,
+        "peer_silence_seconds": 1.0,
+        "hostlist_interval_seconds": 0.3,
+        "hostlist_lag_seconds": 60.0,
+        "balancer_delay_seconds": 0.1,
+        "controller_seconds": 0.05,
+        "lease_seconds": LEASE_SECONDS,
+        "task_poll_seconds": 0.3,
+        "probe_seconds": 0.5,
+        "snapshot_records": 20,
+    },
+    "configuration": DOCUMENT,
+}
+
+
+class FleetDeployment(Deployment):
+    """Deployment of the cells of the fleet."""
+
+    def __init__(self, folder: Path) -> None:
+        Launcher.__init__(self, DESCRIPTION, folder, clock=SystemClock())
+        self.clock = self._clock
+        self.relays = []
+        self._faults = {}
+        for plan in self._groups[-1]:
+            self._insert_relays(plan.name, plan.settings["peers"])
+
+    async def ask(self, member: str, path: str) -> tuple[int, Any]:
+        address = self.get_address(member, "operator")
+        return await self.call("GET", f"{address}/v1/operator/{path}")
+
+    async def ask_caller(self, method: str, member: str, path: str, **body: Any):
+        """Returns status, outcome and body of a caller's request; status 0 without an answer."""
+        url = f"http://{self.get_address(member, 'caller')}{path}"
+        try:
+            async with self._session.request(method, url, json=body or None) as answer:
+                outcome = answer.headers.get("Carawayshore-Outcome", "")
+                return answer.status, outcome, await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return 0, "", repr(error)
+
+    async def send_request(self, member: str, path: str, **headers: str) -> tuple[int, str]:
+        url = f"http://{self.get_address(member, 'caller')}/services/{path}"
+        method = self._session.post if "Idempotency-Key" in headers else self._session.get
+        try:
+            async with method(url, headers=headers) as answer:
+                await answer.read()
+                return answer.status, answer.headers.get("Carawayshore-Outcome", "")
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, ""
+
+    async def find_holder(self, claim: str) -> str:
+        """Returns the holder of a claim, by which a cell chooses the entry host to disturb."""
+        for member in MEMBERS:
+            status, dump = await self.ask(member, "dump")
+            if status == 200:
+                shown = dump["streams"][STREAM]["claims"]["shown"]
+                if claim in shown:
+                    return shown[claim]["member"]
+        raise RuntimeError(f"no entry host names the holder of {claim!r}")
+
+    async def read_host(self, host: str) -> dict[str, Any]:
+        status, answer = await self.call("GET", f"{self.get_address('pools')}/v1/hosts/{host}")
+        return answer if status == 200 else {}
+
+    async def read_version(self, member: str) -> int:
+        status, answer = await self.ask(member, "configuration")
+        return answer["version"] if status == 200 else -1
+
+    async def publish(self, member: str, **changes: Any) -> tuple[int, Any]:
+        base = await self.read_version(member)
+        document = DOCUMENT | changes
+        return await self.operate(
+            member, "configuration", base_version=base, document=document, author="matrix"
+        )
+
+    async def heal(self) -> None:
+        """Ends all faults and starts what was killed."""
+        for relay in self.relays:
+            relay.heal()
+        for name, process in self.processes.items():
+            if process.is_running():
+                self.resume(name)
+        stopped = [n for n, process in self.processes.items() if not process.is_running()]
+        await asyncio.gather(*(self.start(n, wait=False) for n in stopped if n in WORKERS))
+        await asyncio.gather(*(self.set_faults(name) for name in (*PLATFORM, *WORKERS)))
+        await asyncio.gather(*(self.start(n) for n in stopped if n not in WORKERS))
+        self._faults.clear()
+
+    async def reset(self) -> bool:
+        """Brings every host back into the pool that it had at the start."""
+        await self.heal()
+        await self.wait_until(self._is_published, "maintenance off", RESET_LIMIT_S)
+        await self.wait_until(self._is_serving, "all hosts serving in their pools", RESET_LIMIT_S)
+        return True
+
+    async def _is_published(self) -> bool:
+        status, answer = await self.ask(MEMBERS[0], "configuration")
+        enabled = status == 200 and answer["document"].get("maintenance", {}).get("enabled")
+        return status == 200 and (not enabled or (await self.publish(MEMBERS[0]))[0] == 200)
+
+    async def _is_serving(self) -> bool:
+        serving = True
+        for number, host in enumerate(WORKERS):
+            pool = "office" if number in (4, 5) else "booking"
+            found = await self.read_host(host)
+            worker = await self.read_status(host)
+            if found.get("state") != "serving":
+                await self.operate(MEMBERS[0], f"hosts/{host}/return")
+            elif found["pool"] != pool:
+                await self.operate(MEMBERS[0], f"hosts/{host}/move?over_budget=true", pool=pool)
+            elif not worker.get("draining", True) and worker["pool"] == pool:
+                continue
+            serving = False
+        return serving
+
+    async def wait_settled(self) -> bool:
+        await self.wait_until(self._is_claimed, "claims held", RESET_LIMIT_S)
+        await self.wait_until(self._is_serving, "all hosts serving", RESET_LIMIT_S)
+        return True
+
+    async def _is_claimed(self) -> bool:
+        try:
+            found = [await self.find_holder(claim) for claim in ("fleet", "jobs")]
+        except RuntimeError:
+            return False
+        _, hosts = await self.ask(MEMBERS[0], "hosts")
+        return len(found) == 2 and len(hosts["hosts"]) == len(WORKERS) - 1
--- /dev/null
+++ b/features/matrix/fleet_judge.py
@@ -0,0 +1,206 @@
+"""Judges a cell of the fleet by records of log, workers and pools service, and by answers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any
+
+from matrix.fleet_deployment import BUDGET, DOCUMENT, MEMBERS, REMOTE
+
+if TYPE_CHECKING:
+    from matrix.fleet_run import FleetRun
+
+ROLL_OUT = timedelta(seconds=5)
+SLACK = timedelta(seconds=1)  # Interval of the observers, on a busy machine.
+LIMITS = {"booking": BUDGET, "office": 1}
+# Without the log, or with a slow one, a version cannot be in force within seconds.
+LOG_FAULTS = {"log-down", "log-slow", "log-answers-lost", "dc-cut", "retention"}
+Entries = list[dict[str, Any]]
+
+
+def judge(
+    run: FleetRun, executions: Entries, operations: Entries, pools: dict[str, str]
+) -> list[str]:
+    """Returns the violated promises, each after its name.
+
+    Parameters
+    ----------
+    run : FleetRun
+    executions : list of dict
+        What the workers recorded since the cell began.
+    operations : list of dict
+        Operations of the pools service in their order.
+    pools : dict of str
+        Pool of each host before the cell.
+    """
+    found = _check_pools(executions, operations, pools) + _check_budget(operations, pools)
+    found += _check_added(run) + check_versions(run) + _check_roll_out(run)
+    found += check_jobs(run, executions) + check_fences(operations) + check_effects(operations)
+    found += _check_reboots(run, executions, operations) + _check_answers(run, executions)
+    return found + _check_race(run)
+
+
+def _find_pool(host: str, moment: str, operations: Entries, first: str) -> str:
+    """Returns the pool that the pools service gave a host at ``moment``."""
+    at = datetime.fromisoformat(moment)
+    returns = [o for o in operations if o["kind"] == "return" and o["host"] == host]
+    earlier = [o for o in returns if datetime.fromisoformat(o["at"]) <= at]
+    return earlier[-1]["pool"] if earlier else first
+
+
+def _check_pools(executions: Entries, operations: Entries, pools: dict[str, str]) -> list[str]:
+    found = []
+    for entry in executions:
+        service = entry.get("service") or entry.get("path", "").split("/")[2]
+        wanted = DOCUMENT["services"][service]["pool"]
+        host = entry["worker"]
+        given = _find_pool(host, entry["started"], operations, pools[host])
+        if not wanted == entry["pool"] == given:
+            name = entry.get("job") or entry.get("path")
+            found.append(
+                f"pools: {name} of pool {wanted} ran on {host}, in {entry['pool']} by the worker"
+                f" and in {given} by the pools service, at {entry['started']}"
+            )
+    return found
+
+
+def _check_added(run: FleetRun) -> list[str]:
+    streams: dict[str, set[str]] = {}
+    for stream in ("dc.umea", "dc.lulea"):
+        for kind in ("host_added", "host_drain_started", "host_joined"):
+            for body in run.watch.list_bodies(stream, kind):
+                streams.setdefault(body["host"], set()).add(stream)
+    return [f"pools: {h} is in the streams {sorted(s)}" for h, s in streams.items() if len(s) > 1]
+
+
+def _check_budget(operations: Entries, pools: dict[str, str]) -> list[str]:
+    """Counts a host as out of its pool from its drain to its return."""
+    current, out, found = dict(pools), {}, []
+    for item in operations:
+        if item["repeated"]:
+            continue
+        if item["kind"] == "return":
+            out.pop(item["host"], None)
+            current[item["host"]] = item["pool"]
+            continue
+        out[item["host"]] = current[item["host"]]
+        for pool, count in Counter(out.values()).items():
+            if count > LIMITS[pool]:
+                found.append(f"budget: {count} hosts of {pool} out at {item['at']}: {sorted(out)}")
+    return found
+
+
+def check_versions(run: FleetRun) -> list[str]:
+    """A ready entry host never serves an older version than it did before, nor than its peers."""
+    highest: dict[str, int] = {}
+    found = []
+    for seen in sorted(run.watch.seen, key=lambda item: item.at):
+        if not seen.ready or seen.version < 0:
+            continue
+        before = highest.get(seen.member, 0)
+        if seen.version < before:
+            found.append(f"revert: {seen.member} serves {seen.version} after {before}")
+        highest[seen.member] = max(before, seen.version)
+    return found
+
+
+def _check_roll_out(run: FleetRun) -> list[str]:
+    """Compares when a version was first seen anywhere with when each ready host served it."""
+    names = {fault.name for fault in run.cell.faults}
+    if run.cell.step.name != "publish" or names & LOG_FAULTS:
+        return []
+    affected = {run.subject} if names else set()
+    first: dict[str, dict[int, datetime]] = {m: {} for m in (*MEMBERS, REMOTE)}
+    for seen in run.watch.seen:
+        first[seen.member].setdefault(seen.version, seen.at)
+    versions = {version for times in first.values() for version in times if version > 0}
+    found = []
+    for version in versions:
+        begin = min(times[version] for times in first.values() if version in times)
+        for member in set(first) - affected:
+            served = [at for known, at in first[member].items() if known >= version]
+            late = min(served, default=None)
+            if late is None or late - begin > ROLL_OUT + SLACK:
+                found.append(f"roll-out: version {version} of {begin} at {member}: {late}")
+    return found
+
+
+def check_jobs(run: FleetRun, executions: Entries) -> list[str]:
+    runs: dict[str, Entries] = {}
+    for entry in executions:
+        if entry["kind"] == "task":
+            runs.setdefault(entry["job"], []).append(entry)
+    found = []
+    for name, told in run.jobs.items():
+        starts = runs.get(name, [])
+        where = [(e["worker"], e["lease"], e.get("result")) for e in starts]
+        succeeded = sum(e.get("result") == "succeeded" for e in starts)
+        if len(starts) > 1 and not told.repeatable:
+            found.append(f"jobs: {name} may not be repeated and started as {where}")
+        if succeeded > 1:
+            found.append(f"jobs: {name} succeeded {succeeded} times: {where}")
+        if told.state == "succeeded" and not succeeded:
+            found.append(f"jobs: {name} is told succeeded and ran as {where}")
+        if starts and not told.accepted and not told.unclear:
+            found.append(f"jobs: {name} was rejected as not run and ran as {where}")
+        if told.accepted and told.state in ("", "queued", "placed", "cancelling"):
+            found.append(f"jobs: {name} is accepted and still {told.state!r}, ran as {where}")
+        running = [e for e in starts if not e["ended"] and e["worker"] not in run.killed]
+        if told.state == "cancelled" and running:
+            found.append(f"jobs: {name} is told cancelled and still runs: {where}")
+    return found
+
+
+def check_fences(operations: Entries) -> list[str]:
+    """An operation under an older claim than one before it comes from a lapsed holder."""
+    highest, found = -1, []
+    for item in operations:
+        # Hosts of another data centre are under another stream's claim.
+        if not item["host"].startswith("umea"):
+            continue
+        if item["fence"] < highest:
+            found.append(f"fence: {item['operation']} under {item['fence']} after {highest}")
+        highest = max(highest, item["fence"])
+    return found
+
+
+def check_effects(operations: Entries) -> list[str]:
+    """Between two returns a host is drained once and rebooted at most once."""
+    effects: Counter[tuple[str, str]] = Counter()
+    found = []
+    for item in operations:
+        if item["repeated"]:
+            continue
+        if item["kind"] == "return":
+            for kind in ("drain", "reboot"):
+                effects.pop((item["host"], kind), None)
+            continue
+        effects[item["host"], item["kind"]] += 1
+        if effects[item["host"], item["kind"]] > 1:
+            found.append(f"once: {item['operation']} is a second {item['kind']} before a return")
+    return found
+
+
+def _check_reboots(run: FleetRun, executions: Entries, operations: Entries) -> list[str]:
+    rebooted = {item["host"] for item in operations if item["kind"] == "reboot"}
+    return [
+        f"reboot: {entry.get('job') or entry['path']} was cut off on {entry['worker']}"
+        for entry in executions
+        if entry["worker"] in rebooted - run.killed and entry.get("result") == "cut-off"
+    ]
+
+
+def _check_answers(run: FleetRun, executions: Entries) -> list[str]:
+    paths = {entry.get("path", "").rpartition("/")[2] for entry in executions}
+    return [
+        f"reboot: {sent.token} was answered not-run and ran"
+        for sent in run.watch.sent
+        if sent.outcome == "not-run" and sent.token in paths
+    ]
+
+
+def _check_race(run: FleetRun) -> list[str]:
+    if run.accepted and sum(run.accepted) != 1:
+        return [f"step: of two racing operators {sum(run.accepted)} were accepted"]
+    return []
--- /dev/null
+++ b/features/matrix/fleet_run.py
@@ -0,0 +1,266 @@
+"""Runs one cell of the fleet's matrix and judges it."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from matrix.fleet_deployment import BOOKING, MEMBERS, STREAM, WORKERS
+from matrix.fleet_faults import inject
+from matrix.fleet_judge import judge
+from matrix.fleet_steps import STEPS
+from matrix.fleet_watch import Watch, read_executions
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from matrix.fleet_deployment import FleetDeployment
+    from matrix.fleet_table import Cell
+
+PLACE_LIMIT_S = 30.0
+DONE_LIMIT_S = 40.0
+# Faults last beyond the lifetime of claims and loans; the verdict does not depend on it.
+HOLD = timedelta(seconds=3)
+JOB_LIMIT_S = 40.0
+AFTER_START = ("entry-killed", "entry-paused")  # At the step rejoin, these hit the starting host.
+
+
+class JobTold(NamedTuple):
+    """What a caller was told about a job."""
+
+    repeatable: bool
+    accepted: bool = False
+    unclear: bool = False
+    state: str = ""
+
+
+class FleetRun:
+    """One run of one cell.
+
+    Parameters
+    ----------
+    cell : Cell
+    deployment : FleetDeployment
+    token : str
+        Prefix of names, unique within the deployment.
+    seed : int
+    """
+
+    def __init__(self, cell: Cell, deployment: FleetDeployment, token: str, seed: int) -> None:
+        self.cell = cell
+        self.deployment = deployment
+        self.token = f"umea:{token}"
+        self.seed = seed
+        self.watch = Watch(deployment, token)
+        self.target = BOOKING[0]
+        self.subject, self.helper = MEMBERS[0], MEMBERS[1]
+        self.subject_held = False
+        self.killed: set[str] = set()
+        self.racing = False
+        self.accepted: list[bool] = []
+        self.jobs: dict[str, JobTold] = {}
+        self.problems: list[str] = []
+        self.notes: list[tuple[Any, str, str]] = []
+        self.reusable = False
+        self.began = deployment.clock.now()
+        self.step = STEPS[cell.step.name](self)
+        self.claim = self.step.claim
+        names = {fault.name for fault in cell.faults}
+        self.disturbs_workers = bool(names & {"worker-killed", "worker-fails"})
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._filled = 0
+
+    def note(self, kind: str, what: str) -> None:
+        self.notes.append((self.deployment.clock.now(), kind, what))
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def find_end(self, stream: str) -> int:
+        return self.watch.ends[stream]
+
+    def has_claim_moved(self, since: int) -> bool:
+        return any(
+            offset >= since
+            and record["type"] == "claim_taken"
+            and record["body"]["claim"] == self.claim
+            and record["body"]["member"] != self.subject
+            for offset, record in self.watch.records[STREAM].items()
+        )
+
+    async def submit(self, name: str, *, seconds: float, repeatable: bool = False) -> None:
+        """Submits a job until an entry host accepts it; the name makes repetitions harmless."""
+        self.jobs[name] = JobTold(repeatable)
+        body = {"job": name, "queue": "routes", "team": "crew", "repeatable": repeatable}
+        body |= {"payload": {"run_seconds": seconds}, "run_seconds": seconds}
+        turn = 0
+
+        async def is_accepted() -> bool:
+            nonlocal turn
+            turn += 1
+            members = MEMBERS if self.racing else (MEMBERS[turn % 3],)
+            asked = (self.deployment.ask_caller("POST", m, "/v1/jobs", **body) for m in members)
+            answers = await asyncio.gather(*asked)
+            accepted = any(status == 201 for status, _, _ in answers)
+            unclear = any(outcome != "not-run" for status, outcome, _ in answers if status != 201)
+            told = self.jobs[name]
+            self.jobs[name] = told._replace(accepted=accepted, unclear=told.unclear or unclear)
+            return accepted
+
+        await self.deployment.wait_until(is_accepted, f"acceptance of {name}", JOB_LIMIT_S)
+
+    async def cancel(self, name: str) -> None:
+        turn = 0
+
+        async def is_cancelled() -> bool:
+            nonlocal turn
+            turn += 1
+            member = MEMBERS[turn % 3]
+            status, _, _ = await self.deployment.ask_caller("DELETE", member, f"/v1/jobs/{name}")
+            return status in (200, 202, 409)
+
+        await self.deployment.wait_until(is_cancelled, f"cancellation of {name}", JOB_LIMIT_S)
+
+    async def has_ended(self, name: str) -> bool:
+        if name not in self.jobs or not self.jobs[name].accepted:
+            return False
+        for member in (self.helper, *MEMBERS):
+            status, _, job = await self.deployment.ask_caller("GET", member, f"/v1/jobs/{name}")
+            if status == 200:
+                self.jobs[name] = self.jobs[name]._replace(state=job["state"])
+                return job["ended"]
+        return False
+
+    async def fill(self, count: int) -> None:
+        """Sends keyed requests, each of which adds records to the data centre's stream."""
+        work = []
+        for _ in range(count):
+            self._filled += 1
+            name = f"{self.token}-fill{self._filled}"
+            headers = {"Idempotency-Key": name, "Work-Seconds": "0.01"}
+            path = f"booking/{name.partition(':')[2]}"
+            work.append(self.deployment.send_request(self.helper, path, **headers))
+        await asyncio.gather(*work)
+
+    async def overrun(self, since: int) -> None:
+        """Adds records until retention has removed those that were new at the beginning."""
+        marks = {name: self.find_end(name) for name in ("global", STREAM)}
+
+        async def has_passed() -> bool:
+            await asyncio.gather(self.fill(5), self.deployment.publish(self.helper))
+            streams = (await self.deployment.read_record("log"))["streams"]
+            return all(streams[name]["first"] > mark for name, mark in marks.items())
+
+        await self.deployment.wait_until(has_passed, "removal by retention", PLACE_LIMIT_S)
+
+    async def _choose_subject(self) -> None:
+        if self.claim:
+            self.subject = await self.deployment.find_holder(self.claim)
+            self.subject_held = True
+        self.helper = next(member for member in MEMBERS if member != self.subject)
+
+    async def _begin_faults(self, *, early: bool) -> None:
+        for fault in self.cell.faults:
+            if fault.early is early:
+                await inject(self, fault.name)
+
+    async def _carry_out(self) -> None:
+        if self.cell.step.name == "rejoin":
+            await self._rejoin()
+            return
+        await self._begin_faults(early=True)
+        await self.step.begin()
+        await self.deployment.wait_until(self.step.is_placed, "step under way", PLACE_LIMIT_S)
+        late = any(not fault.early for fault in self.cell.faults)
+        if late and await self.step.is_done():
+            self.problems.append("step: it ended before the fault began")
+        await self._begin_faults(early=False)
+
+    async def _rejoin(self) -> None:
+        """Begins the faults before the start, save those that hit the starting process."""
+        names = [fault.name for fault in self.cell.faults]
+        for name in names:
+            if name not in AFTER_START:
+                await inject(self, name)
+        await self.step.start()
+        for name in names:
+            if name in AFTER_START:
+                await inject(self, name)
+
+    async def _outlast(self) -> None:
+        """Waits for the end of the step under the faults, ends them, and waits again."""
+        if self.cell.shows == "goes-on":
+            await self.deployment.wait_until(self.step.is_done, self._describe_end(), DONE_LIMIT_S)
+        else:
+            await self.deployment.clock.sleep(HOLD)
+        if self.is_stranded() and await self.step.is_done():
+            self.problems.append("rejoin: ready without state from log or peers")
+        await self.deployment.heal()
+        self.note("healed", "")
+        await self.deployment.wait_until(self.step.is_done, self._describe_end(), DONE_LIMIT_S)
+
+    def is_stranded(self) -> bool:
+        """Returns whether the starting process can reach neither the log nor a peer."""
+        names = {fault.name for fault in self.cell.faults}
+        return self.cell.step.name == "rejoin" and "cut-both" in names
+
+    def _describe_end(self) -> str:
+        return f"step {self.cell.step.name!r}: {self.cell.step.done}"
+
+    async def run(self) -> list[str]:
+        """Returns everything that was violated; empty if the cell passes."""
+        await self._choose_subject()
+        pools = {host: (await self.deployment.read_host(host))["pool"] for host in WORKERS}
+        operations = len((await self.deployment.read_record("pools"))["operations"])
+        await self.watch.start()
+        try:
+            await self.step.prepare()
+            await self._carry_out()
+            await self._outlast()
+            await self.step.finish()
+        except (TimeoutError, RuntimeError) as error:
+            self.problems.append(f"step: {error}")
+        try:
+            await self.deployment.heal()
+            await self._finish()
+            self.reusable = await self.deployment.reset()
+        except (TimeoutError, RuntimeError) as error:
+            self.problems.append(f"step: recovery: {error}")
+            self.reusable = False
+        await self.watch.stop()
+        await self._check_evidence()
+        record = await self.deployment.read_record("pools")
+        executions = read_executions(self.deployment.folder, self.began)
+        return self.problems + judge(self, executions, record["operations"][operations:], pools)
+
+    async def _check_evidence(self) -> None:
+        """A cell whose lost answers hit nothing proves nothing."""
+        for fault in self.cell.faults:
+            name, _, kind = fault.name.partition("-")
+            if kind != "answers-lost":
+                continue
+            record = await self.deployment.read_record(name)
+            entries = record["appends" if name == "log" else "operations"]
+            lost = [e for e in entries if e["answer_lost"]]
+            if not any(datetime.fromisoformat(e["at"]) >= self.began for e in lost):
+                self.problems.append(f"step: the fault {fault.name} lost no answer")
+
+    async def _finish(self) -> None:
+        """Waits for the callers, and for the end of every accepted job."""
+        if self._tasks:
+            done, pending = await asyncio.wait(self._tasks, timeout=DONE_LIMIT_S)
+            self.problems += [f"step: {error}" for task in done if (error := task.exception())]
+            if pending:
+                self.problems.append(f"step: {len(pending)} callers did not end")
+            for task in pending:
+                task.cancel()
+        accepted = [name for name, told in self.jobs.items() if told.accepted]
+
+        async def are_ended() -> bool:
+            for name in accepted:
+                if not await self.has_ended(name):
+                    return False
+            return True
+
+        await self.deployment.wait_until(are_ended, "end of every accepted job", JOB_LIMIT_S)
--- /dev/null
+++ b/features/matrix/fleet_table.py
@@ -0,0 +1,166 @@
+"""The fault matrix of the fleet: steps, faults, what must show, and why a cell cannot occur."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from allpairspy import AllPairs
+
+
+class Step(NamedTuple):
+    """``done`` says by which records the step has ended."""
+
+    name: str
+    title: str
+    done: str
+
+
+class Fault(NamedTuple):
+    """``early`` faults begin before the step, others once the step is under way."""
+
+    name: str
+    title: str
+    early: bool
+    goes_on: bool
+
+
+class Cell(NamedTuple):
+    step: Step
+    faults: tuple[Fault, ...]
+
+    @property
+    def name(self) -> str:
+        return " + ".join(fault.name for fault in self.faults) + f" at {self.step.name}"
+
+    @property
+    def cannot(self) -> str:
+        """Returns why the cell cannot occur, or an empty string."""
+        return next((r for f in self.faults if (r := find_reason(self.step, f))), "")
+
+    @property
+    def shows(self) -> str:
+        """Returns ``goes-on`` if the step ends during the faults, ``waits`` if after them."""
+        return "goes-on" if all(goes_on(self.step, f) for f in self.faults) else "waits"
+
+
+STEPS = (
+    Step("publish", "an operator publishes a version", "every entry host serves the version"),
+    Step("move", "a host changes its pool", "log, pools service and worker name the new pool"),
+    Step("place", "jobs are placed and started", "every accepted job has ended"),
+    Step("renew", "leases of running tasks are renewed", "tasks longer than a lease succeed"),
+    Step("checkpoint", "a task moves away from a draining host", "the job succeeds elsewhere"),
+    Step("cancel", "jobs are cancelled", "every job has ended and its task has stopped"),
+    Step("drain", "an operator drains a host", "the host is drained, then serves after a return"),
+    Step("reboot", "a wave reboots hosts", "the hosts of one wave are rebooted and serve"),
+    Step("snapshot", "an entry host writes a snapshot", "a later snapshot is whole"),
+    Step("rejoin", "an entry host starts again", "it is ready and its join is in the log"),
+)
+FAULTS = (
+    Fault("entry-killed", "the entry host that carries the step is killed", False, False),
+    Fault("entry-paused", "it is stopped beyond its claim and continued", False, False),
+    Fault("cut-log", "it is cut off from the log", False, False),
+    Fault("cut-peers", "it is cut off from the other entry hosts", False, False),
+    Fault("cut-both", "it is cut off from both", False, False),
+    Fault("log-down", "the log service has an outage", False, False),
+    Fault("log-slow", "every answer of the log takes 0.5 s more", True, True),
+    Fault("log-answers-lost", "half of the log's answers to appends are lost", True, True),
+    Fault("retention", "retention passes what a reader has read", False, False),
+    Fault("hostlist-stale", "the host list shows no change", True, True),
+    Fault("hostlist-down", "the host list has an outage", True, True),
+    Fault("pools-answers-lost", "half of the pools service's answers are lost", True, True),
+    Fault("pools-down", "the pools service has an outage", True, False),
+    Fault("worker-killed", "a worker of the step is killed and started again", False, False),
+    Fault("worker-fails", "a worker fails everything it starts", True, True),
+    Fault("worker-late", "the workers' answers take 0.5 s more", True, True),
+    Fault("operators-racing", "two operators ask for the same at once", True, True),
+    Fault("cancellations", "a wave of jobs is submitted and cancelled", False, True),
+    Fault("dc-cut", "the data centre is cut off from log, platform and peers", False, False),
+)
+PROMISES = {
+    "pools": "no two records put a host in two pools, no worker ran work of another pool",
+    "budget": "the hosts out of service at the pools service stay within the budget",
+    "revert": "no entry host serves an older version than before, over restarts",
+    "roll-out": "an accepted version is in force on reachable entry hosts within 5 s",
+    "jobs": "no accepted job is lost, none that may not be repeated starts twice",
+    "fence": "no operation is accepted under an older claim than one before it",
+    "once": "a drain or reboot whose answer was lost has one effect",
+    "reboot": "a reboot cuts off no request and no running task",
+    "rejoin": "a ready entry host has at least the state of its peers",
+    "step": "the step ends as the cell says",
+}
+REPRESENTATIVE = ("entry-paused at move", "entry-paused at place", "log-down at rejoin")
+# Steps that another entry host carries on while the one before is still dead.
+_TAKEN_OVER = ("place", "renew", "cancel")
+_NO_POOLS = ("publish", "place", "renew", "cancel", "snapshot", "rejoin")
+_NO_WORKER = ("publish", "snapshot", "rejoin")
+_NO_HOSTLIST = ("publish", "renew", "cancel", "snapshot")
+_NO_OPERATOR = ("renew", "checkpoint", "snapshot", "rejoin")
+_PAIR_FIRSTS = ("entry-killed", "entry-paused", "cut-log", "cut-both", "dc-cut")
+_PAIR_SECONDS = (
+    "log-slow",
+    "log-answers-lost",
+    "hostlist-down",
+    "pools-answers-lost",
+    "worker-late",
+    "worker-killed",
+    "cancellations",
+)
+
+
+def find_reason(step: Step, fault: Fault) -> str:
+    """Returns why ``fault`` cannot occur at ``step``, or an empty string."""
+    kind = fault.name.partition("-")[0]
+    if kind == "pools" and step.name in _NO_POOLS:
+        return "the step makes no call to the pools service"
+    if kind == "worker" and step.name in _NO_WORKER:
+        return "the step makes no call to a worker"
+    if kind == "hostlist" and step.name in _NO_HOSTLIST:
+        return "the step does not read the host list"
+    if fault.name == "operators-racing" and step.name in _NO_OPERATOR:
+        return "no operator or caller begins the step"
+    return ""
+
+
+def goes_on(step: Step, fault: Fault) -> bool:
+    """Returns whether ``step`` must end while ``fault`` lasts."""
+    if fault.name == "entry-killed":
+        return step.name in _TAKEN_OVER
+    if step.name == "rejoin":
+        # One source of state, log or peers, is enough (design page, section 5.3).
+        return fault.goes_on or fault.name in ("log-down", "cut-log", "cut-peers", "dc-cut")
+    return fault.goes_on
+
+
+def list_singles() -> list[Cell]:
+    return [Cell(step, (fault,)) for fault in FAULTS for step in STEPS]
+
+
+def list_pairs() -> list[Cell]:
+    """Returns a covering array: every two of step, first and second fault occur together."""
+    by_step, by_fault = {s.name: s for s in STEPS}, {f.name: f for f in FAULTS}
+
+    def is_possible(row: list[str]) -> bool:
+        named = [by_fault[name] for name in row if name in by_fault]
+        step = by_step.get(row[0])
+        return step is None or not any(find_reason(step, fault) for fault in named)
+
+    rows = AllPairs([list(by_step), _PAIR_FIRSTS, _PAIR_SECONDS], filter_func=is_possible)
+    return [Cell(by_step[step], (by_fault[a], by_fault[b])) for step, a, b in rows]
+
+
+def list_cells() -> list[Cell]:
+    return list_singles() + list_pairs()
+
+
+def find_cell(name: str) -> Cell:
+    """Returns the cell of a name such as ``entry-paused at move``.
+
+    Raises
+    ------
+    ValueError
+        If there is none.
+    """
+    for cell in list_cells():
+        if cell.name == name:
+            return cell
+    raise ValueError(f"no cell is named {name!r}; accepted: FAULT at STEP of docs")
--- /dev/null
+++ b/features/matrix/fleet_watch.py
@@ -0,0 +1,133 @@
+"""Observers of a cell: the log's records, the versions that entry hosts serve, and a load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from matrix.fleet_deployment import MEMBERS, REMOTE
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from matrix.fleet_deployment import FleetDeployment
+
+INTERVAL = timedelta(milliseconds=100)
+STREAMS = ("global", "dc.umea", "dc.lulea")
+LOAD_TALKS = 6
+
+
+class Seen(NamedTuple):
+    """What one entry host answered at one moment; version -1 if it did not answer."""
+
+    at: datetime
+    member: str
+    ready: bool
+    version: int
+
+
+class Sent(NamedTuple):
+    """One request of the load with its answer."""
+
+    token: str
+    status: int
+    outcome: str
+
+
+class Watch:
+    """Observes a deployment from outside while a cell runs.
+
+    Parameters
+    ----------
+    deployment : FleetDeployment
+    token : str
+        Prefix of the load's requests.
+    """
+
+    def __init__(self, deployment: FleetDeployment, token: str) -> None:
+        self.records: dict[str, dict[int, dict[str, Any]]] = {name: {} for name in STREAMS}
+        self.ends = dict.fromkeys(STREAMS, 0)
+        self.seen: list[Seen] = []
+        self.sent: list[Sent] = []
+        self._deployment = deployment
+        self._token = token
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        record = await self._deployment.read_record("log")
+        for name in STREAMS:
+            self.ends[name] = record["streams"].get(name, {"end": 0})["end"]
+        work = [self._follow(name) for name in STREAMS]
+        work += [self._observe(member) for member in (*MEMBERS, REMOTE)]
+        work += [self._call(number) for number in range(LOAD_TALKS)]
+        self._tasks = [asyncio.create_task(item) for item in work]
+
+    async def stop(self) -> None:
+        """Ends the load after its requests, and the observers once they have read the log's end."""
+        for task in self._tasks:
+            task.cancel()
+        done = await asyncio.gather(*self._tasks, return_exceptions=True)
+        for error in done:
+            if isinstance(error, Exception):
+                raise error
+        for name in STREAMS:
+            await self._read(name)
+
+    async def _follow(self, stream: str) -> None:
+        while True:
+            await self._read(stream)
+            await self._deployment.clock.sleep(INTERVAL)
+
+    async def _read(self, stream: str) -> None:
+        address, start = self._deployment.get_address("log"), self.ends[stream]
+        url = f"{address}/v1/streams/{stream}/records?from={start}&limit=10000"
+        status, answer = await self._deployment.call("GET", url)
+        if status == 410:
+            self.ends[stream] = answer["first"]
+        elif status == 200:
+            found = {item["offset"]: item["record"] for item in answer["records"]}
+            self.records[stream] |= found
+            self.ends[stream] = max(found, default=start - 1) + 1
+
+    async def _observe(self, member: str) -> None:
+        """Reads readiness before the version, so that a ready host's version is judged."""
+        while True:
+            at = self._deployment.clock.now()
+            status, _, _ = await self._deployment.ask_caller("GET", member, "/v1/ready")
+            version = await self._deployment.read_version(member)
+            self.seen.append(Seen(at, member, status == 200, version))
+            await self._deployment.clock.sleep(INTERVAL)
+
+    async def _call(self, talk: int) -> None:
+        number = 0
+        while True:
+            number += 1
+            token = f"{self._token}-load{talk}-{number}"
+            pool = "office" if talk == 0 else "booking"
+            work = {"Work-Seconds": "1.0", "Carawayshore-Deadline": "4"}
+            member = MEMBERS[(talk + number) % 3]
+            answer = await self._deployment.send_request(member, f"{pool}/{token}", **work)
+            self.sent.append(Sent(token, *answer))
+            await self._deployment.clock.sleep(INTERVAL)
+
+    def list_bodies(self, stream: str, kind: str) -> list[dict[str, Any]]:
+        items = sorted(self.records[stream].items())
+        return [record["body"] for _, record in items if record["type"] == kind]
+
+
+def read_executions(folder: Path, since: datetime) -> list[dict[str, Any]]:
+    """Returns what the workers' files say about executions that started after ``since``."""
+    found: dict[tuple[str, int], dict[str, Any]] = {}
+    for path in sorted(folder.glob("*.record")):
+        for line in path.read_bytes().splitlines():
+            try:
+                entry = json.loads(line)
+            except ValueError:
+                continue  # A kill may cut a line short.
+            if entry["entry"] != "execution":
+                continue
+            if datetime.fromisoformat(entry["started"]) >= since:
+                found[path.stem, entry["number"]] = entry | {"worker": path.stem}
+    return list(found.values())
