--- a/packages/carawayd/src/carawayd/process/streams.py
+++ b/packages/carawayd/src/carawayd/process/streams.py
@@ -106,16 +106,25 @@
         delay = RETRY_FIRST
         while not self.should_stop:
             try:
-                await self._read_once()
+                await self._read_or_recover()
                 delay = RETRY_FIRST
-            except OffsetRemoved as removed:
-                await self._recover(removed)
-            except PlatformError as error:
+            except (OffsetRemoved, PlatformError) as error:
                 logger.debug("read of stream %s failed: %s", self.stream, error)
                 self._metrics.records.labels(self.stream, "read_failed").inc()
                 await self._clock.sleep(delay * self._rng.uniform(0.5, 1.5))
                 delay = min(delay * 2, RETRY_LONGEST)
 
+    async def _read_or_recover(self) -> None:
+        """Reads on, or from a snapshot if retention has passed this process.
+
+        The recovery fails if the log does, if retention moves on, or if a peer relays newer state
+        meanwhile; the next reading then finds what holds.
+        """
+        try:
+            await self._read_once()
+        except OffsetRemoved as removed:
+            await self._recover(removed)
+
     async def _read_once(self) -> None:
         behind = self.folded.next_offset < self.end or not self.caught_up.is_set()
         page = await self._log.read(
