Expect host steps to wait for a host list that is down

Cause: the pools service of the stand-ins tells the host list before it reports a host as drained, so a move cannot end while the list is down. Change: move, drain and reboot must end after the outage, not during it. Conclusion: the expectation was wrong, not the daemon.

--- a/features/fleet_matrix.feature
+++ b/features/fleet_matrix.feature
@@ -112,11 +112,11 @@
       | hostlist-stale | drain | goes-on |
       | hostlist-stale | reboot | goes-on |
       | hostlist-stale | rejoin | goes-on |
-      | hostlist-down | move | goes-on |
+      | hostlist-down | move | waits |
       | hostlist-down | place | goes-on |
       | hostlist-down | checkpoint | goes-on |
-      | hostlist-down | drain | goes-on |
-      | hostlist-down | reboot | goes-on |
+      | hostlist-down | drain | waits |
+      | hostlist-down | reboot | waits |
       | hostlist-down | rejoin | goes-on |
       | pools-answers-lost | move | goes-on |
       | pools-answers-lost | checkpoint | goes-on |
--- a/features/matrix/fleet_table.py
+++ b/features/matrix/fleet_table.py
@@ -131,6 +131,9 @@
     """Returns whether ``step`` must end while ``fault`` lasts."""
     if fault.name == "entry-killed":
         return step.name in _TAKEN_OVER
+    if fault.name == "hostlist-down" and step.name in ("move", "drain", "reboot"):
+        # The pools service reports a host as drained only after it has told the host list.
+        return False
     if step.name == "rejoin":
         # One source of state, log or peers, is enough (design page, section 5.3).
         return fault.goes_on or fault.name in ("log-down", "cut-log", "cut-peers", "dc-cut")
