Wait for restarted workers before their faults are cleared

Cause: a restarted worker was told to clear its faults before it listened. Change: the deployment waits until the worker answers.

--- a/features/matrix/fleet_deployment.py
+++ b/features/matrix/fleet_deployment.py
@@ -136,6 +136,9 @@
                 self.resume(name)
         stopped = [n for n, process in self.processes.items() if not process.is_running()]
         await asyncio.gather(*(self.start(n, wait=False) for n in stopped if n in WORKERS))
+        for name in set(stopped) & set(WORKERS):
+            # A worker that starts on a drained host answers, but is not ready.
+            await self.wait_until(lambda n=name: self.read_status(n), name, RESET_LIMIT_S)
         await asyncio.gather(*(self.set_faults(name) for name in (*PLATFORM, *WORKERS)))
         await asyncio.gather(*(self.start(n) for n in stopped if n not in WORKERS))
         self._faults.clear()
