--- a/features/command.feature
+++ b/features/command.feature
@@ -1,3 +1,4 @@
+@process
 Feature: Operators see what a change does, and know afterwards whether it took effect
 
   Scenario: A document with several faults gives one report
--- a/features/demo.feature
+++ b/features/demo.feature
@@ -1,3 +1,4 @@
+@process
 Feature: The demonstration shows every promise on a whole deployment
 
   Scenario: The short demonstration holds every promise
--- a/features/operator_race.feature
+++ b/features/operator_race.feature
@@ -1,3 +1,4 @@
+@process
 Feature: Racing operators stay within the availability budget
 
   Scenario: Two drains at the same moment in two data centres
--- a/features/steps/fleet_matrix_steps.py
+++ b/features/steps/fleet_matrix_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import tempfile
 from pathlib import Path
 
@@ -12,11 +11,13 @@
 from matrix.fleet_lane import run_cells
 
 LIMIT_S = 600.0
+# CI repeats the same choices; tools/fleet_matrix.py draws others.
+SEED = 7
 
 
 @when("{faults} begins at the fleet's step {step}")
 def run_cell(context, faults, step):
-    context.seed = random.SystemRandom().randrange(2**31)
+    context.seed = SEED
     print(f"seed {context.seed}")
     context.cell = fleet_table.find_cell(f"{faults} at {step}")
     with tempfile.TemporaryDirectory() as folder:
--- a/tools/check.py
+++ b/tools/check.py
@@ -17,7 +17,11 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-PARALLEL_FEATURES = 3  # Several features start whole sets of processes; more would distort timing.
+PARALLEL_FEATURES = 2
+# Features that start whole deployments run one at a time beside the others: two of them at once
+# delayed each other's processes enough to fail a cell of the fleet's matrix.
+DEPLOYMENT_TAGS = ("@process", "@representative")
+ERROR_LINES = 40
 FEATURE_TIMEOUT_S = 600
 
 
@@ -57,7 +61,16 @@
     return str(element.get("status", "no result"))
 
 
-def _read_scenarios(path: Path, report: Path) -> list[Scenario]:
+def _find_traceback(text: str, name: str) -> str:
+    """Returns the lines around the traceback of a scenario, which the JSON report lacks."""
+    _, _, rest = text.partition(f"Scenario: {name}")
+    rest = rest or text
+    start = rest.find("Traceback")
+    lines = rest[max(start, 0) :].splitlines()
+    return "\n".join(lines[:ERROR_LINES]) if start >= 0 else ""
+
+
+def _read_scenarios(path: Path, report: Path, text: str) -> list[Scenario]:
     try:
         features = json.loads(report.read_text())
     except (OSError, ValueError):
@@ -67,7 +80,11 @@
             feature=str(path.relative_to(ROOT)),
             name=element["name"],
             passed=element.get("status") == "passed",
-            error="" if element.get("status") == "passed" else _find_error(element),
+            error=(
+                ""
+                if element.get("status") == "passed"
+                else f"{_find_error(element)}\n{_find_traceback(text, element['name'])}"
+            ),
         )
         for feature in features
         for element in feature.get("elements", [])
@@ -78,9 +95,9 @@
 def run_feature(path: Path) -> FeatureRun:
     """Runs one feature file and returns its scenarios and output."""
     with tempfile.TemporaryDirectory() as folder:
-        report = Path(folder) / "report.json"
+        report, plain = Path(folder) / "report.json", Path(folder) / "report.txt"
         command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", str(report)]
-        command += ["--no-summary", str(path)]
+        command += ["--format", "plain", "--outfile", str(plain), "--no-summary", str(path)]
         try:
             done = subprocess.run(
                 command, cwd=ROOT, capture_output=True, text=True, timeout=FEATURE_TIMEOUT_S
@@ -88,10 +105,26 @@
             output, complete = done.stdout + done.stderr, True
         except subprocess.TimeoutExpired:
             output, complete = f"timed out after {FEATURE_TIMEOUT_S} s", False
-        scenarios = _read_scenarios(path, report)
+        text = plain.read_text() if plain.exists() else ""
+        scenarios = _read_scenarios(path, report, text)
     return FeatureRun(path, scenarios, output, complete and bool(scenarios))
 
 
+def run_features(paths: list[Path]) -> list[FeatureRun]:
+    """Runs features, those with whole deployments one at a time."""
+    deployments = [path for path in paths if _needs_deployment(path)]
+    others = [path for path in paths if path not in deployments]
+    with ThreadPoolExecutor(1) as single, ThreadPoolExecutor(PARALLEL_FEATURES) as several:
+        runs = [single.submit(run_feature, path) for path in deployments]
+        runs += [several.submit(run_feature, path) for path in others]
+        return [run.result() for run in runs]
+
+
+def _needs_deployment(path: Path) -> bool:
+    text = path.read_text()
+    return any(tag in text for tag in DEPLOYMENT_TAGS)
+
+
 def print_verdict(runs: list[FeatureRun], known_red: set[str]) -> int:
     """Prints failures, passed-over scenarios and the closing line; returns the exit status."""
     scenarios = [scenario for run in runs for scenario in run.scenarios]
@@ -117,9 +150,7 @@
     arguments = parser.parse_args()
     paths = [path.resolve() for path in arguments.features]
     paths = paths or sorted((ROOT / "features").rglob("*.feature"))
-    with ThreadPoolExecutor(PARALLEL_FEATURES) as executor:
-        runs = list(executor.map(run_feature, paths))
-    return print_verdict(runs, read_known_red())
+    return print_verdict(run_features(paths), read_known_red())
 
 
 if __name__ == "__main__":
