--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := $(SOURCES)
 RUN := $(VENV)/bin/python
 
-.PHONY: setup demo serve test lint format bench matrix
+.PHONY: setup demo serve test lint format bench matrix fleet-matrix mutations
 
 setup: $(STAMP)
 
@@ -42,3 +42,11 @@
 # Runs the whole fault matrix, or with ARGUMENTS a part of it (docs/fault-matrix.md).
 matrix: setup
 	@$(RUN) tools/matrix.py $(ARGUMENTS)
+
+# Runs the fault matrix of the fleet (about 25 minutes), or with ARGUMENTS a part of it.
+fleet-matrix: setup
+	@$(RUN) tools/fleet_matrix.py $(ARGUMENTS)
+
+# Takes out one guard at a time and writes docs/mutations.md.
+mutations: setup
+	@$(RUN) tools/mutations.py
