Take machines through waves of upkeep

Change: one holder of the fleet's partition cordons machines, waits until their owner has emptied them, and orders their upkeep within the wave's cap; begun machines are kept in the ledger.

--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -21,6 +21,7 @@
 logger = logging.getLogger(__name__)
 
 WORKFLOWS_TOPIC = "keyed.jobs"
+FLEET_TOPIC = "keyed.fleet"
 PRODUCER = "owner"
 # Changes within this time share one append, which the store prices.
 GATHER = timedelta(milliseconds=8)
@@ -42,12 +43,14 @@
     Parameters
     ----------
     store : StoreClient
+    topic : str
     partition : int
     clock : Clock
     """
 
-    def __init__(self, store: StoreClient, partition: int, clock: Clock) -> None:
+    def __init__(self, store: StoreClient, topic: str, partition: int, clock: Clock) -> None:
         super().__init__()
+        self.topic = topic
         self.partition = partition
         self.epoch = 0
         self.lost = False
@@ -81,7 +84,7 @@
         while True:
             try:
                 end = await self._store.append(
-                    WORKFLOWS_TOPIC,
+                    self.topic,
                     self.partition,
                     b"",
                     producer=PRODUCER,
@@ -118,6 +121,20 @@
         self._wake.set()
         return future
 
+    async def read_records(self) -> list[KeyedRecord]:
+        """Returns the newest records, asking until the store answers; nobody else writes then."""
+        delay = FIRST_RETRY
+        while True:
+            try:
+                return (await self._store.read_newest(self.topic, self.partition)).records
+            except PlatformError as error:
+                logger.info(
+                    "records are not read yet",
+                    extra={"fields": {"partition": self.partition, "error": str(error)}},
+                )
+                await self._clock.sleep(delay)
+                delay = min(2 * delay, LONGEST_RETRY)
+
     @property
     def is_stalled(self) -> bool:
         """Whether the store has left an append unanswered for long."""
@@ -178,7 +195,7 @@
         while True:
             try:
                 self._end = await self._store.append(
-                    WORKFLOWS_TOPIC,
+                    self.topic,
                     self.partition,
                     data,
                     producer=PRODUCER,
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -23,9 +23,8 @@
     WorkerLink,
     bound_lease,
 )
-from carawayd.platform.common import PlatformError
 from carawayshore.workflows.admission import Backlog, Request, decide_admission
-from carawayshore.workflows.model import TaskName
+from carawayshore.workflows.model import ServiceLoad, TaskName, WorkerLoad
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.pacing import Serving, choose_percent
 from carawayshore.workflows.placement import choose_room, measure_usage
@@ -65,6 +64,8 @@
 PLAN_INTERVAL_SECONDS = 0.25
 # Interval of looks at the list of workers.
 SCAN_INTERVAL = timedelta(milliseconds=200)
+# A cordon that is not renewed ends after this long, so that a lost fleet manager blocks no worker.
+CORDON_SECONDS = 6.0
 # Longest time for which a planned hand-over waits for the store.
 HAND_OVER_SECONDS = 0.5
 # First attempts of rejected submissions are remembered for this long, in seconds.
@@ -125,10 +126,9 @@
         self.fence = epoch
         self.loaded = False
         self.lost = False
-        self.ledger = Ledger(store, partition, clock)
+        self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock)
         self.workflows: dict[str, WorkflowState] = {}
         self.links: dict[str, WorkerLink] = {}
-        self._store = store
         self._runs = runs
         self._discovery = discovery
         self._settings = settings
@@ -174,21 +174,9 @@
             await self._clock.sleep(SCAN_INTERVAL)
 
     async def _load(self) -> None:
-        delay = 0.05
-        while True:
-            try:
-                newest = await self._store.read_newest(WORKFLOWS_TOPIC, self.partition)
-                break
-            except PlatformError as error:
-                logger.info(
-                    "records are not read yet",
-                    extra={"fields": {"partition": self.partition, "error": str(error)}},
-                )
-                await self._clock.sleep(timedelta(seconds=delay))
-                delay = min(2 * delay, 0.4)
         now = self._now()
         records = []
-        for key, value in newest.records:
+        for key, value in await self.ledger.read_records():
             if not key.startswith(SILENCE_PREFIX):
                 records.append((key, value))
             elif value.isdigit():
@@ -244,9 +232,7 @@
             self.lost = True
             logger.info(
                 "partition lost",
-                extra={
-                    "fields": {"partition": self.partition, "epoch": self.fence, "why": why}
-                },
+                extra={"fields": {"partition": self.partition, "epoch": self.fence, "why": why}},
             )
 
     def note_fenced(self) -> None:
@@ -267,10 +253,11 @@
             if link is None:
                 self._open_link(entry)
             elif link.entry != entry or not link.listed:
-                was_ready = link.entry.state == "ready"
                 link.update(entry)
-                if was_ready and entry.state != "ready":
-                    self._evacuate(link)
+        for link in self.links.values():
+            if link.cordoned or link.entry.state != "ready":
+                link.expire_cordon(self._now())
+                self._evacuate(link)
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
@@ -309,12 +296,40 @@
                 self._reset_task(workflow, step, task, name, "its worker is gone")
 
     def _evacuate(self, link: WorkerLink) -> None:
-        """Moves long-running tasks off a worker that is about to leave."""
-        for name in list(link.orders):
+        """Moves long-running tasks off a worker that is about to leave.
+
+        A worker that drains by itself takes them down anyway. Otherwise no task is stopped while
+        as many of its step are away as may be, and only one of a step at a time.
+        """
+        leaving = link.entry.state != "ready"
+        for name, order in list(link.orders.items()):
             found = self._find(name)
-            if found is not None and found[1].spec.long_running:
-                self._log_task(name, "moved off a draining worker", worker=link.worker)
-                link.stop_task(name)
+            if found is None or not found[1].spec.long_running or order.stopping:
+                continue
+            if not leaving and not self._may_stop(found[1], name):
+                continue
+            self._log_task(name, "moved off its worker", worker=link.worker, leaving=leaving)
+            link.stop_task(name)
+
+    def _may_stop(self, step: StepState, name: TaskName) -> bool:
+        """Whether all other tasks of a long-running step are at work."""
+        if not step.spec.most_away:
+            return False
+        for index, task in enumerate(step.tasks):
+            if index == name.index:
+                continue
+            link = self.links.get(task.worker)
+            order = link and link.orders.get(name._replace(index=index))
+            if (
+                task.status != ORDERED
+                or not order
+                or link.is_silent
+                or order.stopping
+                or order.percent < 100
+                or order.run != task.run
+            ):
+                return False
+        return True
 
     def _note_unheard(self, worker: str) -> None:
         if worker not in self._silent_since:
@@ -617,6 +632,12 @@
             if usage.long_running
         )
         cores = total - lasting / 1000
+        waiting, longest = self._measure_waiting(service)
+        free = max(0.0, total - used) * longest
+        return Backlog(cores, max(0.0, waiting - free))
+
+    def _measure_waiting(self, service: str) -> tuple[float, float]:
+        """Returns the work that waits in core-seconds, and the longest expected run time."""
         waiting, longest = 0.0, 0.0
         for workflow in self.workflows.values():
             if workflow.is_terminal or workflow.spec.service != service:
@@ -628,8 +649,7 @@
                 longest = max(longest, seconds)
                 count = sum(task.status == WAITING for task in step.tasks)
                 waiting += count * step.spec.millicores / 1000 * seconds
-        free = max(0.0, total - used) * longest
-        return Backlog(cores, max(0.0, waiting - free))
+        return waiting, longest
 
     async def look(self, identifier: str) -> Reply:
         """Returns the state of a workflow as callers may know it."""
@@ -673,6 +693,56 @@
         )
         return Reply(FOUND, count)
 
+    # -- fleet -----------------------------------------------------------------------------------
+
+    async def survey(self, _subject: Any = None) -> Reply:
+        """Returns the load of the partition's services."""
+        if not self.loaded or self.lost:
+            return Reply(UNREADY)
+        return Reply(FOUND, [self._survey_service(name) for name in self._list_services()])
+
+    def _survey_service(self, service: str) -> ServiceLoad:
+        lasting = running = 0
+        workers = []
+        for link in self.links.values():
+            if link.entry.service != service:
+                continue
+            usages = link.room.usages.values()
+            long_running = [usage for usage in usages if usage.long_running]
+            lasting += sum(usage.millicores for usage in long_running)
+            running += sum(usage.millicores for usage in usages if not usage.long_running)
+            workers.append(
+                WorkerLoad(
+                    link.worker,
+                    len(link.orders),
+                    len(long_running),
+                    link.entry.millicores,
+                    link.cordoned,
+                    not link.is_silent,
+                )
+            )
+        waiting = self._measure_waiting(service)[0]
+        return ServiceLoad(service, lasting / 1000, running / 1000, waiting, tuple(workers))
+
+    async def cordon(self, worker: str) -> Reply:
+        """Takes a worker out of use and moves long-running tasks off it, within their limits."""
+        if not self.loaded or self.lost:
+            return Reply(UNREADY)
+        link = self.links.get(worker)
+        if link is None:
+            return Reply(ABSENT)
+        link.cordon(self._now() + CORDON_SECONDS)
+        self._evacuate(link)
+        return Reply(ACCEPTED)
+
+    async def uncordon(self, worker: str) -> Reply:
+        """Lets a worker be used again."""
+        link = self.links.get(worker)
+        if link is not None:
+            link.cordon(0.0)
+            self._wake.set()
+        return Reply(ACCEPTED)
+
     # -- planning --------------------------------------------------------------------------------
 
     def _open_step(self, workflow: WorkflowState, step: StepState) -> None:
@@ -805,9 +875,7 @@
         checkpoint = task.checkpoint if step.spec.checkpointing else ""
         return link, name, StartOrder(task.run, workflow.spec.spec, checkpoint)
 
-    async def _send_orders(
-        self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]
-    ) -> None:
+    async def _send_orders(self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
         """Sends start orders once they are recorded."""
         try:
             await self.ledger.flushed()
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -44,6 +44,7 @@
 # A task whose progress stands still for this long is taken for stuck.
 STUCK_SECONDS = 1.5
 
+
 def bound_lease(settings: SiteSettings) -> float:
     """Returns the time in seconds after which no lease that a former owner renewed is left."""
     lease = min(LEASE_MS, settings.longest_lease_ms) / 1000 / SLOWEST_CLOCK
@@ -147,6 +148,8 @@
         self.listed = True
         self.orders: dict[TaskName, Order] = {}
         self.closed = False
+        self.cordoned = False
+        self._cordoned_until = 0.0
         self._owner = owner
         self._runs = runs
         self._settings = settings
@@ -184,11 +187,23 @@
         self.room.usable = (
             self.listed
             and not self.closed
+            and not self.cordoned
             and self.entry.state == "ready"
             and self._clock_ms is not None
             and not self._failures
         )
 
+    def cordon(self, until: float) -> None:
+        """Gives the worker no new tasks until a time of the monotonic clock."""
+        self._cordoned_until = until
+        self.cordoned = until > self._now()
+        self._update_room()
+
+    def expire_cordon(self, now: float) -> None:
+        """Ends a cordon that nobody has renewed."""
+        if self.cordoned and now > self._cordoned_until:
+            self.cordon(0.0)
+
     def adopt(self, task: TaskName, run: int) -> None:
         """Expects a run that an earlier owner ordered; the first report tells whether it is there."""
         self.orders[task] = Order(run, UNKNOWN, -1, self._now())
--- a/packages/carawayd/src/carawayd/platform/api.py
+++ b/packages/carawayd/src/carawayd/platform/api.py
@@ -4,13 +4,23 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from carawayd.platform import hostlist, log, pools, runs, store, worker
+from carawayd.platform import hostlist, log, machines, pools, runs, store, worker
 from carawayd.platform.plugins import build_client
 
 if TYPE_CHECKING:
     from carawayd.process.settings import Settings
 
-__all__ = ["Platform", "hostlist", "log", "open_platform", "pools", "runs", "store", "worker"]
+__all__ = [
+    "Platform",
+    "hostlist",
+    "log",
+    "machines",
+    "open_platform",
+    "pools",
+    "runs",
+    "store",
+    "worker",
+]
 
 
 class Platform(NamedTuple):
--- a/packages/carawayd/src/carawayd/platform/documents.py
+++ b/packages/carawayd/src/carawayd/platform/documents.py
@@ -13,6 +13,7 @@
     QueueTerms,
     ServiceTerms,
     StepSpec,
+    Wave,
     WorkerEntry,
     Workflow,
     check_steps,
@@ -87,13 +88,15 @@
         # The wire calls it the target duration; it is what the objective adds to the stretch.
         allowance_ms=int(item.get("targetDurationMs") or 0),
         timeout_ms=int(item.get("timeoutMs") or 0),
-        advice=AdviceTerms(
-            int(advice.get("decisionMs") or 0),
-            int(advice.get("perWorkerMs") or 0),
-            int(advice.get("validMs") or 0),
-        )
-        if advice
-        else None,
+        advice=(
+            AdviceTerms(
+                int(advice.get("decisionMs") or 0),
+                int(advice.get("perWorkerMs") or 0),
+                int(advice.get("validMs") or 0),
+            )
+            if advice
+            else None
+        ),
     )
 
 
@@ -195,6 +198,26 @@
     return len(text) == IDENTIFIER_DIGITS and all(char in digits for char in text)
 
 
+def decode_wave(value: bytes) -> Wave:
+    """Returns a rolling batch of upkeep; raises ValueError if it can't be read."""
+    try:
+        document = msgspec.json.decode(value)
+        return Wave(
+            int(document["wave"]),
+            tuple(str(machine) for machine in document["machines"]),
+            float(document.get("withinS") or 0),
+            # The most machines of the wave that may be down at once.
+            max(1, int(document.get("cap") or 1)),
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, AttributeError, ValueError) as error:
+        raise ValueError(f"unreadable wave: {error!r}") from error
+
+
+def encode_wave_state(completed: bool) -> bytes:
+    """Returns what the operator is told about a wave."""
+    return msgspec.json.encode({"state": "completed" if completed else "running"})
+
+
 def encode_state(state: str) -> dict[str, str]:
     """Returns what a caller is told about a workflow."""
     return {"state": state}
--- /dev/null
+++ b/packages/carawayd/src/carawayd/platform/machines.py
@@ -0,0 +1,83 @@
+"""Client of the machines service: lists machines, moves them between pools, begins their upkeep."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import urlencode
+
+from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
+from carawayd.platform.plugins import platform_client
+from carawayshore.workflows.model import Machine
+
+MACHINE_STATES = {"up": "up", "moving": "moving", "upkeep": "upkeep", "down": "down"}
+CALL_TIMEOUT_SECONDS = 1.5
+MOST_PAGES = 1_000
+
+
+class MachineRefused(PlatformError):
+    """Nothing was done; ``reason`` is ``fence``, ``busy``, ``wave`` or a status."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"machine order refused: {reason}")
+        self.reason = reason
+
+
+@platform_client("machines")
+class MachinesClient(PlatformClient):
+    """Orders carry the holder and its fencing token, which each machine checks."""
+
+    async def list_machines(self) -> list[Machine]:
+        """Returns all machines; raises PlatformError if there was no valid answer."""
+        machines: list[Machine] = []
+        token = ""
+        for _ in range(MOST_PAGES):
+            path = "/api/machines" + (f"?{urlencode({'pageToken': token})}" if token else "")
+            document = await self.call("GET", path, timeout=CALL_TIMEOUT_SECONDS)
+            try:
+                machines += [_decode_machine(item) for item in document["machines"]]
+                token = str(document.get("nextPageToken") or "")
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                raise PlatformError(f"malformed list of machines: {error!r}") from error
+            if not token:
+                break
+        return machines
+
+    async def _order(self, path: str, body: dict[str, Any], holder: str, fence: int) -> None:
+        headers = {"Lease-Holder": holder, "Fencing-Token": str(fence)}
+        try:
+            await self.call("POST", path, body=body, headers=headers, timeout=CALL_TIMEOUT_SECONDS)
+        except PlatformRefusal as refusal:
+            document = refusal.document if isinstance(refusal.document, dict) else {}
+            reason = document.get("reason") if refusal.status == 409 else None
+            raise MachineRefused(str(reason or f"status {refusal.status}")) from refusal
+
+    async def move(self, machine: str, pool: str, *, holder: str, fence: int) -> None:
+        """Moves a machine to a pool; all that runs on it ends at once.
+
+        Raises
+        ------
+        MachineRefused
+            If nothing was done.
+        PlatformError
+            If it is not known whether the move has begun or will.
+        """
+        body = {"machine": machine, "pool": pool}
+        await self._order("/api/machine-move", body, holder, fence)
+
+    async def begin_upkeep(self, machine: str, wave: int, *, holder: str, fence: int) -> None:
+        """Begins the upkeep of a machine; raises like :meth:`move`."""
+        body = {"machine": machine, "wave": wave}
+        await self._order("/api/machine-upkeep", body, holder, fence)
+
+
+def _decode_machine(item: dict[str, Any]) -> Machine:
+    capacity = item.get("capacity") or {}
+    return Machine(
+        machine=str(item["machine"]),
+        pool=str(item.get("pool") or ""),
+        state=MACHINE_STATES.get(item.get("state"), "down"),
+        data_centre=str(item.get("zone") or ""),
+        labels=tuple(str(label) for label in item.get("labels") or ()),
+        millicores=int(capacity.get("cpu") or 0),
+        worker=str(item.get("id") or ""),
+    )
--- a/packages/carawayd/src/carawayd/platform/runs.py
+++ b/packages/carawayd/src/carawayd/platform/runs.py
@@ -216,5 +216,3 @@
         )
     except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
         raise PlatformError(f"malformed report of a worker: {error!r}") from error
-
-
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -6,7 +6,7 @@
 import logging
 import zlib
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from mode import Service
 
@@ -15,6 +15,7 @@
     CONFIGURATION_KEY,
     WAVE_PREFIX,
     decode_configuration,
+    decode_wave,
     decode_worker,
 )
 from carawayd.platform.store import (
@@ -32,7 +33,7 @@
     from carawayd.platform.store import StoreClient
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
-    from carawayshore.workflows.model import Deployment, WorkerEntry
+    from carawayshore.workflows.model import Deployment, Wave, WorkerEntry
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +48,13 @@
 RETURN_SECONDS = 2.5
 
 
+class KnownWave(NamedTuple):
+    """A wave and the time of the monotonic clock at which it became known here."""
+
+    wave: Wave
+    since: timedelta
+
+
 class Tailer(Service):
     """Follows one partition of a keyed topic: its newest records first, then every change.
 
@@ -143,7 +151,7 @@
     def __init__(self, store: StoreClient, settings: SiteSettings, clock: Clock) -> None:
         super().__init__()
         self.deployment: Deployment | None = None
-        self.waves: dict[str, bytes] = {}
+        self.waves: dict[int, KnownWave] = {}
         self.unreadable = 0
         # Set while this process owns a partition, since only owners need the workers.
         self.needs_workers = False
@@ -172,7 +180,7 @@
             if key == CONFIGURATION_KEY:
                 self._apply_configuration(value)
             elif key.startswith(WAVE_PREFIX) and value:
-                self.waves[key.removeprefix(WAVE_PREFIX)] = value
+                self._apply_wave(value)
 
     def _apply_configuration(self, value: bytes) -> None:
         try:
@@ -199,6 +207,16 @@
             self._placing = True
             asyncio.ensure_future(self._place_services())
 
+    def _apply_wave(self, value: bytes) -> None:
+        try:
+            wave = decode_wave(value)
+        except ValueError as error:
+            self.unreadable += 1
+            logger.error("wave is not applied", extra={"fields": {"error": str(error)}})
+            return
+        if wave.number not in self.waves:
+            self.waves[wave.number] = KnownWave(wave, self._clock.elapsed())
+
     # -- workers ---------------------------------------------------------------------------------
 
     def _apply_workers(self, records: list[KeyedRecord], whole: bool) -> None:
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -13,6 +13,8 @@
 from carawayd.platform.api import build_client
 from carawayd.process.discovery import Discovery
 from carawayd.process.exchange import Exchange
+from carawayd.process.fleetmanager import FleetManager
+from carawayd.process.ownercalls import OwnerCalls
 from carawayd.process.ownership import Ownership
 from carawayd.request.workflows import WorkflowCalls
 
@@ -52,7 +54,20 @@
         self.ownership = Ownership(
             self.store, self.runs, self.discovery, settings, clock, self.random
         )
-        self.calls = WorkflowCalls(self.discovery, self.ownership, self.exchange, clock)
+        self.owners = OwnerCalls(self.ownership, self.exchange, clock)
+        self.calls = WorkflowCalls(self.discovery, self.owners)
+        self.machines = None
+        if settings.machines:
+            self.machines = build_client("machines", f"http://{settings.machines}", settings)
+            self.ownership.fleet = FleetManager(
+                self.store,
+                self.machines,
+                self.discovery,
+                self.ownership,
+                self.owners,
+                settings,
+                clock,
+            )
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
 
@@ -69,6 +84,8 @@
         await self._listen(web.AppRunner(application, access_log=None), settings.ready_address)
         for service in (self.exchange, self.discovery, self.ownership):
             await self.add_runtime_dependency(service)
+        if self.ownership.fleet is not None:
+            await self.add_runtime_dependency(self.ownership.fleet)
 
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -99,3 +116,5 @@
             await runner.cleanup()
         await self.store.close()
         await self.runs.close()
+        if self.machines is not None:
+            await self.machines.close()
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -9,7 +9,7 @@
 
 from mode import Service
 
-from carawayd.partition.ledger import WORKFLOWS_TOPIC
+from carawayd.partition.ledger import FLEET_TOPIC, WORKFLOWS_TOPIC
 from carawayd.partition.owner import PartitionOwner
 from carawayd.platform.common import PlatformError
 
@@ -19,6 +19,7 @@
     from carawayd.platform.runs import RunsClient
     from carawayd.platform.store import StoreClient
     from carawayd.process.discovery import Discovery
+    from carawayd.process.fleetmanager import FleetManager
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
 
@@ -54,6 +55,8 @@
         super().__init__()
         self.owners: dict[int, PartitionOwner] = {}
         self.leaving = False
+        # Set by the entry host: runs while this process holds the fleet's partition.
+        self.fleet: FleetManager | None = None
         self._store = store
         self._runs = runs
         self._discovery = discovery
@@ -75,6 +78,11 @@
         """Returns a new name; a process that joins anew gets a later generation."""
         return f"{self._settings.peer_address}#{self._random.getrandbits(48):012x}"
 
+    @property
+    def address(self) -> str:
+        """Address at which other entry hosts reach this one."""
+        return self._settings.peer_address
+
     def is_current(self) -> bool:
         """Whether the membership has been renewed within its lifetime."""
         if self._joined_at is None:
@@ -127,7 +135,7 @@
             membership = await self._store.join(
                 GROUP,
                 self.member,
-                [WORKFLOWS_TOPIC],
+                [WORKFLOWS_TOPIC, FLEET_TOPIC],
                 ttl=self._ttl,
                 generation=self._generation,
             )
@@ -139,11 +147,14 @@
         self._joined_at = sent_at
         changed = membership.generation != self._generation
         self._generation = membership.generation
-        held = {
-            partition for topic, partition in membership.partitions if topic == WORKFLOWS_TOPIC
-        }
+        held = {partition for topic, partition in membership.partitions if topic == WORKFLOWS_TOPIC}
         wanted = {number for number in held if self._discovery.list_services(number)}
         self._discovery.needs_workers = bool(wanted)
+        if self.fleet is not None:
+            await self.fleet.set_held((FLEET_TOPIC, 0) in membership.partitions, self._generation)
+            if self.fleet.fenced:
+                await self._join_anew()
+                return
         for partition in list(self.owners):
             if partition not in wanted or self.owners[partition].lost:
                 self._drop(partition)
@@ -163,6 +174,8 @@
     async def _join_anew(self) -> None:
         """Leaves the group under this name, so that the next generation differs."""
         logger.info("group is joined anew", extra={"fields": {"generation": self._generation}})
+        if self.fleet is not None:
+            await self.fleet.set_held(False, self._generation)
         for partition in list(self.owners):
             self._drop(partition)
         former, self.member = self.member, self._name_member()
@@ -209,6 +222,8 @@
     async def leave(self) -> None:
         """Hands all partitions over to other members."""
         self.leaving = True
+        if self.fleet is not None:
+            await self.fleet.set_held(False, self._generation)
         await asyncio.gather(*(owner.hand_over() for owner in self.owners.values()))
         for partition in list(self.owners):
             self._drop(partition)
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -4,7 +4,6 @@
 
 import logging
 import math
-from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,7 +16,6 @@
     REJECTED,
     UNKNOWN_OUTCOME,
     UNREADY,
-    PartitionOwner,
     Reply,
 )
 from carawayd.platform.documents import (
@@ -26,26 +24,16 @@
     encode_pending,
     encode_state,
 )
-from carawayd.process.exchange import PeerUnreached
-from carawayshore.workflows.model import Workflow
+from carawayd.process.ownercalls import CANCEL, COUNT, LOOK, SUBMIT
 
 if TYPE_CHECKING:
     from carawayd.process.discovery import Discovery
-    from carawayd.process.exchange import Exchange
-    from carawayd.process.ownership import Ownership
-    from carawayshore.clock import Clock
+    from carawayd.process.ownercalls import OwnerCalls
     from carawayshore.workflows.model import QueueTerms
 
 logger = logging.getLogger(__name__)
 
-# Longest time in seconds for which a call waits for a new owner, and between its attempts.
-LONGEST_WAIT_SECONDS = 1.2
-ATTEMPT_SECONDS = 0.6
-PAUSE = timedelta(milliseconds=60)
-# Share of the caller's own limit that a call may take; one whose outcome is in doubt waits longer,
-# since its caller may not repeat it.
-DEADLINE_SHARE = 0.6
-DOUBT_SHARE = 0.85
+# Time within which a caller is taken to want its answer if it does not say.
 DEFAULT_LIMIT_SECONDS = 3.0
 # A call that changes nothing may be repeated soon, in seconds.
 UNREADY_RETRY_SECONDS = 1
@@ -67,21 +55,14 @@
     Parameters
     ----------
     discovery : Discovery
-    ownership : Ownership
-    exchange : Exchange
-    clock : Clock
+    owners : OwnerCalls
     """
 
-    def __init__(
-        self, discovery: Discovery, ownership: Ownership, exchange: Exchange, clock: Clock
-    ) -> None:
+    def __init__(self, discovery: Discovery, owners: OwnerCalls) -> None:
         self.in_progress = 0
         self.stopping = False
         self._discovery = discovery
-        self._ownership = ownership
-        self._exchange = exchange
-        self._clock = clock
-        exchange.handler = self._serve_peer
+        self._owners = owners
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
@@ -127,7 +108,7 @@
         workflow, found = decode_submission(identifier, queue, body)
         if workflow is None:
             return _answer(400, {"error": "bad job", "findings": [str(item) for item in found]})
-        reply = await self._ask(queue, "submit", msgspec.to_builtins(workflow), limit=limit)
+        reply = await self._ask(queue, SUBMIT, msgspec.to_builtins(workflow), limit)
         if reply.outcome == ACCEPTED:
             return _answer(200)
         if reply.outcome == REJECTED:
@@ -135,7 +116,7 @@
         return self._refuse(reply, identifier)
 
     async def _look(self, queue: QueueTerms, identifier: str, limit: float) -> web.Response:
-        reply = await self._ask(queue, "look", identifier, limit=limit)
+        reply = await self._ask(queue, LOOK, identifier, limit)
         if reply.outcome == FOUND:
             return _answer(200, encode_state(reply.detail))
         if reply.outcome == ABSENT:
@@ -143,7 +124,7 @@
         return self._refuse(Reply(UNREADY), identifier)
 
     async def _cancel(self, queue: QueueTerms, identifier: str, limit: float) -> web.Response:
-        reply = await self._ask(queue, "cancel", identifier, limit=limit)
+        reply = await self._ask(queue, CANCEL, identifier, limit)
         if reply.outcome == ACCEPTED:
             return _answer(200)
         if reply.outcome == ABSENT:
@@ -151,7 +132,7 @@
         return self._refuse(reply, identifier)
 
     async def _count(self, queue: QueueTerms, limit: float) -> web.Response:
-        reply = await self._ask(queue, "count_pending", queue.name, limit=limit)
+        reply = await self._ask(queue, COUNT, queue.name, limit)
         if reply.outcome == FOUND:
             return _answer(200, encode_pending(reply.detail))
         return self._refuse(Reply(UNREADY), queue.name)
@@ -167,66 +148,8 @@
             return _answer(504, {"error": "the outcome is not known"})
         return _answer(503, {"error": "no owner is reached"}, UNREADY_RETRY_SECONDS)
 
-    async def _ask(self, queue: QueueTerms, operation: str, subject: Any, *, limit: float) -> Reply:
-        """Asks the owner of the queue's partition until it answers or the time is over."""
-        began = self._clock.elapsed()
-        patience = min(LONGEST_WAIT_SECONDS, limit * DEADLINE_SHARE)
-        reply = Reply(UNREADY)
-        unknown = False
-        refresh = False
-        while True:
-            allowed = limit * DOUBT_SHARE if unknown and operation in ("submit", "cancel") else patience
-            remaining = allowed - (self._clock.elapsed() - began).total_seconds()
-            if remaining <= 0:
-                return Reply(UNKNOWN_OUTCOME) if unknown else reply
-            reply, sent = await self._ask_once(queue, operation, subject, remaining, refresh)
-            if reply.outcome not in (UNREADY, UNKNOWN_OUTCOME):
-                return reply
-            unknown = unknown or sent
-            refresh = True
-            await self._clock.sleep(PAUSE)
-
-    async def _ask_once(
-        self, queue: QueueTerms, operation: str, subject: Any, remaining: float, refresh: bool
-    ) -> tuple[Reply, bool]:
-        """Returns the reply, and whether the call may have taken effect without one."""
+    async def _ask(self, queue: QueueTerms, operation: str, subject: Any, limit: float) -> Reply:
         partition = self._discovery.find_partition(queue.service)
         if partition is None:
-            return Reply(UNREADY), False
-        owner = self._ownership.find_owner(partition)
-        if owner is not None:
-            reply = await self._ask_owner(owner, operation, subject)
-            return reply, reply.outcome == UNKNOWN_OUTCOME
-        address = await self._ownership.find_address(partition, refresh=refresh)
-        if address is None or address == self._ownership.member.partition("#")[0]:
-            return Reply(UNREADY), False
-        try:
-            timeout = min(remaining, ATTEMPT_SECONDS)
-            answer = await self._exchange.call(
-                address, operation, partition, subject, timeout=timeout
-            )
-            reply = Reply(*answer)
-        except PeerUnreached as error:
-            return Reply(UNREADY), error.sent
-        return reply, reply.outcome == UNKNOWN_OUTCOME
-
-    async def _serve_peer(self, operation: str, arguments: list[Any]) -> Reply:
-        """Answers a call that another entry host passed on."""
-        partition, subject = arguments
-        owner = self._ownership.find_owner(partition)
-        if owner is None:
-            return Reply(UNREADY)
-        return await self._ask_owner(owner, operation, subject)
-
-    async def _ask_owner(self, owner: PartitionOwner, operation: str, subject: Any) -> Reply:
-        if operation == "submit":
-            return await owner.submit(msgspec.convert(subject, Workflow))
-        if operation == "cancel":
-            return await owner.cancel(subject)
-        reply = await (
-            owner.look(subject) if operation == "look" else owner.count_pending(subject)
-        )
-        # A deposed owner does not know what its successor has taken in.
-        if reply.outcome == ABSENT and not self._ownership.is_current():
             return Reply(UNREADY)
-        return reply
+        return await self._owners.ask(partition, operation, subject, limit=limit)
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -153,6 +153,48 @@
         return self.labels[-1] if len(self.labels) > 1 else ""
 
 
+class Machine(NamedTuple):
+    """A machine of a pool; ``worker`` is its present life as a worker, empty for none."""
+
+    machine: str
+    pool: str
+    state: str
+    data_centre: str
+    labels: tuple[str, ...]
+    millicores: int
+    worker: str
+
+
+class Wave(NamedTuple):
+    """Machines due for upkeep within a time, at most ``most_down`` of them at once."""
+
+    number: int
+    machines: tuple[str, ...]
+    within_seconds: float
+    most_down: int
+
+
+class WorkerLoad(NamedTuple):
+    """What runs on a worker, as its owner knows it."""
+
+    worker: str
+    tasks: int
+    long_running: int
+    millicores: int
+    cordoned: bool
+    heard: bool
+
+
+class ServiceLoad(NamedTuple):
+    """Demand of a service: work that runs and waits, in cores and core-seconds."""
+
+    service: str
+    long_running_cores: float
+    running_cores: float
+    waiting_core_seconds: float
+    workers: tuple[WorkerLoad, ...]
+
+
 class Workflow(NamedTuple):
     """A submitted job with the terms of its queue at the time of submission."""
 
