--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -66,6 +66,10 @@
 SCAN_INTERVAL = timedelta(milliseconds=200)
 # A cordon that is not renewed ends after this long, so that a lost fleet manager blocks no worker.
 CORDON_SECONDS = 6.0
+# Share of the expected run time that a running task still takes, on average.
+RUNNING_SHARE = 0.5
+# Weight of the work of later steps in the demand of a pool, since it does not run yet.
+LATER_SHARE = 0.5
 # Longest time for which a planned hand-over waits for the store.
 HAND_OVER_SECONDS = 0.5
 # First attempts of rejected submissions are remembered for this long, in seconds.
@@ -146,6 +150,7 @@
         self._silent_since: dict[str, int] = {}
         self._first_attempts: dict[str, float] = {}
         self._due: dict[str, float] = {}
+        self._arriving: dict[str, float] = {}
         self._wake = asyncio.Event()
 
     def _now(self) -> float:
@@ -602,6 +607,7 @@
                     "retry_after": round(verdict.retry_after_seconds, 2),
                     "cores": round(backlog.cores, 1),
                     "wait_seconds": round(backlog.wait_seconds, 2),
+                    "finish_seconds": round(backlog.finish_seconds, 2),
                     "objective_seconds": round(request.objective_seconds, 2),
                     "chain_seconds": round(request.chain_seconds, 2),
                     "age_seconds": round(request.age_seconds, 2),
@@ -623,22 +629,27 @@
     def _measure_backlog(self, service: str, rooms: list[Room]) -> Backlog:
         """Returns the work that waits, less what the free room takes up at once."""
         usable = [room for room in rooms if room.usable and room.suspect_until <= self._now()]
-        total = sum(room.entry.millicores for room in usable) / 1000
-        used = sum(room.millicores for room in usable) / 1000
-        lasting = sum(
-            usage.millicores
-            for room in usable
-            for usage in room.usages.values()
-            if usage.long_running
+        cores = sum(room.entry.millicores for room in usable)
+        running = 0.0
+        for room in usable:
+            for usage in room.usages.values():
+                if usage.long_running:
+                    cores -= usage.millicores
+                else:
+                    running += usage.millicores
+        ready, later, longest = self._measure_waiting(service)
+        return Backlog(
+            cores / 1000 + self._arriving.get(service, 0.0),
+            ready,
+            ready + later + running / 1000 * longest * RUNNING_SHARE,
         )
-        cores = total - lasting / 1000
-        waiting, longest = self._measure_waiting(service)
-        free = max(0.0, total - used) * longest
-        return Backlog(cores, max(0.0, waiting - free))
-
-    def _measure_waiting(self, service: str) -> tuple[float, float]:
-        """Returns the work that waits in core-seconds, and the longest expected run time."""
-        waiting, longest = 0.0, 0.0
+
+    def _measure_waiting(self, service: str) -> tuple[float, float, float]:
+        """Returns the work in core-seconds that could run now and that comes after it.
+
+        The last item is the longest expected run time of a task, in seconds.
+        """
+        ready, later, longest = 0.0, 0.0, 0.0
         for workflow in self.workflows.values():
             if workflow.is_terminal or workflow.spec.service != service:
                 continue
@@ -648,8 +659,12 @@
                 seconds = self._runtimes.expect(workflow.spec.queue, step.spec)
                 longest = max(longest, seconds)
                 count = sum(task.status == WAITING for task in step.tasks)
-                waiting += count * step.spec.millicores / 1000 * seconds
-        return waiting, longest
+                work = count * step.spec.millicores / 1000 * seconds
+                if workflow.is_ready(step):
+                    ready += work
+                else:
+                    later += work
+        return ready, later, longest
 
     async def look(self, identifier: str) -> Reply:
         """Returns the state of a workflow as callers may know it."""
@@ -695,10 +710,11 @@
 
     # -- fleet -----------------------------------------------------------------------------------
 
-    async def survey(self, _subject: Any = None) -> Reply:
-        """Returns the load of the partition's services."""
+    async def survey(self, arriving_cores: dict[str, float]) -> Reply:
+        """Returns the load of the partition's services, told what is on its way to them."""
         if not self.loaded or self.lost:
             return Reply(UNREADY)
+        self._arriving = arriving_cores
         return Reply(FOUND, [self._survey_service(name) for name in self._list_services()])
 
     def _survey_service(self, service: str) -> ServiceLoad:
@@ -721,8 +737,26 @@
                     not link.is_silent,
                 )
             )
-        waiting = self._measure_waiting(service)[0]
-        return ServiceLoad(service, lasting / 1000, running / 1000, waiting, tuple(workers))
+        ready, later, _ = self._measure_waiting(service)
+        return ServiceLoad(
+            service,
+            lasting / 1000 + self._count_waiting_long(service),
+            running / 1000,
+            ready + later * LATER_SHARE,
+            tuple(workers),
+        )
+
+    def _count_waiting_long(self, service: str) -> float:
+        """Returns the cores that long-running tasks wait for."""
+        return sum(
+            step.spec.millicores / 1000
+            for key, step in self._open.items()
+            if step.spec.long_running
+            and not step.spec.best_effort
+            and self.workflows[key[0]].spec.service == service
+            for task in step.tasks
+            if task.status == WAITING
+        )
 
     async def cordon(self, worker: str) -> Reply:
         """Takes a worker out of use and moves long-running tasks off it, within their limits."""
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,13 @@
 from carawayd.platform.store import STATUS_TOPIC, KeyedRecord, encode_records
 from carawayd.process.ownercalls import CORDON, SURVEY, UNCORDON
 from carawayshore.workflows.model import ServiceLoad
+from carawayshore.workflows.pools import (
+    IDLE_SECONDS,
+    PoolView,
+    choose_moves,
+    count_needed,
+    find_floor,
+)
 from carawayshore.workflows.upkeep import UpkeepView, choose_upkeep, is_completed, may_begin
 
 if TYPE_CHECKING:
@@ -39,7 +47,7 @@
 
 
 class FleetManager(Service):
-    """Takes machines through the waves of upkeep.
+    """Takes machines through the waves of upkeep, and between pools as demand turns.
 
     Parameters
     ----------
@@ -81,6 +89,10 @@
         self._services: dict[str, ServiceLoad] = {}
         self._loads: dict[str, WorkerLoad] = {}
         self._orders: dict[str, asyncio.Task[None]] = {}
+        # Machine to the pool that it is to move to.
+        self._moving: dict[str, str] = {}
+        # Machines that each pool needed, with the time of the survey.
+        self._needs: dict[str, deque[tuple[timedelta, int]]] = {}
 
     async def set_held(self, held: bool, generation: int) -> None:
         """Starts or ends the duty of the holder."""
@@ -95,7 +107,7 @@
         if held:
             self._fence = generation
             self._held_since = self._clock.elapsed()
-            self._pending, self._down_until = {}, {}
+            self._pending, self._down_until, self._moving = {}, {}, {}
             self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock)
             asyncio.ensure_future(self._load(self._ledger))
         elif self._ledger is not None:
@@ -142,20 +154,19 @@
                 try:
                     await self._survey()
                     await self._manage_waves()
+                    await self._manage_pools()
                 except (PlatformError, OwnershipLost) as error:
                     logger.info("fleet is not managed now", extra={"fields": {"error": str(error)}})
             await self._clock.sleep(INTERVAL)
 
     async def _survey(self) -> None:
         """Reads the machines and the load of all services."""
-        if not self._find_waves():
-            return
         self._machines = {item.machine: item for item in await self._client.list_machines()}
         deployment = self._discovery.deployment
         partitions = {self._discovery.find_partition(name) for name in deployment.services}
         answers = await asyncio.gather(
             *(
-                self._owners.ask_once(partition, SURVEY, None, SURVEY_SECONDS)
+                self._owners.ask_once(partition, SURVEY, self._count_arriving(), SURVEY_SECONDS)
                 for partition in partitions
                 if partition is not None
             )
@@ -170,6 +181,104 @@
             load.worker: load for service in self._services.values() for load in service.workers
         }
 
+    def _count_arriving(self) -> dict[str, float]:
+        """Returns the cores that are on their way to each pool."""
+        arriving: dict[str, float] = {}
+        for machine in self._machines.values():
+            if machine.state == "moving":
+                cores = machine.millicores / 1000
+                arriving[machine.pool] = arriving.get(machine.pool, 0.0) + cores
+        return arriving
+
+    # -- moves -----------------------------------------------------------------------------------
+
+    async def _manage_pools(self) -> None:
+        """Moves machines between pools as their demand turns."""
+        standby = frozenset(self._list_standby())
+        services = {name: load for name, load in self._services.items() if name not in standby}
+        view = PoolView(
+            services,
+            list(self._machines.values()),
+            standby,
+            frozenset(self._pending) | frozenset(self._moving) | frozenset(self._down_until),
+            {},
+        )
+        peaks = self._update_peaks(view)
+        for move in choose_moves(view._replace(peaks=peaks)):
+            self._moving[move.machine.machine] = move.pool
+            logger.info(
+                "move chosen",
+                extra={
+                    "fields": {
+                        "machine": move.machine.machine,
+                        "from": move.machine.pool,
+                        "to": move.pool,
+                        "why": move.why,
+                        "needed": peaks,
+                    }
+                },
+            )
+        for name, pool in list(self._moving.items()):
+            await self._advance_move(name, pool, standby)
+
+    def _update_peaks(self, view: PoolView) -> dict[str, int]:
+        """Returns the most machines that each pool needed within the idle time."""
+        floor = find_floor(view)
+        now = self._clock.elapsed()
+        peaks = {}
+        for name, load in view.services.items():
+            sizes = [item.millicores for item in view.machines if item.pool == name]
+            mean = sum(sizes) // len(sizes) if sizes else 0
+            history = self._needs.setdefault(name, deque())
+            history.append((now, count_needed(load, mean, floor)))
+            while now - history[0][0] > timedelta(seconds=IDLE_SECONDS):
+                history.popleft()
+            peaks[name] = max(need for _, need in history)
+        return peaks
+
+    async def _advance_move(self, name: str, pool: str, standby: frozenset[str]) -> None:
+        """Takes one move a step further: out of use, empty, moved."""
+        machine = self._machines.get(name)
+        if machine is None or machine.pool == pool:
+            self._moving.pop(name, None)
+            return
+        if name in self._orders or machine.state != "up":
+            return
+        if machine.pool not in standby:
+            load = self._loads.get(machine.worker)
+            await self._cordon(machine, CORDON)
+            if load is None or not load.cordoned:
+                return
+            if load.tasks:
+                # Work came before the cordon: the machine is needed where it is.
+                self._moving.pop(name, None)
+                await self._cordon(machine, UNCORDON)
+                return
+        task = asyncio.ensure_future(self._move(name, pool))
+        self._orders[name] = task
+        task.add_done_callback(lambda _: self._orders.pop(name, None))
+
+    async def _move(self, name: str, pool: str) -> None:
+        """Orders one move; repeated until the machine is seen in its new pool."""
+        if not self._may_order():
+            return
+        outcome: Any = "moved"
+        try:
+            await self._client.move(name, pool, holder=self._ownership.member, fence=self._fence)
+        except MachineRefused as refusal:
+            outcome = refusal.reason
+            self._moving.pop(name, None)
+            if refusal.reason == "fence":
+                self.fenced = True
+        except PlatformError as error:
+            outcome = str(error)
+        logger.info(
+            "move ordered",
+            extra={
+                "fields": {"machine": name, "to": pool, "fence": self._fence, "outcome": outcome}
+            },
+        )
+
     # -- upkeep ----------------------------------------------------------------------------------
 
     def _find_waves(self) -> list[tuple[Wave, float]]:
@@ -212,6 +321,8 @@
                 await self._announce(wave, completed=True)
                 continue
             for machine in choose_upkeep(view):
+                if machine.machine in self._moving:
+                    continue
                 self._pending[machine.machine] = wave.number
                 logger.info(
                     "machine chosen for upkeep",
@@ -317,7 +428,3 @@
             "wave announced",
             extra={"fields": {"wave": wave.number, "completed": completed}},
         )
-
-    async def release(self, machine: Machine) -> None:
-        """Lets a cordoned machine be used again."""
-        await self._cordon(machine, UNCORDON)
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -13,6 +13,8 @@
 
 # Share of the slack that the backlog may take; the rest covers the error of the estimates.
 SLACK_SHARE = 0.8
+# Share of the objective within which all accepted work has to be done.
+FINISH_SHARE = 0.9
 # Bounds in seconds of the time after which a rejected caller is asked to come back.
 LEAST_RETRY_SECONDS = 1.0
 MOST_RETRY_SECONDS = 30.0
@@ -21,14 +23,31 @@
 
 
 class Backlog(NamedTuple):
-    """What is ahead of a new workflow in its pool."""
+    """What is ahead of a new workflow in its pool.
+
+    Parameters
+    ----------
+    cores : float
+        Cores of the usable workers that long-running tasks leave.
+    ready_core_seconds : float
+        Work that could run now if there were room.
+    total_core_seconds : float
+        All work of the accepted workflows, that of later steps included.
+    """
 
     cores: float
-    waiting_core_seconds: float
+    ready_core_seconds: float
+    total_core_seconds: float
 
     @property
     def wait_seconds(self) -> float:
-        return self.waiting_core_seconds / self.cores if self.cores > 0 else math.inf
+        """Time until work that becomes ready now would find room."""
+        return self.ready_core_seconds / self.cores if self.cores > 0 else math.inf
+
+    @property
+    def finish_seconds(self) -> float:
+        """Time until all accepted work could be done."""
+        return self.total_core_seconds / self.cores if self.cores > 0 else math.inf
 
 
 class Request(NamedTuple):
@@ -66,11 +85,15 @@
         return Verdict(True, "not bound to the backlog")
     if math.isinf(backlog.wait_seconds):
         return Verdict(False, "no worker is usable", LEAST_RETRY_SECONDS + spread)
-    slack = request.objective_seconds - request.age_seconds - request.chain_seconds
-    allowed = max(0.0, slack) * SLACK_SHARE
-    if backlog.wait_seconds <= allowed:
+    objective = request.objective_seconds - request.age_seconds
+    slack = max(0.0, objective - request.chain_seconds)
+    own_seconds = request.work_core_seconds / backlog.cores
+    excess = max(
+        backlog.wait_seconds - slack * SLACK_SHARE,
+        backlog.finish_seconds + own_seconds - objective * FINISH_SHARE,
+    )
+    if excess <= 0:
         return Verdict(True, "the backlog fits into the slack")
     # The backlog drains one second a second while nothing is accepted.
-    excess = backlog.wait_seconds - allowed
     retry_after = min(max(excess, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS) + spread
     return Verdict(False, "the backlog exceeds the slack", retry_after)
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -150,9 +150,9 @@
             room.entry.worker != failed_on,
             not step.rack or room.entry.rack == step.rack,
             -room.serving if usage.best_effort else -room.best_effort * usage.serving,
-            -same_group if usage.long_running else 0,
             -room.failures_in_row,
-            room.free_millicores,
+            # Long-running tasks are packed, so that other workers can leave the pool.
+            -room.free_millicores if usage.long_running else room.free_millicores,
         )
         if best_score is None or score > best_score:
             best, best_score = room, score
--- /dev/null
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -0,0 +1,121 @@
+"""Choice of machines to move between pools.
+
+Load pattern: each queue in its turn asks for several times its mean for some seconds, more than its pool
+holds, and for little in between. A machine in a pool costs money each second, used or not; one in the
+standby pool costs none. So a pool that is short gets machines from the standby pool at once, and from
+pools with idle ones; a pool that has had idle machines for a while gives them back.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from carawayshore.workflows.model import Machine, ServiceLoad
+
+# Time in seconds within which waiting work should be taken up; sizes how many machines are asked for.
+DRAIN_SECONDS = 1.0
+# Room kept free above the work that runs and waits.
+HEADROOM = 1.2
+SPARE_MACHINES = 1
+# A pool keeps at least this share of an equal part of all machines, to take the first of a burst.
+FLOOR_SHARE = 0.5
+# Time in seconds for which a pool's need must have been lower before it gives a machine back.
+IDLE_SECONDS = 2.5
+# Most machines that one pool gives back at a time.
+MOST_RETURNED = 2
+
+
+class Move(NamedTuple):
+    """A machine to move; ``idle`` machines need no cordon first."""
+
+    machine: Machine
+    pool: str
+    why: str
+
+
+class PoolView(NamedTuple):
+    """What the choice rests on.
+
+    Parameters
+    ----------
+    services : dict of str to ServiceLoad
+        Services in use; pools of others are left alone.
+    machines : list of Machine
+    standby : frozenset of str
+        Pools whose machines cost nothing.
+    busy : frozenset of str
+        Machines that are being moved or taken to upkeep.
+    peaks : dict of str to int
+        Most machines that each pool needed lately.
+    """
+
+    services: dict[str, ServiceLoad]
+    machines: list[Machine]
+    standby: frozenset[str]
+    busy: frozenset[str]
+    peaks: dict[str, int]
+
+
+def count_needed(load: ServiceLoad, machine_millicores: int, floor: int) -> int:
+    """Returns the number of machines that a service needs now."""
+    short = load.running_cores + load.waiting_core_seconds / DRAIN_SECONDS
+    cores = load.long_running_cores + short * HEADROOM
+    if machine_millicores <= 0:
+        return floor
+    return max(floor, math.ceil(cores * 1000 / machine_millicores) + SPARE_MACHINES)
+
+
+def find_floor(view: PoolView) -> int:
+    """Returns the number of machines that each pool keeps."""
+    pools = len(view.services) + len(view.standby)
+    return max(1, math.ceil(len(view.machines) / max(1, pools) * FLOOR_SHARE))
+
+
+def choose_moves(view: PoolView) -> list[Move]:
+    """Returns the moves to begin now."""
+    by_pool: dict[str, list[Machine]] = {}
+    for machine in view.machines:
+        by_pool.setdefault(machine.pool, []).append(machine)
+    loads = {load.worker: load for item in view.services.values() for load in item.workers}
+    idle = {pool: _list_idle(view, items, loads) for pool, items in by_pool.items()}
+    counts = {
+        name: sum(machine.state in ("up", "moving") for machine in by_pool.get(name, ()))
+        for name in view.services
+    }
+    moves: list[Move] = []
+    short = {name: view.peaks[name] - counts[name] for name in view.services}
+    spare = [machine for pool in sorted(view.standby) for machine in idle.get(pool, ())]
+    for name in sorted(short, key=lambda item: -short[item]):
+        for _ in range(max(0, short[name])):
+            if spare:
+                moves.append(Move(spare.pop(), name, "pool is short, from standby"))
+                continue
+            donor = min((item for item in short if idle.get(item)), key=short.get, default=None)
+            if donor is None or short[donor] >= 0:
+                return moves
+            moves.append(Move(idle[donor].pop(), name, f"pool is short, from {donor}"))
+            short[donor] += 1
+    if not view.standby:
+        return moves
+    target = min(view.standby)
+    for name in view.services:
+        for _ in range(min(MOST_RETURNED, max(0, -short[name]))):
+            if idle.get(name):
+                moves.append(Move(idle[name].pop(), target, "pool has had idle machines"))
+    return moves
+
+
+def _list_idle(view: PoolView, machines: list[Machine], loads: dict) -> list[Machine]:
+    """Returns the machines of a pool that nothing runs on, the best to take last."""
+    found = []
+    for machine in machines:
+        if machine.state != "up" or machine.machine in view.busy:
+            continue
+        if machine.pool in view.standby:
+            found.append(machine)
+            continue
+        load = loads.get(machine.worker)
+        if load is not None and load.heard and load.tasks == 0 and not load.cordoned:
+            found.append(machine)
+    return sorted(found, key=lambda machine: machine.machine)
