Size pools by the width of the demand, and pack tasks

Cause: pools sized by core-seconds of backlog overshot on wide jobs and grew late at a burst; spread tasks pinned idle machines. Change: a pool needs the cores that run, wait and were rejected lately, and one spare machine; tasks are packed.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import math
+from collections import deque
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -68,8 +69,8 @@
 CORDON_SECONDS = 6.0
 # Share of the expected run time that a running task still takes, on average.
 RUNNING_SHARE = 0.5
-# Weight of the work of later steps in the demand of a pool, since it does not run yet.
-LATER_SHARE = 0.5
+# Rejected submissions count as demand of their pool for this long, in seconds.
+REJECTED_SECONDS = 1.0
 # Longest time for which a planned hand-over waits for the store.
 HAND_OVER_SECONDS = 0.5
 # First attempts of rejected submissions are remembered for this long, in seconds.
@@ -151,6 +152,8 @@
         self._first_attempts: dict[str, float] = {}
         self._due: dict[str, float] = {}
         self._arriving: dict[str, float] = {}
+        # Time, service and cores of the submissions rejected lately.
+        self._rejected: deque[tuple[float, str, float]] = deque()
         self._wake = asyncio.Event()
 
     def _now(self) -> float:
@@ -618,6 +621,9 @@
         if verdict.admitted:
             return None
         self._first_attempts.setdefault(spec.identifier, now)
+        if request.fits and request.chain_seconds > 0:
+            cores = request.work_core_seconds / request.chain_seconds
+            self._rejected.append((now, spec.service, cores))
         return Reply(REJECTED, verdict.reason, verdict.retry_after_seconds)
 
     def _find_objective(self, spec: Workflow) -> float:
@@ -737,26 +743,35 @@
                     not link.is_silent,
                 )
             )
-        ready, later, _ = self._measure_waiting(service)
+        waiting, waiting_long = self._count_waiting(service)
         return ServiceLoad(
             service,
-            lasting / 1000 + self._count_waiting_long(service),
+            lasting / 1000 + waiting_long,
             running / 1000,
-            ready + later * LATER_SHARE,
+            waiting + self._count_rejected(service),
             tuple(workers),
         )
 
-    def _count_waiting_long(self, service: str) -> float:
-        """Returns the cores that long-running tasks wait for."""
-        return sum(
-            step.spec.millicores / 1000
-            for key, step in self._open.items()
-            if step.spec.long_running
-            and not step.spec.best_effort
-            and self.workflows[key[0]].spec.service == service
-            for task in step.tasks
-            if task.status == WAITING
-        )
+    def _count_waiting(self, service: str) -> tuple[float, float]:
+        """Returns the cores that short tasks and that long-running tasks wait for."""
+        short = long_running = 0.0
+        for key, step in self._open.items():
+            if step.spec.best_effort or self.workflows[key[0]].spec.service != service:
+                continue
+            count = sum(task.status == WAITING for task in step.tasks)
+            cores = count * step.spec.millicores / 1000
+            if step.spec.long_running:
+                long_running += cores
+            else:
+                short += cores
+        return short, long_running
+
+    def _count_rejected(self, service: str) -> float:
+        """Returns the cores that the submissions rejected lately would have used."""
+        now = self._now()
+        while self._rejected and now - self._rejected[0][0] > REJECTED_SECONDS:
+            self._rejected.popleft()
+        return sum(cores for _, name, cores in self._rejected if name == service)
 
     async def cordon(self, worker: str) -> Reply:
         """Takes a worker out of use and moves long-running tasks off it, within their limits."""
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -40,7 +40,7 @@
 
 logger = logging.getLogger(__name__)
 
-INTERVAL = timedelta(milliseconds=300)
+INTERVAL = timedelta(milliseconds=200)
 SURVEY_SECONDS = 0.5
 # Added to the pause that a new holder keeps before its first order.
 PAUSE_MARGIN_SECONDS = 0.5
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -186,12 +186,12 @@
 
 
 class ServiceLoad(NamedTuple):
-    """Demand of a service: work that runs and waits, in cores and core-seconds."""
+    """Demand of a service in cores; what waits includes what was rejected lately."""
 
     service: str
     long_running_cores: float
     running_cores: float
-    waiting_core_seconds: float
+    waiting_cores: float
     workers: tuple[WorkerLoad, ...]
 
 
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -1,9 +1,9 @@
 """Placement of tasks on workers.
 
 Load pattern: many small tasks beside a few wide steps of large ones, on workers of which some fail
-everything, stand still or vanish. Tasks are spread over the workers with most room, so that the loss
-of one worker costs each workflow little; suspected workers are used last, and not by tasks that have
-already failed.
+everything, stand still or vanish, and pools that shrink while their queue is quiet. Tasks are packed on
+the fullest workers, so that the others can leave the pool; suspected workers are used last, and not by
+tasks that have already failed.
 """
 
 from __future__ import annotations
@@ -151,8 +151,8 @@
             not step.rack or room.entry.rack == step.rack,
             -room.serving if usage.best_effort else -room.best_effort * usage.serving,
             -room.failures_in_row,
-            # Long-running tasks are packed, so that other workers can leave the pool.
-            -room.free_millicores if usage.long_running else room.free_millicores,
+            # Tasks are packed, so that the other workers can leave the pool.
+            -room.free_millicores,
         )
         if best_score is None or score > best_score:
             best, best_score = room, score
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -13,15 +13,15 @@
 
 from carawayshore.workflows.model import Machine, ServiceLoad
 
-# Time in seconds within which waiting work should be taken up; sizes how many machines are asked for.
-DRAIN_SECONDS = 1.0
+# Share of the cores of waiting tasks that is asked for; the others run after those ahead of them.
+WAITING_SHARE = 0.8
 # Room kept free above the work that runs and waits.
-HEADROOM = 1.2
+HEADROOM = 1.1
 SPARE_MACHINES = 1
 # A pool keeps at least this share of an equal part of all machines, to take the first of a burst.
-FLOOR_SHARE = 0.5
+FLOOR_SHARE = 0.3
 # Time in seconds for which a pool's need must have been lower before it gives a machine back.
-IDLE_SECONDS = 2.5
+IDLE_SECONDS = 1.5
 # Most machines that one pool gives back at a time.
 MOST_RETURNED = 2
 
@@ -59,7 +59,7 @@
 
 def count_needed(load: ServiceLoad, machine_millicores: int, floor: int) -> int:
     """Returns the number of machines that a service needs now."""
-    short = load.running_cores + load.waiting_core_seconds / DRAIN_SECONDS
+    short = load.running_cores + load.waiting_cores * WAITING_SHARE
     cores = load.long_running_cores + short * HEADROOM
     if machine_millicores <= 0:
         return floor
@@ -83,26 +83,35 @@
         name: sum(machine.state in ("up", "moving") for machine in by_pool.get(name, ()))
         for name in view.services
     }
-    moves: list[Move] = []
     short = {name: view.peaks[name] - counts[name] for name in view.services}
+    moves = _fill_pools(view, short, idle)
+    if not view.standby:
+        return moves
+    target = min(view.standby)
+    for name in view.services:
+        for _ in range(min(MOST_RETURNED, max(0, -short[name]))):
+            if idle.get(name):
+                moves.append(Move(idle[name].pop(), target, "pool has had idle machines"))
+    return moves
+
+
+def _fill_pools(
+    view: PoolView, short: dict[str, int], idle: dict[str, list[Machine]]
+) -> list[Move]:
+    """Returns moves into the pools that are short, the shortest first; takes from ``idle``."""
+    moves: list[Move] = []
     spare = [machine for pool in sorted(view.standby) for machine in idle.get(pool, ())]
     for name in sorted(short, key=lambda item: -short[item]):
         for _ in range(max(0, short[name])):
             if spare:
                 moves.append(Move(spare.pop(), name, "pool is short, from standby"))
                 continue
-            donor = min((item for item in short if idle.get(item)), key=short.get, default=None)
-            if donor is None or short[donor] >= 0:
+            donors = [item for item in short if idle.get(item) and short[item] < 0]
+            if not donors:
                 return moves
+            donor = min(donors, key=lambda item: short[item])
             moves.append(Move(idle[donor].pop(), name, f"pool is short, from {donor}"))
             short[donor] += 1
-    if not view.standby:
-        return moves
-    target = min(view.standby)
-    for name in view.services:
-        for _ in range(min(MOST_RETURNED, max(0, -short[name]))):
-            if idle.get(name):
-                moves.append(Move(idle[name].pop(), target, "pool has had idle machines"))
     return moves
 
 
