Record cordons in the ledger and order machines only on a fresh answer of their owner

A cordon was known to one owner only: after a hand-over the next owner could place long-running tasks on a machine that the fleet manager was about to order down. Change: cordons are records; the fleet manager orders only on the answer of the present owner; machines with an unanswered order are left alone for 13 s.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -66,8 +66,6 @@
 PLAN_INTERVAL_SECONDS = 0.25
 # Interval of looks at the list of workers.
 SCAN_INTERVAL = timedelta(milliseconds=100)
-# A cordon that is not renewed ends after this long, so that a lost fleet manager blocks no worker.
-CORDON_SECONDS = 6.0
 # Share of the expected run time that a running task still takes, on average.
 RUNNING_SHARE = 0.5
 # Rejected submissions count as demand of their pool for this long, in seconds.
@@ -80,7 +78,9 @@
 REMEMBER_SECONDS = 20.0
 # Keys of the ledger that tell since when a worker has not been heard.
 SILENCE_PREFIX = "~"
+# Keys of the ledger that tell until when a worker gets no new tasks.
 # Keys of the ledger that keep the learned run times of a queue, and how many are learned between.
+CORDON_PREFIX = "!"
 RUNTIME_PREFIX = "="
 RUNTIME_INTERVAL = 8
 # Callers may ask about an ended workflow for this much longer than promised, in seconds.
@@ -158,6 +158,8 @@
         self._first_attempts: dict[str, float] = {}
         self._due: dict[str, float] = {}
         self._loaded_at = 0.0
+        # End of the cordon of each worker, in Unix ms; kept in the ledger.
+        self._cordons: dict[str, int] = {}
         self._coming: dict[str, float] = {}
         # Time, service and cores of the submissions rejected lately.
         self._rejected: deque[tuple[float, str, float]] = deque()
@@ -194,7 +196,9 @@
         for key, value in await self.ledger.read_records():
             if key.startswith(RUNTIME_PREFIX):
                 self._restore_runtime(key.removeprefix(RUNTIME_PREFIX), value)
-            elif not key.startswith(SILENCE_PREFIX):
+            elif key.startswith(CORDON_PREFIX) and value.isdigit():
+                self._cordons[key.removeprefix(CORDON_PREFIX)] = int(value)
+            elif not key.startswith((SILENCE_PREFIX, CORDON_PREFIX)):
                 records.append((key, value))
             elif value.isdigit():
                 self._silent_since[key.removeprefix(SILENCE_PREFIX)] = int(value)
@@ -293,13 +297,16 @@
                 link.update(entry)
         for link in self.links.values():
             if link.cordoned or link.entry.state != "ready":
-                link.expire_cordon(self._now())
+                if link.expire_cordon(self._now()) and self._cordons.pop(link.worker, None):
+                    self._mark_cordon(link.worker)
                 self._evacuate(link)
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
             if link.closed or (not link.listed and not link.orders):
                 del self.links[worker]
+                if self._cordons.pop(worker, None) is not None:
+                    self._mark_cordon(worker)
                 asyncio.ensure_future(link.stop())
         self._release_orphans()
 
@@ -317,6 +324,7 @@
                     link.adopt(name, task.run)
                     link.room.take(name, measure_usage(name, step.spec))
         self.links[entry.worker] = link
+        self._restore_cordon(link)
         asyncio.ensure_future(self.add_runtime_dependency(link))
 
     def _release_orphans(self) -> None:
@@ -770,19 +778,9 @@
             if link.entry.service != service:
                 continue
             usages = link.room.usages.values()
-            long_running = [usage for usage in usages if usage.long_running]
-            lasting += sum(usage.millicores for usage in long_running)
+            lasting += sum(usage.millicores for usage in usages if usage.long_running)
             running += sum(usage.millicores for usage in usages if not usage.long_running)
-            workers.append(
-                WorkerLoad(
-                    link.worker,
-                    len(link.orders),
-                    len(long_running),
-                    link.entry.millicores,
-                    link.cordoned,
-                    not link.is_silent,
-                )
-            )
+            workers.append(self._describe_worker(link))
         waiting, waiting_long = self._count_waiting(service)
         return ServiceLoad(
             service,
@@ -792,6 +790,16 @@
             tuple(workers),
         )
 
+    def _describe_worker(self, link: WorkerLink) -> WorkerLoad:
+        return WorkerLoad(
+            link.worker,
+            len(link.orders),
+            sum(usage.long_running for usage in link.room.usages.values()),
+            link.entry.millicores,
+            link.cordoned,
+            not link.is_silent,
+        )
+
     def _count_waiting(self, service: str) -> tuple[float, float]:
         """Returns the cores that short tasks and that long-running tasks wait for."""
         short = long_running = 0.0
@@ -813,25 +821,55 @@
             self._rejected.popleft()
         return sum(cores for _, name, cores in self._rejected if name == service)
 
-    async def cordon(self, worker: str) -> Reply:
-        """Takes a worker out of use and moves long-running tasks off it, within their limits."""
+    async def cordon(self, subject: list) -> Reply:
+        """Takes a worker out of use and moves long-running tasks off it, within their limits.
+
+        The subject is the worker and the time in seconds after which the cordon ends unless it is
+        renewed. Answers with the worker's load once the cordon is durable.
+        """
+        worker, seconds = subject
         if not self.loaded or self.lost:
             return Reply(UNREADY)
         link = self.links.get(worker)
-        if link is None:
+        if link is None or link.is_silent or not link.room.expected and not link.cordoned:
             return Reply(ABSENT)
-        link.cordon(self._now() + CORDON_SECONDS)
+        until = self._unix_ms() + int(seconds * 1000)
+        known = self._cordons.get(worker, 0)
+        link.cordon(self._now() + seconds)
+        # Written at half of its time at the latest, since renewals come several times a second.
+        if known - self._unix_ms() < seconds * 500:
+            self._cordons[worker] = until
+            self._mark_cordon(worker)
+            try:
+                await self.ledger.flushed()
+            except OwnershipLost:
+                return Reply(UNREADY)
         self._evacuate(link)
-        return Reply(ACCEPTED)
+        return Reply(ACCEPTED, self._describe_worker(link))
 
     async def uncordon(self, worker: str) -> Reply:
         """Lets a worker be used again."""
+        if self._cordons.pop(worker, None) is not None:
+            self._mark_cordon(worker)
         link = self.links.get(worker)
         if link is not None:
             link.cordon(0.0)
             self._wake.set()
         return Reply(ACCEPTED)
 
+    def _mark_cordon(self, worker: str) -> None:
+        def encode() -> bytes:
+            until = self._cordons.get(worker)
+            return str(until).encode() if until else b""
+
+        self.ledger.mark(CORDON_PREFIX + worker, encode)
+
+    def _restore_cordon(self, link: WorkerLink) -> None:
+        """Keeps to a cordon that an earlier owner recorded."""
+        until = self._cordons.get(link.worker)
+        if until is not None:
+            link.cordon(self._now() + (until - self._unix_ms()) / 1000)
+
     # -- planning --------------------------------------------------------------------------------
 
     def _open_step(self, workflow: WorkflowState, step: StepState) -> None:
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -200,10 +200,12 @@
         self.cordoned = until > self._now()
         self._update_room()
 
-    def expire_cordon(self, now: float) -> None:
-        """Ends a cordon that nobody has renewed."""
+    def expire_cordon(self, now: float) -> bool:
+        """Ends a cordon that nobody has renewed; returns whether it did."""
         if self.cordoned and now > self._cordoned_until:
             self.cordon(0.0)
+            return True
+        return False
 
     def adopt(self, task: TaskName, run: int) -> None:
         """Expects a run that an earlier owner ordered; the first report tells whether it is there."""
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -11,13 +11,13 @@
 from mode import Service
 
 from carawayd.partition.ledger import FLEET_TOPIC, Ledger, OwnershipLost
-from carawayd.partition.owner import FOUND
+from carawayd.partition.owner import ACCEPTED, FOUND
 from carawayd.platform.common import PlatformError
 from carawayd.platform.documents import WAVE_PREFIX, encode_wave_state
 from carawayd.platform.machines import MachineRefused
 from carawayd.platform.store import STATUS_TOPIC, KeyedRecord, encode_records
 from carawayd.process.ownercalls import CORDON, SURVEY, UNCORDON
-from carawayshore.workflows.model import ServiceLoad
+from carawayshore.workflows.model import ServiceLoad, WorkerLoad
 from carawayshore.workflows.pools import (
     PoolHistory,
     PoolNeed,
@@ -35,12 +35,19 @@
     from carawayd.process.ownership import Ownership
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
-    from carawayshore.workflows.model import Machine, Wave, WorkerLoad
+    from carawayshore.workflows.model import Machine, Wave
 
 logger = logging.getLogger(__name__)
 
 INTERVAL = timedelta(milliseconds=150)
-SURVEY_SECONDS = 0.5
+# Longest time for one call to an owner, in seconds.
+CALL_SECONDS = 0.5
+# An order without an answer may be carried out this much later, in seconds; its machine is left
+# alone for as long.
+LATE_ORDER_SECONDS = 13.0
+# A cordon that is not renewed ends after this long, so that a lost fleet manager blocks no worker.
+CORDON_SECONDS = 6.0
+LATE_CORDON_SECONDS = LATE_ORDER_SECONDS + 1.0
 # Added to the pause that a new holder keeps before its first order.
 PAUSE_MARGIN_SECONDS = 0.5
 
@@ -90,6 +97,7 @@
         self._orders: dict[str, asyncio.Task[None]] = {}
         # Machine to the pool that it is to move to.
         self._moving: dict[str, str] = {}
+        self._unsure_until: dict[str, timedelta] = {}
         self._histories: dict[str, PoolHistory] = {}
 
     async def set_held(self, held: bool, generation: int) -> None:
@@ -164,7 +172,7 @@
         partitions = {self._discovery.find_partition(name) for name in deployment.services}
         answers = await asyncio.gather(
             *(
-                self._owners.ask_once(partition, SURVEY, self._count_coming(), SURVEY_SECONDS)
+                self._owners.ask_once(partition, SURVEY, self._count_coming(), CALL_SECONDS)
                 for partition in partitions
                 if partition is not None
             )
@@ -173,7 +181,7 @@
         for reply, _ in answers:
             if reply.outcome == FOUND:
                 for item in reply.detail:
-                    load = msgspec.convert(item, ServiceLoad)
+                    load = msgspec.convert(msgspec.to_builtins(item), ServiceLoad)
                     self._services[load.service] = load
         self._loads = {
             load.worker: load for service in self._services.values() for load in service.workers
@@ -203,7 +211,7 @@
             services,
             list(self._machines.values()),
             standby,
-            frozenset(self._pending) | frozenset(self._moving) | frozenset(self._down_until),
+            frozenset().union(self._pending, self._moving, self._down_until, self._list_unsure()),
             {},
         )
         needs = self._update_needs(view)
@@ -224,6 +232,14 @@
         for name, pool in list(self._moving.items()):
             await self._advance_move(name, pool, standby)
 
+    def _list_unsure(self) -> set[str]:
+        """Returns the machines for which an order without an answer may still be carried out."""
+        now = self._clock.elapsed()
+        for name, until in list(self._unsure_until.items()):
+            if now > until:
+                del self._unsure_until[name]
+        return set(self._unsure_until)
+
     def _update_needs(self, view: PoolView) -> dict[str, PoolNeed]:
         """Returns how many machines each pool needs and keeps."""
         floor = find_floor(view)
@@ -245,14 +261,13 @@
         if name in self._orders or machine.state != "up":
             return
         if machine.pool not in standby:
-            load = self._loads.get(machine.worker)
-            await self._cordon(machine, CORDON)
-            if load is None or not load.cordoned:
+            load = await self._cordon(machine)
+            if load is None:
                 return
             if load.tasks:
                 # Work came before the cordon: the machine is needed where it is.
                 self._moving.pop(name, None)
-                await self._cordon(machine, UNCORDON)
+                await self._uncordon(machine)
                 return
         task = asyncio.ensure_future(self._move(name, pool))
         self._orders[name] = task
@@ -272,6 +287,7 @@
                 self.fenced = True
         except PlatformError as error:
             outcome = str(error)
+            self._note_unsure(name)
         logger.info(
             "move ordered",
             extra={
@@ -348,14 +364,10 @@
             return
         if name in self._orders:
             return
-        served = machine.pool in self._services
-        load = self._loads.get(machine.worker)
-        standby = machine.pool in self._list_standby()
-        if not standby:
-            if not served:
-                return
-            await self._cordon(machine, CORDON)
-            if load is not None and not load.cordoned:
+        load = None
+        if machine.pool not in self._list_standby():
+            load = await self._cordon(machine)
+            if load is None:
                 return
         if may_begin(view, load):
             self._down_until[name] = timedelta.max
@@ -367,10 +379,29 @@
         services = self._discovery.deployment.services.values()
         return {service.name for service in services if service.standby}
 
-    async def _cordon(self, machine: Machine, operation: str) -> None:
+    async def _cordon(self, machine: Machine) -> WorkerLoad | None:
+        """Keeps new tasks off a machine and returns what runs there, None if that is not known.
+
+        The owner has recorded the cordon when it answers, so that a later owner keeps to it.
+        """
+        partition = self._discovery.find_partition(machine.pool)
+        if partition is None or not machine.worker:
+            return None
+        unsure = machine.machine in self._unsure_until
+        subject = [machine.worker, LATE_CORDON_SECONDS if unsure else CORDON_SECONDS]
+        reply, _ = await self._owners.ask_once(partition, CORDON, subject, CALL_SECONDS)
+        if reply.outcome != ACCEPTED:
+            return None
+        return msgspec.convert(msgspec.to_builtins(reply.detail), WorkerLoad)
+
+    async def _uncordon(self, machine: Machine) -> None:
         partition = self._discovery.find_partition(machine.pool)
         if partition is not None and machine.worker:
-            await self._owners.ask_once(partition, operation, machine.worker, SURVEY_SECONDS)
+            await self._owners.ask_once(partition, UNCORDON, machine.worker, CALL_SECONDS)
+
+    def _note_unsure(self, name: str) -> None:
+        """Takes note that an order without an answer may still be carried out."""
+        self._unsure_until[name] = self._clock.elapsed() + timedelta(seconds=LATE_ORDER_SECONDS)
 
     async def _begin(self, wave: Wave, name: str) -> None:
         """Orders the upkeep of one machine, and records that it has begun."""
@@ -392,6 +423,7 @@
         except PlatformError as error:
             # The order may still be carried out: the machine counts as down, and it is repeated.
             outcome = str(error)
+            self._note_unsure(name)
         else:
             self._pending.pop(name, None)
             self._down_until[name] = self._clock.elapsed() + timedelta(seconds=1)
