--- /dev/null
+++ b/features/steps/workflow_decision_steps.py
@@ -0,0 +1,264 @@
+"""Steps on the decisions about workflows."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then, when
+from workflow_builders import (
+    build_load,
+    build_machines,
+    build_pool_view,
+    build_rooms,
+    build_upkeep_view,
+    fill_room,
+)
+
+from carawayshore.workflows.admission import Backlog, Request, decide_admission
+from carawayshore.workflows.model import StepSpec, TaskName, WorkerLoad
+from carawayshore.workflows.ordering import Candidate, rank_candidate
+from carawayshore.workflows.pacing import Serving, choose_percent
+from carawayshore.workflows.placement import choose_room, measure_usage
+from carawayshore.workflows.pools import PoolHistory, PoolNeed, choose_moves
+from carawayshore.workflows.runtimes import RuntimeModel
+from carawayshore.workflows.upkeep import choose_upkeep, may_begin
+
+
+@given("a pool of {cores:g} cores with {ready:g} core-seconds of ready and {total:g} of accepted work")
+def build_backlog(context, cores, ready, total):
+    context.backlog = Backlog(cores, 0.0, ready, total)
+
+
+@given("{cores:g} cores may come")
+def add_coming(context, cores):
+    context.backlog = context.backlog._replace(coming_cores=cores)
+
+
+@when(
+    "a workflow with a chain of {chain:g} s, {work:g} core-seconds and an objective of"
+    " {objective:g} s is submitted after {age:g} s"
+)
+def submit(context, chain, work, objective, age):
+    request = Request(chain, work, objective, age, False, False, True)
+    context.verdict = decide_admission(request, context.backlog, 0.0)
+
+
+@when("a workflow that fits no worker is submitted")
+def submit_large(context):
+    request = Request(1.0, 8.0, 2.2, 0.0, False, False, False)
+    context.verdict = decide_admission(request, context.backlog, 0.0)
+
+
+@then("it is admitted")
+def expect_admitted(context):
+    assert context.verdict.admitted, context.verdict
+
+
+@then("it is rejected with a retry after {seconds:g} s")
+def expect_rejected(context, seconds):
+    assert not context.verdict.admitted, context.verdict
+    assert round(context.verdict.retry_after_seconds) == seconds, context.verdict
+
+
+@when("{count:d} workflows with an objective of {objective:g} s are rejected")
+def reject_many(context, count, objective):
+    request = Request(1.0, 8.0, objective, 0.0, False, False, True)
+    context.returns = [
+        decide_admission(request, context.backlog, number / count).retry_after_seconds
+        for number in range(count)
+    ]
+
+
+@then("their returns are spread over at least {seconds:g} s")
+def expect_spread(context, seconds):
+    assert max(context.returns) - min(context.returns) >= seconds, context.returns
+
+
+@given("steps that are due in these seconds and take 1 s")
+def build_steps(context):
+    context.ranks = {
+        row["name"]: rank_candidate(
+            Candidate(
+                row["long_running"] == "yes",
+                0,
+                float(row["due"]),
+                1.0,
+                row["best_effort"] == "yes",
+            ),
+            0.0,
+        )
+        for row in context.table
+    }
+
+
+@then("they get room in the order {names}")
+def expect_order(context, names):
+    order = sorted(context.ranks, key=context.ranks.get)
+    assert order == names.split(", "), order
+
+
+@given("{count:d} workers of 16 cores of which the second runs {cores:d} cores")
+def build_workers(context, count, cores):
+    context.rooms = build_rooms(count)
+    fill_room(context.rooms[1], cores * 1000)
+    context.placed = []
+
+
+@when("{count:d} tasks in a row have failed on {worker:w}")
+def fail_tasks(context, count, worker):
+    room = next(room for room in context.rooms if room.entry.worker == worker)
+    for _ in range(count):
+        room.note_failure(0.0)
+
+
+def _place(context, step: StepSpec, index: int = 0, failed_on: str = "") -> None:
+    name = TaskName("a" * 16, 0, 0, index)
+    usage = measure_usage(name, step)
+    room = choose_room(context.rooms, step, usage, 0.0, failed_on=failed_on)
+    assert room is not None
+    room.take(name, usage)
+    context.placed.append(room.entry.worker)
+
+
+@when("a task of {cores:d} cores is placed")
+def place_task(context, cores):
+    _place(context, StepSpec(millicores=cores * 1000))
+
+
+@when("a task of {cores:d} cores that failed on {worker:w} is placed")
+def place_failed(context, cores, worker):
+    _place(context, StepSpec(millicores=cores * 1000), failed_on=worker)
+
+
+@when("{count:d} tasks of {cores:d} core with at most {most:d} on one worker are placed")
+def place_apart(context, count, cores, most):
+    step = StepSpec(count=count, millicores=cores * 1000, most_per_worker=most)
+    for index in range(count):
+        _place(context, step, index)
+
+
+@then("it is on {worker:w}")
+def expect_worker(context, worker):
+    assert context.placed == [worker], context.placed
+
+
+@then("{count:d} are on each worker")
+def expect_each(context, count):
+    assert set(Counter(context.placed).values()) == {count}, context.placed
+
+
+@given("a serving task with a target of {target:d} ms whose tail latency is {latency:g} ms")
+def build_serving(context, target, latency):
+    context.serving = [Serving(latency, target)]
+
+
+@when("best-effort tasks beside it use {percent:d} percent")
+def use_percent(context, percent):
+    context.percent = choose_percent(context.serving, percent)
+
+
+@then("they may use {percent:d} percent")
+def expect_percent(context, percent):
+    assert context.percent == percent, context.percent
+
+
+@given("pools booking with {booking:d}, office with {office:d} and spare with {spare:d} machines")
+def build_pools(context, booking, office, spare):
+    context.machines = build_machines(booking=booking, office=office, spare=spare)
+
+
+def _move(context, booking: PoolNeed, office: PoolNeed) -> None:
+    view = build_pool_view(context.machines, {"booking": booking, "office": office}, busy=1)
+    context.moves = Counter((move.machine.pool, move.pool) for move in choose_moves(view))
+
+
+@when("booking needs {booking:d} and office needs {office:d}")
+def need_machines(context, booking, office):
+    _move(context, PoolNeed(booking, booking), PoolNeed(office, office))
+
+
+@when("booking needs {booking:d} and office needs {office:d} and keeps {kept:d}")
+def need_and_keep(context, booking, office, kept):
+    _move(context, PoolNeed(booking, booking), PoolNeed(office, kept))
+
+
+@then("the moves are {moves}")
+def expect_moves(context, moves):
+    expected = Counter()
+    for text in moves.split(", "):
+        count, _, source, _, target = text.split()
+        expected[source, target] = int(count)
+    returned = {key: count for key, count in context.moves.items() if key[1] == "spare"}
+    wanted = {key: count for key, count in expected.items() if key[1] == "spare"}
+    others = {key: count for key, count in context.moves.items() if key[1] != "spare"}
+    assert others == {k: c for k, c in expected.items() if k[1] != "spare"}, context.moves
+    assert not wanted or returned == wanted, context.moves
+
+
+@given("a pool that needed {cores:g} cores")
+def build_history(context, cores):
+    context.history = PoolHistory()
+    context.pool = build_machines(booking=2)
+    context.history.add(0.0, build_load("booking", context.pool, running_cores=cores), 16_000, 1)
+
+
+@when("within 1 s its demand rises to {cores:g} cores of which {waiting:g} wait")
+def raise_demand(context, cores, waiting):
+    load = build_load(
+        "booking", context.pool, running_cores=cores - waiting, waiting_cores=waiting
+    )
+    context.need = context.history.add(0.9, load, 16_000, 1)
+
+
+@then("it needs at least {count:d} machines of 16 cores")
+def expect_need(context, count):
+    assert context.need.needed >= count, context.need
+
+
+@given("{count:d} machines due for upkeep of which {busy:d} run tasks, at most {most:d} down at once")
+def build_wave(context, count, busy, most):
+    machines = build_machines(booking=count)
+    loads = {
+        item.worker: WorkerLoad(item.worker, int(number < busy), 0, 16_000, False, True)
+        for number, item in enumerate(machines)
+    }
+    context.view = build_upkeep_view(machines, most, loads=loads)
+
+
+@when("{count:d} of them is down already")
+def note_down(context, count):
+    names = context.view.wave.machines[-count:]
+    context.view = context.view._replace(down=frozenset(names), begun=frozenset(names))
+
+
+@then("{count:d} machines without tasks are chosen")
+def expect_chosen(context, count):
+    chosen = choose_upkeep(context.view)
+    assert len(chosen) == count, chosen
+    assert all(context.view.loads[item.worker].tasks == 0 for item in chosen), chosen
+
+
+@then("upkeep of a machine with {kind} {verdict} begin after {age:g} s")
+def expect_begin(context, kind, verdict, age):
+    long_running = int("long-running" in kind)
+    load = WorkerLoad("w", 1, long_running, 16_000, True, True)
+    allowed = may_begin(context.view._replace(age_seconds=age), load)
+    assert allowed == (verdict == "may"), (kind, verdict, age)
+
+
+@given("a queue whose tasks took {seconds:g} s, {count:d} times")
+def learn_runtimes(context, seconds, count):
+    context.runtimes = RuntimeModel()
+    for _ in range(count):
+        context.runtimes.learn("slots", seconds)
+
+
+@when("one task takes {seconds:g} s")
+def learn_straggler(context, seconds):
+    context.runtimes.learn("slots", seconds)
+
+
+@then("the next is expected to take at most {seconds:g} s")
+def expect_runtime(context, seconds):
+    expected = context.runtimes.expect("slots", StepSpec())
+    assert expected <= seconds, expected
--- /dev/null
+++ b/features/workflow_builders.py
@@ -0,0 +1,115 @@
+"""Builders of test data about workflows and their decisions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from carawayshore.workflows.model import (
+    Machine,
+    ServiceLoad,
+    StepSpec,
+    TaskName,
+    Wave,
+    WorkerEntry,
+    WorkerLoad,
+    Workflow,
+)
+from carawayshore.workflows.placement import Room, measure_usage
+from carawayshore.workflows.pools import PoolNeed, PoolView
+from carawayshore.workflows.upkeep import UpkeepView
+
+IDENTIFIER = "5c0e7a21d94b36f8"
+
+
+def build_workflow(*steps: StepSpec, identifier: str = IDENTIFIER, **changes: Any) -> Workflow:
+    """Returns a workflow of the service ``booking``."""
+    fields: dict[str, Any] = {
+        "identifier": identifier,
+        "service": "booking",
+        "queue": "slots",
+        "priority": 0,
+        "most_failures": 2,
+        "stretch": 1.6,
+        "allowance_ms": 600,
+        "spec": "text",
+        "steps": steps or (StepSpec(count=2, millicores=1000, memory_mb=100),),
+    }
+    return Workflow(**(fields | changes))
+
+
+def build_entry(worker: str, **changes: Any) -> WorkerEntry:
+    """Returns a ready worker of 16 cores."""
+    fields: dict[str, Any] = {
+        "worker": worker,
+        "service": "booking",
+        "address": "127.0.0.1:1",
+        "data_centre": "umea",
+        "state": "ready",
+        "millicores": 16_000,
+        "memory_mb": 64_000,
+        "accelerators": 0,
+        "labels": ("a", "r1-1"),
+        "machine": "",
+        "born": 0,
+    }
+    return WorkerEntry(**(fields | changes))
+
+
+def build_rooms(count: int, **changes: Any) -> list[Room]:
+    """Returns usable workers named ``w0``, ``w1`` and so on."""
+    rooms = [Room(build_entry(f"w{number}", **changes)) for number in range(count)]
+    for room in rooms:
+        room.usable = room.expected = True
+    return rooms
+
+
+def fill_room(room: Room, millicores: int, *, workflow: str = "f" * 16) -> None:
+    """Lets a task run on a worker."""
+    index = len(room.usages)
+    name = TaskName(workflow, 0, 0, index)
+    room.take(name, measure_usage(name, StepSpec(millicores=millicores)))
+
+
+def build_machines(**pools: int) -> list[Machine]:
+    """Returns machines of 16 cores that are up, with one worker each."""
+    return [
+        Machine(f"{pool}-{number}", pool, "up", "umea", ("a",), 16_000, f"w-{pool}-{number}")
+        for pool, count in pools.items()
+        for number in range(count)
+    ]
+
+
+def build_load(service: str, machines: list[Machine], *, busy: int = 0, **cores: float):
+    """Returns the load of a service of which ``busy`` workers run a task."""
+    workers = tuple(
+        WorkerLoad(item.worker, 1 if number < busy else 0, 0, item.millicores, False, True)
+        for number, item in enumerate(item for item in machines if item.pool == service)
+    )
+    fields = {"long_running_cores": 0.0, "running_cores": 0.0, "waiting_cores": 0.0} | cores
+    return ServiceLoad(service, workers=workers, **fields)
+
+
+def build_pool_view(
+    machines: list[Machine], needs: dict[str, PoolNeed], *, busy: int = 0
+) -> PoolView:
+    """Returns what the choice of moves rests on, with the standby pool ``spare``."""
+    services = {name: build_load(name, machines, busy=busy) for name in needs}
+    return PoolView(services, machines, frozenset({"spare"}), frozenset(), needs)
+
+
+def build_upkeep_view(machines: list[Machine], most_down: int, **changes: Any) -> UpkeepView:
+    """Returns what the choice of upkeep rests on, with all machines due."""
+    wave = Wave(1, tuple(item.machine for item in machines), 20.0, most_down)
+    fields: dict[str, Any] = {
+        "wave": wave,
+        "age_seconds": 1.0,
+        "begun": frozenset(),
+        "pending": frozenset(),
+        "down": frozenset(),
+        "machines": {item.machine: item for item in machines},
+        "loads": {
+            item.worker: WorkerLoad(item.worker, 0, 0, item.millicores, False, True)
+            for item in machines
+        },
+    }
+    return UpkeepView(**(fields | changes))
--- /dev/null
+++ b/features/workflow_decisions.feature
@@ -0,0 +1,114 @@
+Feature: Decisions about workflows under the worst load
+  Each scenario replays the load pattern that the decision answers, without input or output.
+
+  Scenario Outline: A submission is rejected once the accepted work no longer fits its objective
+    # A burst of five times the mean of a pool; what ends late is worth a fraction.
+    Given a pool of 100 cores with <ready> core-seconds of ready and <total> of accepted work
+    When a workflow with a chain of 1 s, 8 core-seconds and an objective of 2.2 s is submitted after <age> s
+    Then it is <verdict>
+
+    Examples:
+      | ready | total | age | verdict                           |
+      | 0     | 0     | 0   | admitted                          |
+      | 50    | 100   | 0   | admitted                          |
+      | 150   | 200   | 0   | rejected with a retry after 1 s   |
+      | 50    | 1000  | 0   | rejected with a retry after 8 s   |
+      | 0     | 0     | 3   | admitted                          |
+      | 60    | 150   | 2   | rejected with a retry after 1 s   |
+
+  Scenario: Machines that may come count after the time in which they come
+    Given a pool of 20 cores with 60 core-seconds of ready and 60 of accepted work
+    And 200 cores may come
+    When a workflow with a chain of 3 s, 8 core-seconds and an objective of 7 s is submitted after 0 s
+    Then it is admitted
+
+  Scenario: A task that fits no worker is rejected and not kept
+    Given a pool of 100 cores with 0 core-seconds of ready and 0 of accepted work
+    When a workflow that fits no worker is submitted
+    Then it is rejected with a retry after 30 s
+
+  Scenario: Rejected callers are spread
+    # Callers that come back all at once form the next burst.
+    Given a pool of 100 cores with 50 core-seconds of ready and 1000 of accepted work
+    When 100 workflows with an objective of 2.2 s are rejected
+    Then their returns are spread over at least 0.5 s
+
+  Scenario: Work that can still be on time goes first, long-running work before it
+    Given steps that are due in these seconds and take 1 s
+      | name    | due  | long_running | best_effort |
+      | late    | 0.5  | no           | no          |
+      | urgent  | 1.2  | no           | no          |
+      | relaxed | 5.0  | no           | no          |
+      | serving | 9.0  | yes          | no          |
+      | filler  | 0.1  | no           | yes         |
+    Then they get room in the order serving, urgent, relaxed, late, filler
+
+  Scenario: Tasks are packed, so that other workers can leave the pool
+    Given 3 workers of 16 cores of which the second runs 10 cores
+    When a task of 4 cores is placed
+    Then it is on w1
+
+  Scenario: A worker that fails everything is left alone and eats no further attempts
+    Given 2 workers of 16 cores of which the second runs 10 cores
+    When 2 tasks in a row have failed on w1
+    And a task of 4 cores is placed
+    Then it is on w0
+
+  Scenario: A task that failed goes to another worker while there is one
+    Given 2 workers of 16 cores of which the second runs 10 cores
+    When a task of 4 cores that failed on w1 is placed
+    Then it is on w0
+
+  Scenario: At most so many tasks of a step are on one worker
+    Given 2 workers of 16 cores of which the second runs 10 cores
+    When 4 tasks of 1 core with at most 2 on one worker are placed
+    Then 2 are on each worker
+
+  Scenario Outline: Best-effort tasks give way before the serving task misses its target
+    Given a serving task with a target of 100 ms whose tail latency is <latency> ms
+    When best-effort tasks beside it use <before> percent
+    Then they may use <after> percent
+
+    Examples:
+      | latency | before | after |
+      | 40      | 50     | 60    |
+      | 70      | 50     | 50    |
+      | 80      | 50     | 25    |
+      | 96      | 50     | 0     |
+
+  Scenario: A pool that is short gets standby machines first
+    Given pools booking with 4, office with 6 and spare with 2 machines
+    When booking needs 7 and office needs 2
+    Then the moves are 2 from spare to booking, 1 from office to booking
+
+  Scenario: A pool gives machines that it merely keeps to one that needs them
+    # Peaks that were remembered and never given starved the pool whose turn it was.
+    Given pools booking with 4, office with 6 and spare with 0 machines
+    When booking needs 6 and office needs 2 and keeps 6
+    Then the moves are 2 from office to booking
+
+  Scenario: A quiet pool returns idle machines, a few at a time, and keeps busy ones
+    Given pools booking with 8, office with 2 and spare with 0 machines
+    When booking needs 2 and office needs 2
+    Then the moves are 2 from booking to spare
+
+  Scenario: Demand that rises is met before it has arrived
+    Given a pool that needed 16 cores
+    When within 1 s its demand rises to 48 cores of which 20 wait
+    Then it needs at least 4 machines of 16 cores
+
+  Scenario: Upkeep takes the quietest machines, and not more than the wave allows
+    Given 8 machines due for upkeep of which 3 run tasks, at most 3 down at once
+    When 1 of them is down already
+    Then 2 machines without tasks are chosen
+
+  Scenario: A machine with tasks waits for them, until the wave is late
+    Given 8 machines due for upkeep of which 3 run tasks, at most 3 down at once
+    Then upkeep of a machine with tasks may not begin after 1 s
+    And upkeep of a machine with tasks may begin after 15 s
+    But upkeep of a machine with long-running tasks may not begin after 19 s
+
+  Scenario: A straggler does not spoil the expected run time
+    Given a queue whose tasks took 1 s, 20 times
+    When one task takes 60 s
+    Then the next is expected to take at most 1.2 s
