Test the platform mode on stand-ins; explain requests from logs; serve metrics

Cause: what was built ran on the users' bench only; a start order that is carried out late was sent to the same worker again and again, since an order without answer did not count against its worker (found by the new scenario 'A start order that is carried out late has no effect', which failed first). Change: stand-ins of the store and of workers, 28 scenarios; orders without answer count as failures of the worker; log lines go through a queue that drops and counts; counters and histograms at /metrics; carawayctl explain.

--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,414 @@
+"""Steps on workflows on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import given, then, when
+from platform_builders import (
+    PlatformHarness,
+    build_identifier,
+    build_job,
+    build_operator_configuration,
+    build_route,
+)
+
+
+@given("{hosts:d} entry hosts and {workers:d} workers on the platform")
+def start_platform(context, hosts, workers):
+    context.platform = PlatformHarness(hosts=hosts, workers=workers)
+    context.add_cleanup(context.platform.close)
+    context.platform.run(context.platform.await_owner())
+
+
+@given("tasks run for {seconds:g} s")
+def set_seconds(context, seconds):
+    for worker in context.platform.workers.values():
+        worker.seconds = seconds
+
+
+@given("every run fails")
+def fail_runs(context):
+    for worker in context.platform.workers.values():
+        worker.fails_all = True
+
+
+@given("appends take {seconds:g} s")
+def slow_appends(context, seconds):
+    context.platform.store.append_delay = seconds
+
+
+def _submit(context, number, count, member, **changes):
+    status = context.platform.run(context.platform.submit(member, number, count=count, **changes))
+    assert status == 200, status
+
+
+@when("job {number:d} of {count:d} task is submitted through {member}")
+@when("job {number:d} of {count:d} tasks is submitted through {member}")
+def submit_job(context, number, count, member):
+    _submit(context, number, count, member)
+
+
+@when("long-running job {number:d} of {count:d} tasks is submitted through {member}")
+def submit_long(context, number, count, member):
+    _submit(context, number, count, member, longRunning=True)
+
+
+@when("job {number:d} of two steps is submitted through {member}")
+def submit_two_steps(context, number, member):
+    document = build_job(2)
+    document["steps"].append({"count": 2, "cpu": 1000, "memMb": 100, "after": [0]})
+    status, _, _ = context.platform.run(
+        context.platform.call("POST", member, build_identifier(number), document)
+    )
+    assert status == 200, status
+
+
+@when("job {number:d} of {count:d} tasks of {cores:d} cores is submitted through {member}")
+def submit_wide(context, number, count, cores, member):
+    _submit(context, number, count, member, cpu=cores * 1000)
+
+
+@when(
+    "job {number:d} of {count:d} task of {cores:d} cores with a free objective is submitted"
+    " through {member}"
+)
+def submit_patient(context, number, count, cores, member):
+    # Long-running work is not bound to the backlog, so that it waits instead of being rejected.
+    _submit(context, number, count, member, cpu=cores * 1000, longRunning=True)
+
+
+@when("job {number:d} is cancelled through {member}")
+def cancel_job(context, number, member):
+    status, _, _ = context.platform.run(
+        context.platform.call("DELETE", member, build_identifier(number))
+    )
+    assert status == 200, status
+
+
+@when("all its tasks run")
+def await_running(context):
+    platform = context.platform
+
+    def all_run() -> bool:
+        return len(platform.count_starts()) >= 2 and all(
+            worker.starts or len(platform.count_starts()) >= 2
+            for worker in platform.workers.values()
+        )
+
+    platform.run(platform.wait_until(all_run, "tasks run"))
+    platform.run(platform.pause(0.3))
+
+
+@when("the owner of the partition is killed")
+def kill_owner(context):
+    platform = context.platform
+    owner = platform.run(platform.await_owner())
+    platform.run(platform.kill_host(owner))
+
+
+@when("both entry hosts are killed")
+def kill_all(context):
+    for member in list(context.platform.hosts):
+        context.platform.run(context.platform.kill_host(member))
+
+
+@when("a new entry host starts")
+def start_new(context):
+    context.platform.run(context.platform.start_host("entry-9"))
+
+
+async def _deal_and_submit(platform, numbers, count):
+    for number in numbers:
+        assert await platform.submit("entry-0", number, count=count) == 200
+        platform.store.deal_anew("owners")
+        await platform.pause(0.6)
+
+
+@when(
+    "jobs {first:d} to {last:d} of {count:d} tasks are submitted and the partitions are dealt"
+    " anew after each"
+)
+def submit_and_deal(context, first, last, count):
+    platform = context.platform
+    platform.run(_deal_and_submit(platform, range(first, last + 1), count))
+
+
+@when("jobs {first:d} to {last:d} of {count:d} task are submitted while a third entry host joins")
+def submit_and_join(context, first, last, count):
+    platform = context.platform
+
+    async def act():
+        jobs = [platform.submit("entry-0", n, count=count) for n in range(first, last + 1)]
+        return await asyncio.gather(platform.start_host("entry-2"), *jobs)
+
+    assert set(platform.run(act())[1:]) == {200}
+
+
+@when(
+    "jobs {first:d} to {last:d} of {count:d} tasks are submitted while the owner stops gracefully"
+)
+def submit_and_stop(context, first, last, count):
+    platform = context.platform
+
+    async def act():
+        owner = await platform.await_owner()
+        other = next(member for member in platform.hosts if member != owner)
+        stop = asyncio.ensure_future(platform.stop_host(owner))
+        jobs = []
+        for number in range(first, last + 1):
+            jobs.append(asyncio.ensure_future(platform.submit(other, number, count=count)))
+            await platform.pause(0.15)
+        context.statuses = await asyncio.gather(*jobs)
+        await stop
+
+    platform.run(act())
+
+
+@then("every submission was answered")
+def expect_answers(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@when("jobs {first:d} to {last:d} of {count:d} tasks are submitted")
+def submit_jobs(context, first, last, count):
+    platform = context.platform
+    member = next(iter(platform.hosts))
+
+    async def act():
+        return [await platform.submit(member, n, count=count) for n in range(first, last + 1)]
+
+    assert set(platform.run(act())) == {200}
+
+
+@when("the next {count:d} answers to writes are lost")
+def lose_answers(context, count):
+    context.platform.store.lose_answers = count
+
+
+@when("the store is away")
+def stop_store(context):
+    context.platform.store.outage = True
+
+
+@when("the store is back")
+def restore_store(context):
+    context.platform.store.outage = False
+
+
+@then("a submission through the owner is answered 429, 503 or 504 within {seconds:g} s")
+def expect_rejection(context, seconds):
+    platform = context.platform
+
+    async def act():
+        owner = platform.find_owner()
+        call = platform.call("POST", owner, build_identifier(5), build_job(1))
+        return (await asyncio.wait_for(call, seconds))[0]
+
+    status = platform.run(act())
+    assert status in (429, 503, 504), status
+
+
+@when("the history of all topics expires")
+def expire_history(context):
+    store = context.platform.store
+    for topic, number in list(store.newest):
+        store.expire(topic, number)
+
+
+@when("configuration {version:d} adds the queue {prefix}")
+def add_queue(context, version, prefix):
+    document = build_operator_configuration(version, build_route(), build_route(prefix, name="x"))
+    context.platform.store.put("keyed.op", "config", document)
+
+
+@then("the queue {prefix} is served through both entry hosts within {seconds:g} s")
+def expect_queue(context, prefix, seconds):
+    platform = context.platform
+
+    async def served():
+        answers = [
+            await platform.call("GET", member, "", prefix=prefix) for member in platform.hosts
+        ]
+        return all(status == 200 for status, _, _ in answers)
+
+    platform.run(platform.wait_until(served, f"{prefix} is served", seconds))
+
+
+@when("the next start order on each worker is carried out and not answered")
+def lose_starts(context):
+    for worker in context.platform.workers.values():
+        worker.lose_starts = 1
+
+
+@when("start orders on {worker:w} are carried out {seconds:g} s late")
+def delay_starts(context, worker, seconds):
+    context.platform.workers[worker].late_starts = seconds
+
+
+@when("w0 and w1 crash and start again at once")
+def crash_workers(context):
+    async def crash():
+        for worker in context.platform.workers.values():
+            worker.crash()
+
+    context.platform.run(crash())
+
+
+@when("{worker:w} falls silent")
+def silence_worker(context, worker):
+    context.platform.workers[worker].silent = True
+
+
+@when("{worker:w} says that it drains")
+def drain_worker(context, worker):
+    stand_in = context.platform.workers[worker]
+    context.platform.store.put("keyed.servers", worker, stand_in.describe("draining"))
+    context.platform.run(context.platform.pause(1.0))
+    stand_in.starts.clear()
+
+
+@when("{worker:w} is cordoned for {seconds:g} s and its owner is killed")
+def cordon_worker(context, worker, seconds):
+    platform = context.platform
+
+    async def act():
+        member = await platform.await_owner()
+        owners = platform.hosts[member].ownership.owners.values()
+        owner = next(item for item in owners if item.loaded)
+        await platform.wait_until(lambda: worker in owner.links, f"{worker} is known")
+        reply = await owner.cordon([worker, seconds])
+        assert reply.outcome == "accepted", reply
+        await platform.kill_host(member)
+        await platform.await_owner(other_than=member)
+
+    platform.run(act())
+
+
+@when("{document} is submitted as job {number:d}")
+def submit_malformed(context, document, number):
+    context.answer = context.platform.run(
+        context.platform.call("POST", "entry-0", build_identifier(number), json.loads(document))
+    )
+
+
+@then("the answer is {status:d} and names {place}")
+def expect_finding(context, status, place):
+    assert context.answer[0] == status, context.answer
+    assert place in json.dumps(context.answer[1]), context.answer
+
+
+@when("the store holds entries of workers and configurations that can't be read")
+def write_unreadable(context):
+    store = context.platform.store
+    store.put("keyed.servers", "w7", {"backend": 5})
+    store.put("keyed.servers", "w8", {"backend": "booking", "state": "odd", "capacity": {}})
+    store.put("keyed.op", "config", {"version": "x"})
+    store.put("keyed.op", "wave/1", {"wave": None})
+
+
+def _choose(context, member):
+    if member in context.platform.hosts:
+        return member
+    return next(iter(context.platform.hosts))
+
+
+@then("job {number:d} becomes {state:w} through {member}")
+def expect_state(context, number, state, member):
+    platform = context.platform
+    platform.run(platform.await_state(_choose(context, member), number, state))
+
+
+@then("jobs {first:d} to {last:d} become {state:w}")
+def expect_states(context, first, last, state):
+    platform = context.platform
+    for number in range(first, last + 1):
+        platform.run(platform.await_state(_choose(context, "entry-1"), number, state))
+
+
+@then("job {number:d} is unknown through either entry host")
+def expect_unknown(context, number):
+    for member in context.platform.hosts:
+        state = context.platform.run(context.platform.read_state(member, number))
+        assert state == "410", state
+
+
+@then("each of its {count:d} tasks ended well once")
+def expect_done_once(context, count):
+    done = context.platform.count_done()
+    assert len(done) == count and set(done.values()) == {1}, done
+
+
+@then("no task ended well twice")
+def expect_no_second_end(context):
+    done = context.platform.count_done()
+    assert done and set(done.values()) == {1}, done
+
+
+@then("no task ever ran twice at the same time")
+def expect_no_overlap(context):
+    assert not context.platform.find_overlaps(), context.platform.find_overlaps()
+
+
+@then("no task of the second step began before the first had ended")
+def expect_step_order(context):
+    workers = context.platform.workers.values()
+    ended = max(at for w in workers for task, _, _, at in w.ends if task.split(".")[2] == "0")
+    began = min(s.began for w in workers for s in w.starts if s.task.split(".")[2] == "1")
+    assert began >= ended, (began, ended)
+
+
+@then("nothing of it runs within {seconds:g} s")
+def expect_stopped(context, seconds):
+    platform = context.platform
+    platform.run(
+        platform.wait_until(
+            lambda: not any(worker.running for worker in platform.workers.values()),
+            "nothing runs",
+            seconds,
+        )
+    )
+    platform.run(platform.pause(0.5))
+    assert not any(worker.running for worker in platform.workers.values())
+
+
+@then("no owner used an epoch twice after losing it")
+def expect_epochs(context):
+    """An epoch that comes back after a higher one was seen in the same partition is a fault."""
+    highest: dict[tuple[str, int], int] = {}
+    for topic, number, _, epoch in context.platform.store.appends:
+        assert epoch >= highest.get((topic, number), 0), (topic, number, epoch)
+        highest[topic, number] = epoch
+
+
+@then("nothing began on {worker:w}")
+def expect_no_starts(context, worker):
+    assert not context.platform.workers[worker].starts
+
+
+@then("each of its {count:d} tasks begins at least {times:d} times")
+def expect_restarts(context, count, times):
+    platform = context.platform
+
+    def restarted() -> bool:
+        starts = platform.count_starts()
+        return len(starts) == count and min(starts.values()) >= times
+
+    platform.run(platform.wait_until(restarted, "tasks are restarted"))
+
+
+@then("it had {count:d} runs")
+def expect_runs(context, count):
+    assert sum(context.platform.count_starts().values()) == count, context.platform.count_starts()
+
+
+@then("entry-0 and entry-1 both tell that {count:d} job waits")
+def expect_waiting(context, count):
+    platform = context.platform
+
+    async def told():
+        answers = [await platform.call("GET", member, "") for member in ("entry-0", "entry-1")]
+        return all(document.get("pending") == count for _, document, _ in answers)
+
+    platform.run(platform.wait_until(told, f"{count} job waits", 3.0))
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -24,7 +24,9 @@
 from carawayshore.workflows.upkeep import choose_upkeep, may_begin
 
 
-@given("a pool of {cores:g} cores with {ready:g} core-seconds of ready and {total:g} of accepted work")
+@given(
+    "a pool of {cores:g} cores with {ready:g} core-seconds of ready and {total:g} of accepted work"
+)
 def build_backlog(context, cores, ready, total):
     context.backlog = Backlog(cores, 0.0, ready, total)
 
@@ -204,9 +206,7 @@
 
 @when("within 1 s its demand rises to {cores:g} cores of which {waiting:g} wait")
 def raise_demand(context, cores, waiting):
-    load = build_load(
-        "booking", context.pool, running_cores=cores - waiting, waiting_cores=waiting
-    )
+    load = build_load("booking", context.pool, running_cores=cores - waiting, waiting_cores=waiting)
     context.need = context.history.add(0.9, load, 16_000, 1)
 
 
@@ -215,7 +215,9 @@
     assert context.need.needed >= count, context.need
 
 
-@given("{count:d} machines due for upkeep of which {busy:d} run tasks, at most {most:d} down at once")
+@given(
+    "{count:d} machines due for upkeep of which {busy:d} run tasks, at most {most:d} down at once"
+)
 def build_wave(context, count, busy, most):
     machines = build_machines(booking=count)
     loads = {
--- a/packages/carawayctl/src/carawayctl/commands/__init__.py
+++ b/packages/carawayctl/src/carawayctl/commands/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from carawayctl.commands import config, dump, hosts, jobs, maintenance, status
+from carawayctl.commands import config, dump, explain, hosts, jobs, maintenance, status
 
 GROUP_SUMMARIES = {
     "config": "check, show, compare and publish the configuration",
@@ -11,4 +11,4 @@
     "maintenance": "show, pause, resume and explain maintenance",
 }
 
-__all__ = ["GROUP_SUMMARIES", "config", "dump", "hosts", "jobs", "maintenance", "status"]
+__all__ = ["GROUP_SUMMARIES", "config", "dump", "explain", "hosts", "jobs", "maintenance", "status"]
--- a/packages/carawayd/src/carawayd/__main__.py
+++ b/packages/carawayd/src/carawayd/__main__.py
@@ -14,7 +14,7 @@
 from carawayd.process.daemon import Daemon, build_parts
 from carawayd.process.dump import build_dump
 from carawayd.process.entryhost import EntryHost
-from carawayd.process.logs import configure_logging
+from carawayd.process.logs import configure_logging, configure_queued_logging
 from carawayd.process.settings import Settings, read_settings
 from carawayd.process.site import SiteSettings, read_site
 from carawayshore.clock import SystemClock
@@ -100,8 +100,13 @@
     if arguments.check:
         print(f"{path}: no findings")
         return 0
-    configure_logging(settings.member, SystemClock(), level=arguments.log_level, stream=sys.stdout)
-    return asyncio.run(run_entry_host(settings))
+    handler = configure_queued_logging(
+        settings.member, SystemClock(), level=arguments.log_level, stream=sys.stdout
+    )
+    try:
+        return asyncio.run(run_entry_host(settings))
+    finally:
+        handler.finish()
 
 
 def main() -> int:
--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from carawayd.platform.store import StoreClient
+    from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
 
 logger = logging.getLogger(__name__)
@@ -46,16 +47,23 @@
     topic : str
     partition : int
     clock : Clock
+    metrics : WorkflowMetrics
     """
 
-    def __init__(self, store: StoreClient, topic: str, partition: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        topic: str,
+        partition: int,
+        clock: Clock,
+        metrics: WorkflowMetrics,
+    ) -> None:
         super().__init__()
+        self._metrics = metrics
         self.topic = topic
         self.partition = partition
         self.epoch = 0
         self.lost = False
-        self.appended_bytes = 0
-        self.appends = 0
         self._store = store
         self._clock = clock
         self._sequence = 0
@@ -217,9 +225,9 @@
                 self._note_retry(error)
             await self._clock.sleep(delay)
             delay = min(2 * delay, LONGEST_RETRY)
+        duration = self._clock.elapsed() - self._sent_at
         self._sent_at = None
-        self.appends += 1
-        self.appended_bytes += len(data)
+        self._metrics.observe_append(self.topic, len(data), duration)
 
     def _note_retry(self, error: Exception) -> None:
         logger.info(
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -54,6 +54,7 @@
     from carawayd.platform.store import StoreClient
     from carawayd.process.discovery import Discovery
     from carawayd.process.site import SiteSettings
+    from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import Workflow
     from carawayshore.workflows.placement import Room
@@ -117,6 +118,7 @@
     store, runs, discovery, settings, clock, random
     may_renew : callable
         Whether the store has been heard lately enough to renew leases.
+    metrics : WorkflowMetrics
     """
 
     def __init__(
@@ -131,13 +133,14 @@
         clock: Clock,
         random: Random,
         may_renew: Callable[[], bool],
+        metrics: WorkflowMetrics,
     ) -> None:
         super().__init__()
         self.partition = partition
         self.fence = epoch
         self.loaded = False
         self.lost = False
-        self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock)
+        self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock, metrics)
         self.workflows: dict[str, WorkflowState] = {}
         self.links: dict[str, WorkerLink] = {}
         self._runs = runs
@@ -146,6 +149,7 @@
         self._clock = clock
         self._random = random
         self._may_renew = may_renew
+        self._metrics = metrics
         self._runtimes = RuntimeModel()
         # Steps that are ready and may have waiting tasks.
         self._open: dict[tuple[str, int, int], StepState] = {}
@@ -467,6 +471,7 @@
     def note_end(self, link: WorkerLink, end: EndedRun, seconds: float) -> None:
         """Takes note of an end after ``seconds``; recorded before it is acknowledged."""
         link.room.release(end.task)
+        self._metrics.ends.labels(link.entry.service, end.kind).inc()
         now = self._now()
         if end.kind == "done":
             link.room.note_success()
@@ -551,6 +556,9 @@
             if link is not None:
                 link.stop_task(name)
         late = self._now() - self._due.pop(workflow.identifier, math.inf)
+        duration = timedelta(seconds=workflow.ended - workflow.submitted)
+        self._metrics.workflows.labels(workflow.spec.service, state, str(late <= 0)).inc()
+        self._metrics.duration.observe(workflow.spec.service, duration)
         logger.info(
             "workflow ended",
             extra={
@@ -664,6 +672,8 @@
                 }
             },
         )
+        outcome = "admitted" if verdict.admitted else "rejected"
+        self._metrics.submissions.labels(spec.service, outcome).inc()
         if verdict.admitted:
             return None
         self._first_attempts.setdefault(spec.identifier, now)
@@ -976,9 +986,40 @@
         for room, name in chosen:
             orders.append(self._order(workflow, step, room, name, run))
         if chosen:
+            self._log_order(workflow, step, chosen, len(waiting))
+            if not workflow.begun:
+                waited = timedelta(seconds=now - workflow.submitted)
+                self._metrics.first_start.observe(workflow.spec.service, waited)
             workflow.begun = True
             self._mark_step(workflow, step)
 
+    def _log_order(
+        self,
+        workflow: WorkflowState,
+        step: StepState,
+        chosen: list[tuple[Room, TaskName]],
+        waiting: int,
+    ) -> None:
+        placed: dict[str, list[int]] = {}
+        for room, name in chosen:
+            placed.setdefault(room.entry.worker, []).append(name.index)
+        logger.info(
+            "tasks ordered",
+            extra={
+                "fields": {
+                    "workflow": workflow.identifier,
+                    "occurrence": step.occurrence,
+                    "step": step.step,
+                    "workers": placed,
+                    "still_waiting": waiting - len(chosen),
+                    "due_in_seconds": round(
+                        self._due.get(workflow.identifier, self._now()) - self._now(), 3
+                    ),
+                    "epoch": self.fence,
+                }
+            },
+        )
+
     def _keep_rack(self, step: StepState, rooms: list[Room]) -> list[Room]:
         """Returns the workers of one rack: that of the running tasks, else the emptiest."""
         used = {task.worker for task in step.tasks if task.status == ORDERED}
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -267,6 +267,8 @@
                 "outcome of a start order is unknown",
                 extra={"fields": {"task": str(task), "worker": self.worker, "error": str(error)}},
             )
+            # A worker that leaves orders unanswered is avoided like one that fails its tasks.
+            self.room.note_failure(self._now())
             if self.orders.get(task) is entry:
                 entry.state = UNKNOWN
                 self._work.set()
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -14,8 +14,10 @@
 from carawayd.process.discovery import Discovery
 from carawayd.process.exchange import Exchange
 from carawayd.process.fleetmanager import FleetManager
+from carawayd.process.logs import count_dropped_lines
 from carawayd.process.ownercalls import OwnerCalls
 from carawayd.process.ownership import Ownership
+from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayd.request.workflows import WorkflowCalls
 
 if TYPE_CHECKING:
@@ -25,6 +27,7 @@
 logger = logging.getLogger(__name__)
 
 READY_PATH = "/api/ready"
+METRICS_PATH = "/metrics"
 # The balancer checks readiness once a second and turns away after two failures.
 BALANCER_DELAY = timedelta(seconds=2.5)
 # Time kept back of the grace between SIGTERM and SIGKILL, in seconds.
@@ -47,15 +50,16 @@
         self.settings = settings
         self.clock = clock
         self.random = Random(settings.seed or None)
+        self.metrics = WorkflowMetrics()
         self.store = build_client("store", f"http://{settings.store}", settings)
         self.runs = build_client("runs", "", settings)
         self.discovery = Discovery(self.store, settings, clock)
         self.exchange = Exchange(settings)
         self.ownership = Ownership(
-            self.store, self.runs, self.discovery, settings, clock, self.random
+            self.store, self.runs, self.discovery, settings, clock, self.random, self.metrics
         )
         self.owners = OwnerCalls(self.ownership, self.exchange, clock)
-        self.calls = WorkflowCalls(self.discovery, self.owners)
+        self.calls = WorkflowCalls(self.discovery, self.owners, self.metrics)
         self.machines = None
         if settings.machines:
             self.machines = build_client("machines", f"http://{settings.machines}", settings)
@@ -67,6 +71,7 @@
                 self.owners,
                 settings,
                 clock,
+                self.metrics,
             )
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
@@ -82,6 +87,7 @@
         application = web.Application()
         application.router.add_get(READY_PATH, self._answer_ready)
         await self._listen(web.AppRunner(application, access_log=None), settings.ready_address)
+        await self._listen_metrics()
         for service in (self.exchange, self.discovery, self.ownership):
             await self.add_runtime_dependency(service)
         if self.ownership.fleet is not None:
@@ -93,6 +99,18 @@
         await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
         self._runners.append(runner)
 
+    async def _listen_metrics(self) -> None:
+        application = web.Application()
+        application.router.add_get(METRICS_PATH, self._answer_metrics)
+        address = f"{self.settings.peer_host}:{self.settings.metrics_port}"
+        await self._listen(web.AppRunner(application, access_log=None), address)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        deployment = self.discovery.deployment
+        self.metrics.version.set(deployment.version if deployment else 0)
+        self.metrics.log_lines_dropped.set(count_dropped_lines())
+        return web.Response(body=self.metrics.format_text(), content_type="text/plain")
+
     async def _answer_ready(self, request: web.Request) -> web.Response:
         ready = self.discovery.deployment is not None and not self._stopping
         return web.Response(status=200 if ready else 503)
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -34,6 +34,7 @@
     from carawayd.process.ownercalls import OwnerCalls
     from carawayd.process.ownership import Ownership
     from carawayd.process.site import SiteSettings
+    from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import Machine, Wave
 
@@ -57,7 +58,7 @@
 
     Parameters
     ----------
-    store, machines, discovery, ownership, owners, settings, clock
+    store, machines, discovery, ownership, owners, settings, clock, metrics
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         owners: OwnerCalls,
         settings: SiteSettings,
         clock: Clock,
+        metrics: WorkflowMetrics,
     ) -> None:
         super().__init__()
         # Set when a machine has seen a higher token: this process has to join the group anew.
@@ -80,6 +82,7 @@
         self._owners = owners
         self._settings = settings
         self._clock = clock
+        self._metrics = metrics
         self._held = False
         self._fence = 0
         self._held_since = timedelta()
@@ -114,7 +117,7 @@
             self._fence = generation
             self._held_since = self._clock.elapsed()
             self._pending, self._down_until, self._moving = {}, {}, {}
-            self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock)
+            self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock, self._metrics)
             asyncio.ensure_future(self._load(self._ledger))
         elif self._ledger is not None:
             ledger, self._ledger = self._ledger, None
@@ -288,6 +291,7 @@
         except PlatformError as error:
             outcome = str(error)
             self._note_unsure(name)
+        self._metrics.machine_orders.labels("move", str(outcome)[:40]).inc()
         logger.info(
             "move ordered",
             extra={
@@ -433,6 +437,7 @@
                 self._ledger.mark(
                     f"{WAVE_PREFIX}{wave.number}", lambda: msgspec.json.encode(sorted(begun))
                 )
+        self._metrics.machine_orders.labels("upkeep", str(outcome)[:40]).inc()
         logger.info(
             "upkeep ordered",
             extra={
--- a/packages/carawayd/src/carawayd/process/logs.py
+++ b/packages/carawayd/src/carawayd/process/logs.py
@@ -4,7 +4,9 @@
 
 import json
 import logging
+import queue
 import sys
+import threading
 from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING, Any, TextIO
 
@@ -12,6 +14,10 @@
     from carawayshore.clock import Clock
 
 MAX_LINES_PER_SECOND = 50
+# Lines that wait for a slow stream; more are dropped and counted.
+MAX_QUEUED_LINES = 1_000
+# Longest time in seconds that a process waits at its end for its lines to be written.
+FLUSH_SECONDS = 0.3
 
 
 class JsonFormatter(logging.Formatter):
@@ -65,6 +71,68 @@
     return not (isinstance(record.msg, str) and record.msg.startswith("[^"))
 
 
+class QueuedHandler(logging.Handler):
+    """Writes lines from a thread of its own, and drops and counts them while the stream blocks.
+
+    Parameters
+    ----------
+    handler : logging.Handler
+        Formats and writes the lines.
+    size : int
+        Lines that may wait.
+    """
+
+    def __init__(self, handler: logging.Handler, *, size: int = MAX_QUEUED_LINES) -> None:
+        super().__init__()
+        self.dropped = 0
+        self._handler = handler
+        self._queue: queue.Queue[logging.LogRecord | None] = queue.Queue(size)
+        self._thread = threading.Thread(target=self._write, name="logs", daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            self._queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+    def _write(self) -> None:
+        while (record := self._queue.get()) is not None:
+            self._handler.handle(record)
+
+    def finish(self) -> None:
+        """Writes what waits, as far as the stream takes it within ``FLUSH_SECONDS``."""
+        try:
+            self._queue.put_nowait(None)
+        except queue.Full:
+            return
+        self._thread.join(FLUSH_SECONDS)
+
+
+def count_dropped_lines() -> int:
+    """Returns the number of lines that were dropped because the stream blocked."""
+    return sum(
+        handler.dropped
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, QueuedHandler)
+    )
+
+
+def configure_queued_logging(
+    member: str, clock: Clock, *, level: str = "info", stream: TextIO = sys.stdout
+) -> QueuedHandler:
+    """Sends the process's log lines to a stream without ever blocking on it."""
+    configure_logging(member, clock, level=level, stream=stream)
+    root = logging.getLogger()
+    writer = root.handlers[0]
+    handler = QueuedHandler(writer)
+    for item in list(writer.filters):
+        writer.removeFilter(item)
+        handler.addFilter(item)
+    root.handlers = [handler]
+    return handler
+
+
 def configure_logging(
     member: str, clock: Clock, *, level: str = "info", stream: TextIO = sys.stderr
 ) -> None:
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -21,6 +21,7 @@
     from carawayd.process.discovery import Discovery
     from carawayd.process.fleetmanager import FleetManager
     from carawayd.process.site import SiteSettings
+    from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
 
 logger = logging.getLogger(__name__)
@@ -40,7 +41,7 @@
 
     Parameters
     ----------
-    store, runs, discovery, settings, clock, random
+    store, runs, discovery, settings, clock, random, metrics
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         settings: SiteSettings,
         clock: Clock,
         random: Random,
+        metrics: WorkflowMetrics,
     ) -> None:
         super().__init__()
         self.owners: dict[int, PartitionOwner] = {}
@@ -63,6 +65,7 @@
         self._settings = settings
         self._clock = clock
         self._random = random
+        self._metrics = metrics
         self.member = self._name_member()
         # The last epoch under which this process owned a partition; never used for it again, since
         # orders of the former owner may still be on their way under it.
@@ -195,8 +198,10 @@
             clock=self._clock,
             random=self._random,
             may_renew=self._may_renew,
+            metrics=self._metrics,
         )
         self.owners[partition] = owner
+        self._metrics.ownership.labels("acquired").inc()
         self._used[partition] = self._generation
         logger.info(
             "partition acquired",
@@ -216,6 +221,7 @@
 
     def _drop(self, partition: int) -> None:
         owner = self.owners.pop(partition)
+        self._metrics.ownership.labels("lost").inc()
         owner.lost = True
         asyncio.ensure_future(owner.stop())
 
--- /dev/null
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -0,0 +1,69 @@
+"""Counters and histograms of the workflows, in the Prometheus text format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+from carawayd.process.metrics import Histogram
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+
+class WorkflowMetrics:
+    """All metrics of one entry host on the platform."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = self._count("caraway_answers", "Callers' answers.", "call", "status")
+        self.submissions = self._count(
+            "caraway_submissions", "Submissions considered by the owner.", "service", "verdict"
+        )
+        self.orders = self._count("caraway_start_orders", "Start orders.", "service", "outcome")
+        self.ends = self._count("caraway_run_ends", "Ends of runs.", "service", "kind")
+        self.workflows = self._count(
+            "caraway_workflow_ends", "Workflows that ended.", "service", "state", "on_time"
+        )
+        self.ownership = self._count(
+            "caraway_ownership_changes", "Partitions acquired and lost.", "event"
+        )
+        self.appends = self._count("caraway_store_appends", "Appends to the store.", "topic")
+        self.appended = self._count(
+            "caraway_store_appended_bytes", "Bytes appended to the store.", "topic"
+        )
+        self.machine_orders = self._count(
+            "caraway_machine_orders", "Orders for machines.", "order", "outcome"
+        )
+        self.log_lines_dropped = Gauge(
+            "caraway_log_lines_dropped", "Log lines dropped.", registry=self.registry
+        )
+        self.version = Gauge(
+            "caraway_configuration_version", "Version in force.", registry=self.registry
+        )
+        self.first_start = self._time(
+            "caraway_first_start_seconds", "From submission to the first start order.", "service"
+        )
+        self.duration = self._time(
+            "caraway_workflow_seconds", "From submission to the end of a workflow.", "service"
+        )
+        self.append_time = self._time("caraway_append_seconds", "Time of an append.", "topic")
+
+    def _count(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(name, help_text, labels, registry=self.registry)
+
+    def _time(self, name: str, help_text: str, label: str) -> Histogram:
+        histogram = Histogram(name, help_text, label)
+        self.registry.register(histogram)
+        return histogram
+
+    def observe_append(self, topic: str, size: int, duration: timedelta) -> None:
+        """Counts one append."""
+        self.appends.labels(topic).inc()
+        self.appended.labels(topic).inc(size)
+        self.append_time.observe(topic, duration)
+
+    def format_text(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from carawayd.process.discovery import Discovery
     from carawayd.process.ownercalls import OwnerCalls
+    from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.workflows.model import QueueTerms
 
 logger = logging.getLogger(__name__)
@@ -55,13 +56,15 @@
     ----------
     discovery : Discovery
     owners : OwnerCalls
+    metrics : WorkflowMetrics
     """
 
-    def __init__(self, discovery: Discovery, owners: OwnerCalls) -> None:
+    def __init__(self, discovery: Discovery, owners: OwnerCalls, metrics: WorkflowMetrics) -> None:
         self.in_progress = 0
         self.stopping = False
         self._discovery = discovery
         self._owners = owners
+        self._metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
@@ -70,6 +73,7 @@
             answer = await self._handle(request)
         finally:
             self.in_progress -= 1
+        self._metrics.answers.labels(request.method, str(answer.status)).inc()
         if self.stopping:
             answer.force_close()
         return answer
