--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -112,11 +112,10 @@
 @when("{count:d} lines are written")
 def write_lines(context, count):
     began = time.monotonic()
-    for number in range(count):
+    for _ in range(count):
         record = logging.LogRecord("x", logging.INFO, "", 0, "line " + "x" * 200, (), None)
         context.handler.emit(record)
     context.took = time.monotonic() - began
-    context.count = number + 1
 
 
 @then("writing them took less than {seconds:g} s")
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -1,8 +1,8 @@
 """Owner of one partition: takes workflows in, has their tasks run, and records what became of them.
 
 Every change is recorded before it is acted upon: a start order is sent, an end acknowledged to the
-worker, and a caller answered only after the store has acknowledged the record. The records carry the
-owner's epoch, so a deposed owner can neither record nor order anything new.
+worker, and a caller answered only after the store has acknowledged the record. The records carry
+the owner's epoch, so a deposed owner can neither record nor order anything new.
 """
 
 from __future__ import annotations
@@ -156,8 +156,8 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Tasks ordered by an earlier owner on workers that are not listed.
         self._orphans: dict[TaskName, str] = {}
-        # When an owner first failed to hear a worker on which tasks may run, in Unix ms; kept in the
-        # ledger, so that a chain of hand-overs does not start the wait for its leases anew.
+        # When an owner first failed to hear a worker on which tasks may run, in Unix ms; kept in
+        # the ledger, so that a chain of hand-overs does not start the wait for its leases anew.
         self._silent_since: dict[str, int] = {}
         self._first_attempts: dict[str, float] = {}
         self._due: dict[str, float] = {}
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -208,7 +208,7 @@
         return False
 
     def adopt(self, task: TaskName, run: int) -> None:
-        """Expects a run that an earlier owner ordered; the first report tells whether it is there."""
+        """Expects a run that an earlier owner ordered; the first report tells if it is there."""
         self.orders[task] = Order(run, UNKNOWN, -1, self._now())
 
     def _estimate_clock(self) -> int:
--- a/packages/carawayd/src/carawayd/process/site.py
+++ b/packages/carawayd/src/carawayd/process/site.py
@@ -31,8 +31,9 @@
     Field("seed", "integer", "Seed of random choices, 0 for a random one.", "", 0),
 )
 
-# Time without contact to the store after which an owner stops renewing leases, in seconds; its tasks
-# go on for this long and one lease at most, which a later owner waits for if it can't reach them.
+# Time without contact to the store after which an owner stops renewing leases, in seconds; its
+# tasks go on for this long and one lease at most, which a later owner waits for if it can't reach
+# them.
 ABANDON_SECONDS = 5.0
 
 
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -2,8 +2,8 @@
 
 Load pattern: each queue in its turn asks about five times its mean for some seconds, more than its
 pool holds. A workflow that ends late is worth a fraction of one that ends on time, so accepting all
-of a burst makes everybody late. Work is accepted while the backlog ahead of it can be done within the
-slack that its objective leaves.
+of a burst makes everybody late. Work is accepted while the backlog ahead of it can be done within
+the slack that its objective leaves.
 """
 
 from __future__ import annotations
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -124,12 +124,10 @@
 
     def find_queue(self, host: str, path: str) -> QueueTerms | None:
         """Returns the queue of a path: the one with the longest prefix."""
-        best = None
-        for queue in self.queues:
-            if queue.host == host and path.startswith(queue.prefix):
-                if best is None or len(queue.prefix) > len(best.prefix):
-                    best = queue
-        return best
+        found = (
+            queue for queue in self.queues if queue.host == host and path.startswith(queue.prefix)
+        )
+        return max(found, key=lambda queue: len(queue.prefix), default=None)
 
 
 class WorkerEntry(NamedTuple):
--- a/packages/carawayshore/src/carawayshore/workflows/ordering.py
+++ b/packages/carawayshore/src/carawayshore/workflows/ordering.py
@@ -1,9 +1,9 @@
 """Order in which ready tasks get room.
 
-Load pattern: at the height of a burst some workflows can no longer meet their objective. Serving them
-first would make the next ones late as well, so those that can still be on time go first, by the latest
-moment at which they may start; long-running tasks go before both, since each second that they are
-down is lost for good.
+Load pattern: at the height of a burst some workflows can no longer meet their objective. Serving
+them first would make the next ones late as well, so those that can still be on time go first, by
+the latest moment at which they may start; long-running tasks go before both, since each second that
+they are down is lost for good.
 """
 
 from __future__ import annotations
--- a/packages/carawayshore/src/carawayshore/workflows/pacing.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pacing.py
@@ -1,8 +1,8 @@
 """Throttling of best-effort tasks that disturb serving tasks beside them.
 
-Load pattern: tasks that serve callers share a worker with tasks that use what is left over. The tail
-latency of the serving ones moves within seconds with what runs beside them. Best-effort tasks give way
-quickly, at a fraction of the target, and come back slowly.
+Load pattern: tasks that serve callers share a worker with tasks that use what is left over. The
+tail latency of the serving ones moves within seconds with what runs beside them. Best-effort tasks
+give way quickly, at a fraction of the target, and come back slowly.
 """
 
 from __future__ import annotations
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -1,9 +1,9 @@
 """Placement of tasks on workers.
 
 Load pattern: many small tasks beside a few wide steps of large ones, on workers of which some fail
-everything, stand still or vanish, and pools that shrink while their queue is quiet. Tasks are packed on
-the fullest workers, so that the others can leave the pool; suspected workers are used last, and not by
-tasks that have already failed.
+everything, stand still or vanish, and pools that shrink while their queue is quiet. Tasks are
+packed on the fullest workers, so that the others can leave the pool; suspected workers are used
+last, and not by tasks that have already failed.
 """
 
 from __future__ import annotations
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -1,9 +1,9 @@
 """Choice of machines to move between pools.
 
-Load pattern: each queue in its turn asks for several times its mean for some seconds, more than its pool
-holds, and for little in between. A machine in a pool costs money each second, used or not; one in the
-standby pool costs none. So a pool that is short gets machines from the standby pool at once, and from
-pools with idle ones; a pool that has had idle machines for a while gives them back.
+Load pattern: each queue in its turn asks for several times its mean for some seconds, more than its
+pool holds, and for little in between. A machine in a pool costs money each second, used or not; one
+in the standby pool costs none. So a pool that is short gets machines from the standby pool at once,
+and from pools with idle ones; a pool that has had idle machines for a while gives them back.
 """
 
 from __future__ import annotations
--- a/packages/carawayshore/src/carawayshore/workflows/runtimes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/runtimes.py
@@ -1,8 +1,8 @@
 """Expected run times of tasks, learned for each queue.
 
-Load pattern: declared estimates are off by up to a factor of several either way, and a few tasks run
-many times longer than the rest. A running mean of what the queue's tasks took, with a bound on the
-weight of one straggler, predicts a backlog better than the declarations.
+Load pattern: declared estimates are off by up to a factor of several either way, and a few tasks
+run many times longer than the rest. A running mean of what the queue's tasks took, with a bound on
+the weight of one straggler, predicts a backlog better than the declarations.
 """
 
 from __future__ import annotations
--- a/packages/carawayshore/src/carawayshore/workflows/upkeep.py
+++ b/packages/carawayshore/src/carawayshore/workflows/upkeep.py
@@ -1,8 +1,8 @@
 """Choice of the machines that go down for upkeep next.
 
-Load pattern: a wave of machines is due within half a minute while each queue in its turn asks for more
-than its pool holds. Machines of pools that are quiet at the moment go first, and of each pool only a
-part at once; long-running tasks are moved off a machine before it goes down.
+Load pattern: a wave of machines is due within half a minute while each queue in its turn asks for
+more than its pool holds. Machines of pools that are quiet at the moment go first, and of each pool
+only a part at once; long-running tasks are moved off a machine before it goes down.
 """
 
 from __future__ import annotations
--- a/packages/standins/src/carawayshore_standins/platform_store.py
+++ b/packages/standins/src/carawayshore_standins/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import struct
 from typing import Any
@@ -51,7 +52,8 @@
 
 
 class PlatformStore:
-    """The store; ``outage`` answers 503, ``lose_answers`` drops so many answers after the effect."""
+    """The store; ``outage`` answers 503, ``lose_answers`` drops so many answers after the
+    effect."""
 
     def __init__(self, partitions: int = 4) -> None:
         self.partitions = partitions
@@ -176,10 +178,8 @@
         if offset < part.start:
             return web.json_response({"startOffset": part.start}, status=410)
         if offset >= part.end and wait:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(part.changed.wait(), wait)
-            except TimeoutError:
-                pass
         records = part.records[max(0, offset - part.start) :]
         data = b"".join(struct.pack(">I", len(record)) + record for record in records)
         return web.Response(body=struct.pack(">QQ", part.end, part.start) + data)
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -187,9 +188,7 @@
         seen = body.get("lastSeen", 0)
         self._finished = [row for row in self._finished if row[0] > seen]
         if not self._finished and body.get("waitMs"):
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), body["waitMs"] / 1000)
-            except TimeoutError:
-                pass
         running = [[task, item["run"], "", 50, 0] for task, item in self._running.items()]
         return self._answer(running=running, finished=self._finished[:500])
