Stop runs of a job that was cancelled before its worker was known

After the loss of all entry hosts the new owner took in the cancel before the worker was listed, then adopted the runs as its own and renewed them. Change: runs of an ended job are not adopted, so that the link stops them as stray.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -31,6 +31,20 @@
     Then job 1 becomes cancelled through entry-0
     And nothing of it runs within 2 s
 
+  Scenario: A job is cancelled before its new owner knows its worker
+    # Seen on tvpub-sched trouble-1, seed 109658018970: UNASKED, the new owner adopted and renewed
+    # the runs of a cancelled job once the worker was listed.
+    Given tasks run for 30 s
+    When job 1 of 2 tasks is submitted through entry-0
+    And all its tasks run
+    And all leases last 20 s more
+    And both entry hosts are killed
+    And w0 and w1 are not listed
+    And a new entry host starts
+    And job 1 is cancelled through entry-9
+    And w0 and w1 are listed again
+    Then nothing of it runs within 2.5 s
+
   Scenario: A killed owner is followed by another and no task runs twice
     Given tasks run for 3 s
     When job 1 of 4 tasks is submitted through entry-0
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -323,7 +323,8 @@
             if worker == entry.worker:
                 del self._orphans[name]
                 found = self._find(name)
-                if found is not None:
+                # What has ended since is left out, so that the link stops it as a stray run.
+                if found is not None and not found[0].is_terminal:
                     _, step, task = found
                     link.adopt(name, task.run)
                     link.room.take(name, measure_usage(name, step.spec))
--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -59,9 +59,10 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=self.settings.options.log_timeout.total_seconds())
-        connector = aiohttp.TCPConnector(
-            limit=0, force_close=self.force_close, keepalive_timeout=KEEPALIVE_SECONDS
-        )
+        if self.force_close:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        else:
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
         return aiohttp.ClientSession(timeout=timeout, connector=connector)
 
     async def close(self) -> None:
