Let the scenario of the early cancel fail without its fix

Cause: its tasks were not long-running, so that the check for stuck tasks stopped them as well. Before: passed without the fix. After: fails without the fix, passes with it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -35,7 +35,7 @@
     # Seen on tvpub-sched trouble-1, seed 109658018970: UNASKED, the new owner adopted and renewed
     # the runs of a cancelled job once the worker was listed.
     Given tasks run for 30 s
-    When job 1 of 2 tasks is submitted through entry-0
+    When long-running job 1 of 2 tasks is submitted through entry-0
     And all its tasks run
     And all leases last 20 s more
     And both entry hosts are killed
