--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -30,7 +30,7 @@
 # A member that has not renewed for this long loses its partitions; with the renewal interval it
 # bounds a hand-over after a kill to about two seconds.
 TTL_MS = 1_500
-RENEWAL = timedelta(milliseconds=400)
+RENEWAL = timedelta(milliseconds=250)
 # Interval at which the owners of the partitions are read again, and after a call that failed.
 DIRECTORY_INTERVAL = timedelta(seconds=1.5)
 HURRIED_INTERVAL = timedelta(milliseconds=150)
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -14,7 +14,7 @@
 # Share of the slack that the backlog may take; the rest covers the error of the estimates.
 SLACK_SHARE = 0.7
 # Share of the objective within which all accepted work has to be done.
-FINISH_SHARE = 0.8
+FINISH_SHARE = 1.2
 # Time in which a pool gets a machine from another pool: the move, its discovery, its first report.
 COMING_SECONDS = 2.2
 # A workflow that can only be late is taken while the pool is as idle as this, in seconds.
