Let a new fleet holder order at once what its predecessor has not ordered lately

Change: each order of a machine is recorded before it is sent; only machines that were ordered lately are waited for.

--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -49,8 +49,10 @@
 # A cordon that is not renewed ends after this long, so that a lost fleet manager blocks no worker.
 CORDON_SECONDS = 6.0
 LATE_CORDON_SECONDS = LATE_ORDER_SECONDS + 1.0
-# Added to the pause that a new holder keeps before its first order.
-PAUSE_MARGIN_SECONDS = 0.5
+# Added to the pause between two holders at one machine, since their clocks may differ.
+PAUSE_MARGIN_MS = 2_500
+# Keys of the ledger that tell when a machine was ordered last, in Unix ms.
+ORDER_PREFIX = "order/"
 
 
 class FleetManager(Service):
@@ -85,7 +87,7 @@
         self._metrics = metrics
         self._held = False
         self._fence = 0
-        self._held_since = timedelta()
+        self._former_orders: dict[str, int] = {}
         self._ledger: Ledger | None = None
         self._begun: dict[int, set[str]] = {}
         self._completed: set[int] = set()
@@ -115,8 +117,8 @@
         )
         if held:
             self._fence = generation
-            self._held_since = self._clock.elapsed()
             self._pending, self._down_until, self._moving = {}, {}, {}
+            self._former_orders = {}
             self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock, self._metrics)
             asyncio.ensure_future(self._load(self._ledger))
         elif self._ledger is not None:
@@ -131,6 +133,8 @@
             return
         records = await ledger.read_records()
         for key, value in records:
+            if key.startswith(ORDER_PREFIX) and value.isdigit():
+                self._former_orders[key.removeprefix(ORDER_PREFIX)] = int(value)
             if not key.startswith(WAVE_PREFIX):
                 continue
             try:
@@ -144,8 +148,7 @@
         await self.add_runtime_dependency(ledger)
 
     def _may_order(self) -> bool:
-        """Whether this process holds the fleet, and a former holder's time is over."""
-        pause = self._settings.machine_lease_ms / 1000 + PAUSE_MARGIN_SECONDS
+        """Whether this process holds the fleet now."""
         return (
             self._held
             and not self.fenced
@@ -153,9 +156,24 @@
             and self._ledger.started
             and not self._ledger.lost
             and self._ownership.is_current()
-            and self._clock.elapsed() - self._held_since > timedelta(seconds=pause)
         )
 
+    async def _prepare_order(self, name: str) -> bool:
+        """Records that a machine is about to be ordered; returns whether it may be.
+
+        Holders must not take turns at one machine within its lease. A former holder has recorded
+        each of its orders before sending it, and can record none since this one has taken over.
+        """
+        if not self._may_order():
+            return False
+        pause = self._settings.machine_lease_ms + PAUSE_MARGIN_MS
+        now = int(self._clock.now().timestamp() * 1000)
+        if now - self._former_orders.get(name, 0) < pause:
+            return False
+        self._ledger.mark(f"{ORDER_PREFIX}{name}", lambda: str(now).encode())
+        await self._ledger.flushed()
+        return self._may_order()
+
     @Service.task
     async def _manage(self) -> None:
         while not self.should_stop:
@@ -278,7 +296,10 @@
 
     async def _move(self, name: str, pool: str) -> None:
         """Orders one move; repeated until the machine is seen in its new pool."""
-        if not self._may_order():
+        try:
+            if not await self._prepare_order(name):
+                return
+        except OwnershipLost:
             return
         outcome: Any = "moved"
         try:
@@ -409,7 +430,11 @@
 
     async def _begin(self, wave: Wave, name: str) -> None:
         """Orders the upkeep of one machine, and records that it has begun."""
-        if not self._may_order():
+        try:
+            prepared = await self._prepare_order(name)
+        except OwnershipLost:
+            prepared = False
+        if not prepared:
             self._down_until.pop(name, None)
             return
         outcome: Any = "begun"
