--- /dev/null
+++ b/features/fleet_manager_builders.py
@@ -0,0 +1,127 @@
+"""Holders of the fleet on the platform's stand-in of the store, with machines that are recorded."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import Any
+
+from platform_builders import RUN_LIMIT_S
+
+from carawayd.partition.ledger import OwnershipLost
+from carawayd.platform.api import build_client
+from carawayd.process.fleetmanager import FleetManager
+from carawayd.process.site import SITE_FIELDS, SiteSettings
+from carawayd.process.workflowmetrics import WorkflowMetrics
+from carawayshore.clock import SystemClock
+from carawayshore.options import fill_defaults
+from carawayshore.workflows.model import Wave
+from carawayshore_standins.platform_store import PlatformStore
+from carawayshore_standins.ports import PortReserver
+
+
+class ShiftedClock(SystemClock):
+    """The system's clock with a time of day that tests move ahead."""
+
+    def __init__(self) -> None:
+        self.shift = timedelta()
+
+    def now(self) -> Any:
+        return super().now() + self.shift
+
+
+class FakeOwnership:
+    """Membership of one holder."""
+
+    def __init__(self, member: str) -> None:
+        self.member = member
+        self.current = True
+
+    def is_current(self) -> bool:
+        return self.current
+
+
+class RecordingMachines:
+    """Takes every order."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[str, str, int]] = []
+
+    async def begin_upkeep(self, machine: str, wave: int, *, holder: str, fence: int) -> None:
+        self.orders.append((machine, holder, fence))
+
+
+class FleetHarness:
+    """Holders that follow one another on one store."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._ports = PortReserver()
+        self.clock = ShiftedClock()
+        self.machines = RecordingMachines()
+        self.store = PlatformStore()
+        self._address = self._ports.reserve()
+        self._managers: list[FleetManager] = []
+        self._clients: list[Any] = []
+        self.run(self.store.start(self._address))
+
+    def run(self, work: Any) -> Any:
+        return self._loop.run_until_complete(asyncio.wait_for(work, RUN_LIMIT_S))
+
+    def _build_settings(self) -> SiteSettings:
+        document = {
+            "member": "entry",
+            "data_centre": "umea",
+            "caller_address": "127.0.0.1:1",
+            "ready_address": "127.0.0.1:1",
+            "peer_host": "127.0.0.1",
+            "peer_port": 1,
+            "metrics_port": 1,
+            "store": self._address,
+            "partitions": 4,
+        }
+        return SiteSettings(**fill_defaults(SITE_FIELDS, document))
+
+    async def hold(self, generation: int) -> FleetManager:
+        """Returns a new holder that has taken over."""
+        settings = self._build_settings()
+        store = build_client("store", f"http://{self._address}", settings)
+        self._clients.append(store)
+        manager = FleetManager(
+            store,
+            self.machines,
+            None,
+            FakeOwnership(f"entry-{generation}"),
+            None,
+            settings,
+            self.clock,
+            WorkflowMetrics(),
+        )
+        self._managers.append(manager)
+        await manager.set_held(True, generation)
+        # The manager itself is not started, so that it decides nothing beside the scenario.
+        await manager.loaded.wait()
+        await manager._ledger.maybe_start()
+        return manager
+
+    async def may_order(self, manager: FleetManager, machine: str) -> bool:
+        try:
+            return await manager._prepare_order(machine)
+        except OwnershipLost:
+            return False
+
+    async def begin_upkeep(self, manager: FleetManager, machine: str, wave: int) -> None:
+        await manager._begin(Wave(wave, (machine,), 20.0, 1), machine)
+        await manager._ledger.flushed()
+
+    def close(self) -> None:
+        self.run(self._close())
+        self._ports.release()
+        self._loop.close()
+
+    async def _close(self) -> None:
+        for manager in self._managers:
+            await manager.stop()
+        for client in self._clients:
+            await client.close()
+        await self.store.stop()
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -77,6 +77,8 @@
         super().__init__()
         # Set when a machine has seen a higher token: this process has to join the group anew.
         self.fenced = False
+        # Set once what the former holder recorded has been read.
+        self.loaded = asyncio.Event()
         self._store = store
         self._client = machines
         self._discovery = discovery
@@ -119,6 +121,7 @@
             self._fence = generation
             self._pending, self._down_until, self._moving = {}, {}, {}
             self._former_orders = {}
+            self.loaded.clear()
             self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock, self._metrics)
             asyncio.ensure_future(self._load(self._ledger))
         elif self._ledger is not None:
@@ -146,6 +149,7 @@
                     extra={"fields": {"key": key, "error": str(error)}},
                 )
         await self.add_runtime_dependency(ledger)
+        self.loaded.set()
 
     def _may_order(self) -> bool:
         """Whether this process holds the fleet now."""
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -25,7 +25,7 @@
 RISE = 1.25
 RISE_SECONDS = 1.0
 # A pool keeps at least this share of an equal part of all machines, to take the first of a burst,
-FLOOR_SHARE = 0.6
+FLOOR_SHARE = 0.8
 # and this share of the most that it needed within MEMORY_SECONDS, since bursts recur.
 MEMORY_SHARE = 0.5
 MEMORY_SECONDS = 30.0
