--- a/packages/carawayd/src/carawayd/__main__.py
+++ b/packages/carawayd/src/carawayd/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from carawayd.process.daemon import Daemon, build_parts
@@ -46,23 +47,29 @@
     return parser
 
 
-async def run_daemon(settings: Settings) -> int:
-    """Runs the daemon until it is stopped; returns the exit status."""
-    clock = SystemClock()
-    daemon = Daemon(build_parts(settings, clock))
+def stop_on_signal(stop: Callable[[], Awaitable[None]]) -> None:
+    """Starts a planned stop at the first SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
     stops: list[asyncio.Task[None]] = []
 
-    def stop() -> None:
+    def begin() -> None:
         if not stops:
-            stops.append(asyncio.ensure_future(daemon.stop_gracefully()))
+            stops.append(asyncio.ensure_future(stop()))
+
+    loop.add_signal_handler(signal.SIGTERM, begin)
+    loop.add_signal_handler(signal.SIGINT, begin)
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Runs the daemon until it is stopped; returns the exit status."""
+    clock = SystemClock()
+    daemon = Daemon(build_parts(settings, clock))
 
     def dump() -> None:
         print(json.dumps(build_dump(daemon.parts), default=str), file=sys.stderr)
 
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGINT, stop)
-    loop.add_signal_handler(signal.SIGUSR1, dump)
+    stop_on_signal(daemon.stop_gracefully)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, dump)
     async with daemon:
         await daemon.wait_until_stopped()
     return 1 if daemon.crashed or daemon.parts.membership.superseded.is_set() else 0
@@ -71,19 +78,12 @@
 async def run_entry_host(settings: SiteSettings) -> int:
     """Runs an entry host on the platform until it is stopped; returns the exit status."""
     host = EntryHost(settings, SystemClock())
-    loop = asyncio.get_running_loop()
-    stops: list[asyncio.Task[None]] = []
-
-    def stop() -> None:
-        if not stops:
-            stops.append(asyncio.ensure_future(host.stop_gracefully()))
 
     def note_reload() -> None:
         logger.info("settings have changed; addresses stay until the next start")
 
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGINT, stop)
-    loop.add_signal_handler(signal.SIGHUP, note_reload)
+    stop_on_signal(host.stop_gracefully)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, note_reload)
     async with host:
         await host.wait_until_stopped()
     return 1 if host.crashed else 0
--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -0,0 +1,151 @@
+"""Demand and backlog of a partition's services, for admission and the fleet manager."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from carawayshore.workflows.admission import Backlog
+from carawayshore.workflows.model import ServiceLoad, WorkerLoad
+from carawayshore.workflows.state import WAITING
+
+if TYPE_CHECKING:
+    from carawayd.partition.workerlink import WorkerLink
+    from carawayshore.clock import Clock
+    from carawayshore.workflows.placement import Room
+    from carawayshore.workflows.runtimes import RuntimeModel
+    from carawayshore.workflows.state import StepState, WorkflowState
+
+# Share of the expected run time that a running task still takes, on average.
+RUNNING_SHARE = 0.5
+# Rejected submissions count as demand of their pool for this long, in seconds.
+REJECTED_SECONDS = 1.0
+
+
+class Demand:
+    """What runs, waits and was rejected, by service.
+
+    Parameters
+    ----------
+    workflows, links, open_steps
+        Tables of the owner, which changes them.
+    runtimes : RuntimeModel
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        workflows: dict[str, WorkflowState],
+        links: dict[str, WorkerLink],
+        open_steps: dict[tuple[str, int, int], StepState],
+        runtimes: RuntimeModel,
+        clock: Clock,
+    ) -> None:
+        self._workflows = workflows
+        self._links = links
+        self._open = open_steps
+        self._runtimes = runtimes
+        self._clock = clock
+        # Cores that each service may get soon, as the fleet manager told last.
+        self.coming: dict[str, float] = {}
+        # Time, service and cores of the submissions rejected lately.
+        self._rejected: deque[tuple[float, str, float]] = deque()
+
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def note_rejection(self, service: str, cores: float) -> None:
+        """Counts a rejected submission as demand for a while."""
+        self._rejected.append((self._now(), service, cores))
+
+    def measure_backlog(self, service: str, rooms: list[Room]) -> Backlog:
+        """Returns the work that waits, less what the free room takes up at once."""
+        now = self._now()
+        usable = [room for room in rooms if room.expected and room.suspect_until <= now]
+        cores = sum(room.entry.millicores for room in usable)
+        running = 0.0
+        for room in usable:
+            for usage in room.usages.values():
+                if usage.long_running:
+                    cores -= usage.millicores
+                else:
+                    running += usage.millicores
+        ready, later, longest = self._measure_waiting(service)
+        return Backlog(
+            cores / 1000,
+            self.coming.get(service, 0.0),
+            ready,
+            ready + later + running / 1000 * longest * RUNNING_SHARE,
+        )
+
+    def _measure_waiting(self, service: str) -> tuple[float, float, float]:
+        """Returns the work in core-seconds that could run now and that comes after it.
+
+        The last item is the longest expected run time of a task, in seconds.
+        """
+        ready, later, longest = 0.0, 0.0, 0.0
+        for workflow in self._workflows.values():
+            if workflow.is_terminal or workflow.spec.service != service:
+                continue
+            for step in workflow.steps.values():
+                if step.spec.long_running or step.is_done:
+                    continue
+                seconds = self._runtimes.expect(workflow.spec.queue, step.spec)
+                longest = max(longest, seconds)
+                count = sum(task.status == WAITING for task in step.tasks)
+                work = count * step.spec.millicores / 1000 * seconds
+                if workflow.is_ready(step):
+                    ready += work
+                else:
+                    later += work
+        return ready, later, longest
+
+    def survey_service(self, service: str) -> ServiceLoad:
+        lasting = running = 0
+        workers = []
+        for link in self._links.values():
+            if link.entry.service != service:
+                continue
+            usages = link.room.usages.values()
+            lasting += sum(usage.millicores for usage in usages if usage.long_running)
+            running += sum(usage.millicores for usage in usages if not usage.long_running)
+            workers.append(self.describe_worker(link))
+        waiting, waiting_long = self._count_waiting(service)
+        return ServiceLoad(
+            service,
+            lasting / 1000 + waiting_long,
+            running / 1000,
+            waiting + self._count_rejected(service),
+            tuple(workers),
+        )
+
+    def describe_worker(self, link: WorkerLink) -> WorkerLoad:
+        return WorkerLoad(
+            link.worker,
+            len(link.orders),
+            sum(usage.long_running for usage in link.room.usages.values()),
+            link.entry.millicores,
+            link.cordoned,
+            not link.is_silent,
+        )
+
+    def _count_waiting(self, service: str) -> tuple[float, float]:
+        """Returns the cores that short tasks and that long-running tasks wait for."""
+        short = long_running = 0.0
+        for key, step in self._open.items():
+            if step.spec.best_effort or self._workflows[key[0]].spec.service != service:
+                continue
+            count = sum(task.status == WAITING for task in step.tasks)
+            cores = count * step.spec.millicores / 1000
+            if step.spec.long_running:
+                long_running += cores
+            else:
+                short += cores
+        return short, long_running
+
+    def _count_rejected(self, service: str) -> float:
+        """Returns the cores that the submissions rejected lately would have used."""
+        now = self._now()
+        while self._rejected and now - self._rejected[0][0] > REJECTED_SECONDS:
+            self._rejected.popleft()
+        return sum(cores for _, name, cores in self._rejected if name == service)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -10,13 +10,13 @@
 import asyncio
 import logging
 import math
-from collections import deque
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 from mode import Service
 
+from carawayd.partition.demand import Demand
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.workerlink import (
     SENDING,
@@ -25,8 +25,8 @@
     WorkerLink,
     bound_lease,
 )
-from carawayshore.workflows.admission import Backlog, Request, decide_admission
-from carawayshore.workflows.model import ServiceLoad, TaskName, WorkerLoad
+from carawayshore.workflows.admission import Request, decide_admission
+from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.pacing import Serving, choose_percent
 from carawayshore.workflows.placement import choose_room, measure_usage
@@ -67,10 +67,6 @@
 PLAN_INTERVAL_SECONDS = 0.25
 # Interval of looks at the list of workers.
 SCAN_INTERVAL = timedelta(milliseconds=100)
-# Share of the expected run time that a running task still takes, on average.
-RUNNING_SHARE = 0.5
-# Rejected submissions count as demand of their pool for this long, in seconds.
-REJECTED_SECONDS = 1.0
 # Time after a take-over in which the workers of a service are read, in seconds.
 SETTLE_SECONDS = 1.5
 # Longest time for which a planned hand-over waits for the store.
@@ -164,9 +160,7 @@
         self._loaded_at = 0.0
         # End of the cordon of each worker, in Unix ms; kept in the ledger.
         self._cordons: dict[str, int] = {}
-        self._coming: dict[str, float] = {}
-        # Time, service and cores of the submissions rejected lately.
-        self._rejected: deque[tuple[float, str, float]] = deque()
+        self._demand = Demand(self.workflows, self.links, self._open, self._runtimes, clock)
         self._wake = asyncio.Event()
 
     def _now(self) -> float:
@@ -206,7 +200,8 @@
                 records.append((key, value))
             elif value.isdigit():
                 self._silent_since[key.removeprefix(SILENCE_PREFIX)] = int(value)
-        self.workflows, unreadable = restore_workflows(records, now, self._unix_ms())
+        restored, unreadable = restore_workflows(records, now, self._unix_ms())
+        self.workflows.update(restored)
         for workflow in self.workflows.values():
             if workflow.is_terminal:
                 continue
@@ -653,7 +648,7 @@
             fits=not rooms
             or all(any(room.could_fit(step) for room in rooms) for step in spec.steps),
         )
-        backlog = self._measure_backlog(spec.service, rooms)
+        backlog = self._demand.measure_backlog(spec.service, rooms)
         verdict = decide_admission(request, backlog, self._random.random())
         logger.info(
             "submission considered",
@@ -680,7 +675,7 @@
         self._first_attempts.setdefault(spec.identifier, now)
         if request.fits and request.chain_seconds > 0:
             cores = request.work_core_seconds / request.chain_seconds
-            self._rejected.append((now, spec.service, cores))
+            self._demand.note_rejection(spec.service, cores)
         return Reply(REJECTED, verdict.reason, verdict.retry_after_seconds)
 
     def _find_objective(self, spec: Workflow) -> float:
@@ -689,48 +684,6 @@
     def _set_due(self, workflow: WorkflowState) -> None:
         self._due[workflow.identifier] = workflow.submitted + self._find_objective(workflow.spec)
 
-    def _measure_backlog(self, service: str, rooms: list[Room]) -> Backlog:
-        """Returns the work that waits, less what the free room takes up at once."""
-        now = self._now()
-        usable = [room for room in rooms if room.expected and room.suspect_until <= now]
-        cores = sum(room.entry.millicores for room in usable)
-        running = 0.0
-        for room in usable:
-            for usage in room.usages.values():
-                if usage.long_running:
-                    cores -= usage.millicores
-                else:
-                    running += usage.millicores
-        ready, later, longest = self._measure_waiting(service)
-        return Backlog(
-            cores / 1000,
-            self._coming.get(service, 0.0),
-            ready,
-            ready + later + running / 1000 * longest * RUNNING_SHARE,
-        )
-
-    def _measure_waiting(self, service: str) -> tuple[float, float, float]:
-        """Returns the work in core-seconds that could run now and that comes after it.
-
-        The last item is the longest expected run time of a task, in seconds.
-        """
-        ready, later, longest = 0.0, 0.0, 0.0
-        for workflow in self.workflows.values():
-            if workflow.is_terminal or workflow.spec.service != service:
-                continue
-            for step in workflow.steps.values():
-                if step.spec.long_running or step.is_done:
-                    continue
-                seconds = self._runtimes.expect(workflow.spec.queue, step.spec)
-                longest = max(longest, seconds)
-                count = sum(task.status == WAITING for task in step.tasks)
-                work = count * step.spec.millicores / 1000 * seconds
-                if workflow.is_ready(step):
-                    ready += work
-                else:
-                    later += work
-        return ready, later, longest
-
     async def look(self, identifier: str) -> Reply:
         """Returns the state of a workflow as callers may know it."""
         if not self.loaded or self.lost:
@@ -779,58 +732,8 @@
         """Returns the load of the partition's services, told what they may get soon."""
         if not self.loaded or self.lost:
             return Reply(UNREADY)
-        self._coming = coming_cores
-        return Reply(FOUND, [self._survey_service(name) for name in self._list_services()])
-
-    def _survey_service(self, service: str) -> ServiceLoad:
-        lasting = running = 0
-        workers = []
-        for link in self.links.values():
-            if link.entry.service != service:
-                continue
-            usages = link.room.usages.values()
-            lasting += sum(usage.millicores for usage in usages if usage.long_running)
-            running += sum(usage.millicores for usage in usages if not usage.long_running)
-            workers.append(self._describe_worker(link))
-        waiting, waiting_long = self._count_waiting(service)
-        return ServiceLoad(
-            service,
-            lasting / 1000 + waiting_long,
-            running / 1000,
-            waiting + self._count_rejected(service),
-            tuple(workers),
-        )
-
-    def _describe_worker(self, link: WorkerLink) -> WorkerLoad:
-        return WorkerLoad(
-            link.worker,
-            len(link.orders),
-            sum(usage.long_running for usage in link.room.usages.values()),
-            link.entry.millicores,
-            link.cordoned,
-            not link.is_silent,
-        )
-
-    def _count_waiting(self, service: str) -> tuple[float, float]:
-        """Returns the cores that short tasks and that long-running tasks wait for."""
-        short = long_running = 0.0
-        for key, step in self._open.items():
-            if step.spec.best_effort or self.workflows[key[0]].spec.service != service:
-                continue
-            count = sum(task.status == WAITING for task in step.tasks)
-            cores = count * step.spec.millicores / 1000
-            if step.spec.long_running:
-                long_running += cores
-            else:
-                short += cores
-        return short, long_running
-
-    def _count_rejected(self, service: str) -> float:
-        """Returns the cores that the submissions rejected lately would have used."""
-        now = self._now()
-        while self._rejected and now - self._rejected[0][0] > REJECTED_SECONDS:
-            self._rejected.popleft()
-        return sum(cores for _, name, cores in self._rejected if name == service)
+        self._demand.coming = coming_cores
+        return Reply(FOUND, [self._demand.survey_service(name) for name in self._list_services()])
 
     async def cordon(self, subject: list) -> Reply:
         """Takes a worker out of use and moves long-running tasks off it, within their limits.
@@ -856,7 +759,7 @@
             except OwnershipLost:
                 return Reply(UNREADY)
         self._evacuate(link)
-        return Reply(ACCEPTED, self._describe_worker(link))
+        return Reply(ACCEPTED, self._demand.describe_worker(link))
 
     async def uncordon(self, worker: str) -> Reply:
         """Lets a worker be used again."""
