Ask the placement policy service, and stop the rest of a gang at once

Cause: queues with a placement policy would have had every start refused for want of a ticket; a gang of which one member was refused left the others waiting until they timed out. Change: platform/advice, partition/advisor; the other members of a gang are stopped when one is missing. Before: the two scenarios 'placement policy' and 'gang' fail. After: three scenarios pass.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -144,6 +144,31 @@
     Then jobs 1 to 4 become completed
     And nothing began on w0
 
+  Scenario: A step runs only where the placement policy allows it
+    Given the queue has a placement policy that allows w1
+    When job 1 of 4 tasks is submitted through entry-0
+    Then job 1 becomes completed through entry-1
+    And nothing began on w0
+    And no start order lacked its ticket
+    And the policy was asked at most 4 times
+
+  Scenario: A gang whose members do not all start is stopped and starts anew together
+    # Members that wait for one that never comes hold room until they time out.
+    Given tasks run for 2 s
+    And w0 refuses every start
+    When gang job 1 of 4 tasks with at most 2 on one worker is submitted through entry-0
+    Then what began of it is stopped within 1.5 s
+    When w0 accepts starts again
+    Then job 1 becomes completed through entry-1
+    And the members of each run began within 1 s
+
+  Scenario: A ticket that a worker refuses is asked for again
+    # Tickets end with the life of the worker that they name.
+    Given the queue has a placement policy that allows w1
+    When w1 changes its ticket after the first answer
+    And job 1 of 2 tasks is submitted through entry-0
+    Then job 1 becomes completed through entry-1
+
   Scenario: A long-running task is restarted however it ends
     When long-running job 1 of 2 tasks is submitted through entry-0
     Then each of its 2 tasks begins at least 3 times
--- a/features/platform_builders.py
+++ b/features/platform_builders.py
@@ -103,6 +103,7 @@
             "peer_port": int(self._ports.reserve().rpartition(":")[2]),
             "metrics_port": int(self._ports.reserve().rpartition(":")[2]),
             "store": self._store_address,
+            "advice": self._store_address,
             "partitions": self.store.partitions,
             "seed": SEED + len(self.hosts),
         }
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -28,6 +28,78 @@
         worker.seconds = seconds
 
 
+@given("the queue has a placement policy that allows {worker:w}")
+def set_policy(context, worker):
+    platform = context.platform
+    route = build_route() | {"advice": {"decisionMs": 5, "perWorkerMs": 1, "validMs": 3000}}
+    platform.store.put("keyed.op", "config", build_operator_configuration(2, route))
+    platform.store.allowed = {worker: "ticket-1"}
+    for stand_in in platform.workers.values():
+        stand_in.ticket = "ticket-1"
+
+    def is_applied() -> bool:
+        return all(host.discovery.deployment.version == 2 for host in platform.hosts.values())
+
+    platform.run(platform.wait_until(is_applied, "configuration 2 is applied"))
+
+
+@when("{worker:w} changes its ticket after the first answer")
+def change_ticket(context, worker):
+    context.platform.workers[worker].ticket = "ticket-2"
+
+    async def renew_policy():
+        await context.platform.pause(1.0)
+        context.platform.store.allowed = {worker: "ticket-2"}
+
+    context.platform.renewal = context.platform._loop.create_task(renew_policy())
+
+
+@then("no start order lacked its ticket")
+def expect_tickets(context):
+    assert not sum(worker.refused_tickets for worker in context.platform.workers.values())
+
+
+@then("the policy was asked at most {count:d} times")
+def expect_calls(context, count):
+    assert len(context.platform.store.advice_calls) <= count, context.platform.store.advice_calls
+
+
+@given("{worker:w} refuses every start")
+def refuse_starts(context, worker):
+    context.platform.workers[worker].refuses_starts = True
+
+
+@when("{worker:w} accepts starts again")
+def accept_starts(context, worker):
+    context.platform.workers[worker].refuses_starts = False
+
+
+@when(
+    "gang job {number:d} of {count:d} tasks with at most {most:d} on one worker is submitted"
+    " through {member}"
+)
+def submit_gang(context, number, count, most, member):
+    _submit(context, number, count, member, gang=True, maxPerServer=most)
+
+
+@then("what began of it is stopped within {seconds:g} s")
+def expect_gang_stopped(context, seconds):
+    platform = context.platform
+
+    def was_stopped() -> bool:
+        return any(how == "stopped" for w in platform.workers.values() for _, _, how, _ in w.ends)
+
+    platform.run(platform.wait_until(was_stopped, "members are stopped", seconds))
+
+
+@then("the members of each run began within {seconds:g} s")
+def expect_together(context, seconds):
+    starts = [start for w in context.platform.workers.values() for start in w.starts]
+    last = max(start.run for start in starts)
+    began = [start.began for start in starts if start.run == last]
+    assert len(began) == 4 and max(began) - min(began) < seconds, starts
+
+
 @given("every run fails")
 def fail_runs(context):
     for worker in context.platform.workers.values():
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -16,10 +16,12 @@
 import msgspec
 from mode import Service
 
+from carawayd.partition.advisor import Advisor
 from carawayd.partition.demand import Demand
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.workerlink import (
     SENDING,
+    UNADVISED,
     Order,
     StartOrder,
     WorkerLink,
@@ -50,6 +52,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import EndedRun, RunsClient
     from carawayd.platform.store import StoreClient
     from carawayd.process.discovery import Discovery
@@ -115,6 +118,7 @@
     may_renew : callable
         Whether the store has been heard lately enough to renew leases.
     metrics : WorkflowMetrics
+    advice : AdviceClient, optional
     """
 
     def __init__(
@@ -130,6 +134,7 @@
         random: Random,
         may_renew: Callable[[], bool],
         metrics: WorkflowMetrics,
+        advice: AdviceClient | None = None,
     ) -> None:
         super().__init__()
         self.partition = partition
@@ -162,6 +167,7 @@
         self._cordons: dict[str, int] = {}
         self._demand = Demand(self.workflows, self.links, self._open, self._runtimes, clock)
         self._wake = asyncio.Event()
+        self._advisor = Advisor(advice, clock, self._wake.set)
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -460,6 +466,8 @@
         if found is None:
             return
         workflow, step, state = found
+        if why == UNADVISED:
+            self._advisor.forget_ticket(task[:3], link.worker)
         if state.status != ORDERED or state.run != run or state.worker != link.worker:
             return
         self._reset_task(workflow, step, state, task, why)
@@ -517,11 +525,20 @@
     ) -> None:
         task.status = WAITING
         self._mark_step(workflow, step)
+        if step.spec.gang:
+            self._stop_gang(step, name)
         if not workflow.is_terminal:
             self._log_task(name, why, run=task.run, worker=task.worker, failures=task.failures)
             self._open_step(workflow, step)
             self._wake.set()
 
+    def _stop_gang(self, step: StepState, name: TaskName) -> None:
+        """Stops the other members of a gang, which would wait for the one that is missing."""
+        for index, task in enumerate(step.tasks):
+            link = self.links.get(task.worker)
+            if task.status == ORDERED and link is not None:
+                link.stop_task(name._replace(index=index))
+
     def _find(self, name: TaskName) -> tuple[WorkflowState, StepState, TaskState] | None:
         workflow = self.workflows.get(name.workflow)
         found = workflow and workflow.find_task(name)
@@ -541,6 +558,7 @@
         """Records the end of a workflow and stops what still runs of it."""
         workflow.state = state
         workflow.ended = self._now()
+        self._advisor.forget_workflow(workflow.identifier)
         self.ledger.mark(workflow.key(), workflow.encode)
         for step in workflow.steps.values():
             self._open.pop((workflow.identifier, step.occurrence, step.step), None)
@@ -869,6 +887,11 @@
             (room.free_millicores for room in rooms), default=0
         ):
             return
+        tickets: dict[str, str] = {}
+        if workflow.spec.advice is not None:
+            tickets = self._advisor.find_tickets(key)
+            self._ask_advice(workflow, key, rooms, tickets, len(waiting))
+            rooms = [room for room in rooms if room.entry.worker in tickets]
         if spec.same_rack:
             rooms = self._keep_rack(step, rooms)
         chosen: list[tuple[Room, TaskName]] = []
@@ -888,7 +911,8 @@
             return
         run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
         for room, name in chosen:
-            orders.append(self._order(workflow, step, room, name, run))
+            ticket = tickets.get(room.entry.worker, "")
+            orders.append(self._order(workflow, step, room, name, run, ticket))
         if chosen:
             self._log_order(workflow, step, chosen, len(waiting))
             if not workflow.begun:
@@ -897,6 +921,24 @@
             workflow.begun = True
             self._mark_step(workflow, step)
 
+    def _ask_advice(
+        self,
+        workflow: WorkflowState,
+        key: tuple[str, int, int],
+        rooms: list[Room],
+        tickets: dict[str, str],
+        waiting: int,
+    ) -> None:
+        """Asks for more workers while those with a ticket have no room for all tasks."""
+        spec = self._open[key].spec
+        free = sum(
+            room.free_millicores // max(1, spec.millicores)
+            for room in rooms
+            if room.entry.worker in tickets
+        )
+        if free < waiting:
+            self._advisor.ask(key, rooms, workflow.spec.advice)
+
     def _log_order(
         self,
         workflow: WorkflowState,
@@ -936,7 +978,13 @@
         return [room for room in rooms if room.entry.rack in racks]
 
     def _order(
-        self, workflow: WorkflowState, step: StepState, room: Room, name: TaskName, gang_run: int
+        self,
+        workflow: WorkflowState,
+        step: StepState,
+        room: Room,
+        name: TaskName,
+        gang_run: int,
+        ticket: str,
     ) -> tuple[WorkerLink, TaskName, StartOrder]:
         task = step.tasks[name.index]
         link = self.links[room.entry.worker]
@@ -945,7 +993,7 @@
         task.worker = link.worker
         link.orders[name] = Order(task.run, SENDING, 0, self._now())
         checkpoint = task.checkpoint if step.spec.checkpointing else ""
-        return link, name, StartOrder(task.run, workflow.spec.spec, checkpoint)
+        return link, name, StartOrder(task.run, workflow.spec.spec, checkpoint, ticket)
 
     async def _send_orders(self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
         """Sends start orders once they are recorded."""
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -51,6 +51,8 @@
     return settings.abandon_seconds + lease + LAPSE_MARGIN_SECONDS
 
 
+# Why a run is missing whose ticket the worker has refused.
+UNADVISED = "refused: the ticket is not valid"
 SENDING, UNKNOWN, STARTED = "sending", "unknown", "started"
 
 
@@ -252,7 +254,8 @@
                 return
             if refusal.reason not in ("full", "superseded", "expired", "unadvised"):
                 self.room.note_failure(self._now())
-            self._drop(task, entry, f"refused: {refusal.reason}")
+            why = UNADVISED if refusal.reason == "unadvised" else f"refused: {refusal.reason}"
+            self._drop(task, entry, why)
             return
         except OtherIncarnation:
             self._drop(task, entry, "another incarnation answered")
--- a/packages/carawayd/src/carawayd/platform/api.py
+++ b/packages/carawayd/src/carawayd/platform/api.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from carawayd.platform import hostlist, log, machines, pools, runs, store, worker
+from carawayd.platform import advice, hostlist, log, machines, pools, runs, store, worker
 from carawayd.platform.plugins import build_client
 
 if TYPE_CHECKING:
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Platform",
+    "advice",
     "hostlist",
     "log",
     "machines",
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -61,6 +61,8 @@
         self.owners = OwnerCalls(self.ownership, self.exchange, clock)
         self.calls = WorkflowCalls(self.discovery, self.owners, self.metrics)
         self.machines = None
+        if settings.advice:
+            self.ownership.advice = build_client("advice", f"http://{settings.advice}", settings)
         if settings.machines:
             self.machines = build_client("machines", f"http://{settings.machines}", settings)
             self.ownership.fleet = FleetManager(
@@ -136,3 +138,5 @@
         await self.runs.close()
         if self.machines is not None:
             await self.machines.close()
+        if self.ownership.advice is not None:
+            await self.ownership.advice.close()
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import RunsClient
     from carawayd.platform.store import StoreClient
     from carawayd.process.discovery import Discovery
@@ -59,6 +60,8 @@
         self.leaving = False
         # Set by the entry host: runs while this process holds the fleet's partition.
         self.fleet: FleetManager | None = None
+        # Set by the entry host where the deployment has a placement policy service.
+        self.advice: AdviceClient | None = None
         self._store = store
         self._runs = runs
         self._discovery = discovery
@@ -199,6 +202,7 @@
             random=self._random,
             may_renew=self._may_renew,
             metrics=self._metrics,
+            advice=self.advice,
         )
         self.owners[partition] = owner
         self._metrics.ownership.labels("acquired").inc()
--- a/packages/standins/src/carawayshore_standins/platform_store.py
+++ b/packages/standins/src/carawayshore_standins/platform_store.py
@@ -61,6 +61,9 @@
         self.silent = False
         self.append_delay = 0.0
         self.lose_answers = 0
+        # Workers that the placement policy allows, with the ticket of each.
+        self.allowed: dict[str, str] = {}
+        self.advice_calls: list[tuple[str, list[str]]] = []
         self.appends: list[tuple[str, int, str, int]] = []
         self.newest: dict[tuple[str, int], dict[str, tuple[bytes, int]]] = {}
         self._parts: dict[tuple[str, int], Partition] = {}
@@ -77,6 +80,7 @@
                 web.post("/api/log-join", self._join),
                 web.post("/api/log-leave", self._leave),
                 web.get("/api/log-owners", self._owners),
+                web.post("/api/advise", self._advise),
             ]
         )
         host, _, port = address.rpartition(":")
@@ -245,3 +249,9 @@
         group = self._groups.setdefault(request.query["group"], Group())
         rows = [[topic, number, owner, 0] for (topic, number), owner in group.owners.items()]
         return web.json_response({"owners": rows})
+
+    async def _advise(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.advice_calls.append((body["step"], body["workers"]))
+        rows = [[name, self.allowed[name]] for name in body["workers"] if name in self.allowed]
+        return web.json_response({"allowed": rows, "validMs": 3000})
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -37,6 +37,10 @@
         self.lose_starts = 0
         self.late_starts = 0.0
         self.fails_all = False
+        # The ticket that every start order must carry, empty for none.
+        self.ticket = ""
+        self.refused_tickets = 0
+        self.refuses_starts = False
         self.starts: list[Start] = []
         self.ends: list[tuple[str, int, str, float]] = []
         self.fence = 0
@@ -156,6 +160,11 @@
             return self._answer(409, reason="fence")
         if body["deadlineMs"] < self.clock_ms:
             return self._answer(409, reason="late")
+        if self.refuses_starts:
+            return self._answer(409, reason="room")
+        if self.ticket and body.get("ticket") != self.ticket:
+            self.refused_tickets += 1
+            return self._answer(409, reason="ticket")
         self.lease = max(self.lease, body["deadlineMs"])
         task = body["task"]
         if task not in self._running:
