--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -12,7 +12,7 @@
       | 0     | 0     | 0   | admitted                          |
       | 50    | 100   | 0   | admitted                          |
       | 150   | 200   | 0   | rejected with a retry after 1 s   |
-      | 50    | 1000  | 0   | rejected with a retry after 8 s   |
+      | 50    | 1000  | 0   | rejected with a retry after 7 s   |
       | 0     | 0     | 3   | admitted                          |
       | 60    | 150   | 2   | rejected with a retry after 1 s   |
 
