Reserve operators' drains in the global stream before they begin

Cause: each data centre checked an operator's drain against its own hosts only, and nothing compared two drains that began at the same moment; both answered 200 where the budget allows one. Change: a drain is reserved in the global stream first; the fold refuses a reservation that did not know the pool's last one, and reserved hosts count as out of service until they are reported. Ruled out: a second check after the drain, as for waves, since the operator was already told 200.

--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -100,3 +100,17 @@
     When maintenance is resumed while 2 workers are paused for 12 s
     Then all hosts are maintained within 90 s, never more than 2 at once
     And the job has succeeded in one run, and no request was cut off
+
+  Scenario: Operators in two data centres reserve what they take out of service
+    # Guards against two operators who are each told that the budget allows one more host.
+    Given a global stream with reported hosts
+    When umea-w1 and lulea-w1 are reserved by operators who saw no other reservation
+    Then only umea-w1 is reserved
+    And another reservation is taken once the first is released or reported
+
+  Scenario: A reservation counts against the budget until it is old
+    # Guards against a reserved host that another data centre counts as serving, and against one
+    # that blocks its pool for ever because the entry host ended.
+    Given a global stream with reported hosts
+    When umea-w1 and lulea-w1 are reserved by operators who saw no other reservation
+    Then umea-w1 counts as out of service for 60 seconds
--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -22,7 +22,7 @@
 from carawayd.process.waves import WaveFollower
 from carawayshore import records
 from carawayshore.configuration import complete_configuration
-from carawayshore.maintenance import Planner
+from carawayshore.maintenance import Planner, list_reserved
 from carawayshore.testing import ManualClock
 
 
@@ -368,3 +368,37 @@
     runs = [entry["result"] for entry in context.deployment.list_executions() if "job" in entry]
     assert runs == ["succeeded"], runs
     assert set(context.statuses) == {200} and len(context.statuses) > 20, context.statuses
+
+
+def _reserve(context, host, seen):
+    body = records.RemovalReserved(host.partition("-")[0], host, "booking", START.isoformat(), seen)
+    return context.stream.append(HOLDER, body)
+
+
+@when("{first} and {second} are reserved by operators who saw no other reservation")
+def reserve_both(context, first, second):
+    _reserve(context, first, -1).unwrap()
+    context.refused = _reserve(context, second, -1).failure().reason
+
+
+@then("only {host} is reserved")
+def expect_reserved(context, host):
+    assert set(context.stream.state.removals) == {host}, context.refused
+
+
+@then("another reservation is taken once the first is released or reported")
+def expect_next(context):
+    state = context.stream.state
+    first = state.removals["umea-w1"].offset
+    context.stream.append(HOLDER, records.RemovalReleased("umea-w1", first)).unwrap()
+    _reserve(context, "lulea-w1", -1).unwrap()
+    context.stream.report("lulea", {"lulea-w1": "draining"}).unwrap()
+    _reserve(context, "umea-w2", -1).unwrap()
+
+
+@then("{host} counts as out of service for {seconds:d} seconds")
+def expect_counted(context, host, seconds):
+    state, age = context.stream.state, timedelta(seconds=seconds)
+    assert set(list_reserved(state, "booking", START + age - timedelta(seconds=1))) == {host}
+    assert not list_reserved(state, "office", START)
+    assert not list_reserved(state, "booking", START + age)
--- a/packages/carawayd/src/carawayd/process/hostviews.py
+++ b/packages/carawayd/src/carawayd/process/hostviews.py
@@ -67,7 +67,12 @@
     host = parts.reader.folded.hosts[name]
     if version is None:
         return []
-    conditions = build_conditions(parts, host.pool)
+    own = build_conditions(parts, host.pool)
+    known = {item.host for item in own}
+    listed = {item.host: item for item in parts.waves.list_pool(host.pool)}
+    conditions = [
+        item._replace(draining=item.draining or listed[item.host].draining) for item in own
+    ] + [item for name, item in listed.items() if name not in known]
     after = [item._replace(draining=item.draining or item.host == name) for item in conditions]
     previews = []
     for service in _list_users(version.configuration, host.pool):
--- a/packages/carawayd/src/carawayd/process/operators.py
+++ b/packages/carawayd/src/carawayd/process/operators.py
@@ -16,10 +16,12 @@
 from carawayd.process.dump import build_dump, build_status
 from carawayd.process.history import MAX_VERSIONS, VersionHistory
 from carawayd.process.hostviews import describe_host, list_hosts, preview_removal
+from carawayd.process.maintenance import format_time
 from carawayd.request.jobs import describe_job
 from carawayshore import records
 from carawayshore.assignment import FLEET_CLAIM, HOLD, count_draining
 from carawayshore.configuration import check_configuration
+from carawayshore.waves import find_last_removal
 
 if TYPE_CHECKING:
     from carawayd.process.daemon import Parts
@@ -212,16 +214,50 @@
     async def _start_drain(
         self, request: web.Request, name: str, host: Host, *, to_pool: str, reason: str
     ) -> web.Response:
-        """Starts a drain that the availability budgets allow, or that was asked for regardless."""
-        seen = count_draining(self._parts.reader.folded, host.pool)
+        """Starts a drain that the availability budgets allow, or that was asked for regardless.
+
+        It is reserved in the global stream first, so that operators in two data centres do not both
+        take the last host that the budget allows.
+        """
+        draining = count_draining(self._parts.reader.folded, host.pool)
+        reserved = find_last_removal(self._parts.global_reader.folded, host.pool)
+        seen = None
         over = [item for item in preview_removal(self._parts, name) if not item["within"]]
-        if over and request.query.get("over_budget") != "true":
-            error = "the availability budget does not allow it; over_budget=true does it regardless"
-            return _answer({"outcome": "not-run", "error": error, "budgets": over}, 409)
+        if request.query.get("over_budget") != "true":
+            seen = reserved
+            if over:
+                error = (
+                    "the availability budget does not allow it; over_budget=true does it regardless"
+                )
+                return _answer({"outcome": "not-run", "error": error, "budgets": over}, 409)
+        reservation = records.RemovalReserved(
+            self._parts.settings.data_centre, name, host.pool, format_time(self._parts.clock), seen
+        )
+        refusal = await self._append(self._parts.global_appender, reservation, Priority.FLEET)
+        if refusal.status != 200 and seen is not None:
+            return refusal
         body = records.HostDrainStarted(
-            name, host.revision, to_pool, reason, self._find_fence(), draining_seen=seen
+            name, host.revision, to_pool, reason, self._find_fence(), draining_seen=draining
         )
-        return await self._append(self._parts.appender, body, Priority.FLEET)
+        answer = await self._append(self._parts.appender, body, Priority.FLEET)
+        if answer.status in (409, 503):
+            await self._release_removal(name)
+        return answer
+
+    async def _release_removal(self, name: str) -> None:
+        """Gives the reservation of a host up that was not taken out of service."""
+        held = self._parts.global_reader.folded.removals.get(name)
+        host = self._parts.reader.folded.hosts.get(name)
+        if held is None or (host is not None and host.draining_to):
+            return
+        body = records.RemovalReleased(name, held.offset)
+        answer = await self._append(self._parts.global_appender, body, Priority.FLEET)
+        if answer.status != 200:
+            logger.info(
+                "reservation of host %s is not released, it lapses by itself",
+                name,
+                extra={"fields": {"reserved": held.offset, "status": answer.status}},
+            )
 
     async def _move(self, request: web.Request) -> web.Response:
         name, host = self._find_host(request)
--- a/packages/carawayd/src/carawayd/process/waves.py
+++ b/packages/carawayd/src/carawayd/process/waves.py
@@ -27,6 +27,7 @@
     find_limits,
     find_stop,
     list_pool_conditions,
+    list_reserved,
 )
 from carawayshore.waves import NO_REPORT
 
@@ -305,7 +306,10 @@
         return recent and wave in state.waves and not find_stop(state)
 
     def list_pool(self, pool: str) -> list[HostCondition]:
-        """Returns a pool's hosts in all data centres: the own ones exactly, others as reported."""
+        """Returns a pool's hosts in all data centres: the own ones exactly, others as reported.
+
+        Hosts that operators are taking out of service count as draining.
+        """
         state = self._global_reader.folded
         left_out = self._watch.list_silent() | {self._own}
         others = list_pool_conditions(state, pool, left_out=left_out)
@@ -314,7 +318,10 @@
             for name, host in self._reader.folded.hosts.items()
             if host.pool == pool
         ]
-        return own + others
+        reserved = list_reserved(state, pool, self._clock.now())
+        return [
+            item._replace(draining=item.draining or item.host in reserved) for item in own + others
+        ]
 
     def _find_budget(self, pool: str) -> BudgetSettings:
         return find_budget(find_limits(self._versions.current.configuration), pool)
--- a/packages/carawayshore/src/carawayshore/fold.py
+++ b/packages/carawayshore/src/carawayshore/fold.py
@@ -149,6 +149,18 @@
     hosts: dict[str, ReportedHost]
 
 
+class Removal(NamedTuple):
+    """A host that an operator takes out of service, until its data centre reports it so.
+
+    ``at`` is the time of the reservation (RFC 3339), ``offset`` that of its record.
+    """
+
+    data_centre: str
+    pool: str
+    at: str
+    offset: int
+
+
 class Pause(NamedTuple):
     author: str
     reason: str
@@ -182,6 +194,7 @@
     stalled: dict[str, Wave]
     wave_seconds: float
     reports: dict[str, Report]
+    removals: dict[str, Removal] = {}
 
 
 Handler = Callable[["StreamState", int, records.Record], Result[None, Rejection]]
@@ -236,6 +249,7 @@
         self.stalled: dict[str, Wave] = {}
         self.wave_seconds = 0.0
         self.reports: dict[str, Report] = {}
+        self.removals: dict[str, Removal] = {}
 
     def export(self) -> FoldedState:
         """Returns the state as data; the tables are shared, not copied."""
--- a/packages/carawayshore/src/carawayshore/maintenance.py
+++ b/packages/carawayshore/src/carawayshore/maintenance.py
@@ -11,10 +11,13 @@
 
 if TYPE_CHECKING:
     from carawayshore.configuration import Configuration
-    from carawayshore.fold import StreamState
+    from carawayshore.fold import Removal, StreamState
 
 # Assumed until a wave has finished: drain, reboot and return of four hosts one by one.
 DEFAULT_WAVE_DURATION = timedelta(minutes=15)
+# An operator's reservation that no report has taken up counts for this long: an append and the
+# report of its effect take seconds, and a process that ended in between must not block a pool.
+RESERVATION_LIFETIME = timedelta(seconds=60)
 # A host is maintained again at the earliest when this share of its period is left.
 LEAD_SHARE = 0.25
 
@@ -161,6 +164,16 @@
     ]
 
 
+def list_reserved(state: StreamState, pool: str, now: datetime) -> dict[str, Removal]:
+    """Returns the hosts of a pool that operators are taking out of service at the moment."""
+    epoch = datetime.fromtimestamp(0, UTC)
+    return {
+        name: removal
+        for name, removal in state.removals.items()
+        if removal.pool == pool and now - (parse_time(removal.at) or epoch) < RESERVATION_LIFETIME
+    }
+
+
 def find_budget(limits: Mapping[str, Limit], pool: str) -> BudgetSettings:
     """Returns the budget settings of a pool."""
     limit = limits.get(pool)
--- a/packages/carawayshore/src/carawayshore/records.py
+++ b/packages/carawayshore/src/carawayshore/records.py
@@ -365,6 +365,29 @@
     hosts: dict[str, HostReport]
 
 
+@record("removal_reserved")
+class RemovalReserved(NamedTuple):
+    """An operator is about to take a host out of service.
+
+    ``reserved_seen`` is the offset of the pool's last reservation that the operator's check knew,
+    -1 for none; it is None for an operator who exceeds the budget on purpose.
+    """
+
+    data_centre: str
+    host: str
+    pool: str
+    at: str
+    reserved_seen: int | None
+
+
+@record("removal_released")
+class RemovalReleased(NamedTuple):
+    """The host of a reservation was not taken out of service."""
+
+    host: str
+    reserved: int
+
+
 @record("maintenance_paused")
 class MaintenancePaused(NamedTuple):
     author: str
--- a/packages/carawayshore/src/carawayshore/waves.py
+++ b/packages/carawayshore/src/carawayshore/waves.py
@@ -9,6 +9,7 @@
 from carawayshore.fold import (
     ACCEPTED,
     Pause,
+    Removal,
     Report,
     ReportedHost,
     StreamState,
@@ -131,6 +132,8 @@
         return reject(f"conditions {sorted(unknown)} or time {body.at!r} are malformed")
     hosts = dict(report.hosts)
     for name, told in body.hosts.items():
+        if told.condition or not told.pool:
+            state.removals.pop(name, None)
         if told.pool:
             since = hosts[name].since if name in hosts else body.at
             hosts[name] = ReportedHost(told.pool, told.rack, told.condition, since)
@@ -141,6 +144,32 @@
     return ACCEPTED
 
 
+def find_last_removal(state: StreamState, pool: str) -> int:
+    """Returns the offset of the last reservation of a pool's hosts, -1 for none."""
+    return max((item.offset for item in state.removals.values() if item.pool == pool), default=-1)
+
+
+@folds(records.RemovalReserved)
+def _reserve_removal(state: StreamState, offset: int, item: records.Record):
+    body: records.RemovalReserved = item.body
+    last = find_last_removal(state, body.pool)
+    if body.reserved_seen not in (None, last):
+        return reject(f"another host of pool {body.pool!r} is being taken out of service")
+    if parse_time(body.at) is None:
+        return reject(f"time {body.at!r}, accepted: RFC 3339")
+    state.removals[body.host] = Removal(body.data_centre, body.pool, body.at, offset)
+    return ACCEPTED
+
+
+@folds(records.RemovalReleased)
+def _release_removal(state: StreamState, offset: int, item: records.Record):
+    known = state.removals.get(item.body.host)
+    if known is None or known.offset != item.body.reserved:
+        return reject(f"host {item.body.host!r} has no reservation {item.body.reserved}")
+    del state.removals[item.body.host]
+    return ACCEPTED
+
+
 @folds(records.MaintenancePaused)
 def _pause(state: StreamState, offset: int, item: records.Record):
     if state.pause is not None:
