Size pools by the time that is left for their work, and move machines ahead of foreseen turns

Machines came two to three seconds after each turn had begun. Change: waiting tasks count with the share of the time until they are due for which they run; the successions of turns are learned, machines come ahead of the next one, and floors are low once it is known; cordons of one round are asked for together. Ruled out: slow orders (median 0.04 to 0.2 s from choice to order).

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then, when
 from workflow_builders import (
@@ -15,13 +16,17 @@
     fill_room,
 )
 
+from carawayd.partition.demand import Demand
+from carawayshore.testing import ManualClock
 from carawayshore.workflows.admission import Backlog, Request, decide_admission
 from carawayshore.workflows.model import StepSpec, TaskName, WorkerLoad
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.pacing import Serving, choose_percent
 from carawayshore.workflows.placement import choose_room, measure_usage
-from carawayshore.workflows.pools import PoolHistory, PoolNeed, choose_moves
+from carawayshore.workflows.pools import PoolHistory, PoolNeed, choose_moves, measure_short
 from carawayshore.workflows.runtimes import RuntimeModel
+from carawayshore.workflows.state import WorkflowState
+from carawayshore.workflows.turns import TurnForecast
 from carawayshore.workflows.upkeep import choose_upkeep, may_begin
 
 
@@ -306,3 +311,90 @@
     chain = [StepSpec(count=8, after=(number - 1,) if number else ()) for number in range(steps)]
     expected = context.runtimes.expect_chain(build_workflow(*chain))
     assert least <= expected <= most, expected
+
+
+PEAK_CORES, TURN_SECONDS, SURVEY_SECONDS = 800.0, 4.5, 0.25
+
+
+def _measure_turns(context, now, blip=0.0):
+    """Returns the demand of all pools at a moment of the turns."""
+    turn = int(now / TURN_SECONDS) % len(context.pools)
+    quiet = blip if now % 1 < SURVEY_SECONDS else 0.0
+    return {pool: PEAK_CORES if n == turn else quiet for n, pool in enumerate(context.pools)}
+
+
+def _see_turns(context, seconds, blip=0.0):
+    while context.now < seconds:
+        context.forecast.add(context.now, _measure_turns(context, context.now, blip))
+        context.now += SURVEY_SECONDS
+
+
+@given("pools {names} whose demand takes turns of {seconds:g} s at {cores:g} cores")
+def build_turns(context, names, seconds, cores):
+    assert (seconds, cores) == (TURN_SECONDS, PEAK_CORES)
+    context.pools = names.replace(" and ", ", ").split(", ")
+    context.forecast, context.now = TurnForecast(), 0.0
+
+
+@when("the turns have been seen for {seconds:g} s")
+def see_turns(context, seconds):
+    _see_turns(context, seconds)
+
+
+@when("a job of {cores:g} cores comes to each quiet pool each second for {seconds:g} s")
+def see_blips(context, cores, seconds):
+    _see_turns(context, seconds, cores)
+
+
+@when("the demand rests for {seconds:g} s")
+def rest(context, seconds):
+    for _ in range(int(seconds / SURVEY_SECONDS)):
+        context.forecast.add(context.now, dict.fromkeys(context.pools, 0.0))
+        context.now += SURVEY_SECONDS
+
+
+@then("at {now:g} s {pool} is expected to need at least {cores:g} cores")
+def expect_turn(context, now, pool, cores):
+    assert context.forecast.expect(now).get(pool, 0.0) >= cores, context.forecast.expect(now)
+
+
+@then("at {now:g} s nothing is expected of {pool}")
+def expect_no_turn(context, now, pool):
+    assert pool not in context.forecast.expect(now), context.forecast.expect(now)
+
+
+@then("nothing is expected of any pool")
+def expect_nothing(context):
+    assert not context.forecast.expect(context.now) and not context.forecast.is_learned
+
+
+@given(
+    "a pool in which {running:g} cores run and tasks of {seconds:g} s on {cores:g} cores "
+    "are due in {left:g} s"
+)
+def build_waiting(context, running, seconds, cores, left):
+    step = StepSpec(count=int(cores), millicores=1000, estimate_ms=int(seconds * 1000))
+    state = WorkflowState(build_workflow(step), 0.0)
+    rooms = build_rooms(1)
+    fill_room(rooms[0], int(running * 1000))
+    link = SimpleNamespace(
+        worker="w0",
+        entry=rooms[0].entry,
+        room=rooms[0],
+        orders={},
+        cordoned=False,
+        is_silent=False,
+    )
+    context.demand = Demand(
+        {state.identifier: state},
+        {"w0": link},
+        {(state.identifier, 0, 0): state.steps[0, 0]},
+        {state.identifier: left},
+        RuntimeModel(),
+        ManualClock(),
+    )
+
+
+@then("its demand is {cores:g} cores")
+def expect_demand(context, cores):
+    assert measure_short(context.demand.survey_service("booking")) == cores
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -130,3 +130,29 @@
     # away work that could have been on time.
     Given a queue whose steps have 7 tasks that took 1 s and one that took 3 s
     Then a chain of 2 steps is expected to take 5 to 7 s
+
+  Scenario: Once the order of the turns is known, a pool gets its machines ahead of its turn
+    # Each queue in its turn asks for five times its mean for 4.5 s; machines need two seconds to come.
+    # At least half of the peak of 800 cores has to be there when the turn begins.
+    Given pools booking, office, crew and stock whose demand takes turns of 4.5 s at 800 cores
+    When the turns have been seen for 20 s
+    Then at 21.0 s office is expected to need at least 400 cores
+    And at 21.0 s nothing is expected of crew
+    And at 19.0 s nothing is expected of office
+
+  Scenario: A turn that does not come is not waited for
+    Given pools booking, office, crew and stock whose demand takes turns of 4.5 s at 800 cores
+    When the turns have been seen for 20 s
+    And the demand rests for 6 s
+    Then nothing is expected of any pool
+
+  Scenario: Short demand of a quiet pool is no turn
+    Given pools booking, office, crew and stock whose demand takes turns of 4.5 s at 800 cores
+    When a job of 60 cores comes to each quiet pool each second for 20 s
+    Then at 21.0 s office is expected to need at least 400 cores
+
+  Scenario: Work that waits counts by the time that is left for it
+    # Machines for all waiting tasks at once, though they could run one after the other in time, were
+    # three times as many as the pool could use.
+    Given a pool in which 100 cores run and tasks of 1 s on 400 cores are due in 4 s
+    Then its demand is 200 cores
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -18,7 +18,8 @@
 
 # Share of the expected run time that a running task still takes, on average.
 RUNNING_SHARE = 0.5
-# Rejected submissions count as demand of their pool for this long, in seconds.
+# Rejected submissions count as demand of their pool for this long, in seconds: until their callers
+# return.
 REJECTED_SECONDS = 1.0
 
 
@@ -29,6 +30,8 @@
     ----------
     workflows, links, open_steps
         Tables of the owner, which changes them.
+    due : dict
+        Time by which each workflow should be done, in seconds of the clock; the owner's table.
     runtimes : RuntimeModel
     clock : Clock
     """
@@ -38,12 +41,14 @@
         workflows: dict[str, WorkflowState],
         links: dict[str, WorkerLink],
         open_steps: dict[tuple[str, int, int], StepState],
+        due: dict[str, float],
         runtimes: RuntimeModel,
         clock: Clock,
     ) -> None:
         self._workflows = workflows
         self._links = links
         self._open = open_steps
+        self._due = due
         self._runtimes = runtimes
         self._clock = clock
         # Cores that each service may get soon, as the fleet manager told last.
@@ -55,7 +60,7 @@
         return self._clock.elapsed().total_seconds()
 
     def note_rejection(self, service: str, cores: float) -> None:
-        """Counts a rejected submission as demand for a while."""
+        """Counts the cores that would have done a rejected submission in time."""
         self._rejected.append((self._now(), service, cores))
 
     def measure_backlog(self, service: str, rooms: list[Room]) -> Backlog:
@@ -130,17 +135,25 @@
         )
 
     def _count_waiting(self, service: str) -> tuple[float, float]:
-        """Returns the cores that short tasks and that long-running tasks wait for."""
+        """Returns the cores that short tasks and that long-running tasks wait for.
+
+        Short tasks need not all run at once: each counts with the share of the time until it is due
+        for which it runs.
+        """
+        now = self._now()
         short = long_running = 0.0
         for key, step in self._open.items():
-            if step.spec.best_effort or self._workflows[key[0]].spec.service != service:
+            workflow = self._workflows[key[0]]
+            if step.spec.best_effort or workflow.spec.service != service:
                 continue
             count = sum(task.status == WAITING for task in step.tasks)
             cores = count * step.spec.millicores / 1000
             if step.spec.long_running:
                 long_running += cores
-            else:
-                short += cores
+                continue
+            seconds = self._runtimes.expect(workflow.spec.queue, step.spec)
+            left = self._due.get(key[0], now) - now
+            short += cores * seconds / max(seconds, left)
         return short, long_running
 
     def _count_rejected(self, service: str) -> float:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -165,7 +165,9 @@
         self._loaded_at = 0.0
         # End of the cordon of each worker, in Unix ms; kept in the ledger.
         self._cordons: dict[str, int] = {}
-        self._demand = Demand(self.workflows, self.links, self._open, self._runtimes, clock)
+        self._demand = Demand(
+            self.workflows, self.links, self._open, self._due, self._runtimes, clock
+        )
         self._wake = asyncio.Event()
         self._advisor = Advisor(advice, clock, self._wake.set)
 
@@ -696,7 +698,8 @@
             return None
         self._first_attempts.setdefault(spec.identifier, now)
         if request.fits and request.chain_seconds > 0:
-            cores = request.work_core_seconds / request.chain_seconds
+            left = request.objective_seconds - request.age_seconds
+            cores = request.work_core_seconds / max(left, request.chain_seconds)
             self._demand.note_rejection(spec.service, cores)
         return Reply(REJECTED, verdict.reason, verdict.retry_after_seconds)
 
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -18,13 +18,7 @@
 from carawayd.platform.store import STATUS_TOPIC, KeyedRecord, encode_records
 from carawayd.process.ownercalls import CORDON, SURVEY, UNCORDON
 from carawayshore.workflows.model import ServiceLoad, WorkerLoad
-from carawayshore.workflows.pools import (
-    PoolHistory,
-    PoolNeed,
-    PoolView,
-    choose_moves,
-    find_floor,
-)
+from carawayshore.workflows.pools import PoolSizes, PoolView, choose_moves
 from carawayshore.workflows.upkeep import UpkeepView, choose_upkeep, is_completed, may_begin
 
 if TYPE_CHECKING:
@@ -105,7 +99,7 @@
         # Machine to the pool that it is to move to.
         self._moving: dict[str, str] = {}
         self._unsure_until: dict[str, timedelta] = {}
-        self._histories: dict[str, PoolHistory] = {}
+        self._sizes = PoolSizes()
 
     async def set_held(self, held: bool, generation: int) -> None:
         """Starts or ends the duty of the holder."""
@@ -239,7 +233,7 @@
             frozenset().union(self._pending, self._moving, self._down_until, self._list_unsure()),
             {},
         )
-        needs = self._update_needs(view)
+        needs = self._sizes.add(self._clock.elapsed().total_seconds(), view)
         for move in choose_moves(view._replace(needs=needs)):
             self._moving[move.machine.machine] = move.pool
             logger.info(
@@ -254,8 +248,10 @@
                     }
                 },
             )
-        for name, pool in list(self._moving.items()):
-            await self._advance_move(name, pool, standby)
+        # Together, since each waits for an owner's record of the cordon.
+        await asyncio.gather(
+            *(self._advance_move(name, pool, standby) for name, pool in list(self._moving.items()))
+        )
 
     def _list_unsure(self) -> set[str]:
         """Returns the machines for which an order without an answer may still be carried out."""
@@ -265,18 +261,6 @@
                 del self._unsure_until[name]
         return set(self._unsure_until)
 
-    def _update_needs(self, view: PoolView) -> dict[str, PoolNeed]:
-        """Returns how many machines each pool needs and keeps."""
-        floor = find_floor(view)
-        now = self._clock.elapsed().total_seconds()
-        needs = {}
-        for name, load in view.services.items():
-            sizes = [item.millicores for item in view.machines if item.pool == name]
-            mean = sum(sizes) // len(sizes) if sizes else 0
-            history = self._histories.setdefault(name, PoolHistory())
-            needs[name] = history.add(now, load, mean, floor)
-        return needs
-
     async def _advance_move(self, name: str, pool: str, standby: frozenset[str]) -> None:
         """Takes one move a step further: out of use, empty, moved."""
         machine = self._machines.get(name)
@@ -381,9 +365,13 @@
                         }
                     },
                 )
-            for name, number in list(self._pending.items()):
-                if number == wave.number:
-                    await self._advance(view, name)
+            await asyncio.gather(
+                *(
+                    self._advance(view, name)
+                    for name, number in list(self._pending.items())
+                    if number == wave.number
+                )
+            )
 
     async def _advance(self, view: UpkeepView, name: str) -> None:
         """Takes one chosen machine a step further: out of use, empty, down."""
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -184,7 +184,10 @@
 
 
 class ServiceLoad(NamedTuple):
-    """Demand of a service in cores; what waits includes what was rejected lately."""
+    """Demand of a service in cores.
+
+    ``waiting_cores`` are those that would do in time what waits and what was rejected lately.
+    """
 
     service: str
     long_running_cores: float
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -3,7 +3,8 @@
 Load pattern: each queue in its turn asks for several times its mean for some seconds, more than its
 pool holds, and for little in between. A machine in a pool costs money each second, used or not; one
 in the standby pool costs none. So a pool that is short gets machines from the standby pool at once,
-and from pools with idle ones; a pool that has had idle machines for a while gives them back.
+and from pools with idle ones; a pool that has had idle machines for a while gives them back. While
+the order of the turns is not known, each pool keeps enough for the first seconds of its turn.
 """
 
 from __future__ import annotations
@@ -13,9 +14,8 @@
 from typing import NamedTuple
 
 from carawayshore.workflows.model import Machine, ServiceLoad
+from carawayshore.workflows.turns import TurnForecast
 
-# Share of the cores of waiting tasks that is asked for; the others run after those ahead of them.
-WAITING_SHARE = 0.8
 # Room kept free above the work that runs and waits.
 HEADROOM = 1.1
 SPARE_MACHINES = 1
@@ -24,8 +24,10 @@
 # Demand rises if it exceeds that of RISE_SECONDS ago by this factor.
 RISE = 1.25
 RISE_SECONDS = 1.0
-# A pool keeps at least this share of an equal part of all machines, to take the first of a burst,
+# A pool keeps at least this share of an equal part of all machines, to take the first of a burst;
+# less once the next turn is known, since it then gets its machines ahead of it,
 FLOOR_SHARE = 0.8
+FORESEEN_FLOOR_SHARE = 0.2
 # and this share of the most that it needed within MEMORY_SECONDS, since bursts recur.
 MEMORY_SHARE = 0.5
 MEMORY_SECONDS = 30.0
@@ -79,9 +81,33 @@
         self._cores: deque[tuple[float, float]] = deque()
         self._needs: deque[tuple[float, int]] = deque()
 
-    def add(self, now: float, load: ServiceLoad, machine_millicores: int, floor: int) -> PoolNeed:
-        """Adds what a survey found and returns the number of machines that the pool needs."""
-        short = load.running_cores + load.waiting_cores * WAITING_SHARE
+    def add(
+        self,
+        now: float,
+        load: ServiceLoad,
+        machine_millicores: int,
+        floor: int,
+        *,
+        expected_cores: float = 0.0,
+        foreseen: bool = False,
+    ) -> PoolNeed:
+        """Adds what a survey found and returns the number of machines that the pool needs.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the clock.
+        load : ServiceLoad
+        machine_millicores : int
+            Size of a machine.
+        floor : int
+            Machines that the pool keeps in any case.
+        expected_cores : float
+            Cores for a turn that is about to begin.
+        foreseen : bool
+            Whether turns are known ahead, so that no share of the last peak has to be kept.
+        """
+        short = measure_short(load)
         before = min(
             (cores for at, cores in self._cores if now - at <= RISE_SECONDS), default=short
         )
@@ -89,22 +115,55 @@
         self._cores.append((now, short))
         while now - self._cores[0][0] > RISE_SECONDS:
             self._cores.popleft()
-        cores = load.long_running_cores + short * (GROWTH if rising else HEADROOM)
+        short = max(short * (GROWTH if rising else HEADROOM), expected_cores)
         machines = floor
         if machine_millicores > 0:
+            cores = load.long_running_cores + short
             machines = math.ceil(cores * 1000 / machine_millicores) + SPARE_MACHINES
         self._needs.append((now, machines))
         while now - self._needs[0][0] > MEMORY_SECONDS:
             self._needs.popleft()
         recent = max(need for at, need in self._needs if now - at <= IDLE_SECONDS)
-        peak = max(need for _, need in self._needs)
+        peak = 0 if foreseen else max(need for _, need in self._needs)
         return PoolNeed(max(1, recent), max(floor, recent, math.ceil(peak * MEMORY_SHARE)))
 
 
-def find_floor(view: PoolView) -> int:
-    """Returns the number of machines that each pool keeps."""
+def measure_short(load: ServiceLoad) -> float:
+    """Returns the cores that a pool's short tasks need."""
+    return load.running_cores + load.waiting_cores
+
+
+class PoolSizes:
+    """Number of machines that each pool needs, from its demand and the turns that are foreseen."""
+
+    def __init__(self) -> None:
+        self.forecast = TurnForecast()
+        self._histories: dict[str, PoolHistory] = {}
+
+    def add(self, now: float, view: PoolView) -> dict[str, PoolNeed]:
+        """Adds what a survey of all pools found; ``now`` is in seconds of the clock."""
+        self.forecast.add(now, {name: measure_short(item) for name, item in view.services.items()})
+        expected, foreseen = self.forecast.expect(now), self.forecast.is_learned
+        floor = find_floor(view, FORESEEN_FLOOR_SHARE if foreseen else FLOOR_SHARE)
+        needs = {}
+        for name, load in view.services.items():
+            sizes = [item.millicores for item in view.machines if item.pool == name]
+            mean = sum(sizes) // len(sizes) if sizes else 0
+            needs[name] = self._histories.setdefault(name, PoolHistory()).add(
+                now,
+                load,
+                mean,
+                floor,
+                expected_cores=expected.get(name, 0.0),
+                foreseen=foreseen,
+            )
+        return needs
+
+
+def find_floor(view: PoolView, share: float) -> int:
+    """Returns the number of machines that each pool keeps, as a share of an equal part."""
     pools = len(view.services) + len(view.standby)
-    return max(1, math.ceil(len(view.machines) / max(1, pools) * FLOOR_SHARE))
+    return max(1, math.ceil(len(view.machines) / max(1, pools) * share))
 
 
 def choose_moves(view: PoolView) -> list[Move]:
