Admit by the work that is due sooner; count offered work over its expected time

Change: the backlog is counted apart by what is due sooner; offered work counts as cores over its chain.

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from datetime import timedelta
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -35,7 +36,14 @@
     "a pool of {cores:g} cores with {ready:g} core-seconds of ready and {total:g} of accepted work"
 )
 def build_backlog(context, cores, ready, total):
-    context.backlog = Backlog(cores, 0.0, ready, total)
+    context.backlog = Backlog(cores, 0.0, ready, total, total, 0.0)
+
+
+@given("{sooner:g} core-seconds of it are due sooner, and the mean objective is {mean:g} s")
+def split_backlog(context, sooner, mean):
+    context.backlog = context.backlog._replace(
+        sooner_core_seconds=sooner, mean_objective_seconds=mean
+    )
 
 
 @given("{cores:g} cores may come")
@@ -406,6 +414,7 @@
         {state.identifier: state},
         {"w0": link},
         {(state.identifier, 0, 0): state.steps[0, 0]},
+        {state.identifier: 5.0},
         RuntimeModel(),
         ManualClock(),
     )
@@ -432,3 +441,25 @@
 def expect_member(context, state):
     decision = decide_candidacy(context.group)
     assert decision.joins == (state != "is not"), decision
+
+
+@given("a quiet pool")
+def build_quiet(context):
+    context.clock = ManualClock()
+    context.demand = Demand({}, {}, {}, {}, RuntimeModel(), context.clock)
+
+
+@when("{count:d} workflows of {work:g} core-seconds with a chain of {chain:g} s are submitted")
+def submit_several(context, count, work, chain):
+    for _ in range(count):
+        context.demand.note_submission("booking", work, chain)
+
+
+@when("{seconds:g} s have passed")
+def advance(context, seconds):
+    context.clock.advance(timedelta(seconds=seconds))
+
+
+@then("it is offered {cores:g} cores")
+def expect_offered(context, cores):
+    assert context.demand.survey_service("booking").offered_cores == cores
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -22,6 +22,13 @@
     When a workflow with a chain of 3 s, 8 core-seconds and an objective of 7 s is submitted after 0 s
     Then it is admitted
 
+  Scenario: Work that is due later does not turn away what is due sooner
+    # Short jobs were rejected with workers free, because long ones had been accepted before.
+    Given a pool of 100 cores with 0 core-seconds of ready and 260 of accepted work
+    And 40 core-seconds of it are due sooner, and the mean objective is 3 s
+    When a workflow with a chain of 0.4 s, 8 core-seconds and an objective of 1.2 s is submitted after 0 s
+    Then it is admitted
+
   Scenario: A task that fits no worker is rejected and not kept
     Given a pool of 100 cores with 0 core-seconds of ready and 0 of accepted work
     When a workflow that fits no worker is submitted
@@ -182,3 +189,12 @@
       | 0.52  | is not | 2.15          | 1.0     | becomes |
       | 0.12  | is not | 0.52          | 1.0     | is not  |
       | 0.12  | is not | 0.52          | 1.5     | becomes |
+
+  Scenario: A few large jobs at once do not ask for all machines
+    # Work that was submitted within 1.5 s counted as if it had to be done in that time; a pool asked
+    # for 120 machines of which it used 50.
+    Given a quiet pool
+    When 3 workflows of 400 core-seconds with a chain of 5 s are submitted
+    Then it is offered 240 cores
+    When 6 s have passed
+    Then it is offered 0 cores
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.admission import Backlog
 from carawayshore.workflows.model import ServiceLoad, WorkerLoad
@@ -18,8 +17,25 @@
 
 # Share of the expected run time that a running task still takes, on average.
 RUNNING_SHARE = 0.5
-# The rate of submitted work is measured over this time, in seconds.
-OFFERED_SECONDS = 1.5
+# A workflow counts as offered for its expected time, and for this long at least, in seconds.
+LEAST_OFFERED_SECONDS = 1.0
+
+
+class _Offer(NamedTuple):
+    """Cores that a submitted workflow uses until a time of the clock in seconds."""
+
+    until: float
+    cores: float
+
+
+class _Waiting(NamedTuple):
+    """Work that waits, in core-seconds; see ``Backlog``."""
+
+    ready_first: float
+    total: float
+    sooner: float
+    longest_seconds: float
+    mean_objective_seconds: float
 
 
 class Demand:
@@ -29,6 +45,8 @@
     ----------
     workflows, links, open_steps
         Tables of the owner, which changes them.
+    due : dict
+        Time by which each workflow should be done, in seconds of the clock; the owner's table.
     runtimes : RuntimeModel
     clock : Clock
     """
@@ -38,29 +56,40 @@
         workflows: dict[str, WorkflowState],
         links: dict[str, WorkerLink],
         open_steps: dict[tuple[str, int, int], StepState],
+        due: dict[str, float],
         runtimes: RuntimeModel,
         clock: Clock,
     ) -> None:
         self._workflows = workflows
         self._links = links
         self._open = open_steps
+        self._due = due
         self._runtimes = runtimes
         self._clock = clock
         # Cores that each service may get soon, as the fleet manager told last.
         self.coming: dict[str, float] = {}
-        # Time, service and core-seconds of the workflows submitted lately.
-        self._offered: deque[tuple[float, str, float]] = deque()
-        self._began = self._now()
+        self._offered: dict[str, list[_Offer]] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
 
-    def note_submission(self, service: str, core_seconds: float) -> None:
-        """Counts the work of a workflow at its first submission."""
-        self._offered.append((self._now(), service, core_seconds))
+    def note_submission(self, service: str, core_seconds: float, seconds: float) -> None:
+        """Counts the cores that a workflow uses on average while it runs, at its first submission.
 
-    def measure_backlog(self, service: str, rooms: list[Room]) -> Backlog:
-        """Returns the work that waits, less what the free room takes up at once."""
+        Parameters
+        ----------
+        service : str
+        core_seconds : float
+            Expected work.
+        seconds : float
+            Expected time of its longest chain.
+        """
+        seconds = max(seconds, LEAST_OFFERED_SECONDS)
+        offer = _Offer(self._now() + seconds, core_seconds / seconds)
+        self._offered.setdefault(service, []).append(offer)
+
+    def measure_backlog(self, service: str, rooms: list[Room], due: float) -> Backlog:
+        """Returns what is ahead of a workflow that is due at ``due``."""
         now = self._now()
         usable = [room for room in rooms if room.expected and room.suspect_until <= now]
         cores = sum(room.entry.millicores for room in usable)
@@ -71,35 +100,43 @@
                     cores -= usage.millicores
                 else:
                     running += usage.millicores
-        ready, later, longest = self._measure_waiting(service)
+        waiting = self._measure_waiting(service, due)
+        remaining = running / 1000 * waiting.longest_seconds * RUNNING_SHARE
         return Backlog(
             cores / 1000,
             self.coming.get(service, 0.0),
-            ready,
-            ready + later + running / 1000 * longest * RUNNING_SHARE,
+            waiting.ready_first,
+            waiting.total + remaining,
+            waiting.sooner + remaining,
+            waiting.mean_objective_seconds,
         )
 
-    def _measure_waiting(self, service: str) -> tuple[float, float, float]:
-        """Returns the work in core-seconds that could run now and that comes after it.
-
-        The last item is the longest expected run time of a task, in seconds.
-        """
-        ready, later, longest = 0.0, 0.0, 0.0
+    def _measure_waiting(self, service: str, due: float) -> _Waiting:
+        """Returns the work that waits, apart by whether it goes before what is due at ``due``."""
+        now = self._now()
+        first = total = sooner = longest = objectives = 0.0
+        count = 0
         for workflow in self._workflows.values():
             if workflow.is_terminal or workflow.spec.service != service:
                 continue
+            other = self._due.get(workflow.identifier)
+            if other is None or workflow.is_long_running:
+                continue
+            count += 1
+            objectives += other - workflow.submitted
             for step in workflow.steps.values():
                 if step.spec.long_running or step.is_done:
                     continue
                 seconds = self._runtimes.expect(workflow.spec.queue, step.spec)
                 longest = max(longest, seconds)
-                count = sum(task.status == WAITING for task in step.tasks)
-                work = count * step.spec.millicores / 1000 * seconds
-                if workflow.is_ready(step):
-                    ready += work
-                else:
-                    later += work
-        return ready, later, longest
+                waiting = sum(task.status == WAITING for task in step.tasks)
+                work = waiting * step.spec.millicores / 1000 * seconds
+                total += work
+                # What is late already gets its room last.
+                if now + seconds <= other <= due:
+                    sooner += work
+                    first += work if workflow.is_ready(step) else 0.0
+        return _Waiting(first, total, sooner, longest, objectives / count if count else 0.0)
 
     def survey_service(self, service: str) -> ServiceLoad:
         lasting = running = 0
@@ -147,10 +184,8 @@
         return short, long_running
 
     def _measure_offered(self, service: str) -> float:
-        """Returns the core-seconds of work submitted in a second."""
+        """Returns the cores that the workflows submitted lately use while they run."""
         now = self._now()
-        while self._offered and now - self._offered[0][0] > OFFERED_SECONDS:
-            self._offered.popleft()
-        work = sum(core_seconds for _, name, core_seconds in self._offered if name == service)
-        # Whoever has just taken over has not watched for the whole time.
-        return work / min(OFFERED_SECONDS, max(now - self._began, OFFERED_SECONDS / 3))
+        offered = [offer for offer in self._offered.get(service, ()) if offer.until > now]
+        self._offered[service] = offered
+        return sum(offer.cores for offer in offered)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -165,7 +165,9 @@
         self._loaded_at = 0.0
         # End of the cordon of each worker, in Unix ms; kept in the ledger.
         self._cordons: dict[str, int] = {}
-        self._demand = Demand(self.workflows, self.links, self._open, self._runtimes, clock)
+        self._demand = Demand(
+            self.workflows, self.links, self._open, self._due, self._runtimes, clock
+        )
         self._wake = asyncio.Event()
         self._advisor = Advisor(advice, clock, self._wake.set)
 
@@ -673,8 +675,11 @@
         )
         bound = not (request.long_running or request.scheduled)
         if spec.identifier not in self._first_attempts and request.fits and bound:
-            self._demand.note_submission(spec.service, request.work_core_seconds)
-        backlog = self._demand.measure_backlog(spec.service, rooms)
+            self._demand.note_submission(
+                spec.service, request.work_core_seconds, request.chain_seconds
+            )
+        due = first + request.objective_seconds
+        backlog = self._demand.measure_backlog(spec.service, rooms, due)
         verdict = decide_admission(request, backlog, self._random.random())
         logger.info(
             "submission considered",
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -3,7 +3,8 @@
 Load pattern: each queue in its turn asks about five times its mean for some seconds, more than its
 pool holds. A workflow that ends late is worth a fraction of one that ends on time, so accepting all
 of a burst makes everybody late. Work is accepted while the backlog ahead of it can be done within
-the slack that its objective leaves.
+the slack that its objective leaves. Work that is due later, or late already, gets its room after
+a new workflow that is due sooner and does not count against it.
 """
 
 from __future__ import annotations
@@ -17,9 +18,10 @@
 FINISH_SHARE = 1.2
 # Time in which a pool gets a machine from another pool: the move, its discovery, its first report.
 COMING_SECONDS = 2.2
-# A workflow that can only be late is taken while the pool is as idle as this, in seconds.
+# A workflow that can only be late is taken while no task waits for longer than this, in seconds,
+# and the pool could do all accepted work within this share of the mean objective.
 IDLE_WAIT_SECONDS = 0.1
-IDLE_FINISH_SECONDS = 1.0
+IDLE_FINISH_SHARE = 0.6
 # Bounds in seconds of the time after which a rejected caller is asked to come back.
 LEAST_RETRY_SECONDS = 1.0
 MOST_RETRY_SECONDS = 30.0
@@ -37,15 +39,21 @@
     coming_cores : float
         Cores that the pool gets, or may get, within ``COMING_SECONDS``.
     ready_core_seconds : float
-        Work that could run now if there were room.
+        Work that could run now if there were room, and would be given room first.
     total_core_seconds : float
         All work of the accepted workflows, that of later steps included.
+    sooner_core_seconds : float
+        The part of it that is due sooner than the new workflow, and what runs.
+    mean_objective_seconds : float
+        Of the accepted workflows; 0 if there are none.
     """
 
     cores: float
     coming_cores: float
     ready_core_seconds: float
     total_core_seconds: float
+    sooner_core_seconds: float
+    mean_objective_seconds: float
 
     def estimate_seconds(self, core_seconds: float) -> float:
         """Returns the time in which the pool does some work."""
@@ -102,14 +110,17 @@
         return Verdict(False, "no worker is usable", spread_retry(LEAST_RETRY_SECONDS, jitter))
     objective = request.objective_seconds - request.age_seconds
     slack = objective - request.chain_seconds
+    sooner = backlog.estimate_seconds(backlog.sooner_core_seconds + request.work_core_seconds)
     finish = backlog.estimate_seconds(backlog.total_core_seconds + request.work_core_seconds)
+    usual = max(request.objective_seconds, backlog.mean_objective_seconds)
     excess = max(
         backlog.wait_seconds - slack * SLACK_SHARE,
-        finish - objective * FINISH_SHARE,
+        sooner - objective * FINISH_SHARE,
+        finish - usual * FINISH_SHARE,
     )
     if excess <= 0:
         return Verdict(True, "the backlog fits into the slack")
-    if backlog.wait_seconds <= IDLE_WAIT_SECONDS and finish <= IDLE_FINISH_SECONDS:
+    if backlog.wait_seconds <= IDLE_WAIT_SECONDS and finish <= usual * IDLE_FINISH_SHARE:
         return Verdict(True, "late, but the pool has room")
     # The backlog drains one second a second while nothing is accepted; beyond the objective only
     # the room that is left counts.
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -196,8 +196,8 @@
     waiting_core_seconds : float
         Work of the accepted short tasks that could run now and wait for room.
     offered_cores : float
-        Work that was submitted lately, in core-seconds a second, whether it was accepted or not;
-        repeated submissions count once.
+        Cores that the workflows submitted lately use while they run, whether they were accepted or
+        not; repeated submissions count once.
     workers : tuple of WorkerLoad
     """
 
