Ask for machines along a rising trend; keep fewer in pools whose turn may be next

Change: the offered work is extrapolated by the time of a move; floors go from 0.8 to 0.5 of an equal part.

--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -19,11 +19,16 @@
 # Room kept free above the work that is submitted.
 HEADROOM = 1.15
 SPARE_MACHINES = 1
+# What is submitted is expected to go on rising as in the last TREND_SECONDS until machines come, in
+# LEAD_SECONDS, but by MOST_GROWTH at most, since a few large jobs look like a rise.
+TREND_SECONDS = 1.5
+LEAD_SECONDS = 2.2
+MOST_GROWTH = 1.5
 # Time in seconds in which a pool should do the work that waits; about the slack of an objective.
 CLEAR_SECONDS = 1.5
 # A pool whose turn may be next keeps this share of an equal part of all machines, to take the first
 # of a burst; one that has had its turn keeps less.
-FLOOR_SHARE = 0.8
+FLOOR_SHARE = 0.5
 RESTED_FLOOR_SHARE = 0.15
 # Time in seconds for which a pool's need must have been lower before it gives a machine back.
 IDLE_SECONDS = 1.5
@@ -69,9 +74,10 @@
 
 
 class PoolHistory:
-    """Machines that one pool needed lately."""
+    """What one pool was offered, and the machines that it needed lately."""
 
     def __init__(self) -> None:
+        self._offered: deque[tuple[float, float]] = deque()
         self._needs: deque[tuple[float, int]] = deque()
 
     def add(
@@ -98,7 +104,8 @@
         """
         machines = floor
         if machine_millicores > 0:
-            cores = load.long_running_cores + max(measure_short(load), expected_cores)
+            coming = load._replace(offered_cores=self._extrapolate(now, load.offered_cores))
+            cores = load.long_running_cores + max(measure_short(coming), expected_cores)
             machines = math.ceil(cores * 1000 / machine_millicores) + SPARE_MACHINES
         self._needs.append((now, machines))
         while now - self._needs[0][0] > IDLE_SECONDS:
@@ -106,6 +113,19 @@
         recent = max(need for _, need in self._needs)
         return PoolNeed(max(1, recent), max(floor, recent))
 
+    def _extrapolate(self, now: float, offered: float) -> float:
+        """Returns the cores that will be offered by the time at which machines can come."""
+        self._offered.append((now, offered))
+        while now - self._offered[0][0] > TREND_SECONDS:
+            self._offered.popleft()
+        since, before = self._offered[0]
+        if offered <= before or now <= since:
+            return offered
+        rise = (offered - before) / (now - since)
+        # Over less than the whole time a single job would count for too much.
+        share = min(1.0, (now - since) / TREND_SECONDS)
+        return min(offered + rise * share * LEAD_SECONDS, offered * MOST_GROWTH)
+
 
 def measure_short(load: ServiceLoad) -> float:
     """Returns the cores that a pool's short tasks need.
