--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,3 +11,7 @@
     Examples: drawn by hand
       | seed | seconds |
       | 1    | 8       |
+
+    Examples: a seed that failed; started orders were given up with the old life of their worker
+      | seed   | seconds |
+      | 447128 | 15      |
