--- a/features/matrix/deployment.py
+++ b/features/matrix/deployment.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
+from proxies import Proxy
 
 from carawayshore.clock import SystemClock
 from carawayshore_standins.launcher import Launcher
@@ -43,54 +44,22 @@
 }
 
 
-class Relay:
+class Relay(Proxy):
     """Carries the messages from one entry host to another, unless it is cut."""
 
     def __init__(self, source: str, destination: str, address: str, onward: str) -> None:
+        super().__init__(address, onward)
         self.ends = {source, destination}
         self.cut = False
-        self._address = address
-        self._onward = onward
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
-        host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        host, _, port = self._onward.rpartition(":")
-        try:
-            onward_reader, onward_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        pair = {writer, onward_writer}
-        self._writers |= pair
-        await asyncio.gather(self._pump(reader, onward_writer), self._pump(onward_reader, writer))
-        self._writers -= pair
-
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while data := await reader.read(65536):
-                if not self.cut:
-                    writer.write(data)
-                    await writer.drain()
-        except OSError:
-            pass
-        writer.transport.abort()
+    async def _passes(self, writer: asyncio.StreamWriter, way: str) -> bool:
+        return not self.cut
 
     def heal(self) -> None:
         """Ends the cut; connections that lost bytes are closed, and the entry hosts reconnect."""
         if self.cut:
             self.cut = False
-            for writer in self._writers:
-                writer.transport.abort()
-
-    def close(self) -> None:
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
+            self.reset()
 
 
 class Deployment(Launcher):
--- a/features/soak_faults.py
+++ b/features/soak_faults.py
@@ -6,6 +6,8 @@
 import signal
 from typing import TYPE_CHECKING, NamedTuple
 
+from proxies import BACK, OUT, Proxy
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
@@ -16,58 +18,32 @@
 
 # Longest time in seconds from SIGTERM to the end of an entry host.
 STOP_SECONDS = 8.0
-READ_BYTES = 65_536
 
 
 class LinkState(NamedTuple):
-    """How a proxy treats its connections; ``dropped`` is the direction whose bytes are lost."""
+    """How a proxy treats its connections; ``dropped`` is the direction that loses its bytes."""
 
     delay: float = 0.0
     dropped: str = ""
 
 
-class FaultProxy:
-    """Loopback proxy in front of one address, for callers on one side of a link."""
+class FaultProxy(Proxy):
+    """Proxy that delays, loses one direction, and lets connections go silent."""
 
     def __init__(self, address: str, onward: str) -> None:
-        self.address = address
+        super().__init__(address, onward)
         self.state = LinkState()
-        self._onward = onward
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-        # Writers of connections that have gone silent for good.
+        # Writers of connections that have gone silent for good; their sockets stay open.
         self._silent: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+    async def _passes(self, writer: asyncio.StreamWriter, way: str) -> bool:
+        if self.state.delay:
+            await asyncio.sleep(self.state.delay)
+        return writer not in self._silent and self.state.dropped != way
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        host, _, port = self._onward.rpartition(":")
-        try:
-            onward_reader, onward_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        pair = {writer, onward_writer}
-        self._writers |= pair
-        await asyncio.gather(
-            self._pump(reader, onward_writer, "out"), self._pump(onward_reader, writer, "back")
-        )
-        self._writers -= pair
-
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: str):
-        try:
-            while data := await reader.read(READ_BYTES):
-                if self.state.delay:
-                    await asyncio.sleep(self.state.delay)
-                if writer not in self._silent and self.state.dropped != way:
-                    writer.write(data)
-                    await writer.drain()
-        except OSError:
-            pass  # The other side has gone; the connection ends below.
+    def _end(self, writer: asyncio.StreamWriter) -> None:
         if writer not in self._silent:
-            writer.transport.abort()
+            super()._end(writer)
 
     def reset(self) -> None:
         """Ends all connections that are not silent."""
@@ -79,8 +55,8 @@
         self._silent |= self._writers
 
     def close(self) -> None:
-        self._server.close()
-        for writer in self._writers | self._silent:
+        super().close()
+        for writer in self._silent:
             writer.transport.abort()
 
 
@@ -168,7 +144,7 @@
 @fault("link-one-way")
 async def cut_link(run: SoakDeployment, random: Random) -> str:
     name, link = _choose_link(run, random)
-    link.state = LinkState(dropped=random.choice(["out", "back"]))
+    link.state = LinkState(dropped=random.choice([OUT, BACK]))
     await asyncio.sleep(random.uniform(0.5, 5.0))
     # Bytes were lost, so the connections can't go on.
     link.reset()
