--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -17,7 +17,6 @@
 )
 from workflow_builders import build_workflow
 
-from carawayd.partition.ledger import PRODUCER, WORKFLOWS_TOPIC
 from carawayd.partition.owner import Reply
 
 
@@ -546,88 +545,3 @@
         return all(document.get("pending") == count for _, document, _ in answers)
 
     platform.run(platform.wait_until(told, f"{count} job waits", 3.0))
-
-
-@when(
-    "a caller that comes back when told to submits job {number:d} of {count:d} tasks"
-    " through {member}"
-)
-def submit_patiently(context, number, count, member):
-    platform = context.platform
-
-    async def act():
-        # One rejection is true while the first record after the outage is on its way.
-        for _ in range(2):
-            identifier, document = build_identifier(number), build_job(count)
-            status, _, headers = await platform.call("POST", member, identifier, document)
-            if status not in (429, 503):
-                break
-            await asyncio.sleep(float(headers["Retry-After"]))
-        return status
-
-    status = platform.run(act())
-    assert status == 200, status
-
-
-@then("every entry host is {state} within {seconds:g} s")
-def expect_readiness(context, state, seconds):
-    platform = context.platform
-    for host in platform.hosts.values():
-
-        async def has_state(host=host):
-            return await platform.is_ready(host) == (state == "ready")
-
-        platform.run(platform.wait_until(has_state, f"{host.settings.member} {state}", seconds))
-
-
-@then("every entry host is unready within {seconds:g} s and closes its callers' connections")
-def expect_closing(context, seconds):
-    expect_readiness(context, "unready", seconds)
-    platform = context.platform
-    for member in platform.hosts:
-        _, _, headers = platform.run(platform.call("GET", member, build_identifier(77)))
-        assert headers.get("Connection") == "close", headers
-
-
-@then("each task of job {number:d} ended well once")
-def expect_job_done_once(context, number):
-    done = context.platform.count_done()
-    counts = [done[task] for task in done if task.startswith(build_identifier(number))]
-    assert counts and set(counts) == {1}, done
-
-
-@given("the owner of the jobs")
-def keep_owner(context):
-    platform = context.platform
-    member = platform.run(platform.await_owner())
-    owners = platform.hosts[member].ownership.owners.values()
-    context.former = next(owner for owner in owners if owner.loaded and not owner.lost)
-
-
-@then("the former owner does not know whether there is a job {number:d}")
-def expect_no_answer(context, number):
-    # It believes that it still owns the partition, as between two renewals of its membership.
-    reply = context.platform.run(context.former.cancel(build_identifier(number)))
-    assert reply.outcome == "unready", reply
-
-
-@then("a cancel of job {number:d} through {member} is answered {status:d}")
-def expect_cancel(context, number, member, status):
-    call = context.platform.call("DELETE", member, build_identifier(number))
-    found, _, _ = context.platform.run(call)
-    assert found == status, found
-
-
-@when("a later epoch has been set for its partition")
-def set_later_epoch(context):
-    owner = context.former
-    context.platform.run(
-        owner.ledger._store.append(
-            WORKFLOWS_TOPIC,
-            owner.partition,
-            b"",
-            producer=PRODUCER,
-            epoch=owner.fence + 100,
-            sequence=0,
-        )
-    )
