--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -39,7 +39,7 @@
 
 
 class Demand:
-    """What runs, waits and was rejected, by service.
+    """What runs, waits and was submitted lately, by service.
 
     Parameters
     ----------
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -79,8 +79,8 @@
 # Keys of the ledger that tell since when a worker has not been heard.
 SILENCE_PREFIX = "~"
 # Keys of the ledger that tell until when a worker gets no new tasks.
-# Keys of the ledger that keep the learned run times of a queue, and how many are learned between.
 CORDON_PREFIX = "!"
+# Keys of the ledger that keep the learned run times of a queue, and how many are learned between.
 RUNTIME_PREFIX = "="
 RUNTIME_INTERVAL = 8
 # Key of a record without value, which only proves that its writer still owns the partition.
