Let no order to a machine follow one of a later holder, whatever the service checks

Cause: where the machines service checks no fencing token, an order of a former holder that is carried out late, or sent by a process that was paused meanwhile, takes effect after one of its successor. A holder whose ledger another one had taken kept the partition without being able to order anything. Change: each order is recorded as sent, then as answered; a new holder waits from its own takeover, by its own monotonic clock: the lease after an answered order, 13 s after an unanswered one, whose machine stays cordoned and counts as down for its wave. The permission to order is checked again once a connection is there; sockets discard unsent data when a call times out; a server error other than 503 no longer counts as "had no effect". A holder whose ledger is lost rejoins the group. Tasks of services restart after an unexpected error instead of ending the process. Ruled out: waiting by the age of a record (clocks of hosts differ).

--- a/features/fleet_manager.feature
+++ b/features/fleet_manager.feature
@@ -6,7 +6,47 @@
     Given a holder of the fleet that has ordered machine m1
     When another holder takes over at once
     Then it may order m2 but not m1
-    And after 6 s it may order m1
+    And after 4 s it may order m1
+
+  Scenario Outline: The wait of a new holder does not follow the time of day
+    # Guards against a wait between two holders that a jump of the time of day cuts short, or
+    # stretches by the length of the jump.
+    Given a holder of the fleet that has ordered machine m1
+    When its time of day jumps by <jump> s and another holder takes over
+    Then it may order m2 but not m1
+    And after 4 s it may order m1
+
+    Examples:
+      | jump |
+      | 9    |
+      | -9   |
+      | 3600 |
+
+  Scenario: A new holder leaves a machine alone while an unanswered order may still be executed
+    # Where the machines service checks no fencing token, it would execute the former holder's order
+    # after one of the new holder (rule ONE), on a machine that has tasks again (rule AVAIL).
+    Given a holder of the fleet whose order for machine m1 got no response
+    When another holder takes over at once
+    Then m1 counts as one that an order may still end
+    And after 11 s it may not order m1
+    And after 3 s it may order m1
+
+  Scenario: A machine that was ordered some time ago is free at once
+    Given a holder of the fleet that has ordered machine m1 5 s ago
+    When another holder takes over at once
+    Then it may order m1
+
+  Scenario: A holder whose permission ends before its order is sent does not send it
+    Given a holder of the fleet that has ordered machine m1
+    When its membership ends while the order for m2 waits for a connection
+    Then no order for m2 was sent
+
+  Scenario: A holder that was replaced without noticing rejoins the group
+    # Guards against a fleet that nobody manages: the process that lost the ledger to another
+    # holder, and was assigned the partition again, kept it without being able to order anything.
+    Given a holder of the fleet that has ordered machine m1
+    When another holder takes over and writes to the ledger
+    Then the former holder has to rejoin the group once it has tried to order m2
 
   Scenario: A deposed holder can order nothing any more
     Given a holder of the fleet that has ordered machine m1
--- a/features/fleet_manager_builders.py
+++ b/features/fleet_manager_builders.py
@@ -4,13 +4,15 @@
 
 import asyncio
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from platform_builders import RUN_LIMIT_S
 
 from carawayd.partition.ledger import OwnershipLost
 from carawayd.platform.api import build_client
+from carawayd.platform.common import PermissionEnded, PlatformError
 from carawayd.process.fleetmanager import FleetManager
+from carawayd.process.machineorders import RECORD_INTERVAL
 from carawayd.process.site import SITE_FIELDS, SiteSettings
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayshore.clock import SystemClock
@@ -19,15 +21,22 @@
 from carawayshore_standins.platform_store import PlatformStore
 from carawayshore_standins.ports import PortReserver
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class ShiftedClock(SystemClock):
-    """System clock whose time of day tests can shift forward."""
+    """System clock that tests can advance, and whose time of day they can shift."""
 
     def __init__(self) -> None:
-        self.shift = timedelta()
+        self.advance = timedelta()
+        self.jump = timedelta()
 
     def now(self) -> Any:
-        return super().now() + self.shift
+        return super().now() + self.advance + self.jump
+
+    def elapsed(self) -> timedelta:
+        return super().elapsed() + self.advance
 
 
 class FakeOwnership:
@@ -42,13 +51,26 @@
 
 
 class RecordingMachines:
-    """Accepts and records every order."""
+    """Accepts and records every order, whatever its fencing token.
+
+    Attributes
+    ----------
+    loses_responses : bool
+        Let every order fail without a response.
+    """
 
     def __init__(self) -> None:
         self.orders: list[tuple[str, str, int]] = []
+        self.loses_responses = False
 
-    async def begin_upkeep(self, machine: str, wave: int, *, holder: str, fence: int) -> None:
+    async def begin_upkeep(
+        self, machine: str, wave: int, *, holder: str, fence: int, may_send: Callable[[], bool]
+    ) -> None:
+        if not may_send():
+            raise PermissionEnded("the permission to send ended")
         self.orders.append((machine, holder, fence))
+        if self.loses_responses:
+            raise PlatformError("no response")
 
 
 class FleetHarness:
@@ -112,6 +134,11 @@
 
     async def begin_upkeep(self, manager: FleetManager, machine: str, wave: int) -> None:
         await manager._start_upkeep(Wave(wave, (machine,), 20.0, 1), machine)
+        self.clock.advance += RECORD_INTERVAL
+        await self.record_orders(manager)
+
+    async def record_orders(self, manager: FleetManager) -> None:
+        manager._orders.record_progress()
         await manager._ledger.flush()
 
     def close(self) -> None:
--- a/features/steps/fleet_manager_steps.py
+++ b/features/steps/fleet_manager_steps.py
@@ -13,7 +13,24 @@
     context.fleet = FleetHarness()
     context.add_cleanup(context.fleet.close)
     context.former = context.fleet.run(context.fleet.start_holder(1))
-    assert context.fleet.run(context.fleet.may_order(context.former, machine))
+    context.fleet.run(context.fleet.begin_upkeep(context.former, machine, 3))
+    assert [order[0] for order in context.fleet.machines.orders] == [machine]
+
+
+@given("a holder of the fleet whose order for machine {machine:w} got no response")
+def order_machine_unanswered(context, machine):
+    context.fleet = FleetHarness()
+    context.add_cleanup(context.fleet.close)
+    context.fleet.machines.loses_responses = True
+    context.former = context.fleet.run(context.fleet.start_holder(1))
+    context.fleet.run(context.fleet.begin_upkeep(context.former, machine, 3))
+
+
+@given("a holder of the fleet that has ordered machine {machine:w} {seconds:d} s ago")
+def order_machine_earlier(context, machine, seconds):
+    order_machine(context, machine)
+    context.fleet.clock.advance += timedelta(seconds=seconds)
+    context.fleet.run(context.fleet.record_orders(context.former))
 
 
 @given("a holder of the fleet that has begun the upkeep of {machine:w} in wave {wave:d}")
@@ -44,10 +61,66 @@
 
 @then("after {seconds:d} s it may order {machine:w}")
 def expect_order_after(context, seconds, machine):
-    context.fleet.clock.shift = timedelta(seconds=seconds)
+    context.fleet.clock.advance += timedelta(seconds=seconds)
     assert context.fleet.run(context.fleet.may_order(context.holder, machine))
 
 
+@then("after {seconds:d} s it may not order {machine:w}")
+def expect_no_order_after(context, seconds, machine):
+    context.fleet.clock.advance += timedelta(seconds=seconds)
+    assert not context.fleet.run(context.fleet.may_order(context.holder, machine))
+
+
+@then("it may order {machine:w}")
+def expect_order(context, machine):
+    assert context.fleet.run(context.fleet.may_order(context.holder, machine))
+
+
+@then("{machine:w} counts as one that an order may still end")
+def expect_unanswered(context, machine):
+    assert machine in context.holder._orders.list_unanswered()
+
+
+@when("another holder takes over on a host whose time of day is {seconds:d} s ahead")
+def take_over_ahead(context, seconds):
+    context.fleet.clock.jump = timedelta(seconds=seconds)
+    take_over(context)
+
+
+@when("its time of day jumps by {seconds:d} s and another holder takes over")
+def jump_and_take_over(context, seconds):
+    take_over_ahead(context, seconds)
+
+
+@when("its membership ends while the order for {machine:w} waits for a connection")
+def end_membership_before_sending(context, machine):
+    ownership = context.former._ownership
+
+    async def act():
+        calls = iter([True, True])
+        ownership.is_current = lambda: next(calls, False)
+        await context.fleet.begin_upkeep(context.former, machine, 3)
+
+    context.fleet.run(act())
+
+
+@then("no order for {machine:w} was sent")
+def expect_not_sent(context, machine):
+    assert machine not in [order[0] for order in context.fleet.machines.orders]
+
+
+@when("another holder takes over and writes to the ledger")
+def take_over_and_write(context):
+    take_over(context)
+    assert context.fleet.run(context.fleet.may_order(context.holder, "m9"))
+
+
+@then("the former holder has to rejoin the group once it has tried to order {machine:w}")
+def expect_fenced(context, machine):
+    assert not context.fleet.run(context.fleet.may_order(context.former, machine))
+    assert context.former.fenced
+
+
 @then("the former holder may order neither {first:w} nor {second:w}")
 def expect_no_orders(context, first, second):
     fleet = context.fleet
--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayd.process.settings import Settings
 
+# The only server error after which nothing was done.
+SERVICE_UNAVAILABLE = 503
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Longer than the intervals between calls to one service, so that connections are reused.
 KEEPALIVE_SECONDS = 60.0
@@ -23,7 +30,19 @@
 
 
 class PlatformUnreached(PlatformError):
-    """No connection was made, so the call had no effect."""
+    """The request was not sent, so the call had no effect."""
+
+
+class NothingListens(PlatformUnreached):
+    """The connection was refused: no process listens at the address."""
+
+
+class PermissionEnded(PlatformUnreached):
+    """The caller's permission ended before the request was sent."""
+
+
+class PlatformFailure(PlatformError):
+    """The service responded with a server error; it is unknown whether the call took effect."""
 
 
 class PlatformRefusal(PlatformError):
@@ -46,6 +65,41 @@
         self.retry_after = retry_after
 
 
+class _Attempt:
+    """State of one request: the permission to send it, and whether sending has begun."""
+
+    __slots__ = ("may_send", "sent")
+
+    def __init__(self, may_send: Callable[[], bool] | None) -> None:
+        self.may_send = may_send
+        self.sent = False
+
+
+_current_attempt: ContextVar[_Attempt] = ContextVar("attempt")
+
+
+class _GuardedRequest(aiohttp.ClientRequest):
+    """Request that is sent only if its permission still holds once a connection is available."""
+
+    async def send(self, conn: Any) -> aiohttp.ClientResponse:
+        attempt = _current_attempt.get()
+        if attempt.may_send is not None and not attempt.may_send():
+            raise PermissionEnded(f"{self.method} {self.url.path}: the permission to send ended")
+        attempt.sent = True
+        return await super().send(conn)
+
+
+def _open_socket(address: tuple[Any, ...]) -> socket.socket:
+    """Opens a socket that discards unsent data when it is closed.
+
+    Otherwise, the system would deliver a request that has timed out once a partition heals.
+    """
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return opened
+
+
 class PlatformClient:
     """HTTP client of one service of the platform."""
 
@@ -60,10 +114,14 @@
     def _open_session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=self.settings.options.log_timeout.total_seconds())
         if self.force_close:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_open_socket)
         else:
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
-        return aiohttp.ClientSession(timeout=timeout, connector=connector)
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=KEEPALIVE_SECONDS, socket_factory=_open_socket
+            )
+        return aiohttp.ClientSession(
+            timeout=timeout, connector=connector, request_class=_GuardedRequest
+        )
 
     async def close(self) -> None:
         await self._session.close()
@@ -83,13 +141,24 @@
         data: bytes | None = None,
         timeout: float | None = None,
         headers: dict[str, str] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> tuple[aiohttp.ClientResponse, bytes]:
         """Sends one request and returns the response with its complete body.
 
+        Parameters
+        ----------
+        method, path : str
+        data : bytes, optional
+        timeout : float, optional
+            Seconds for the whole call.
+        headers : dict of str to str, optional
+        may_send : callable, optional
+            Returns whether the request may still be sent; called once a connection is available.
+
         Raises
         ------
         PlatformUnreached
-            If no connection was made.
+            If the request was not sent.
         PlatformError
             If there was no complete response.
         """
@@ -97,6 +166,8 @@
         if timeout:
             extra["timeout"] = aiohttp.ClientTimeout(total=timeout)
         session = self._session
+        attempt = _Attempt(may_send)
+        _current_attempt.set(attempt)
         try:
             async with session.request(method, self.url + path, **extra) as response:
                 body = await response.content.read(MAX_RESPONSE_BYTES)
@@ -108,11 +179,14 @@
                         )
                 return response, body
         except aiohttp.ClientConnectorError as error:
-            raise PlatformUnreached(f"{method} {path}: {error}") from error
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            kind = NothingListens if refused else PlatformUnreached
+            raise kind(f"{method} {path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if isinstance(error, TimeoutError) and session is self._session:
                 self._replace_session()
-            raise PlatformError(f"{method} {path}: {type(error).__name__}: {error}") from error
+            kind = PlatformError if attempt.sent else PlatformUnreached
+            raise kind(f"{method} {path}: {type(error).__name__}: {error}") from error
 
     async def call(
         self,
@@ -122,13 +196,18 @@
         body: Any = None,
         timeout: float | None = None,
         headers: dict[str, str] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Any:
         """Calls the service and returns the decoded JSON of the response.
 
+        The parameters are those of :meth:`send_request`.
+
         Raises
         ------
         PlatformRefusal
-            If the service responded with a status of 400 or more.
+            If the service rejected the call, with a status of 400 to 499, or 503.
+        PlatformUnreached
+            If the request was not sent.
         PlatformError
             If there was no valid response.
         """
@@ -137,7 +216,7 @@
             data = msgspec.json.encode(body)
             headers = {**(headers or {}), "Content-Type": "application/json"}
         response, text = await self.send_request(
-            method, path, data=data, timeout=timeout, headers=headers
+            method, path, data=data, timeout=timeout, headers=headers, may_send=may_send
         )
         return self._decode_response(response, text)
 
@@ -151,5 +230,7 @@
         if response.status >= 400:
             retry_after = response.headers.get("Retry-After", "0")
             seconds = float(retry_after) if retry_after.replace(".", "", 1).isdigit() else 0.0
+            if response.status >= 500 and response.status != SERVICE_UNAVAILABLE:
+                raise PlatformFailure(f"the service failed with status {response.status}")
             raise PlatformRefusal(response.status, document, seconds)
         return document
--- a/packages/carawayd/src/carawayd/platform/machines.py
+++ b/packages/carawayd/src/carawayd/platform/machines.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
 from carawayd.platform.plugins import platform_client
 from carawayshore.workflows.model import Machine
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 MACHINE_STATES = {"up": "up", "moving": "moving", "upkeep": "upkeep", "down": "down"}
 CALL_TIMEOUT_SECONDS = 1.5
 MAX_PAGES = 1_000
@@ -30,7 +33,10 @@
 
 @platform_client("machines")
 class MachinesClient(PlatformClient):
-    """Lists machines and sends orders, whose holder and fencing token each machine checks."""
+    """Lists machines and sends orders.
+
+    Each order names its holder and fencing token, which the service need not check.
+    """
 
     async def list_machines(self) -> list[Machine]:
         """Returns all machines; raises PlatformError if there was no valid response."""
@@ -48,32 +54,52 @@
                 break
         return machines
 
-    async def _order(self, path: str, body: dict[str, Any], holder: str, fence: int) -> None:
+    async def _order(
+        self,
+        path: str,
+        body: dict[str, Any],
+        holder: str,
+        fence: int,
+        may_send: Callable[[], bool],
+    ) -> None:
         headers = {"Lease-Holder": holder, "Fencing-Token": str(fence)}
         try:
-            await self.call("POST", path, body=body, headers=headers, timeout=CALL_TIMEOUT_SECONDS)
+            await self.call(
+                "POST",
+                path,
+                body=body,
+                headers=headers,
+                timeout=CALL_TIMEOUT_SECONDS,
+                may_send=may_send,
+            )
         except PlatformRefusal as refusal:
             document = refusal.document if isinstance(refusal.document, dict) else {}
             reason = document.get("reason") if refusal.status == 409 else None
             raise MachineRefused(str(reason or f"status {refusal.status}")) from refusal
 
-    async def move(self, machine: str, pool: str, *, holder: str, fence: int) -> None:
+    async def move(
+        self, machine: str, pool: str, *, holder: str, fence: int, may_send: Callable[[], bool]
+    ) -> None:
         """Moves a machine to a pool, which ends everything that runs on it at once.
 
+        ``may_send`` is called before the order is sent.
+
         Raises
         ------
-        MachineRefused
+        MachineRefused, PlatformUnreached
             If the order had no effect.
         PlatformError
             If it is unknown whether the move has started or will start.
         """
         body = {"machine": machine, "pool": pool}
-        await self._order("/api/machine-move", body, holder, fence)
+        await self._order("/api/machine-move", body, holder, fence, may_send)
 
-    async def begin_upkeep(self, machine: str, wave: int, *, holder: str, fence: int) -> None:
+    async def begin_upkeep(
+        self, machine: str, wave: int, *, holder: str, fence: int, may_send: Callable[[], bool]
+    ) -> None:
         """Starts the upkeep of a machine; raises the same errors as :meth:`move`."""
         body = {"machine": machine, "wave": wave}
-        await self._order("/api/machine-upkeep", body, holder, fence)
+        await self._order("/api/machine-upkeep", body, holder, fence, may_send)
 
 
 def _decode_machine(item: dict[str, Any]) -> Machine:
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -12,11 +12,13 @@
 
 from carawayd.partition.ledger import FLEET_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.owner import ACCEPTED, FOUND
-from carawayd.platform.common import PlatformError
+from carawayd.platform.common import PlatformError, PlatformUnreached
 from carawayd.platform.documents import WAVE_PREFIX, encode_wave_state
 from carawayd.platform.machines import MachineRefused
 from carawayd.platform.store import STATUS_TOPIC, KeyedRecord, encode_records
+from carawayd.process.machineorders import MAX_ORDER_DELAY, ORDER_PREFIX, MachineOrders
 from carawayd.process.ownercalls import CORDON, REPORT_LOAD, UNCORDON
+from carawayd.supervision import supervised_task
 from carawayshore.workflows.model import ServiceLoad, WorkerLoad
 from carawayshore.workflows.pools import PoolSizer, PoolView, choose_moves
 from carawayshore.workflows.upkeep import (
@@ -41,17 +43,12 @@
 
 CONTROL_INTERVAL = timedelta(milliseconds=150)
 OWNER_CALL_TIMEOUT_SECONDS = 0.5
-# An order without a response may still be executed for this long; until then, no move is chosen
-# for its machine.
-MAX_ORDER_DELAY_SECONDS = 13.0
 # Cordons expire unless renewed, so that a crashed fleet manager does not block workers.
 CORDON_LIFETIME_SECONDS = 6.0
+# Interval at which the cordon of a machine is renewed for an unanswered order alone.
+CORDON_RENEWAL_INTERVAL = timedelta(seconds=3)
 # Lifetime of the cordon of a machine whose last order got no response.
-UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS = MAX_ORDER_DELAY_SECONDS + 1.0
-# Allowance for the difference between the clocks of two successive holders.
-CLOCK_SKEW_MARGIN_MS = 2_500
-# Ledger keys whose value is the time of the last order for a machine, in Unix ms.
-ORDER_PREFIX = "order/"
+UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS = MAX_ORDER_DELAY.total_seconds() + 1.0
 
 
 class FleetManager(Service):
@@ -89,9 +86,8 @@
         metrics: WorkflowMetrics,
     ) -> None:
         super().__init__()
-        # Set when a machine rejects the fencing token because it has seen a higher one: the process
-        # must rejoin the group.
-        self.fenced = False
+        # Set when a machine rejects the fencing token because it has seen a higher one.
+        self._is_token_rejected = False
         # Set once the records of the previous holder have been read.
         self.loaded = asyncio.Event()
         self._store = store
@@ -104,7 +100,7 @@
         self._metrics = metrics
         self._is_holder = False
         self._fence = 0
-        self._previous_orders_ms: dict[str, int] = {}
+        self._orders: MachineOrders | None = None
         self._ledger: Ledger | None = None
         self._begun_by_wave: dict[int, set[str]] = {}
         self._completed_waves: set[int] = set()
@@ -119,16 +115,21 @@
         self._order_tasks: dict[str, asyncio.Task[None]] = {}
         # Machine to destination pool.
         self._pending_moves: dict[str, str] = {}
-        # Machine to the time until which an order without a response may still be executed.
-        self._order_possible_until: dict[str, timedelta] = {}
+        # Machine to the time of the last cordon for an unanswered order.
+        self._cordoned_at: dict[str, timedelta] = {}
         self._pool_sizes = PoolSizer()
 
+    @property
+    def fenced(self) -> bool:
+        """Whether another holder has taken over, so that the process must rejoin the group."""
+        return self._is_token_rejected or (self._ledger is not None and self._ledger.lost)
+
     async def set_holder(self, is_holder: bool, generation: int) -> None:
         """Starts or stops managing the fleet; ``generation`` becomes the fencing token."""
         if is_holder == self._is_holder:
             return
         self._is_holder = is_holder
-        self.fenced = False
+        self._is_token_rejected = False
         logger.info(
             "fleet partition acquired" if is_holder else "fleet partition released",
             extra={"fields": {"generation": generation}},
@@ -136,9 +137,9 @@
         if is_holder:
             self._fence = generation
             self._pending_upkeep, self._down_until, self._pending_moves = {}, {}, {}
-            self._previous_orders_ms = {}
             self.loaded.clear()
             self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock, self._metrics)
+            self._orders = MachineOrders(self._clock, self._settings, self._ledger)
             asyncio.ensure_future(self._load(self._ledger))
         elif self._ledger is not None:
             ledger, self._ledger = self._ledger, None
@@ -148,12 +149,12 @@
         try:
             await ledger.take_over(self._fence)
         except OwnershipLost:
-            self.fenced = True
+            self._is_token_rejected = True
             return
         records = await ledger.read_records()
         for key, value in records:
-            if key.startswith(ORDER_PREFIX) and value.isdigit():
-                self._previous_orders_ms[key.removeprefix(ORDER_PREFIX)] = int(value)
+            if key.startswith(ORDER_PREFIX):
+                self._orders.restore(key.removeprefix(ORDER_PREFIX), value)
             if not key.startswith(WAVE_PREFIX):
                 continue
             try:
@@ -181,25 +182,25 @@
     async def _prepare_order(self, name: str) -> bool:
         """Records an upcoming order for a machine; returns whether the order may be sent.
 
-        Two holders must not send orders for the same machine within its lease. The previous holder
-        recorded each order before sending it, and cannot write to the ledger after the takeover.
+        The record cannot be written after another holder has taken over.
         """
-        if not self._may_order():
-            return False
-        min_interval_ms = self._settings.machine_lease_ms + CLOCK_SKEW_MARGIN_MS
-        now = int(self._clock.now().timestamp() * 1000)
-        if now - self._previous_orders_ms.get(name, 0) < min_interval_ms:
+        if not self._may_order() or self._orders.is_blocked(name):
             return False
-        self._ledger.mark_dirty(f"{ORDER_PREFIX}{name}", lambda: str(now).encode())
+        self._orders.record_sending(name)
         await self._ledger.flush()
-        return self._may_order()
+        if not self._may_order():
+            self._orders.record_unsent(name)
+            return False
+        return True
 
-    @Service.task
+    @supervised_task
     async def _manage(self) -> None:
         while not self.should_stop:
             if self._may_order():
                 try:
+                    self._orders.record_progress()
                     await self._read_fleet()
+                    await self._cordon_machines_with_unanswered_orders()
                     await self._manage_waves()
                     await self._manage_pools()
                 except (PlatformError, OwnershipLost) as error:
@@ -263,7 +264,7 @@
                 self._pending_upkeep,
                 self._pending_moves,
                 self._down_until,
-                self._list_unanswered_orders(),
+                self._orders.list_unanswered(),
             ),
             {},
         )
@@ -290,13 +291,25 @@
             )
         )
 
-    def _list_unanswered_orders(self) -> set[str]:
-        """Returns the machines for which an order without a response may still be executed."""
-        now = self._clock.elapsed()
-        for name, until in list(self._order_possible_until.items()):
-            if now > until:
-                del self._order_possible_until[name]
-        return set(self._order_possible_until)
+    async def _cordon_machines_with_unanswered_orders(self) -> None:
+        """Keeps tasks off machines for which an order may yet be executed.
+
+        The order may come from an earlier holder. Machines that are selected for a move or for
+        upkeep are cordoned as part of that.
+        """
+        selected = self._pending_moves.keys() | self._pending_upkeep.keys()
+        now, standby = self._clock.elapsed(), self._list_standby()
+        for name in self._orders.list_unanswered() - selected:
+            machine = self._machines.get(name)
+            if machine is None or machine.pool in standby:
+                continue
+            if (
+                now - self._cordoned_at.get(name, -CORDON_RENEWAL_INTERVAL)
+                < CORDON_RENEWAL_INTERVAL
+            ):
+                continue
+            if await self._cordon(machine) is not None:
+                self._cordoned_at[name] = now
 
     async def _advance_move(self, name: str, pool: str, standby: frozenset[str]) -> None:
         """Cordons the machine of a move, then orders the move, or cancels it if tasks run there."""
@@ -329,16 +342,26 @@
         outcome: Any = "moved"
         try:
             await self._machines_client.move(
-                name, pool, holder=self._ownership.member, fence=self._fence
+                name,
+                pool,
+                holder=self._ownership.member,
+                fence=self._fence,
+                may_send=self._may_order,
             )
         except MachineRefused as refusal:
             outcome = refusal.reason
+            self._orders.record_answer(name)
             self._pending_moves.pop(name, None)
             if refusal.reason == "fence":
-                self.fenced = True
+                self._is_token_rejected = True
+        except PlatformUnreached as error:
+            outcome = str(error)
+            self._orders.record_unsent(name)
         except PlatformError as error:
+            # The order may still be executed, as its record says.
             outcome = str(error)
-            self._note_unanswered_order(name)
+        else:
+            self._orders.record_answer(name)
         self._metrics.machine_orders.labels("move", str(outcome)[:40]).inc()
         logger.info(
             "move order attempted",
@@ -364,10 +387,12 @@
             machine = self._machines.get(name)
             if now > until and (machine is None or machine.state == "up"):
                 del self._down_until[name]
+        unanswered = self._orders.list_unanswered()
         down = {
             name
             for name in wave.machines
             if name in self._down_until
+            or name in unanswered
             or (name in self._machines and self._machines[name].state == "upkeep")
         }
         pending = {name for name, number in self._pending_upkeep.items() if number == wave.number}
@@ -443,7 +468,7 @@
         partition = self._discovery.find_partition(machine.pool)
         if partition is None or not machine.worker:
             return None
-        unanswered = machine.machine in self._order_possible_until
+        unanswered = machine.machine in self._orders.list_unanswered()
         argument = [
             machine.worker,
             UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS if unanswered else CORDON_LIFETIME_SECONDS,
@@ -462,12 +487,6 @@
                 partition, UNCORDON, machine.worker, OWNER_CALL_TIMEOUT_SECONDS
             )
 
-    def _note_unanswered_order(self, name: str) -> None:
-        """Notes that an order without a response may still be executed."""
-        self._order_possible_until[name] = self._clock.elapsed() + timedelta(
-            seconds=MAX_ORDER_DELAY_SECONDS
-        )
-
     async def _start_upkeep(self, wave: Wave, name: str) -> None:
         """Orders the upkeep of one machine and records that it has begun."""
         try:
@@ -480,20 +499,29 @@
         outcome: Any = "begun"
         try:
             await self._machines_client.begin_upkeep(
-                name, wave.number, holder=self._ownership.member, fence=self._fence
+                name,
+                wave.number,
+                holder=self._ownership.member,
+                fence=self._fence,
+                may_send=self._may_order,
             )
         except MachineRefused as refusal:
             outcome = refusal.reason
+            self._orders.record_answer(name)
             self._down_until.pop(name, None)
             if refusal.reason == "fence":
-                self.fenced = True
+                self._is_token_rejected = True
             elif refusal.reason == "wave":
                 self._pending_upkeep.pop(name, None)
+        except PlatformUnreached as error:
+            outcome = str(error)
+            self._orders.record_unsent(name)
+            self._down_until.pop(name, None)
         except PlatformError as error:
             # The order may still be executed: count the machine as down and repeat the order.
             outcome = str(error)
-            self._note_unanswered_order(name)
         else:
+            self._orders.record_answer(name)
             self._pending_upkeep.pop(name, None)
             self._down_until[name] = self._clock.elapsed() + timedelta(seconds=1)
             begun = self._begun_by_wave.setdefault(wave.number, set())
