--- a/features/platform.feature
+++ b/features/platform.feature
@@ -233,6 +233,23 @@
     When a submission of job 1 reaches its owner 3 s after it was forwarded
     Then job 1 is unknown through either entry host
 
+  Scenario Outline: An entry host whose time of day is wrong still forwards submissions
+    # Guards against submissions that the owner drops as too old, or takes in however old they are,
+    # because two hosts' times of day are compared.
+    When the time of day on entry-0 jumps by <jump> s
+    Then jobs 1 to 4 are accepted at once through each entry host
+
+    Examples:
+      | jump |
+      | 9    |
+      | -9   |
+
+  Scenario: A submission reaches an owner that has been restarted since the last call
+    Then jobs 1 to 2 are accepted at once through each entry host
+    When entry-0 is restarted as another process at its address
+    And entry-1 is restarted as another process at its address
+    Then jobs 3 to 4 are accepted at once through each entry host
+
   Scenario: A rejection after an attempt without answer is not told as one
     When the first owner does not answer a submission and the second one rejects it
     Then the caller's entry host reports its outcome as unknown
--- a/features/platform_builders.py
+++ b/features/platform_builders.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any
 
 import aiohttp
@@ -65,6 +65,16 @@
     return f"{number:016x}"
 
 
+class JumpingClock(SystemClock):
+    """System clock whose time of day tests can shift."""
+
+    def __init__(self) -> None:
+        self.jump = timedelta()
+
+    def now(self) -> datetime:
+        return super().now() + self.jump
+
+
 class PlatformHarness:
     """Entry hosts that run against a stand-in store and stand-in workers.
 
@@ -75,6 +85,7 @@
         self._loop = asyncio.new_event_loop()
         self._ports = PortReserver()
         self._clock = SystemClock()
+        self.clocks: dict[str, JumpingClock] = {}
         self.store = PlatformStore()
         self._store_address = self._ports.reserve()
         self.workers: dict[str, PlatformWorker] = {}
@@ -113,7 +124,8 @@
         return SiteSettings(**fill_defaults(SITE_FIELDS, document))
 
     async def start_host(self, member: str) -> None:
-        host = EntryHost(self._build_settings(member), self._clock)
+        self.clocks[member] = JumpingClock()
+        host = EntryHost(self._build_settings(member), self.clocks[member])
         self.hosts[member] = host
         await host.start()
         await self.wait_until(lambda: self.is_ready(host), f"{member} is ready")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-import time
+from datetime import timedelta
 
 import msgspec
 from behave import given, then, when
@@ -18,6 +18,8 @@
 from workflow_builders import build_workflow
 
 from carawayd.partition.owner import Reply
+from carawayd.process.exchange import EXPIRED, READ_CLOCK, PeerUnreachable
+from carawayd.process.ownercalls import MAX_SUBMISSION_AGE_SECONDS
 
 
 @given("{hosts:d} entry hosts and {workers:d} workers on the platform")
@@ -398,10 +400,46 @@
         owner = host.ownership.owners[partition]
         await platform.wait_until(lambda: len(owner.links) == 2, "workers are known")
         spec = msgspec.to_builtins(build_workflow(identifier=build_identifier(number)))
-        sent_ms = int((time.time() - seconds) * 1000)
-        return await host.owner_calls._serve_peer("submit", [partition, spec, sent_ms])
+        sender = next(item for item in platform.hosts.values() if item is not host)
+        address = host.ownership.address
 
-    assert platform.run(deliver_to_owner()).outcome == "unready"
+        async def is_connected() -> bool:
+            try:
+                await sender.peer_rpc.call(address, READ_CLOCK, timeout=1.0)
+            except PeerUnreachable:
+                return False
+            return True
+
+        await platform.wait_until(is_connected, "the hosts are connected")
+        link = sender.peer_rpc._links[address]
+        # The expiry that the sender gave the call, as if it had been sent earlier.
+        process, expiry = link._compute_expiry(MAX_SUBMISSION_AGE_SECONDS - seconds)
+        return await link._send_call("submit", (partition, spec), (process, expiry), 1.0)
+
+    outcome, reply = platform.run(deliver_to_owner())
+    assert (outcome, reply) == (EXPIRED, None), (outcome, reply)
+
+
+@when("the time of day on {member} jumps by {seconds:g} s")
+def jump_time_of_day(context, member, seconds):
+    context.platform.clocks[member].jump = timedelta(seconds=seconds)
+
+
+@then("jobs {first:d} to {last:d} are accepted at once through each entry host")
+def expect_accepted_at_once(context, first, last):
+    platform = context.platform
+    for number in range(first, last + 1):
+        member = sorted(platform.hosts)[number % len(platform.hosts)]
+        identifier, document = build_identifier(number), build_job(1)
+        status, _, _ = platform.run(platform.call("POST", member, identifier, document))
+        assert status == 200, (member, status)
+
+
+@when("{member} is restarted as another process at its address")
+def restart_peer(context, member):
+    """Gives the host another process name, as after a restart."""
+    rpc = context.platform.hosts[member].peer_rpc
+    rpc._process = rpc._process[::-1] + "x"
 
 
 @when("the first owner does not answer a submission and the second one rejects it")
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -19,6 +19,7 @@
 from carawayd.process.ownership import Ownership
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayd.request.workflows import WorkflowHandler
+from carawayd.supervision import unexpected_errors
 
 if TYPE_CHECKING:
     from carawayd.process.site import SiteSettings
@@ -57,7 +58,7 @@
         self.store = build_client("store", f"http://{settings.store}", settings)
         self.runs = build_client("runs", "", settings)
         self.discovery = Discovery(self.store, settings, clock)
-        self.peer_rpc = PeerRpc(settings)
+        self.peer_rpc = PeerRpc(settings, clock)
         self.ownership = Ownership(
             self.store, self.runs, self.discovery, settings, clock, self.random, self.metrics
         )
@@ -118,6 +119,7 @@
         deployment = self.discovery.deployment
         self.metrics.version.set(deployment.version if deployment else 0)
         self.metrics.log_lines_dropped.set(count_dropped_lines())
+        self.metrics.unexpected_errors.set(unexpected_errors.count)
         return web.Response(body=self.metrics.format_text(), content_type="text/plain")
 
     async def _get_ready(self, request: web.Request) -> web.Response:
--- a/packages/carawayd/src/carawayd/process/exchange.py
+++ b/packages/carawayd/src/carawayd/process/exchange.py
@@ -1,11 +1,16 @@
-"""Remote procedure calls between entry hosts about workflows, over ZeroMQ."""
+"""Remote procedure calls between entry hosts about workflows, over ZeroMQ.
+
+A call may carry an expiry, after which the receiver does not run it. The expiry is a time of the
+receiver's monotonic clock, which each reply tells, so that no time of day is compared.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
 import logging
-from typing import TYPE_CHECKING, Any
+import secrets
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 import zmq
@@ -13,17 +18,45 @@
 from mode import Service
 
 from carawayd.connection.peer import PeerLink
+from carawayd.supervision import supervised_task
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from carawayd.process.site import SiteSettings
+    from carawayshore.clock import Clock
 
 logger = logging.getLogger(__name__)
 
 MAX_QUEUED_MESSAGES = 2_000
 
 
+# A peer's clock is read again after this long without a reply, since clocks differ in rate.
+MAX_CLOCK_AGE_SECONDS = 10.0
+# Operation that only returns the peer's clock.
+READ_CLOCK = "clock"
+# Outcomes of a call at the peer: it ran, or its expiry had passed or named another process.
+RAN, EXPIRED = "ran", "expired"
+
+
+class PeerClock(NamedTuple):
+    """Clock of a peer as of its last reply.
+
+    Parameters
+    ----------
+    process : str
+        Identifies the process, since a restarted one has another clock.
+    seconds : float
+        The peer's monotonic clock when it sent the reply.
+    received_at : float
+        Local monotonic clock when the reply arrived, in seconds.
+    """
+
+    process: str
+    seconds: float
+    received_at: float
+
+
 class PeerUnreachable(Exception):
     """Raised if a peer did not reply; ``sent``: the call was sent and may have run."""
 
@@ -38,12 +71,15 @@
     Parameters
     ----------
     settings : SiteSettings
+    clock : Clock
     """
 
-    def __init__(self, settings: SiteSettings) -> None:
+    def __init__(self, settings: SiteSettings, clock: Clock) -> None:
         super().__init__()
         self.handler: Callable[[str, list[Any]], Awaitable[Any]] | None = None
         self._settings = settings
+        self._clock = clock
+        self._process = secrets.token_hex(8)
         self._context = zmq.asyncio.Context()
         self._socket = self._context.socket(zmq.ROUTER)
         self._socket.setsockopt(zmq.LINGER, 0)
@@ -53,21 +89,38 @@
     async def on_start(self) -> None:
         self._socket.bind(f"tcp://{self._settings.peer_address}")
 
-    async def call(self, address: str, operation: str, *arguments: Any, timeout: float) -> Any:
+    async def call(
+        self,
+        address: str,
+        operation: str,
+        *arguments: Any,
+        timeout: float,
+        max_age: float | None = None,
+    ) -> Any:
         """Calls another entry host.
 
+        Parameters
+        ----------
+        address, operation : str
+        arguments
+            Built-in types.
+        timeout : float
+            Seconds to wait for the reply.
+        max_age : float, optional
+            Seconds after which the peer does not run the call, None for no limit.
+
         Raises
         ------
         PeerUnreachable
-            If the call could not be sent, or no reply arrived within ``timeout`` seconds.
+            If the call could not be sent, expired before it ran, or no reply arrived in time.
         """
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = _CallLink(address, self._context)
+            link = self._links[address] = _CallLink(address, self._context, self._clock)
             await self.add_runtime_dependency(link)
-        return await link.call(operation, arguments, timeout)
+        return await link.call(operation, arguments, timeout, max_age)
 
-    @Service.task
+    @supervised_task
     async def _serve(self) -> None:
         while not self.should_stop:
             try:
@@ -83,15 +136,30 @@
 
     async def _serve_call(self, sender: bytes, frames: list[bytes]) -> None:
         try:
-            number, operation, arguments = msgspec.msgpack.decode(frames[-1])
-            result = await self.handler(operation, arguments)
-            reply = msgspec.msgpack.encode([number, result])
+            number, operation, arguments, expiry = msgspec.msgpack.decode(frames[-1])
+            outcome, result = RAN, None
+            if expiry is not None and self._is_expired(*expiry):
+                outcome = EXPIRED
+                logger.info(
+                    "not running a call from a peer, because it arrived too late",
+                    extra={"fields": {"operation": operation, "expiry": expiry}},
+                )
+            elif operation != READ_CLOCK:
+                result = await self.handler(operation, arguments)
+            reply = msgspec.msgpack.encode([number, outcome, result, self._process, self._now()])
             await self._socket.send_multipart([sender, reply], flags=zmq.NOBLOCK)
-        except (msgspec.MsgspecError, ValueError, TypeError, IndexError, zmq.ZMQError) as error:
+        except Exception as error:
+            # A malformed call, or an error in its handler, must not affect other calls.
             logger.warning(
                 "could not serve call from peer", extra={"fields": {"error": repr(error)}}
             )
 
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def _is_expired(self, process: str, seconds: float) -> bool:
+        return process != self._process or self._now() > seconds
+
     async def on_shutdown(self) -> None:
         self._socket.close()
         self._context.destroy(linger=0)
@@ -100,21 +168,58 @@
 class _CallLink(PeerLink):
     """Connection for calls to one peer; a reply carries the number of its call."""
 
-    def __init__(self, address: str, context: zmq.asyncio.Context) -> None:
+    def __init__(self, address: str, context: zmq.asyncio.Context, clock: Clock) -> None:
         super().__init__(address, address, context)
+        self._clock = clock
+        self._peer_clock: PeerClock | None = None
         self._call_numbers = itertools.count()
         self._pending_calls: dict[int, asyncio.Future[Any]] = {}
 
-    async def call(self, operation: str, arguments: tuple[Any, ...], timeout: float) -> Any:
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    async def call(
+        self, operation: str, arguments: tuple[Any, ...], timeout: float, max_age: float | None
+    ) -> Any:
+        until = self._now() + timeout
+        if max_age is None:
+            return (await self._send_call(operation, arguments, None, timeout))[1]
+        clock = self._peer_clock
+        if clock is None or self._now() - clock.received_at > MAX_CLOCK_AGE_SECONDS:
+            await self._send_call(READ_CLOCK, (), None, timeout)
+        # The second attempt is for a peer that has restarted, and so has another clock.
+        for _ in range(2):
+            expiry = self._compute_expiry(max_age)
+            remaining = until - self._now()
+            outcome, result = await self._send_call(operation, arguments, expiry, remaining)
+            if outcome != EXPIRED:
+                return result
+        raise PeerUnreachable(self.address, sent=False)
+
+    def _compute_expiry(self, max_age: float) -> tuple[str, float]:
+        """Returns the peer's process and a time of its clock, at most ``max_age`` from now."""
+        clock = self._peer_clock
+        # The peer's clock has advanced at least as far as the local one since the reply arrived.
+        return clock.process, clock.seconds + self._now() - clock.received_at + max_age
+
+    async def _send_call(
+        self,
+        operation: str,
+        arguments: tuple[Any, ...],
+        expiry: tuple[str, float] | None,
+        timeout: float,
+    ) -> tuple[str, Any]:
         number = next(self._call_numbers)
         future = asyncio.get_running_loop().create_future()
         self._pending_calls[number] = future
+        # Reading the clock has no effect that the caller would have to know of.
+        has_effect = operation != READ_CLOCK
         try:
-            if not self.send([msgspec.msgpack.encode([number, operation, arguments])]):
+            if not self.send([msgspec.msgpack.encode([number, operation, arguments, expiry])]):
                 raise PeerUnreachable(self.address, sent=False)
             return await asyncio.wait_for(future, timeout)
         except TimeoutError as error:
-            raise PeerUnreachable(self.address, sent=True) from error
+            raise PeerUnreachable(self.address, sent=has_effect) from error
         finally:
             del self._pending_calls[number]
 
@@ -124,13 +229,14 @@
         if future is not None and not future.done():
             future.set_exception(PeerUnreachable(self.address, sent=False))
 
-    @Service.task
+    @supervised_task
     async def _receive(self) -> None:
         while not self.should_stop:
             try:
                 frames = await self._socket.recv_multipart()
-                number, result = msgspec.msgpack.decode(frames[-1])
-            except msgspec.MsgspecError as error:
+                number, outcome, result, process, seconds = msgspec.msgpack.decode(frames[-1])
+                self._peer_clock = PeerClock(str(process), float(seconds), self._now())
+            except (msgspec.MsgspecError, ValueError, TypeError) as error:
                 logger.warning(
                     "could not decode reply from peer; ignoring it",
                     extra={"fields": {"error": str(error)}},
@@ -140,4 +246,4 @@
                 return
             future = self._pending_calls.get(number)
             if future is not None and not future.done():
-                future.set_result(result)
+                future.set_result((outcome, result))
--- a/packages/carawayd/src/carawayd/process/ownercalls.py
+++ b/packages/carawayd/src/carawayd/process/ownercalls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -25,8 +24,6 @@
     from carawayd.process.ownership import Ownership
     from carawayshore.clock import Clock
 
-logger = logging.getLogger(__name__)
-
 # Timeout of one attempt.
 ATTEMPT_SECONDS = 0.6
 # Timeout of all attempts, unless a change may already have taken effect.
@@ -38,9 +35,9 @@
 # may not repeat it.
 UNKNOWN_OUTCOME_SHARE = 0.8
 
-# Older submissions, delayed by an interrupted connection, are dropped: the sender has given up, and
-# the caller may already have a response saying that the workflow never runs.
-MAX_SUBMISSION_AGE_MS = 2_000
+# Submissions that reach the owner later, delayed by an interrupted connection, do not run: the
+# sender has given up, and the caller may have a response saying that the workflow never runs.
+MAX_SUBMISSION_AGE_SECONDS = 2.0
 
 SUBMIT, GET_STATE, CANCEL, COUNT_PENDING = "submit", "look", "cancel", "count"
 REPORT_LOAD, CORDON, UNCORDON = "survey", "cordon", "uncordon"
@@ -130,7 +127,12 @@
             return Reply(UNREADY), False
         try:
             answer = await self._peer_rpc.call(
-                address, operation, partition, argument, self._unix_ms(), timeout=timeout
+                address,
+                operation,
+                partition,
+                argument,
+                timeout=timeout,
+                max_age=MAX_SUBMISSION_AGE_SECONDS if operation == SUBMIT else None,
             )
         except PeerUnreachable as error:
             return Reply(UNREADY), error.sent
@@ -139,21 +141,12 @@
 
     async def _serve_peer(self, operation: str, arguments: list[Any]) -> Reply:
         """Handles a call that another entry host forwarded."""
-        partition, argument, sent_ms = arguments
+        partition, argument = arguments
         owner = self._ownership.find_owner(partition)
         if owner is None:
             return Reply(UNREADY)
-        if operation == SUBMIT and self._unix_ms() - sent_ms > MAX_SUBMISSION_AGE_MS:
-            logger.info(
-                "dropping forwarded submission: age limit exceeded",
-                extra={"fields": {"partition": partition, "age_ms": self._unix_ms() - sent_ms}},
-            )
-            return Reply(UNREADY)
         return await self._call_local_owner(owner, operation, argument)
 
-    def _unix_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
-
     async def _call_local_owner(
         self, owner: PartitionOwner, operation: str, argument: Any
     ) -> Reply:
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -41,6 +41,11 @@
         self.log_lines_dropped = Gauge(
             "caraway_log_lines_dropped", "Log lines dropped.", registry=self.registry
         )
+        self.unexpected_errors = Gauge(
+            "caraway_unexpected_errors",
+            "Unexpected errors after which a task was run again.",
+            registry=self.registry,
+        )
         self.version = Gauge(
             "caraway_configuration_version", "Version in force.", registry=self.registry
         )
