Reserve room for whatever may still run on a worker, and wait for every lease

Also found by reading: the end of an earlier run released the room of the present one; a worker was usable while its first report was still being recorded; after a restart with another size, the old size counted until the entry changed; a lease renewed by the previous owner was not counted after the first report; an order refused under an epoch that the same owner had raised meanwhile cost the partition; silence and cordons were measured by the time of day. Change: runs that the ledger does not show keep their resources until their end is listed; a run of unknown size keeps the whole worker. Silence is recorded as a duration, cordons as a lifetime, both continued on the next owner's monotonic clock. The entries of workers with orders are records, so that the next owner asks a worker that left. If nothing listens at the address, started runs are given up at once. Tests: owner_workers.feature.

--- /dev/null
+++ b/features/owner_workers.feature
@@ -0,0 +1,128 @@
+Feature: What an owner knows of its workers
+  Workers may start whatever they are told, so the owner alone keeps their capacity, their leases
+  and the number of runs of each task.
+
+  # Capacity: a run holds its room until its end is listed (rule LIMIT on day trouble-1 of
+  # snrc-atlas, seed 357923516444: tasks were started beside runs of a job cancelled just before).
+
+  Scenario: A run of a cancelled job that the owner finds on a worker keeps its room until it ends
+    Given an owner whose worker of 16 cores lists run 1 of a cancelled job of 10 cores
+    Then a stop of run 1 was sent
+    And a task of 6 cores fits, one of 7 cores does not
+    When the worker lists nothing more
+    Then a task of 16 cores fits
+
+  Scenario: A worker with a run of unknown size gets no tasks until it has ended
+    Given an owner whose worker of 16 cores lists run 1 of an unknown job
+    Then a stop of run 1 was sent
+    And no task fits
+    When the worker lists nothing more
+    Then a task of 16 cores fits
+
+  Scenario: The end of an earlier run does not release the room of the present one
+    Given an owner that has started run 5 of a job of 10 cores on a worker of 16 cores
+    When the worker lists run 5 and the end of run 4
+    Then a task of 6 cores fits, one of 7 cores does not
+
+  Scenario: An earlier run beside the present one is stopped and holds its own room
+    Given an owner that has started run 5 of a job of 6 cores on a worker of 16 cores
+    When the worker lists runs 4 and 5
+    Then a stop of run 4 was sent
+    And a task of 4 cores fits, one of 5 cores does not
+    When the worker lists run 5 and the end of run 4
+    Then a task of 10 cores fits, one of 11 cores does not
+
+  Scenario: A worker gets no tasks before its runs are known
+    Given an owner with a worker that has not reported
+    Then no task fits
+
+  Scenario: A worker that is born again with another size gets no tasks until its entry tells the size
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When a report shows that the worker was born again
+    Then no task fits
+    When its entry tells the new birth and 4 cores
+    Then a task of 2 cores fits, one of 5 cores does not
+
+  # Leases (rule TWICE on day trouble-1 of snrc-atlas-grown: a start order that got no answer ran for
+  # the 1.5 s of its validity, and the task was started elsewhere after 1.1 s).
+
+  Scenario: A start order renews the lease of its worker
+    Given an owner whose worker reported 3.9 s ago and has no tasks
+    When the response to a start order is lost
+    Then after 1.2 s without contact the lease is not taken to be over
+    And after 2.0 s without contact it is
+
+  Scenario: A lease that an earlier owner renewed just before the takeover is waited for
+    Given an owner whose membership is not current and whose worker has reported once
+    Then after 3.9 s without contact the lease is not taken to be over
+    And after 4.5 s without contact it is
+
+  Scenario: A late order gives the next life of a worker a lease of the longest kind
+    # Times of the previous life's clock are far ahead on the new one.
+    Given an owner whose start order of run 1 got no response
+    When a report shows that the worker was born again
+    Then after 15 s without contact the lease is not taken to be over
+    And after 21 s without contact it is
+
+  Scenario Outline: The wait for a silent worker does not follow the time of day
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When the worker falls silent and the next owner takes over after 3 s
+    And the time of day jumps by <jump> s
+    Then the next owner waits at least 6 s and at most 8 s more for the leases
+
+    Examples:
+      | jump |
+      | 9    |
+      | -9   |
+      | 3600 |
+
+  Scenario: A record of an earlier version does not shorten the wait
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When the next owner reads since when the worker has been silent as a time of day
+    Then the next owner waits at least 9 s and at most 11 s more for the leases
+
+  Scenario Outline: A cordon does not follow the time of day
+    Given an owner with a worker that was cordoned for 6 s
+    When the next owner takes over and the time of day jumps by <jump> s
+    Then the worker stays cordoned for 5.5 s and is free after 6.5 s
+
+    Examples:
+      | jump |
+      | 9    |
+      | -9   |
+
+  # Workers that are gone (rule LOST on day scale-2 of ugnsrent-slots-large: a long-running task
+  # waited 13 s for the lease of a worker that had left in order while its owner changed).
+
+  Scenario: Runs on a worker whose process is gone are given up at once
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When a call to the worker is refused because nothing listens there
+    Then run 1 is taken to be missing
+
+  Scenario: An unanswered order to a process that is gone is not given up at once
+    Given an owner whose start order of run 1 got no response
+    When a call to the worker is refused because nothing listens there
+    Then run 1 is not taken to be missing
+
+  Scenario: A worker that only falls silent keeps its runs
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When a call to the worker gets no response
+    Then run 1 is not taken to be missing
+
+  Scenario: A later owner asks a worker that is no longer listed
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When the worker leaves the list and the next owner takes over
+    And a call to the worker is refused because nothing listens there
+    Then run 1 is taken to be missing
+
+  Scenario: A later owner adopts what runs on a worker that is no longer listed
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When the worker leaves the list and the next owner takes over
+    And the worker lists run 1
+    Then run 1 is not taken to be missing
+    And no task was ordered anew
+
+  Scenario: An order under an earlier epoch that is refused does not cost the partition
+    Given an owner whose worker reported 1 s ago and has no tasks
+    When its epoch rises while a start order is refused for its fencing token
+    Then the owner keeps the partition
--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -420,6 +420,7 @@
         entry=capacities[0].entry,
         capacity=capacities[0],
         orders={},
+        run_count=0,
         cordoned=False,
         is_unresponsive=False,
     )
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -194,7 +194,7 @@
     def describe_worker(self, link: WorkerLink) -> WorkerLoad:
         return WorkerLoad(
             link.worker,
-            len(link.orders),
+            link.run_count,
             sum(usage.long_running for usage in link.capacity.usages.values()),
             link.entry.millicores,
             link.cordoned,
--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -11,6 +11,7 @@
 
 from carawayd.platform.common import PlatformError, PlatformRefusal
 from carawayd.platform.store import Fenced, KeyedRecord, encode_records
+from carawayd.supervision import supervised_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -160,7 +161,7 @@
             and self._clock.elapsed() - self._append_started_at > STALL_TIMEOUT
         )
 
-    @Service.task
+    @supervised_task
     async def _write_batches(self) -> None:
         while not self.should_stop and not self.lost:
             await self._wake.wait()
@@ -176,6 +177,14 @@
             except asyncio.CancelledError:
                 self._fail_waiters(waiters, OwnershipLost("the ledger is stopped"))
                 raise
+            except Exception:
+                # The batch may be written in part; a new owner reads what is in the store.
+                logger.exception(
+                    "unexpected error while writing records; giving up the partition",
+                    extra={"fields": {"partition": self.partition}},
+                )
+                self._fail_waiters(waiters, OwnershipLost("unexpected error"))
+                return
             for waiter in waiters:
                 if not waiter.done():
                     waiter.set_result(None)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -17,7 +17,10 @@
 from mode import Service
 
 from carawayd.partition.advisor import Advisor
+from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss
+from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.demand import Demand
+from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.workerlink import (
     SENDING,
@@ -27,6 +30,7 @@
     WorkerLink,
     compute_lease_bound_seconds,
 )
+from carawayd.supervision import supervised_task
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
@@ -58,9 +62,9 @@
     from carawayd.process.discovery import Discovery
     from carawayd.process.site import SiteSettings
     from carawayd.process.workflowmetrics import WorkflowMetrics
-    from carawayshore.clock import Clock
+    from carawayshore.clock import Clock, SteadyTimeOfDay
     from carawayshore.workflows.model import Workflow
-    from carawayshore.workflows.placement import WorkerCapacity
+    from carawayshore.workflows.placement import Usage, WorkerCapacity
 
 logger = logging.getLogger(__name__)
 
@@ -77,10 +81,6 @@
 HANDOVER_TIMEOUT_SECONDS = 0.5
 # Retention period of the first attempt of a rejected submission.
 FIRST_ATTEMPT_RETENTION_SECONDS = 20.0
-# Prefix of ledger keys for the time since which a worker has been unresponsive.
-UNRESPONSIVE_PREFIX = "~"
-# Prefix of ledger keys for the time at which the cordon of a worker ends.
-CORDON_PREFIX = "!"
 # Prefix of ledger keys for the learned run times of a queue.
 RUNTIME_PREFIX = "="
 # The statistics of a queue are recorded once per this many measured run times.
@@ -139,7 +139,9 @@
     settings : SiteSettings
         Settings of the process, among them those that bound the leases of runs.
     clock : Clock
-        Gives Unix time and monotonic time, and waits.
+        Gives the monotonic time, and waits.
+    time_of_day : SteadyTimeOfDay
+        Gives the time of day, for scheduled start times and the ages of workflows only.
     random : Random
         Draws the number that the admission of a submission depends on.
     may_renew : callable
@@ -161,6 +163,7 @@
         discovery: Discovery,
         settings: SiteSettings,
         clock: Clock,
+        time_of_day: SteadyTimeOfDay,
         random: Random,
         may_renew: Callable[[], bool],
         metrics: WorkflowMetrics,
@@ -178,6 +181,7 @@
         self._discovery = discovery
         self._settings = settings
         self._clock = clock
+        self._time_of_day = time_of_day
         self._random = random
         self._may_renew = may_renew
         self._metrics = metrics
@@ -187,15 +191,12 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Worker of each task that an earlier owner ordered, until the link to the worker tracks it.
         self._orphans: dict[TaskName, str] = {}
-        # Time, in Unix ms, at which an owner first lost contact with a worker on which tasks may
-        # run. Kept in the ledger, so that repeated handovers do not restart the wait for its
-        # leases.
-        self._unresponsive_since: dict[str, int] = {}
+        self._contact_loss = ContactLoss(clock, self.ledger)
+        self._known_workers = KnownWorkers(self.ledger)
         self._first_attempts: dict[str, float] = {}
         self._deadlines: dict[str, float] = {}
         self._loaded_at = 0.0
-        # End of the cordon of each worker, in Unix ms; also kept in the ledger.
-        self._cordons: dict[str, int] = {}
+        self._cordons = Cordons(clock, self.ledger)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -206,21 +207,25 @@
         return self._clock.elapsed().total_seconds()
 
     def _unix_ms(self) -> int:
-        return int(self._clock.now().timestamp() * 1000)
+        return int(self._time_of_day.now().timestamp() * 1000)
 
     # -- takeover and handover -------------------------------------------------------------------
 
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
-        try:
-            await self.ledger.take_over(self.fence)
-            await self._load()
-        except OwnershipLost:
-            self._mark_lost("the store rejected the epoch, because a later owner has taken over")
-            return
-        await self.add_runtime_dependency(self.ledger)
+        if not self.loaded:
+            try:
+                await self.ledger.take_over(self.fence)
+                await self._load()
+            except OwnershipLost:
+                self._mark_lost(
+                    "the store rejected the epoch, because a later owner has taken over"
+                )
+                return
+            await self.add_runtime_dependency(self.ledger)
         while not self.should_stop and not self.lost:
             self._scan_workers()
+            self._contact_loss.record_progress(compute_lease_bound_seconds(self._settings))
             self._expire_entries()
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
@@ -233,12 +238,14 @@
         for key, value in await self.ledger.read_records():
             if key.startswith(RUNTIME_PREFIX):
                 self._restore_runtime(key.removeprefix(RUNTIME_PREFIX), value)
-            elif key.startswith(CORDON_PREFIX) and value.isdigit():
-                self._cordons[key.removeprefix(CORDON_PREFIX)] = int(value)
-            elif not key.startswith((UNRESPONSIVE_PREFIX, CORDON_PREFIX)):
+            elif key.startswith(CORDON_PREFIX):
+                self._cordons.restore(key.removeprefix(CORDON_PREFIX), value)
+            elif key.startswith(UNRESPONSIVE_PREFIX):
+                self._contact_loss.restore(key.removeprefix(UNRESPONSIVE_PREFIX), value)
+            elif key.startswith(WORKER_PREFIX):
+                self._known_workers.restore(key.removeprefix(WORKER_PREFIX), value)
+            else:
                 records.append((key, value))
-            elif value.isdigit():
-                self._unresponsive_since[key.removeprefix(UNRESPONSIVE_PREFIX)] = int(value)
         restored, unreadable = restore_workflows(records, now, self._unix_ms())
         self.workflows.update(restored)
         for workflow in self.workflows.values():
@@ -338,21 +345,39 @@
                 self._open_link(entry)
             elif link.entry != entry or not link.listed:
                 link.update(entry)
+        self._open_links_of_unlisted_workers()
         for link in self.links.values():
             if link.cordoned or link.entry.state != "ready":
-                if link.expire_cordon(self._now()) and self._cordons.pop(link.worker, None):
-                    self._record_cordon(link.worker)
+                if link.expire_cordon(self._now()):
+                    self._cordons.end(link.worker)
                 self._evacuate(link)
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
-            if link.closed or (not link.listed and not link.orders):
+            if link.closed or (not link.listed and not link.run_count):
                 del self.links[worker]
-                if self._cordons.pop(worker, None) is not None:
-                    self._record_cordon(worker)
+                self._cordons.end(worker)
+                self._contact_loss.end(worker)
+                self._known_workers.forget(worker)
                 asyncio.ensure_future(link.stop())
         self._release_orphans()
 
+    def _open_links_of_unlisted_workers(self) -> None:
+        """Opens links to workers that left the list, or are missing there, while tasks ran there.
+
+        The worker's answer shows at once whether the tasks still run, have ended, or ended with
+        the worker; without it, the owner would have to wait for the leases.
+        """
+        workers = set(self._orphans.values())
+        for worker in self._known_workers.list_workers():
+            if worker in self.links:
+                continue
+            if worker in workers:
+                self._open_link(self._known_workers.find_entry(worker))
+                self.links[worker].update(None)
+            else:
+                self._known_workers.forget(worker)
+
     def _list_services(self) -> set[str]:
         return self._discovery.list_services(self.partition)
 
@@ -375,7 +400,7 @@
         """Resets tasks whose worker is not listed, once every lease on it has expired."""
         bound = compute_lease_bound_seconds(self._settings)
         for name, worker in list(self._orphans.items()):
-            self._set_unresponsive(worker)
+            self._contact_loss.begin(worker)
             if self.measure_unresponsive_seconds(worker) < bound:
                 continue
             del self._orphans[name]
@@ -423,36 +448,23 @@
             and order.run == task.run
         )
 
-    def _set_unresponsive(self, worker: str) -> None:
-        if worker not in self._unresponsive_since:
-            self._unresponsive_since[worker] = self._unix_ms()
-            self._record_unresponsive(worker)
-
-    def _record_unresponsive(self, worker: str) -> None:
-        def encode() -> bytes:
-            since = self._unresponsive_since.get(worker)
-            return str(since).encode() if since else b""
-
-        self.ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
-
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
-        if link.orders:
-            self._set_unresponsive(link.worker)
+        if link.run_count:
+            self._contact_loss.begin(link.worker)
 
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
-        if self._unresponsive_since.pop(link.worker, None) is not None:
-            self._record_unresponsive(link.worker)
+        if self._contact_loss.end(link.worker):
             await self.ledger.flush()
 
     def measure_unresponsive_seconds(self, worker: str) -> float:
         """Returns for how many seconds a worker has been unresponsive, 0 if it responds."""
-        since = self._unresponsive_since.get(worker)
-        return (self._unix_ms() - since) / 1000 if since else 0.0
+        return self._contact_loss.measure_seconds(worker)
 
     def may_renew(self) -> bool:
-        return self._may_renew()
+        """Returns whether orders may be sent and leases renewed."""
+        return not self.lost and self._may_renew()
 
     def handle_report(self, link: WorkerLink) -> None:
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
@@ -508,6 +520,11 @@
             self.links[worker].capacity.reserve(task, compute_usage(task, found[1].spec))
         return expected
 
+    def find_usage(self, task: TaskName) -> Usage | None:
+        """Returns the resources that a run of a task uses, None if the task is not known."""
+        found = self._find_task(task)
+        return compute_usage(task, found[1].spec) if found is not None else None
+
     def handle_missing_run(self, link: WorkerLink, task: TaskName, run: int, why: str) -> None:
         """Resets the task of a run that is not on its worker and will not start there."""
         link.capacity.release(task)
@@ -526,7 +543,8 @@
 
         ``seconds`` is the time since the run was ordered, 0 if that is unknown.
         """
-        link.capacity.release(end.task)
+        if end.task not in link.orders:
+            link.capacity.release(end.task)
         self._metrics.ends.labels(link.entry.service, end.kind).inc()
         now = self._now()
         if end.kind == "done":
@@ -836,14 +854,8 @@
         link = self.links.get(worker)
         if link is None or link.is_unresponsive or not link.capacity.expected and not link.cordoned:
             return Reply(ABSENT)
-        until = self._unix_ms() + int(seconds * 1000)
-        known = self._cordons.get(worker, 0)
         link.cordon(self._now() + seconds)
-        # Renewals arrive several times a second; the end is recorded anew only once less than half
-        # of the time is left.
-        if known - self._unix_ms() < seconds * 500:
-            self._cordons[worker] = until
-            self._record_cordon(worker)
+        if self._cordons.extend(worker, seconds):
             try:
                 await self.ledger.flush()
             except OwnershipLost:
@@ -853,26 +865,18 @@
 
     async def uncordon(self, worker: str) -> Reply:
         """Ends the cordon of a worker."""
-        if self._cordons.pop(worker, None) is not None:
-            self._record_cordon(worker)
+        self._cordons.end(worker)
         link = self.links.get(worker)
         if link is not None:
             link.cordon(0.0)
             self._wake.set()
         return Reply(ACCEPTED)
 
-    def _record_cordon(self, worker: str) -> None:
-        def encode() -> bytes:
-            until = self._cordons.get(worker)
-            return str(until).encode() if until else b""
-
-        self.ledger.mark_dirty(CORDON_PREFIX + worker, encode)
-
     def _restore_cordon(self, link: WorkerLink) -> None:
         """Applies a cordon that an earlier owner recorded."""
-        until = self._cordons.get(link.worker)
+        until = self._cordons.find_end(link.worker)
         if until is not None:
-            link.cordon(self._now() + (until - self._unix_ms()) / 1000)
+            link.cordon(until)
 
     # -- planning --------------------------------------------------------------------------------
 
@@ -881,7 +885,7 @@
             return
         self._open_steps[workflow.identifier, step.occurrence, step.number] = step
 
-    @Service.task
+    @supervised_task
     async def _plan_repeatedly(self) -> None:
         while not self.should_stop:
             try:
@@ -1068,6 +1072,7 @@
         task.run = gang_run or task.run + 1
         task.worker = link.worker
         link.orders[name] = Order(task.run, SENDING, 0, self._now())
+        self._known_workers.record(link.entry)
         checkpoint = task.checkpoint if step.spec.checkpointing else ""
         return link, name, StartOrder(task.run, workflow.spec.spec, checkpoint, ticket)
 
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -9,8 +9,14 @@
 from mode import Service
 
 from carawayd.partition.ledger import OwnershipLost
-from carawayd.platform.common import PlatformError, PlatformUnreached
-from carawayd.platform.runs import OrderRefused, OtherIncarnation
+from carawayd.platform.common import (
+    NothingListens,
+    PermissionEnded,
+    PlatformError,
+    PlatformUnreached,
+)
+from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
+from carawayd.supervision import supervised_task
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
@@ -18,6 +24,7 @@
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import TaskName, WorkerEntry
+    from carawayshore.workflows.placement import Usage
 
 logger = logging.getLogger(__name__)
 
@@ -45,6 +52,9 @@
 STOP_REPEAT_SECONDS = 0.5
 # A task that makes no progress for this long is considered stuck.
 STUCK_TASK_SECONDS = 1.5
+# ``Order.absence_certain_after_ms`` of a run that an earlier owner ordered. Any report shows
+# whether it exists: the worker refuses orders of that owner once it has seen a call of this one.
+ADOPTED = -1
 
 
 def compute_lease_bound_seconds(settings: SiteSettings) -> float:
@@ -140,6 +150,8 @@
 
     def adopt_if_ordered(self, task: TaskName, run: int, worker: str) -> bool: ...
 
+    def find_usage(self, task: TaskName) -> Usage | None: ...
+
     def handle_fenced(self) -> None: ...
 
     def handle_unresponsive(self, link: WorkerLink) -> None: ...
@@ -178,6 +190,10 @@
         self.capacity = WorkerCapacity(entry)
         self.listed = True
         self.orders: dict[TaskName, Order] = {}
+        # Time of the last stop order for each run on the worker that the ledger does not know as
+        # ordered there, in seconds of the local clock. Such a run keeps its resources reserved
+        # until it has ended.
+        self.unordered_runs: dict[tuple[TaskName, int], float] = {}
         self.closed = False
         self.cordoned = False
         self._cordoned_until = 0.0
@@ -189,6 +205,8 @@
         self._wake = asyncio.Event()
         self._acknowledged = 0
         self._incarnation = 0
+        # Whether the runs of the worker's last report are all reserved.
+        self._is_reconciled = False
         self._worker_clock_ms: int | None = None
         self._reported_at = self._now()
         self._failures = 0
@@ -223,7 +241,13 @@
             and self.entry.state == "ready"
             and not self._failures
         )
-        self.capacity.usable = self.capacity.expected and self._worker_clock_ms is not None
+        # A restarted worker may have another size, which only an entry of the same start tells.
+        described = self.entry.born in (0, self._incarnation) or not self._incarnation
+        # Runs without known usage may fill the whole worker.
+        unknown = any(key not in self.capacity.usages for key in self.unordered_runs)
+        self.capacity.usable = (
+            self.capacity.expected and self._is_reconciled and described and not unknown
+        )
 
     def cordon(self, until: float) -> None:
         """Excludes the worker from new tasks until ``until``, in seconds of the monotonic clock."""
@@ -240,7 +264,15 @@
 
     def adopt(self, task: TaskName, run: int) -> None:
         """Tracks a run that an earlier owner ordered; the first report shows whether it exists."""
-        self.orders[task] = Order(run, UNKNOWN, -1, self._now())
+        self.orders[task] = Order(run, UNKNOWN, ADOPTED, self._now())
+
+    @property
+    def run_count(self) -> int:
+        """Number of runs that are or may be on the worker."""
+        return len(self.orders) + len(self.unordered_runs)
+
+    def _may_send(self) -> bool:
+        return not self.closed and self._owner.may_renew()
 
     def _estimate_worker_clock(self) -> int:
         elapsed = self._now() - self._reported_at
@@ -268,6 +300,9 @@
             self._report_missing(task, entry, "worker left before the order was sent")
             return
         entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
+        # The expiry of a start order also renews the lease of everything on the worker.
+        self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, entry.absence_certain_after_ms)
+        fence = self._owner.fence
         try:
             clock_ms = await self._runs.start(
                 self.entry.address,
@@ -276,14 +311,17 @@
                 order.run,
                 spec=order.spec,
                 expires_ms=entry.absence_certain_after_ms,
-                fence=self._owner.fence,
+                fence=fence,
+                may_send=self._may_send,
                 checkpoint=order.checkpoint,
                 ticket=order.ticket,
             )
         except OrderRefused as refusal:
             if refusal.reason == "fenced":
                 self._report_missing(task, entry, "fenced")
-                self._owner.handle_fenced()
+                # An order under an earlier epoch of the same owner may arrive after a later one.
+                if fence == self._owner.fence:
+                    self._owner.handle_fenced()
                 return
             if refusal.reason not in ("full", "superseded", "expired", "unadvised"):
                 self.capacity.record_failure(self._now())
@@ -294,14 +332,21 @@
             self._report_missing(task, entry, "another incarnation answered")
             self._wake.set()
             return
-        except PlatformUnreached:
-            self.capacity.record_failure(self._now())
-            self._report_missing(task, entry, "worker not reached")
+        except PlatformUnreached as error:
+            if not isinstance(error, PermissionEnded):
+                self.capacity.record_failure(self._now())
+            self._report_missing(task, entry, f"order not sent: {error}")
             return
         except PlatformError as error:
             logger.info(
                 "start order failed; it is unknown whether the run started",
-                extra={"fields": {"task": str(task), "worker": self.worker, "error": str(error)}},
+                extra={
+                    "fields": {
+                        "task": format_task(task),
+                        "worker": self.worker,
+                        "error": str(error),
+                    }
+                },
             )
             # A worker that does not answer orders is avoided like one whose tasks fail.
             self.capacity.record_failure(self._now())
@@ -324,18 +369,29 @@
         order = self.orders.get(task)
         if order is not None and not order.stopping:
             order.stopping = True
-            asyncio.ensure_future(self._send_stop(task, order))
+            order.stop_sent = self._now()
+            asyncio.ensure_future(self._send_stop(task, order.run))
 
-    async def _send_stop(self, task: TaskName, order: Order) -> None:
-        order.stop_sent = self._now()
+    async def _send_stop(self, task: TaskName, run: int) -> None:
         try:
             await self._runs.stop(
-                self.entry.address, self.worker, task, order.run, self._owner.fence
+                self.entry.address,
+                self.worker,
+                task,
+                run,
+                fence=self._owner.fence,
+                may_send=self._may_send,
             )
         except PlatformError as error:
             logger.info(
                 "stop order failed; resending it while the worker lists the run",
-                extra={"fields": {"task": str(task), "worker": self.worker, "error": str(error)}},
+                extra={
+                    "fields": {
+                        "task": format_task(task),
+                        "worker": self.worker,
+                        "error": str(error),
+                    }
+                },
             )
         self._wake.set()
 
@@ -352,17 +408,24 @@
                 order.run,
                 percent=percent,
                 fence=self._owner.fence,
+                may_send=self._may_send,
             )
         except PlatformError as error:
             logger.info(
                 "throttle order failed; the next one is sent when the limit changes",
-                extra={"fields": {"task": str(task), "worker": self.worker, "error": str(error)}},
+                extra={
+                    "fields": {
+                        "task": format_task(task),
+                        "worker": self.worker,
+                        "error": str(error),
+                    }
+                },
             )
 
-    @Service.task
+    @supervised_task
     async def _poll_reports(self) -> None:
         while not self.should_stop and not self.closed:
-            if not self.orders and self._worker_clock_ms is not None and not self._failures:
+            if not self.run_count and self._worker_clock_ms is not None and not self._failures:
                 await self._wait_while_idle()
                 if self.should_stop:
                     return
@@ -377,8 +440,13 @@
                     return
                 await self._handle_poll_failure(str(refusal))
                 continue
+            except PermissionEnded:
+                # The next call does not renew the lease, and needs no permission.
+                continue
             except PlatformError as error:
-                await self._handle_poll_failure(str(error))
+                await self._handle_poll_failure(
+                    str(error), is_gone=isinstance(error, NothingListens)
+                )
                 continue
             try:
                 await self._process_report(report)
@@ -392,7 +460,7 @@
                 await self._wake.wait()
         except TimeoutError:
             pass
-        if not self.listed and not self.orders:
+        if not self.listed and not self.run_count:
             self._close("no longer in the worker list")
 
     async def _request_report(self) -> WorkerReport:
@@ -413,9 +481,15 @@
             acknowledged=0 if self._failures else self._acknowledged,
             expires_ms=expires_ms,
             wait=wait,
+            may_send=self._may_send if expires_ms is not None else self._is_open,
         )
 
-    async def _handle_poll_failure(self, error: str) -> None:
+    def _is_open(self) -> bool:
+        return not self.closed
+
+    async def _handle_poll_failure(self, error: str, *, is_gone: bool = False) -> None:
+        if is_gone:
+            self._release_ended_incarnation()
         if not self._failures:
             logger.info(
                 "worker unresponsive; retrying until its lease expires",
@@ -429,6 +503,17 @@
             return
         await asyncio.sleep(RETRY_SECONDS)
 
+    def _release_ended_incarnation(self) -> None:
+        """Reports the runs of a worker as missing whose process no longer exists.
+
+        An order without a response may yet reach the next incarnation and is kept.
+        """
+        for task, order in list(self.orders.items()):
+            if order.state == STARTED or order.absence_certain_after_ms == ADOPTED:
+                self._report_missing(task, order, "no process listens at the worker's address")
+        for key in list(self.unordered_runs):
+            self._forget_unordered_run(key)
+
     def _close(self, why: str) -> None:
         """Closes the link and reports all its runs as missing, since none is left on the worker."""
         self.closed = True
@@ -439,11 +524,19 @@
         )
         for task, order in list(self.orders.items()):
             self._report_missing(task, order, why)
+        self.unordered_runs.clear()
 
     async def _process_report(self, report: WorkerReport) -> None:
         if self._incarnation and report.born != self._incarnation:
             logger.info("worker restarted", extra={"fields": {"worker": self.worker}})
-            self._acknowledged, self._max_lease_expiry_ms = 0, 0
+            self._acknowledged, self._is_reconciled = 0, False
+            # Calls that are still on their way carry times of the previous incarnation's clock, so
+            # that only the worker's maximum limits the lease that they give.
+            self._max_lease_expiry_ms = (
+                report.clock_ms + LATE_ORDER_WAIT_MS + self._settings.longest_lease_ms
+                if any(order.state != STARTED for order in self.orders.values())
+                else 0
+            )
             for order in self.orders.values():
                 if order.state == STARTED:
                     # The new incarnation may have executed the order before it was known here; if
@@ -454,12 +547,14 @@
         self._incarnation = report.born
         first = self._worker_clock_ms is None
         self._worker_clock_ms, self._reported_at = report.clock_ms, self._now()
+        if first:
+            # An earlier owner may have renewed the lease until just before this report.
+            self._max_lease_expiry_ms = report.clock_ms + self._lease_ms
         if self._failures or first:
             await self._owner.handle_recovery(self)
         if self._failures:
             logger.info("worker responsive again", extra={"fields": {"worker": self.worker}})
         self._failures = 0
-        self._update_capacity()
         ended = [end for end in report.ended if end.number > self._acknowledged]
         for end in ended:
             order = self.orders.get(end.task)
@@ -469,6 +564,8 @@
                 seconds = self._now() - order.ordered_at
             self._owner.handle_end(self, end, seconds)
         self._reconcile(report)
+        self._is_reconciled = True
+        self._update_capacity()
         self._owner.handle_report(self)
         if ended:
             await self._owner.flush()
@@ -477,16 +574,19 @@
     def _reconcile(self, report: WorkerReport) -> None:
         """Reconciles the ordered runs with those that the worker lists."""
         now = self._now()
-        listed = {row.task: row for row in report.running}
+        listed = {(row.task, row.run): row for row in report.running}
+        for key in self.unordered_runs.keys() - listed.keys():
+            self._forget_unordered_run(key)
         for task, order in list(self.orders.items()):
-            row = listed.get(task)
-            if row is not None and row.run == order.run:
+            row = listed.get((task, order.run))
+            if row is not None:
                 self._update_order(task, order, row, now)
             elif order.state != SENDING and report.clock_ms > order.absence_certain_after_ms:
                 self._report_missing(task, order, "not listed by the worker")
-        for task, row in listed.items():
-            if task not in self.orders:
-                self._handle_unordered_run(task, row)
+        for task, run in listed:
+            order = self.orders.get(task)
+            if order is None or order.run != run:
+                self._handle_unordered_run(task, run, now)
 
     def _update_order(self, task: TaskName, order: Order, row: RunningTask, now: float) -> None:
         if order.state == UNKNOWN:
@@ -497,18 +597,38 @@
         elif now - order.last_progress_at > STUCK_TASK_SECONDS:
             self._owner.handle_stuck_task(self, task)
         if order.stopping and now - order.stop_sent > STOP_REPEAT_SECONDS:
-            asyncio.ensure_future(self._send_stop(task, order))
+            order.stop_sent = now
+            asyncio.ensure_future(self._send_stop(task, order.run))
 
-    def _handle_unordered_run(self, task: TaskName, row: RunningTask) -> None:
+    def _handle_unordered_run(self, task: TaskName, run: int, now: float) -> None:
         """Adopts a listed run that has no order here if the ledger knows it, else stops it."""
-        order = Order(row.run, STARTED, 0, self._now())
-        self.orders[task] = order
-        if not self._owner.adopt_if_ordered(task, row.run, self.worker):
+        if task not in self.orders and self._owner.adopt_if_ordered(task, run, self.worker):
+            self.orders[task] = Order(run, STARTED, 0, now)
+            return
+        key = (task, run)
+        if key not in self.unordered_runs:
+            usage = self._owner.find_usage(task)
+            if usage is not None:
+                self.capacity.reserve(key, usage)
             logger.info(
-                "stopping a run that is not in the ledger",
-                extra={"fields": {"task": str(task), "run": row.run, "worker": self.worker}},
+                "stopping a run that the ledger does not show as ordered on the worker",
+                extra={
+                    "fields": {
+                        "task": format_task(task),
+                        "run": run,
+                        "worker": self.worker,
+                        "known_size": usage is not None,
+                    }
+                },
             )
-            self.stop_task(task)
+        elif now - self.unordered_runs[key] < STOP_REPEAT_SECONDS:
+            return
+        self.unordered_runs[key] = now
+        asyncio.ensure_future(self._send_stop(task, run))
+
+    def _forget_unordered_run(self, key: tuple[TaskName, int]) -> None:
+        del self.unordered_runs[key]
+        self.capacity.release(key)
 
     async def on_stop(self) -> None:
         self._wake.set()
--- a/packages/carawayd/src/carawayd/platform/runs.py
+++ b/packages/carawayd/src/carawayd/platform/runs.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
 from carawayd.platform.plugins import platform_client
 from carawayshore.workflows.model import TaskName
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ORDER_TIMEOUT_SECONDS = 1.0
 # Limit of the long-poll wait of a lease renewal.
 MAX_REPORT_WAIT_SECONDS = 2.0
@@ -50,14 +53,11 @@
     reason : str
         One of the values of ``REFUSAL_REASONS``, another reason that the worker gave, or an HTTP
         status.
-    clock_ms : int
-        Clock of the worker, 0 if it is not in the response.
     """
 
-    def __init__(self, reason: str, clock_ms: int) -> None:
+    def __init__(self, reason: str) -> None:
         super().__init__(f"order refused: {reason}")
         self.reason = reason
-        self.clock_ms = clock_ms
 
 
 class RunningTask(NamedTuple):
@@ -128,10 +128,20 @@
 
 @platform_client("runs")
 class RunsClient(PlatformClient):
-    """Calls workers by address; one connection pool serves all of them."""
+    """Calls workers by address; one connection pool serves all of them.
+
+    Every call takes ``may_send``, which is called before the call is sent. It raises
+    :class:`PlatformUnreached`, without effect, if the permission has ended.
+    """
 
     async def _order(
-        self, address: str, worker: str, path: str, body: dict[str, Any], timeout: float
+        self,
+        address: str,
+        worker: str,
+        path: str,
+        body: dict[str, Any],
+        timeout: float,
+        may_send: Callable[[], bool],
     ) -> Any:
         instance_headers = {"Expect-Instance": worker}
         try:
@@ -141,6 +151,7 @@
                 body=body,
                 timeout=timeout,
                 headers=instance_headers,
+                may_send=may_send,
             )
         except PlatformRefusal as refusal:
             document = refusal.document if isinstance(refusal.document, dict) else {}
@@ -149,9 +160,9 @@
             if refusal.status == 409:
                 wire_reason = str(document.get("reason"))
                 reason = REFUSAL_REASONS.get(wire_reason, wire_reason)
-                raise OrderRefused(reason, int(document.get("clockMs", 0))) from refusal
+                raise OrderRefused(reason) from refusal
             if refusal.status in (400, 429, 503):
-                raise OrderRefused(f"status {refusal.status}", 0) from refusal
+                raise OrderRefused(f"status {refusal.status}") from refusal
             raise
 
     async def start(
@@ -164,6 +175,7 @@
         spec: str,
         expires_ms: int,
         fence: int,
+        may_send: Callable[[], bool],
         checkpoint: str = "",
         ticket: str = "",
     ) -> int:
@@ -173,7 +185,7 @@
 
         Raises
         ------
-        OrderRefused
+        OrderRefused, PlatformUnreached
             If the order had no effect.
         PlatformError
             If it is unknown whether the run started.
@@ -189,16 +201,38 @@
             body["checkpoint"] = checkpoint
         if ticket:
             body["ticket"] = ticket
-        response = await self._order(address, worker, "/api/run-start", body, ORDER_TIMEOUT_SECONDS)
-        return int(response["clockMs"])
+        response = await self._order(
+            address, worker, "/api/run-start", body, ORDER_TIMEOUT_SECONDS, may_send
+        )
+        try:
+            return int(response["clockMs"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise PlatformError(f"malformed response to a start order: {response!r}") from error
 
-    async def stop(self, address: str, worker: str, task: TaskName, run: int, fence: int) -> None:
+    async def stop(
+        self,
+        address: str,
+        worker: str,
+        task: TaskName,
+        run: int,
+        *,
+        fence: int,
+        may_send: Callable[[], bool],
+    ) -> None:
         """Orders a run to stop; the end is reported like any other."""
         body = {"task": format_task(task), "run": run, "fencingToken": fence}
-        await self._order(address, worker, "/api/run-stop", body, ORDER_TIMEOUT_SECONDS)
+        await self._order(address, worker, "/api/run-stop", body, ORDER_TIMEOUT_SECONDS, may_send)
 
     async def throttle(
-        self, address: str, worker: str, task: TaskName, run: int, *, percent: int, fence: int
+        self,
+        address: str,
+        worker: str,
+        task: TaskName,
+        run: int,
+        *,
+        percent: int,
+        fence: int,
+        may_send: Callable[[], bool],
     ) -> None:
         """Limits a run to a percentage of its processor time."""
         body = {
@@ -207,7 +241,7 @@
             "percent": percent,
             "fencingToken": fence,
         }
-        await self._order(address, worker, "/api/pace", body, ORDER_TIMEOUT_SECONDS)
+        await self._order(address, worker, "/api/pace", body, ORDER_TIMEOUT_SECONDS, may_send)
 
     async def renew(
         self,
@@ -218,6 +252,7 @@
         acknowledged: int,
         expires_ms: int | None,
         wait: float,
+        may_send: Callable[[], bool],
     ) -> WorkerReport:
         """Renews the lease of all runs, acknowledges ends, and waits for the next end.
 
@@ -241,7 +276,7 @@
         if expires_ms is not None:
             body["deadlineMs"] = expires_ms
         response = await self._order(
-            address, worker, "/api/hold", body, wait + REPORT_GRACE_SECONDS
+            address, worker, "/api/hold", body, wait + REPORT_GRACE_SECONDS, may_send
         )
         return _decode_report(response)
 
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -26,6 +26,7 @@
     RecordsExpired,
     encode_records,
 )
+from carawayd.supervision import supervised_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -97,7 +98,7 @@
         """Whether the latest record of each key has been read."""
         return self._offset is not None
 
-    @Service.task
+    @supervised_task
     async def _follow(self) -> None:
         while not self.should_stop:
             if not self._is_needed():
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -12,6 +12,8 @@
 from carawayd.partition.ledger import FLEET_TOPIC, WORKFLOWS_TOPIC
 from carawayd.partition.owner import PartitionOwner
 from carawayd.platform.common import PlatformError
+from carawayd.supervision import supervised_task
+from carawayshore.clock import SteadyTimeOfDay
 from carawayshore.workflows.candidacy import MIN_OWNER_CORES, GroupView, decide_candidacy
 
 if TYPE_CHECKING:
@@ -88,6 +90,7 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
+        self._time_of_day = SteadyTimeOfDay(clock)
         self.member = self._build_member_name()
         # Partition to the last epoch in which this process owned it. An epoch is never reused for a
         # partition, since orders that the previous owner sent in it may still be in transit.
@@ -172,7 +175,7 @@
             self._unowned_since = now
         self._unowned_duration = now - self._unowned_since if self._unowned_since else timedelta()
 
-    @Service.task
+    @supervised_task
     async def _keep_membership(self) -> None:
         while not self.should_stop:
             if not self.leaving and self._discovery.deployment is not None:
@@ -290,6 +293,7 @@
             discovery=self._discovery,
             settings=self._settings,
             clock=self._clock,
+            time_of_day=self._time_of_day,
             random=self._random,
             may_renew=self._may_renew,
             metrics=self._metrics,
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -57,7 +57,8 @@
         self.usable = False
         # Whether the worker is usable, or will be once it has reported.
         self.expected = False
-        self.usages: dict[TaskName, Usage] = {}
+        # By task for the runs that the owner ordered, by task and run for others on the worker.
+        self.usages: dict[TaskName | tuple[TaskName, int], Usage] = {}
         self.millicores = 0
         self.memory_mb = 0
         self.accelerators = 0
@@ -67,14 +68,14 @@
         self.consecutive_failures = 0
         self.suspect_until = 0.0
 
-    def reserve(self, name: TaskName, usage: Usage) -> None:
+    def reserve(self, name: TaskName | tuple[TaskName, int], usage: Usage) -> None:
         """Reserves capacity for a run."""
         if name in self.usages:
             self.release(name)
         self.usages[name] = usage
         self._count(usage, 1)
 
-    def release(self, name: TaskName) -> None:
+    def release(self, name: TaskName | tuple[TaskName, int]) -> None:
         """Releases the capacity of a run that has ended."""
         usage = self.usages.pop(name, None)
         if usage is not None:
