Probe a target before a body that cannot be sent again is streamed to it

Change: a target gets a body that is not buffered only once it has answered a probe; otherwise the attempt has not run, the target is suspended and another one is chosen.

--- a/packages/carawayd/src/carawayd/__main__.py
+++ b/packages/carawayd/src/carawayd/__main__.py
@@ -18,7 +18,7 @@
 from carawayd.process.logs import configure_logging, configure_queued_logging
 from carawayd.process.settings import Settings, read_settings
 from carawayd.process.site import SiteSettings, read_site
-from carawayshore.clock import SystemClock
+from carawayshore.clock import Clock, SystemClock
 from carawayshore.findings import FindingsError
 
 logger = logging.getLogger(__name__)
@@ -75,9 +75,9 @@
     return 1 if daemon.crashed or daemon.components.membership.superseded.is_set() else 0
 
 
-async def run_entry_host(settings: SiteSettings) -> int:
+async def run_entry_host(settings: SiteSettings, clock: Clock) -> int:
     """Runs an entry host on the platform until it is stopped; returns the exit status."""
-    host = EntryHost(settings, SystemClock())
+    host = EntryHost(settings, clock)
 
     def log_reload() -> None:
         logger.info("received SIGHUP; changed addresses take effect at the next start")
@@ -89,7 +89,7 @@
     return 1 if host.crashed else 0
 
 
-def run_on_platform(arguments: argparse.Namespace) -> int:
+def run_on_platform(arguments: argparse.Namespace, clock: Clock) -> int:
     """Runs an entry host with the settings file of the platform; returns the exit status."""
     path = arguments.settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
@@ -101,10 +101,10 @@
         print(f"{path}: no findings")
         return 0
     handler = configure_queued_logging(
-        settings.member, SystemClock(), level=arguments.log_level, stream=sys.stdout
+        settings.member, clock, level=arguments.log_level, stream=sys.stdout
     )
     try:
-        return asyncio.run(run_entry_host(settings))
+        return asyncio.run(run_entry_host(settings, clock))
     finally:
         handler.finish()
 
@@ -113,7 +113,7 @@
     parser = build_parser()
     arguments = parser.parse_args()
     if arguments.platform:
-        return run_on_platform(arguments)
+        return run_on_platform(arguments, SystemClock())
     if arguments.settings is None:
         parser.error("--settings is required")
     try:
--- a/packages/carawayd/src/carawayd/connection/target.py
+++ b/packages/carawayd/src/carawayd/connection/target.py
@@ -354,6 +354,15 @@
             for connection, _ in idle.pop(key):
                 connection.close()
 
+    async def responds(self, address: str) -> bool:
+        """Returns whether the worker at an address answers a probe in time."""
+        try:
+            await self._worker.read_status(address, timeout=PROBE_TIMEOUT_SECONDS)
+        except PlatformError as error:
+            logger.debug("probe of %s failed: %s", address, error)
+            return False
+        return True
+
     async def revoke(self, request: str, address: str) -> str:
         """Tells the worker never to start an attempt, and returns the state of the attempt.
 
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -115,8 +115,8 @@
         self._order_tasks: dict[str, asyncio.Task[None]] = {}
         # Machine to destination pool.
         self._pending_moves: dict[str, str] = {}
-        # Machine to the time of the last cordon for an unanswered order.
-        self._cordoned_at: dict[str, timedelta] = {}
+        # Machine to the time at which its cordon for an unanswered order is to be renewed.
+        self._cordon_due_at: dict[str, timedelta] = {}
         self._pool_sizes = PoolSizer()
 
     @property
@@ -299,17 +299,17 @@
         """
         selected = self._pending_moves.keys() | self._pending_upkeep.keys()
         now, standby = self._clock.elapsed(), self._list_standby()
-        for name in self._orders.list_unanswered() - selected:
-            machine = self._machines.get(name)
-            if machine is None or machine.pool in standby:
-                continue
-            if (
-                now - self._cordoned_at.get(name, -CORDON_RENEWAL_INTERVAL)
-                < CORDON_RENEWAL_INTERVAL
-            ):
-                continue
-            if await self._cordon(machine) is not None:
-                self._cordoned_at[name] = now
+        due = [
+            machine
+            for name in self._orders.list_unanswered() - selected
+            if (machine := self._machines.get(name)) is not None
+            and machine.pool not in standby
+            and now >= self._cordon_due_at.get(name, timedelta())
+        ]
+        loads = await asyncio.gather(*(self._cordon(machine) for machine in due))
+        for machine, load in zip(due, loads, strict=True):
+            if load is not None:
+                self._cordon_due_at[machine.machine] = now + CORDON_RENEWAL_INTERVAL
 
     async def _advance_move(self, name: str, pool: str, standby: frozenset[str]) -> None:
         """Cordons the machine of a move, then orders the move, or cancels it if tasks run there."""
--- a/packages/carawayd/src/carawayd/request/attempt.py
+++ b/packages/carawayd/src/carawayd/request/attempt.py
@@ -138,6 +138,11 @@
         address = self._slots.find_address(assigned.target)
         if address is None:
             return FailedAttempt(Outcome.NOT_RUN, Reason.NO_TARGET, budget_exempt=True)
+        if not body.can_resend and not await self._connections.responds(address):
+            # A body that cannot be sent again is sent only to a target that answers.
+            self._slots.suspend_target(assigned.target)
+            detail = f"target {assigned.target} did not answer a probe; nothing was sent"
+            return FailedAttempt(Outcome.NOT_RUN, Reason.NO_TARGET, True, detail)
         identifier = assigned.waiting.request
         outgoing = self.build_outgoing_request(
             request,
--- a/packages/carawayd/src/carawayd/request/body.py
+++ b/packages/carawayd/src/carawayd/request/body.py
@@ -73,6 +73,11 @@
         """Whether the body can still be sent: it is buffered or has not been streamed yet."""
         return self._data is not None or not self._streamed
 
+    @property
+    def can_resend(self) -> bool:
+        """Whether the body is buffered, so that another attempt could send it again."""
+        return self._data is not None
+
     async def prepare(self, remaining: timedelta) -> None:
         """Buffers a small body, so that it can be sent more than once.
 
