Ask an idle worker before an order is sent, and play owners against workers that accept everything

Cause: an idle worker is polled every 4 s. One that had ended and started again since, smaller and under the same identifier, was sent orders by its former size (rule LIMIT). Change: a worker whose last report is older than 1.2 s is asked first; the order is sent only to the incarnation that was planned for, and only while the worker may still get tasks. The soak's second edition adds jumps of the hosts' time of day and workers of three cores, and checks their capacity; seeds of the first edition play as before.

--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -200,6 +200,14 @@
         link = self.owner.links[WORKER]
         self.run(link._process_report(WorkerReport(clock_ms, born, rows, ends)))
 
+    def assume_recent_report(self) -> None:
+        """Lets start orders be sent without a recent report, which no poll would bring here."""
+
+        async def ensure() -> bool:
+            return True
+
+        self.owner.links[WORKER]._ensure_recent_report = ensure
+
     def fits(self, millicores: int) -> bool:
         """Returns whether a further task of this size would be placed on the worker."""
         link = self.owner.links[WORKER]
--- a/features/owner_workers.feature
+++ b/features/owner_workers.feature
@@ -43,6 +43,17 @@
     When its entry tells the new birth and 4 cores
     Then a task of 2 cores fits, one of 5 cores does not
 
+  Scenario: A worker that has not reported lately is asked before it is sent an order
+    Given an owner whose worker reported 2 s ago and has no tasks
+    When a start order is due and the worker reports the same birth
+    Then the start order was sent
+
+  Scenario: A worker that has started again since its last report is sent no order
+    # It may be smaller than the owner knows, and would accept the order all the same.
+    Given an owner whose worker reported 2 s ago and has no tasks
+    When a start order is due and the worker reports another birth
+    Then no start order was sent and the task waits
+
   # Leases (rule TWICE on day trouble-1 of snrc-atlas-grown: a start order that got no answer ran for
   # the 1.5 s of its validity, and the task was started elsewhere after 1.1 s).
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,14 +4,18 @@
 
   Scenario Outline: A short soak
     # Guards against failures under combinations of faults that no focused scenario covers.
-    Given a soak of <seconds> s with seed <seed>
+    Given a soak of edition <edition> of <seconds> s with seed <seed>
     When the soak is run
     Then the soak reports no violation
 
     Examples: drawn by hand
-      | seed | seconds |
-      | 1    | 8       |
+      | seed | seconds | edition |
+      | 1    | 8       | 1       |
 
     Examples: a seed that failed; started orders were given up with the old life of their worker
-      | seed   | seconds |
-      | 447128 | 15      |
+      | seed   | seconds | edition |
+      | 447128 | 15      | 1       |
+
+    Examples: with jumps of the time of day, and workers that fill up and accept everything
+      | seed | seconds | edition |
+      | 2    | 10      | 2       |
--- a/features/soak_faults.py
+++ b/features/soak_faults.py
@@ -60,22 +60,26 @@
             writer.transport.abort()
 
 
-_injectors: dict[str, FaultInjector] = {}
+# Injectors by name, each with the edition of the soak that added it.
+_injectors: dict[str, tuple[int, FaultInjector]] = {}
 
 
-def register_fault(name: str) -> Callable[[FaultInjector], FaultInjector]:
+def register_fault(name: str, *, edition: int = 1) -> Callable[[FaultInjector], FaultInjector]:
     """Registers the function that injects and ends a fault and returns the affected component."""
 
     def register(injector: FaultInjector) -> FaultInjector:
-        _injectors[name] = injector
+        _injectors[name] = (edition, injector)
         return injector
 
     return register
 
 
-def get_faults() -> dict[str, FaultInjector]:
-    """Returns the injectors of all faults by name."""
-    return dict(_injectors)
+def get_faults(edition: int) -> dict[str, FaultInjector]:
+    """Returns the injectors of an edition by name.
+
+    A seed draws from the faults of its edition, so that added faults do not change its run.
+    """
+    return {name: injector for name, (since, injector) in _injectors.items() if since <= edition}
 
 
 def _choose_host(deployment: SoakDeployment, random: Random) -> str:
@@ -124,6 +128,17 @@
     return name
 
 
+@register_fault("clock-jump", edition=2)
+async def jump_clock(deployment: SoakDeployment, random: Random) -> str:
+    name = _choose_host(deployment, random)
+    seconds = random.choice([-1, 1]) * random.uniform(1.0, 20.0)
+    deployment.shift_time_of_day(name, seconds)
+    await asyncio.sleep(random.uniform(0.5, 6.0))
+    if random.random() < 0.7:
+        deployment.shift_time_of_day(name, 0.0)
+    return f"{name} by {seconds:.1f} s"
+
+
 @register_fault("reload")
 async def reload_host(deployment: SoakDeployment, random: Random) -> str:
     name = _choose_host(deployment, random)
--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -39,13 +39,22 @@
 
 
 class SoakPlan(NamedTuple):
-    """Seed, duration and size of a run."""
+    """Seed, duration and size of a run.
+
+    Since edition 2, the time of day of hosts jumps, and workers are so small that they fill up.
+    Workers start whatever they are told, so that only the owner keeps their capacity.
+    """
 
     seed: int
     seconds: float = 15.0
     hosts: int = 4
     workers: int = 5
     callers: int = 6
+    edition: int = 2
+
+    @property
+    def worker_cores(self) -> int:
+        return 16 if self.edition == 1 else 3
 
 
 class Job:
@@ -72,7 +81,8 @@
         self.hosts: dict[str, ManagedProcess] = {}
         self.caller_addresses: dict[str, str] = {}
         self.configuration_version = 0
-        self._folder = folder
+        # Absolute, since the hosts read their shifts from it as well.
+        self._folder = folder.resolve()
         self._ports = PortReserver()
 
     async def start(self) -> None:
@@ -85,6 +95,7 @@
             await worker.start()
             self.workers.append(worker)
             entry = worker.describe() | {"address": await self._add_link(worker.name, address)}
+            entry["capacity"] |= {"cpu": self.plan.worker_cores * 1000}
             self.store.put("keyed.servers", worker.name, entry)
         for number in range(self.plan.hosts):
             name = f"entry-{number}"
@@ -115,7 +126,11 @@
             "seed": self.plan.seed * 100 + number + 1,
         }
         self.caller_addresses[name] = settings["caller_address"]
-        return ProcessSpec(name, "carawayd", settings, "", {}, ("--platform",))
+        return ProcessSpec(name, "features.soak_host", settings, "", {}, ("--platform",))
+
+    def shift_time_of_day(self, name: str, seconds: float) -> None:
+        """Shifts the time of day of an entry host."""
+        (self._folder / f"{name}.jump").write_text(str(seconds))
 
     async def start_host(self, name: str) -> None:
         if not self.hosts[name].is_running():
@@ -186,7 +201,7 @@
 
     async def _inject(self, random: Random, ends_at: float) -> None:
         """Injects faults sequentially; two such sequences run in parallel, so faults overlap."""
-        faults = get_faults()
+        faults = get_faults(self.plan.edition)
         while self._now() < ends_at:
             await asyncio.sleep(random.uniform(0.1, 1.5))
             name = random.choice(sorted(faults))
@@ -325,6 +340,20 @@
             if task in acknowledged and items[-1][0] > acknowledged[task]:
                 self.findings.append(f"TWICE: {task} began after its end was acknowledged")
         self._check_starts(runs)
+        self._check_capacity()
+
+    def _check_capacity(self) -> None:
+        """Checks that no start brought a worker over its capacity; each task uses one core."""
+        for worker in self.deployment.workers:
+            ended = {(task, run): at for task, run, _, at in worker.ends}
+            spans = [
+                (start.started_at, ended.get((start.task, start.run), float("inf")))
+                for start in worker.starts
+            ]
+            for started_at, _ in spans:
+                running = sum(begun <= started_at < end for begun, end in spans)
+                if running > self.plan.worker_cores:
+                    self.findings.append(f"LIMIT: {worker.name} ran {running} tasks at once")
 
     def _check_starts(self, runs: dict[str, list[tuple[float, float, str, int]]]) -> None:
         jobs = {job.identifier: job for job in self.jobs}
--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from behave import given, then, when
 from owner_builders import BORN, WORKER, OwnerHarness
 
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX
 from carawayd.partition.workerlink import STARTED, UNKNOWN, StartOrder
 from carawayd.platform.common import NothingListens, PlatformError
-from carawayd.platform.runs import OrderRefused
+from carawayd.platform.runs import OrderRefused, WorkerReport
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.state import CANCELLED, ORDERED, WAITING
 
@@ -134,6 +136,7 @@
     harness = context.harness
     harness.order(TASK, 1, state="sending", absence_certain_after_ms=0)
     harness.runs.error = PlatformError("no response")
+    harness.assume_recent_report()
     harness.run(harness.owner.links[WORKER].start_task(TASK, StartOrder(1, "text", "")))
 
 
@@ -150,6 +153,33 @@
     harness.run(harness.owner.links[WORKER].start_task(TASK, StartOrder(1, "text", "")))
 
 
+@when("a start order is due and the worker reports {outcome}")
+def order_after_report(context, outcome):
+    harness = context.harness
+    link = harness.owner.links[WORKER]
+    harness.order(TASK, 1, state="sending", absence_certain_after_ms=0)
+
+    async def act() -> None:
+        sending = asyncio.ensure_future(link.start_task(TASK, StartOrder(1, "text", "")))
+        await asyncio.sleep(0)
+        born = BORN + 7 if outcome == "another birth" else BORN
+        await link._process_report(WorkerReport(70_000, born, [], []))
+        await sending
+
+    harness.run(act())
+
+
+@then("the start order was sent")
+def expect_start(context):
+    assert ("start", JOB, 1) in context.harness.runs.calls
+
+
+@then("no start order was sent and the task waits")
+def expect_no_start(context):
+    expect_no_orders(context)
+    assert context.harness.owner._find_task(TASK)[2].status == WAITING
+
+
 def _poll(context, error) -> None:
     harness = context.harness
     is_gone = isinstance(error, NothingListens)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,9 +6,9 @@
 from soak_run import SoakPlan, run_seed_in_folder
 
 
-@given("a soak of {seconds:g} s with seed {seed:d}")
-def plan_soak(context, seconds, seed):
-    context.plan = SoakPlan(seed, seconds)
+@given("a soak of edition {edition:d} of {seconds:g} s with seed {seed:d}")
+def plan_soak(context, edition, seconds, seed):
+    context.plan = SoakPlan(seed, seconds, edition=edition)
 
 
 @when("the soak is run")
--- /dev/null
+++ b/features/worker_model.py
@@ -0,0 +1,405 @@
+"""Successive owners of one partition and a model of its workers, in virtual time.
+
+The workers start whatever they are told: they check the fencing token, the number of the run and
+the expiry of an order, as the platform's pages promise, and nothing else. The world records each
+start that breaks a promise. Times are those of the event loop, in seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from datetime import UTC, datetime, timedelta
+from random import Random
+from typing import Any, NamedTuple
+
+from owner_builders import build_settings
+from workflow_builders import build_entry, build_workflow
+
+from carawayd.partition.owner import ACCEPTED, PartitionOwner
+from carawayd.platform.common import NothingListens, PermissionEnded, PlatformError
+from carawayd.platform.runs import EndedRun, OrderRefused, RunningTask, WorkerReport
+from carawayd.platform.store import Fenced, KeyedRecord, LatestRecords, _decode_records
+from carawayd.process.workflowmetrics import WorkflowMetrics
+from carawayshore.clock import SteadyTimeOfDay
+from carawayshore.workflows.model import StepSpec, TaskName
+
+SERVICE = "booking"
+CALL_TIMEOUT_S = 1.0
+LEASE_CHECK_S = 0.02
+# Delay after which a restarted worker's entry tells its new size.
+ENTRY_DELAY_S = 1.0
+# Time from the end of a process to the start of the next one.
+DOWNTIME_S = 1.3
+LONGEST_LEASE_MS = 6_000
+CONTACT_S = 0.25
+WORKER_CORES = 12
+
+
+class Run(NamedTuple):
+    """Run on a worker, which succeeds at ``ends_at``."""
+
+    run: int
+    cores: int
+    started_at: float
+    ends_at: float
+
+    def measure_percent(self, now: float) -> int:
+        return int(100 * (now - self.started_at) / (self.ends_at - self.started_at))
+
+
+class ModelWorker:
+    """Worker that accepts every order that is neither late, fenced nor superseded."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.cores = WORKER_CORES
+        self.gone = False
+        self.born = 1
+        self.entry = self._describe()
+        self._reset()
+
+    def _reset(self) -> None:
+        self.fence, self.lease_ms = 0, 0
+        self.origin = self.world.now()
+        self.runs: dict[TaskName, Run] = {}
+        self.ended: list[EndedRun] = []
+        self.numbers = itertools.count(1)
+        self.highest_ended: dict[TaskName, int] = {}
+
+    def _describe(self):
+        return build_entry(self.name, millicores=self.cores * 1000, born=self.born)
+
+    @property
+    def clock_ms(self) -> int:
+        # The slowest rate that the pages allow.
+        return int((self.world.now() - self.origin) * 980)
+
+    def leave(self) -> None:
+        """Ends the process, and with it all that it runs."""
+        self.gone = True
+        self.born += 1
+        self._reset()
+
+    def restart(self, cores: int) -> None:
+        """Ends the process and starts a new incarnation of another size."""
+        self.leave()
+        asyncio.get_running_loop().call_later(DOWNTIME_S, self._start_again, cores, self.born)
+
+    def _start_again(self, cores: int, born: int) -> None:
+        if self.born == born:
+            self.cores, self.gone = cores, False
+            self._reset()
+            asyncio.get_running_loop().call_later(ENTRY_DELAY_S, self._update_entry, born)
+
+    def _update_entry(self, born: int) -> None:
+        if self.born == born:
+            self.entry = self._describe()
+
+    def end(self, task: TaskName, kind: str) -> None:
+        run = self.runs.pop(task, None)
+        if run is not None:
+            self.highest_ended[task] = max(run.run, self.highest_ended.get(task, 0))
+            self.ended.append(EndedRun(next(self.numbers), task, run.run, kind, ""))
+
+    def advance(self) -> None:
+        """Ends the runs that have succeeded, and all once the lease has expired."""
+        for task, run in list(self.runs.items()):
+            if self.world.now() >= run.ends_at:
+                self.end(task, "done")
+        if self.clock_ms > self.lease_ms:
+            for task in list(self.runs):
+                self.end(task, "lapsed")
+
+    def _check_fence(self, fence: int) -> None:
+        if fence < self.fence:
+            raise OrderRefused("fenced")
+        self.fence = fence
+
+    def start(self, task: TaskName, run: int, expires_ms: int, fence: int) -> int:
+        self._check_fence(fence)
+        if expires_ms < self.clock_ms:
+            raise OrderRefused("expired")
+        self.lease_ms = max(self.lease_ms, min(expires_ms, self.clock_ms + LONGEST_LEASE_MS))
+        if run <= self.highest_ended.get(task, 0):
+            raise OrderRefused("superseded")
+        if task in self.runs and self.runs[task].run == run:
+            return self.clock_ms
+        self.world.check_start(self, task, run)
+        cores, seconds = self.world.jobs[task.workflow]
+        now = self.world.now()
+        self.runs[task] = Run(run, cores, now, now + seconds)
+        return self.clock_ms
+
+    def stop(self, task: TaskName, run: int, fence: int) -> None:
+        self._check_fence(fence)
+        if task in self.runs and self.runs[task].run == run:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.world.stop_seconds, self._finish_stop, task, run, self.born)
+        else:
+            self.highest_ended[task] = max(run, self.highest_ended.get(task, 0))
+
+    def _finish_stop(self, task: TaskName, run: int, born: int) -> None:
+        if self.born == born and task in self.runs and self.runs[task].run == run:
+            self.end(task, "stopped")
+
+    def renew(self, fence: int, acknowledged: int, expires_ms: int | None) -> None:
+        self._check_fence(fence)
+        if expires_ms is not None:
+            self.lease_ms = max(self.lease_ms, min(expires_ms, self.clock_ms + LONGEST_LEASE_MS))
+        for end in self.ended:
+            if end.number <= acknowledged and end.kind == "done":
+                self.world.acknowledged.add(end.task)
+        self.ended = [end for end in self.ended if end.number > acknowledged]
+
+    def report(self) -> WorkerReport:
+        now = self.world.now()
+        running = [
+            RunningTask(task, run.run, "", run.measure_percent(now), 0.0)
+            for task, run in self.runs.items()
+        ]
+        return WorkerReport(self.clock_ms, self.born, running, list(self.ended))
+
+
+class ModelRuns:
+    """Client of the workers over links that the world disturbs."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    async def _call(self, worker: str, may_send, carry_out) -> Any:
+        await asyncio.sleep(0.002)
+        if not may_send():
+            raise PermissionEnded("the permission to send ended")
+        model, link = self._world.workers[worker], self._world.links[worker]
+        if model.gone:
+            raise NothingListens(worker)
+        if link == "cut":
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise PlatformError("no response")
+        if link == "late":
+            self._world.carry_out_late(model, carry_out)
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise PlatformError("no response")
+        result = carry_out(model)
+        if link == "lost":
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise PlatformError("no response")
+        await asyncio.sleep(0.002)
+        return result
+
+    async def start(self, _address, worker, task, run, *, expires_ms, fence, may_send, **_):
+        return await self._call(
+            worker, may_send, lambda model: model.start(task, run, expires_ms, fence)
+        )
+
+    async def stop(self, _address, worker, task, run, *, fence, may_send):
+        await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
+
+    async def renew(self, _address, worker, *, fence, acknowledged, expires_ms, wait, may_send):
+        def carry_out(model: ModelWorker) -> WorkerReport:
+            model.renew(fence, acknowledged, expires_ms)
+            return model.report()
+
+        report = await self._call(worker, may_send, carry_out)
+        model, until = self._world.workers[worker], self._world.now() + wait
+        while not report.ended and self._world.now() < until and model.born == report.born:
+            await asyncio.sleep(LEASE_CHECK_S)
+            report = model.report()
+        return report
+
+
+class ModelStore:
+    """One partition, which rejects appends under an earlier epoch."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, bytes] = {}
+        self.epoch = 0
+        self.end = 0
+
+    async def append(self, topic, partition, data, *, producer, epoch, sequence) -> int:
+        await asyncio.sleep(0.004)
+        if epoch < self.epoch:
+            raise Fenced("a later epoch has written")
+        self.epoch = epoch
+        for record in _decode_records(data)[0]:
+            self.records[record.key] = record.value
+            self.end += 1
+        return self.end
+
+    async def read_latest(self, topic, partition) -> LatestRecords:
+        await asyncio.sleep(0.01)
+        records = [KeyedRecord(key, value) for key, value in self.records.items() if value]
+        return LatestRecords(records, self.end)
+
+
+class OwnerClock:
+    """Clock of one owner's host: another starting point, and a time of day that jumps."""
+
+    def __init__(self, world: World, offset: float) -> None:
+        self._world = world
+        self._offset = offset
+        self.jump_seconds = 0.0
+
+    def elapsed(self) -> timedelta:
+        return timedelta(seconds=self._world.now() + self._offset)
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(1.7e9 + self._world.now() + self.jump_seconds, UTC)
+
+    async def sleep(self, duration: timedelta) -> None:
+        await asyncio.sleep(duration.total_seconds())
+
+
+class ModelOwner:
+    """An owner and the permission of its process."""
+
+    def __init__(self, world: World, epoch: int) -> None:
+        self.clock = OwnerClock(world, epoch * 1_000.0)
+        self.contact_at = world.now()
+        self._world = world
+        self.owner = PartitionOwner(
+            0,
+            epoch,
+            store=world.store,
+            runs=ModelRuns(world),
+            discovery=world,
+            settings=build_settings()._replace(longest_lease_ms=LONGEST_LEASE_MS),
+            clock=self.clock,
+            time_of_day=SteadyTimeOfDay(self.clock),
+            random=Random(epoch),
+            may_renew=lambda: world.now() - self.contact_at < 5.0,
+            metrics=WorkflowMetrics(),
+        )
+
+
+class World:
+    """Workers, links, store and owners; ``violations`` lists the broken promises."""
+
+    def __init__(self, worker_count: int, stop_seconds: float) -> None:
+        self.violations: list[str] = []
+        # Cores and duration of the tasks of each workflow.
+        self.jobs: dict[str, tuple[int, float]] = {}
+        self.accepted: list[str] = []
+        self.cancelled: set[str] = set()
+        self.acknowledged: set[TaskName] = set()
+        self.stop_seconds = stop_seconds
+        self.late_seconds = 2.0
+        self.store = ModelStore()
+        self.workers = {
+            f"w{number}": ModelWorker(self, f"w{number}") for number in range(worker_count)
+        }
+        self.links = dict.fromkeys(self.workers, "")
+        self.unlisted: set[str] = set()
+        self.owners: list[ModelOwner] = []
+        self._tickers = [
+            asyncio.ensure_future(self._advance()),
+            asyncio.ensure_future(self._join()),
+        ]
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # -- discovery -------------------------------------------------------------------------------
+
+    def list_services(self, partition: int) -> set[str]:
+        return {SERVICE}
+
+    def list_workers(self, services: set[str]) -> dict[str, Any]:
+        return {
+            name: worker.entry for name, worker in self.workers.items() if name not in self.unlisted
+        }
+
+    # -- owners ----------------------------------------------------------------------------------
+
+    @property
+    def current(self) -> ModelOwner:
+        return self.owners[-1]
+
+    async def take_over(self) -> None:
+        """Starts the next owner; the earlier one goes on for a moment without knowing."""
+        if self.owners:
+            loop = asyncio.get_running_loop()
+            former = self.current.owner
+            loop.call_later(0.8, lambda: asyncio.ensure_future(former.stop()))
+        self.owners.append(ModelOwner(self, len(self.owners) + 1))
+        await self.current.owner.maybe_start()
+
+    async def _join(self) -> None:
+        """Renews the current owner's membership."""
+        while True:
+            await asyncio.sleep(CONTACT_S)
+            if self.owners and not self.links.get("store"):
+                self.current.contact_at = self.now()
+
+    async def submit(self, cores: int, tasks: int, seconds: float) -> None:
+        identifier = f"{len(self.jobs):016x}"
+        step = StepSpec(count=tasks, millicores=cores * 1000, memory_mb=1, estimate_ms=500)
+        self.jobs[identifier] = (cores, seconds)
+        workflow = build_workflow(step, identifier=identifier, stretch=50.0)
+        reply = await self.current.owner.submit(workflow)
+        if reply.outcome == ACCEPTED:
+            self.accepted.append(identifier)
+
+    async def cancel(self, index: int) -> None:
+        if self.accepted:
+            identifier = self.accepted[index % len(self.accepted)]
+            self.cancelled.add(identifier)
+            await self.current.owner.cancel(identifier)
+
+    # -- workers ---------------------------------------------------------------------------------
+
+    async def _advance(self) -> None:
+        while True:
+            for worker in self.workers.values():
+                worker.advance()
+            await asyncio.sleep(LEASE_CHECK_S)
+
+    def carry_out_late(self, worker: ModelWorker, carry_out) -> None:
+        born = worker.born
+
+        def act() -> None:
+            if worker.born == born and not worker.gone:
+                try:
+                    carry_out(worker)
+                except OrderRefused:
+                    return
+
+        asyncio.get_running_loop().call_later(self.late_seconds, act)
+
+    def check_start(self, worker: ModelWorker, task: TaskName, run: int) -> None:
+        """Records the promises that a start breaks."""
+        cores, _ = self.jobs[task.workflow]
+        worker.advance()
+        used = sum(item.cores for item in worker.runs.values())
+        if used + cores > worker.cores:
+            self.violations.append(
+                f"LIMIT at {self.now():.3f}: {task} run {run} on {worker.name}, {used} of"
+                f" {worker.cores} cores used"
+            )
+        for other in self.workers.values():
+            other.advance()
+            if task in other.runs:
+                self.violations.append(
+                    f"TWICE at {self.now():.3f}: {task} run {run} on {worker.name}, run"
+                    f" {other.runs[task].run} on {other.name}"
+                )
+        if task in self.acknowledged:
+            self.violations.append(f"TWICE at {self.now():.3f}: {task} began after its end")
+
+    # -- end -------------------------------------------------------------------------------------
+
+    async def list_unfinished(self) -> list[str]:
+        found = []
+        for identifier in set(self.accepted) - self.cancelled:
+            reply = await self.current.owner.read_state(identifier)
+            if reply.detail != "completed":
+                found.append(f"LOST: {identifier} is {reply.outcome} {reply.detail}")
+        return found
+
+    async def close(self) -> None:
+        for ticker in self._tickers:
+            ticker.cancel()
+        for item in self.owners:
+            await item.owner.stop()
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -44,6 +44,11 @@
 IDLE_POLL_SECONDS = 4.0
 # Delay after a failed poll.
 RETRY_SECONDS = 0.25
+# A worker whose last report is older is asked again before it is sent a start order: it may have
+# started again since, with less capacity.
+MAX_REPORT_AGE_SECONDS = 1.2
+# Maximum wait for that report.
+FRESH_REPORT_TIMEOUT_SECONDS = 1.0
 # Minimum rate of a worker's clock relative to the local one.
 MIN_CLOCK_RATE = 0.98
 # Added to the computed end of a lease before the lease is considered expired.
@@ -209,6 +214,9 @@
         self._is_reconciled = False
         self._worker_clock_ms: int | None = None
         self._reported_at = self._now()
+        # Set at each report; orders that need a recent one wait for it.
+        self._reported = asyncio.Event()
+        self._waiting_for_report = 0
         self._failures = 0
         self._max_lease_expiry_ms = 0
         self.throttle_percent = 100
@@ -291,13 +299,31 @@
         )
         return now - self._reported_at > remaining + LEASE_MARGIN_SECONDS
 
+    async def _ensure_recent_report(self) -> bool:
+        """Waits for a report if the last one is old; returns whether a start order may be sent."""
+        incarnation = self._incarnation
+        if self._now() - self._reported_at > MAX_REPORT_AGE_SECONDS:
+            self._reported.clear()
+            self._waiting_for_report += 1
+            self._wake.set()
+            try:
+                async with asyncio.timeout(FRESH_REPORT_TIMEOUT_SECONDS):
+                    await self._reported.wait()
+            except TimeoutError:
+                return False
+            finally:
+                self._waiting_for_report -= 1
+        return self.capacity.usable and self._incarnation == incarnation
+
     async def start_task(self, task: TaskName, order: StartOrder) -> None:
         """Sends a start order, which must already be recorded durably."""
         entry = self.orders.get(task)
         if entry is None or entry.run != order.run:
             return
-        if self._worker_clock_ms is None or self.closed:
-            self._report_missing(task, entry, "worker left before the order was sent")
+        if not await self._ensure_recent_report():
+            self._report_missing(task, entry, "no recent report of the worker; order not sent")
+            return
+        if self.orders.get(task) is not entry:
             return
         entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
         # The expiry of a start order also renews the lease of everything on the worker.
@@ -471,7 +497,9 @@
             self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, expires_ms)
             shared = self.capacity.best_effort and self.capacity.serving
             wait = SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
-            if not any(order.state == STARTED for order in self.orders.values()):
+            if self._waiting_for_report:
+                wait = 0.0
+            elif not any(order.state == STARTED for order in self.orders.values()):
                 wait = 0.1
         return await self._runs.renew(
             self.entry.address,
@@ -566,6 +594,7 @@
         self._reconcile(report)
         self._is_reconciled = True
         self._update_capacity()
+        self._reported.set()
         self._owner.handle_report(self)
         if ended:
             await self._owner.flush()
