Record the answer to a machine order at once

Cause: a holder recorded answers once a second, so a holder killed within that second left machines that its successor took for ones with an order under way: it left them alone for 13 s, and counted them as down for their wave. A repeated order that was answered also settled an earlier one that was not, and may still come. Test: fleet_manager.feature, "A repeated order that is answered does not settle the one before".

--- a/features/fleet_manager.feature
+++ b/features/fleet_manager.feature
@@ -31,6 +31,13 @@
     And after 11 s it may not order m1
     And after 3 s it may order m1
 
+  Scenario: A repeated order that is answered does not settle the one before
+    Given a holder of the fleet whose order for machine m1 got no response
+    When it repeats the order for m1 and gets a response
+    And another holder takes over at once
+    Then m1 counts as one that an order may still end
+    And after 11 s it may not order m1
+
   Scenario: A machine that was ordered some time ago is free at once
     Given a holder of the fleet that has ordered machine m1 5 s ago
     When another holder takes over at once
--- a/features/fleet_manager_builders.py
+++ b/features/fleet_manager_builders.py
@@ -12,7 +12,7 @@
 from carawayd.platform.api import build_client
 from carawayd.platform.common import PermissionEnded, PlatformError
 from carawayd.process.fleetmanager import FleetManager
-from carawayd.process.machineorders import RECORD_INTERVAL
+from carawayd.process.machineorders import REMOVAL_INTERVAL
 from carawayd.process.site import SITE_FIELDS, SiteSettings
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayshore.clock import SystemClock
@@ -134,11 +134,11 @@
 
     async def begin_upkeep(self, manager: FleetManager, machine: str, wave: int) -> None:
         await manager._start_upkeep(Wave(wave, (machine,), 20.0, 1), machine)
-        self.clock.advance += RECORD_INTERVAL
-        await self.record_orders(manager)
+        await manager._ledger.flush()
 
-    async def record_orders(self, manager: FleetManager) -> None:
-        manager._orders.record_progress()
+    async def remove_settled_orders(self, manager: FleetManager) -> None:
+        self.clock.advance += REMOVAL_INTERVAL
+        manager._orders.remove_settled()
         await manager._ledger.flush()
 
     def close(self) -> None:
--- a/features/steps/fleet_manager_steps.py
+++ b/features/steps/fleet_manager_steps.py
@@ -30,7 +30,7 @@
 def order_machine_earlier(context, machine, seconds):
     order_machine(context, machine)
     context.fleet.clock.advance += timedelta(seconds=seconds)
-    context.fleet.run(context.fleet.record_orders(context.former))
+    context.fleet.run(context.fleet.remove_settled_orders(context.former))
 
 
 @given("a holder of the fleet that has begun the upkeep of {machine:w} in wave {wave:d}")
@@ -42,6 +42,12 @@
     assert [order[0] for order in context.fleet.machines.orders] == [machine]
 
 
+@when("it repeats the order for {machine:w} and gets a response")
+def repeat_order(context, machine):
+    context.fleet.machines.loses_responses = False
+    context.fleet.run(context.fleet.begin_upkeep(context.former, machine, 3))
+
+
 @when("another holder takes over at once")
 def take_over(context):
     context.holder = context.fleet.run(context.fleet.start_holder(2))
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -189,7 +189,7 @@
         self._orders.record_sending(name)
         await self._ledger.flush()
         if not self._may_order():
-            self._orders.record_unsent(name)
+            self._orders.record_answer(name)
             return False
         return True
 
@@ -198,7 +198,7 @@
         while not self.should_stop:
             if self._may_order():
                 try:
-                    self._orders.record_progress()
+                    self._orders.remove_settled()
                     await self._read_fleet()
                     await self._cordon_machines_with_unanswered_orders()
                     await self._manage_waves()
@@ -356,10 +356,10 @@
                 self._is_token_rejected = True
         except PlatformUnreached as error:
             outcome = str(error)
-            self._orders.record_unsent(name)
+            self._orders.record_answer(name)
         except PlatformError as error:
-            # The order may still be executed, as its record says.
             outcome = str(error)
+            self._orders.note_missing_answer(name)
         else:
             self._orders.record_answer(name)
         self._metrics.machine_orders.labels("move", str(outcome)[:40]).inc()
@@ -515,11 +515,12 @@
                 self._pending_upkeep.pop(name, None)
         except PlatformUnreached as error:
             outcome = str(error)
-            self._orders.record_unsent(name)
+            self._orders.record_answer(name)
             self._down_until.pop(name, None)
         except PlatformError as error:
             # The order may still be executed: count the machine as down and repeat the order.
             outcome = str(error)
+            self._orders.note_missing_answer(name)
         else:
             self._orders.record_answer(name)
             self._pending_upkeep.pop(name, None)
--- a/packages/carawayd/src/carawayd/process/machineorders.py
+++ b/packages/carawayd/src/carawayd/process/machineorders.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from carawayd.partition.ledger import Ledger
@@ -25,16 +25,9 @@
 MAX_ORDER_DELAY = timedelta(seconds=13)
 # Added to the lease of a machine, for the time that an answered order took.
 LEASE_MARGIN = timedelta(milliseconds=200)
-# Interval at which answers and ended waits are recorded; longer than that of the control loop,
-# since each append to the store is charged.
-RECORD_INTERVAL = timedelta(seconds=1)
-
-
-class _Order(NamedTuple):
-    """Last order of this holder to a machine."""
-
-    state: bytes
-    ends_at: timedelta
+# Interval at which records are removed that a later holder need not wait for; longer than that of
+# the control loop, since each append to the store is charged.
+REMOVAL_INTERVAL = timedelta(seconds=1)
 
 
 class MachineOrders:
@@ -57,21 +50,23 @@
         self._clock = clock
         self._lease = timedelta(milliseconds=settings.machine_lease_ms) + LEASE_MARGIN
         self._ledger = ledger
-        self._orders: dict[str, _Order] = {}
-        # End of the wait for each machine that a predecessor ordered.
+        # Machine to the time until which its record is needed by a later holder.
+        self._needed_until: dict[str, timedelta] = {}
+        # Machine to the end of the wait for an order of a predecessor.
         self._inherited_until: dict[str, timedelta] = {}
-        # Machines whose answer is not recorded yet.
-        self._unrecorded: set[str] = set()
-        self._recorded_at = clock.elapsed()
+        # Machine to the time until which an order without a response may still be executed.
+        self._unanswered_until: dict[str, timedelta] = {}
+        self._removed_at = clock.elapsed()
 
     def restore(self, machine: str, value: bytes) -> None:
         """Applies the record of a predecessor's last order."""
         if not value:
             return
-        delay = self._lease if value == ANSWERED else max(self._lease, MAX_ORDER_DELAY)
-        until = self._clock.elapsed() + delay
-        self._inherited_until[machine] = until
-        self._orders[machine] = _Order(value, until)
+        now = self._clock.elapsed()
+        if value != ANSWERED:
+            self._unanswered_until[machine] = now + MAX_ORDER_DELAY
+        until = max(now + self._lease, self._unanswered_until.get(machine, now))
+        self._inherited_until[machine] = self._needed_until[machine] = until
 
     def is_blocked(self, machine: str) -> bool:
         """Returns whether an order of a predecessor still excludes one of this holder."""
@@ -79,39 +74,40 @@
 
     def record_sending(self, machine: str) -> None:
         """Queues the record of an order; the order may be sent once the record is durable."""
-        self._orders[machine] = _Order(SENT, self._clock.elapsed() + MAX_ORDER_DELAY)
-        self._unrecorded.discard(machine)
-        self._ledger.mark_dirty(ORDER_PREFIX + machine, lambda: SENT)
-
-    def record_unsent(self, machine: str) -> None:
-        """Notes that a recorded order was not sent after all."""
-        self.record_answer(machine)
+        self._record(machine, SENT, MAX_ORDER_DELAY)
 
     def record_answer(self, machine: str) -> None:
-        """Notes that the response to an order has been received."""
-        self._orders[machine] = _Order(ANSWERED, self._clock.elapsed() + self._lease)
-        self._unrecorded.add(machine)
+        """Queues the record that an order was answered, or not sent after all.
+
+        Without it, a later holder leaves the machine alone for much longer.
+        """
+        if not self._is_unanswered(machine):
+            self._record(machine, ANSWERED, self._lease)
+
+    def note_missing_answer(self, machine: str) -> None:
+        """Notes that an order got no response, and so may still be executed."""
+        self._unanswered_until[machine] = self._clock.elapsed() + MAX_ORDER_DELAY
+
+    def _record(self, machine: str, state: bytes, delay: timedelta) -> None:
+        self._needed_until[machine] = self._clock.elapsed() + delay
+        self._ledger.mark_dirty(ORDER_PREFIX + machine, lambda: state)
+
+    def _is_unanswered(self, machine: str) -> bool:
+        return self._clock.elapsed() < self._unanswered_until.get(machine, timedelta())
 
     def list_unanswered(self) -> set[str]:
         """Returns the machines for which an order without a response may still be executed."""
+        return {machine for machine in self._unanswered_until if self._is_unanswered(machine)}
+
+    def remove_settled(self) -> None:
+        """Removes the records of orders that a later holder need not wait for."""
         now = self._clock.elapsed()
-        return {
-            name
-            for name, order in self._orders.items()
-            if order.state != ANSWERED and now < order.ends_at
-        }
-
-    def record_progress(self) -> None:
-        """Queues the records of answers, and removes those of orders that nobody waits for."""
-        now = self._clock.elapsed()
-        if now - self._recorded_at < RECORD_INTERVAL:
+        if now - self._removed_at < REMOVAL_INTERVAL:
             return
-        self._recorded_at = now
-        for machine in self._unrecorded:
-            self._ledger.mark_dirty(ORDER_PREFIX + machine, lambda: ANSWERED)
-        self._unrecorded = set()
-        for machine, order in list(self._orders.items()):
-            if now >= order.ends_at:
-                del self._orders[machine]
+        self._removed_at = now
+        for machine, until in list(self._needed_until.items()):
+            if now >= until and not self._is_unanswered(machine):
+                del self._needed_until[machine]
                 self._inherited_until.pop(machine, None)
+                self._unanswered_until.pop(machine, None)
                 self._ledger.mark_dirty(ORDER_PREFIX + machine, bytes)
