Disable each new guard in the mutation test, and aim the interleavings at takeovers and restarts

Cause: the interleavings of owners and workers broke nothing with guards disabled (80 each with the guards on room, size and leases); their steps rarely met at the moments that the guards are for. Change: takeovers with a cancel, restarts with another size, and takeovers without links to the workers are drawn as a whole. 15 mutations for the new guards, run with their own features. A scenario for an order whose permission ends while its connection is opened.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -250,6 +250,13 @@
     And entry-1 is restarted as another process at its address
     Then jobs 3 to 4 are accepted at once through each entry host
 
+  Scenario: An owner whose permission ended while a connection was opened sends no order
+    # Guards against a paused or delayed process that starts tasks after its permission has run out.
+    Given the owner of the jobs
+    When it sends w0 a start order for which its permission ends before the connection is open
+    Then the order was not sent
+    And no task started on w0
+
   Scenario: A rejection after an attempt without answer is not told as one
     When the first owner does not answer a submission and the second one rejects it
     Then the caller's entry host reports its outcome as unknown
--- a/features/steps/owner_property_steps.py
+++ b/features/steps/owner_property_steps.py
@@ -30,7 +30,45 @@
     st.tuples(st.just("unlist"), worker, st.just(0)),
     st.tuples(st.just("list"), worker, st.just(0)),
 )
-STEPS = st.lists(st.tuples(STEP, WAITS), min_size=4, max_size=25)
+SHORT_WAITS = st.sampled_from([0.0, 0.01, 0.05, 0.3])
+
+
+@st.composite
+def build_cancel_at_takeover(draw):
+    """Builds a job that is cancelled right after a takeover, and work that wants its room."""
+    work = ("submit", draw(st.integers(5, 10)), 4.0)
+    take_over, cancel = ("take_over", 0, 0), ("cancel", -1, 0)
+    return [
+        (work, 0.3), (take_over, 0.0), (cancel, draw(SHORT_WAITS)), (work, 0.0), (work, 1.0)
+    ]  # fmt: skip
+
+
+@st.composite
+def build_smaller_restart(draw):
+    """Builds a worker that starts again with another size, and work that arrives then."""
+    restart = ("restart", draw(worker), draw(st.sampled_from([2, 6])))
+    work = ("submit", draw(st.integers(1, 5)), 1.0)
+    return [(restart, draw(st.sampled_from([1.3, 1.35, 1.6, 2.2]))), (work, 0.0), (work, 0.3)]
+
+
+@st.composite
+def build_takeover_without_links(draw):
+    """Builds a takeover by an owner that cannot reach the workers on which tasks run."""
+    work, cut = ("submit", draw(st.integers(2, 8)), 4.0), draw(st.sampled_from(["cut", "late"]))
+    cuts = [(("link", name, cut), 0.0) for name in draw(st.permutations(WORKERS))[:2]]
+    return [(work, 0.3), *cuts, (("take_over", 0, 0), draw(st.sampled_from([2.5, 6.0])))]
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.lists(st.tuples(STEP, WAITS), min_size=1, max_size=6),
+        build_cancel_at_takeover(),
+        build_smaller_restart(),
+        build_takeover_without_links(),
+    ),
+    min_size=2,
+    max_size=6,
+).map(lambda parts: [step for part in parts for step in part])
 
 
 async def _act(world: World, kind: str, first, second) -> None:
--- a/features/steps/platform_contact_steps.py
+++ b/features/steps/platform_contact_steps.py
@@ -10,7 +10,9 @@
 from workflow_builders import build_workflow
 
 from carawayd.partition.ledger import PRODUCER, WORKFLOWS_TOPIC
+from carawayd.platform.common import PermissionEnded, PlatformUnreached
 from carawayd.platform.store import KeyedRecord, encode_records
+from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.state import WorkflowState
 
 
@@ -84,6 +86,38 @@
     assert found == status, found
 
 
+@when(
+    "it sends {worker:w} a start order for which its permission ends before the connection is open"
+)
+def order_without_permission(context, worker):
+    platform, owner = context.platform, context.former_owner
+    stand_in = platform.workers[worker]
+    task = TaskName(build_identifier(1), 0, 0, 0)
+
+    async def order() -> PlatformUnreached | None:
+        try:
+            await owner._runs.start(
+                stand_in.address,
+                worker,
+                task,
+                1,
+                spec="text",
+                expires_ms=stand_in.clock_ms + 60_000,
+                fence=owner.fence,
+                may_send=lambda: False,
+            )
+        except PlatformUnreached as error:
+            return error
+        return None
+
+    context.send_error = platform.run(order())
+
+
+@then("the order was not sent")
+def expect_not_sent(context):
+    assert isinstance(context.send_error, PermissionEnded), context.send_error
+
+
 @when("its partition is given a later epoch")
 def set_later_epoch(context):
     owner = context.former_owner
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -34,6 +34,8 @@
 LONGEST_LEASE_MS = 6_000
 CONTACT_S = 0.25
 WORKER_CORES = 12
+CANCEL_ATTEMPTS = 100
+CANCEL_INTERVAL_S = 0.005
 
 
 class Run(NamedTuple):
@@ -343,10 +345,15 @@
             self.accepted.append(identifier)
 
     async def cancel(self, index: int) -> None:
-        if self.accepted:
-            identifier = self.accepted[index % len(self.accepted)]
-            self.cancelled.add(identifier)
-            await self.current.owner.cancel(identifier)
+        """Cancels an accepted job, as soon as the owner answers."""
+        if not self.accepted:
+            return
+        identifier = self.accepted[index % len(self.accepted)]
+        self.cancelled.add(identifier)
+        for _ in range(CANCEL_ATTEMPTS):
+            if (await self.current.owner.cancel(identifier)).outcome == ACCEPTED:
+                return
+            await asyncio.sleep(CANCEL_INTERVAL_S)
 
     # -- workers ---------------------------------------------------------------------------------
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import contextlib
 import io
 import json
@@ -16,27 +17,45 @@
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from pathlib import Path
+from typing import NamedTuple
 
 from behave.__main__ import main as run_behave
 
-from carawayd.process import fleet, keys, membership, streams
+from carawayd.partition import contactloss, cordons, owner, workerlink
+from carawayd.platform import common
+from carawayd.process import exchange, fleet, keys, machineorders, membership, streams
 from carawayshore import assignment, claims, fold, records
 from carawayshore import keys as key_rules
 from carawayshore import membership as members
+from carawayshore.workflows import placement
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "mutations.md"
-FEATURES = ("log_order", "at_most_once", "fleet", "log_property")
+# Features that guard the embedded mode, the owners of the platform mode, and its entry hosts.
+EMBEDDED = ("log_order", "at_most_once", "fleet", "log_property")
+OWNERS = ("owner_workers", "owner_property", "fleet_manager")
+ENTRY_HOSTS = ("platform",)
+FEATURES = (*EMBEDDED, *OWNERS, *ENTRY_HOSTS)
 PARALLEL_MUTATIONS = 3
+RUN_TIMEOUT_SECONDS = 600
 
-_mutations: dict[str, tuple[str, Callable[[], None]]] = {}
 
+class Mutation(NamedTuple):
+    """A disabled guard and the features that are run without it."""
 
-def mutation(guard: str):
+    guard: str
+    disable: Callable[[], None]
+    features: tuple[str, ...]
+
+
+_mutations: dict[str, Mutation] = {}
+
+
+def mutation(guard: str, features: tuple[str, ...] = EMBEDDED):
     """Registers a function that disables the guard; its name and ``guard`` appear on the page."""
 
     def register(function: Callable[[], None]) -> Callable[[], None]:
-        _mutations[function.__name__] = (guard, function)
+        _mutations[function.__name__] = Mutation(guard, function, features)
         return function
 
     return register
@@ -163,11 +182,133 @@
     fold._handlers[records.MemberJoined] = join
 
 
+@mutation("a run that the ledger does not show keeps its resources", OWNERS)
+def reserve_nothing() -> None:
+    def handle(self, task, run, now) -> None:
+        if task not in self.orders and self._owner.adopt_if_ordered(task, run, self.worker):
+            self.orders[task] = workerlink.Order(run, workerlink.STARTED, 0, now)
+        else:
+            asyncio.ensure_future(self._send_stop(task, run))
+
+    workerlink.WorkerLink._handle_unordered_run = handle
+
+
+@mutation("a worker with a run of unknown size gets no tasks", OWNERS)
+def assume_small() -> None:
+    original = owner.PartitionOwner.find_usage
+    smallest = placement.Usage(0, 0, 0, ("", 0, 0), False, False, False)
+    owner.PartitionOwner.find_usage = lambda self, task: original(self, task) or smallest
+
+
+@mutation("the end of an earlier run releases nothing", OWNERS)
+def release_at_any_end() -> None:
+    original = owner.PartitionOwner.handle_end
+
+    def handle_end(self, link, end, seconds) -> None:
+        link.capacity.release(end.task)
+        original(self, link, end, seconds)
+
+    owner.PartitionOwner.handle_end = handle_end
+
+
+@mutation("a worker gets tasks by the entry of its present start only", OWNERS)
+def trust_any_entry() -> None:
+    original = workerlink.WorkerLink._update_capacity
+
+    def update_capacity(self) -> None:
+        original(self)
+        unknown = any(key not in self.capacity.usages for key in self.unordered_runs)
+        self.capacity.usable = self.capacity.expected and self._is_reconciled and not unknown
+
+    workerlink.WorkerLink._update_capacity = update_capacity
+
+
+@mutation("a worker gets tasks only once its runs are known", OWNERS)
+def use_before_report() -> None:
+    original = workerlink.WorkerLink._update_capacity
+
+    def update_capacity(self) -> None:
+        self._is_reconciled = True
+        original(self)
+
+    workerlink.WorkerLink._update_capacity = update_capacity
+
+
+@mutation("a worker is asked before an order if its last report is old", OWNERS)
+def send_unasked() -> None:
+    async def ensure(self) -> bool:
+        return self.capacity.usable
+
+    workerlink.WorkerLink._ensure_recent_report = ensure
+
+
+@mutation("a start order counts as a renewal of the lease", OWNERS)
+def ignore_start_leases() -> None:
+    original = workerlink.WorkerLink.start_task
+
+    async def start_task(self, task, order) -> None:
+        before = self._max_lease_expiry_ms
+        await original(self, task, order)
+        self._max_lease_expiry_ms = before
+
+    workerlink.WorkerLink.start_task = start_task
+
+
+@mutation("an earlier owner's renewals are waited for", OWNERS)
+def ignore_earlier_leases() -> None:
+    workerlink.compute_lease_bound_seconds = owner.compute_lease_bound_seconds = lambda settings: 1
+
+
+@mutation("silence is measured without the time of day", OWNERS)
+def measure_by_time_of_day() -> None:
+    contactloss.ContactLoss._now = lambda self: self._clock.now().timestamp()
+
+
+@mutation("cordons end without the time of day", OWNERS)
+def end_cordons_by_time_of_day() -> None:
+    cordons.Cordons._now = lambda self: self._clock.now().timestamp()
+
+
+@mutation("runs are given up at once only if nothing listens at the worker", OWNERS)
+def give_up_silent() -> None:
+    original = workerlink.WorkerLink._handle_poll_failure
+
+    async def handle(self, error, *, is_gone=False) -> None:
+        await original(self, error, is_gone=True)
+
+    workerlink.WorkerLink._handle_poll_failure = handle
+
+
+@mutation("a new holder waits before it orders what its predecessor ordered", OWNERS)
+def order_at_once() -> None:
+    machineorders.MachineOrders.is_blocked = lambda self, machine: False
+
+
+@mutation("an order without a response may still be executed", OWNERS)
+def settle_unanswered() -> None:
+    machineorders.MachineOrders._is_unanswered = lambda self, machine: False
+
+
+@mutation("a call is not sent once its permission has ended", ENTRY_HOSTS)
+def send_without_permission() -> None:
+    async def send(self, conn):
+        return await super(common._GuardedRequest, self).send(conn)
+
+    common._GuardedRequest.send = send
+
+
+@mutation("a submission that arrives too late does not run", ENTRY_HOSTS)
+def run_late_calls() -> None:
+    exchange.PeerRpc._is_expired = lambda self, process, seconds: False
+
+
 def run_scenarios(name: str) -> list[str]:
     """Disables one guard in this process and returns the names of the scenarios that failed."""
+    features = FEATURES
     if name != "none":
-        _mutations[name][1]()
-    paths = [str(ROOT / "features" / f"{feature}.feature") for feature in FEATURES]
+        _mutations[name].disable()
+        features = _mutations[name].features
+    paths = [str(ROOT / "features" / f"{feature}.feature") for feature in features]
     report = ROOT / "build" / f"mutation-{name}.json"
     report.parent.mkdir(exist_ok=True)
     with contextlib.redirect_stdout(io.StringIO()), contextlib.redirect_stderr(io.StringIO()):
@@ -182,7 +323,9 @@
 
 def _run_in_process(name: str) -> list[str]:
     command = [sys.executable, __file__, "--run", name]
-    completed = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=600)
+    completed = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=RUN_TIMEOUT_SECONDS
+    )
     if completed.returncode:
         raise RuntimeError(
             f"mutation {name!r} exited with status {completed.returncode}:\n{completed.stderr}"
@@ -197,12 +340,13 @@
         "",
         "Written by `python tools/mutations.py`, which runs the features "
         + ", ".join(f"`{feature}`" for feature in FEATURES)
-        + " with one guard taken out.",
+        + " with one guard taken out. Guards of the embedded mode, of owners and of entry hosts "
+        "run with their own features.",
         "",
         "| guard | taken out by | noticed by |",
         "| --- | --- | --- |",
     ]
-    for name, (guard, _) in _mutations.items():
+    for name, (guard, _, _) in _mutations.items():
         noticed = "; ".join(detecting_scenarios[name]) or "**nothing**"
         lines.append(f"| {guard} | `{name}` | {noticed} |")
     PAGE.write_text("\n".join(lines) + "\n")
