Keep the runs of a worker whose address refuses connections

Change: a refused connection counts like a silent one. Test: owner_workers.feature, "A worker whose address refuses connections keeps its runs" replaces "Runs on a worker whose process is gone are given up at once", which asserted the opposite; the interleavings play refused connections; mutation `give_up_unreached`.

--- a/features/owner_workers.feature
+++ b/features/owner_workers.feature
@@ -102,17 +102,18 @@
       | 9    |
       | -9   |
 
-  # Workers that are gone (rule LOST on day scale-2 of ugnsrent-slots-large: a long-running task
-  # waited 13 s for the lease of a worker that had left in order while its owner changed).
+  # Workers that cannot be reached.
 
-  Scenario: Runs on a worker whose process is gone are given up at once
+  Scenario: A worker whose address refuses connections keeps its runs
+    # Guards against runs that are given up although their worker goes on: a path that is cut may
+    # refuse connections (rule TWICE on day hunt-152b-3 of snrc-atlas).
     Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
-    When a call to the worker is refused because nothing listens there
-    Then run 1 is taken to be missing
+    When a call to the worker is refused
+    Then run 1 is not taken to be missing
 
-  Scenario: An unanswered order to a process that is gone is not given up at once
+  Scenario: An unanswered order to a worker whose address refuses connections is kept
     Given an owner whose start order of run 1 got no response
-    When a call to the worker is refused because nothing listens there
+    When a call to the worker is refused
     Then run 1 is not taken to be missing
 
   Scenario: A worker that only falls silent keeps its runs
@@ -121,9 +122,10 @@
     Then run 1 is not taken to be missing
 
   Scenario: A later owner asks a worker that is no longer listed
+    # Without its address, the owner would wait for the leases even if another worker has it.
     Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
     When the worker leaves the list and the next owner takes over
-    And a call to the worker is refused because nothing listens there
+    And another worker answers at its address
     Then run 1 is taken to be missing
 
   Scenario: A later owner adopts what runs on a worker that is no longer listed
--- a/features/steps/owner_property_steps.py
+++ b/features/steps/owner_property_steps.py
@@ -22,7 +22,7 @@
     st.tuples(st.just("submit"), st.integers(4, 10), st.sampled_from([1.0, 4.0])),
     st.tuples(st.just("cancel"), number, st.just(0)),
     st.tuples(st.just("take_over"), st.just(0), st.just(0)),
-    st.tuples(st.just("link"), worker, st.sampled_from(["", "cut", "late", "lost"])),
+    st.tuples(st.just("link"), worker, st.sampled_from(["", "cut", "late", "lost", "refused"])),
     st.tuples(st.just("store"), st.just(0), st.sampled_from(["", "cut"])),
     st.tuples(st.just("jump"), st.just(0), st.sampled_from([-3600.0, -9.0, 9.0, 3600.0])),
     st.tuples(st.just("restart"), worker, st.sampled_from([2, 6, 12, 16])),
@@ -54,7 +54,9 @@
 @st.composite
 def build_takeover_without_links(draw):
     """Builds a takeover by an owner that cannot reach the workers on which tasks run."""
-    work, cut = ("submit", draw(st.integers(2, 8)), 4.0), draw(st.sampled_from(["cut", "late"]))
+    work, cut = ("submit", draw(st.integers(2, 8)), 4.0), draw(
+        st.sampled_from(["cut", "late", "refused"])
+    )
     cuts = [(("link", name, cut), 0.0) for name in draw(st.permutations(WORKERS))[:2]]
     return [(work, 0.3), *cuts, (("take_over", 0, 0), draw(st.sampled_from([2.5, 6.0])))]
 
--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -9,8 +9,8 @@
 
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX
 from carawayd.partition.workerlink import STARTED, UNKNOWN, StartOrder
-from carawayd.platform.common import NothingListens, PlatformError
-from carawayd.platform.runs import OrderRefused, WorkerReport
+from carawayd.platform.common import PlatformError, PlatformUnreached
+from carawayd.platform.runs import OrderRefused, OtherIncarnation, WorkerReport
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.state import CANCELLED, ORDERED, WAITING
 
@@ -182,13 +182,25 @@
 
 def _poll(context, error) -> None:
     harness = context.harness
-    is_gone = isinstance(error, NothingListens)
-    harness.run(harness.owner.links[WORKER]._handle_poll_failure(str(error), is_gone=is_gone))
+    link = harness.owner.links[WORKER]
+    harness.runs.error = error
+
+    async def poll() -> None:
+        polling = asyncio.ensure_future(link._poll_reports.fun(link))
+        await asyncio.sleep(POLL_S / 2)
+        polling.cancel()
+
+    harness.run(poll())
 
 
-@when("a call to the worker is refused because nothing listens there")
+@when("a call to the worker is refused")
 def refuse_connection(context):
-    _poll(context, NothingListens("connection refused"))
+    _poll(context, PlatformUnreached("connection refused"))
+
+
+@when("another worker answers at its address")
+def answer_as_another(context):
+    _poll(context, OtherIncarnation("w7"))
 
 
 @when("a call to the worker gets no response")
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -10,7 +10,6 @@
 
 from carawayd.partition.ledger import OwnershipLost
 from carawayd.platform.common import (
-    NothingListens,
     PermissionEnded,
     PlatformError,
     PlatformUnreached,
@@ -470,9 +469,7 @@
                 # The next call does not renew the lease, and needs no permission.
                 continue
             except PlatformError as error:
-                await self._handle_poll_failure(
-                    str(error), is_gone=isinstance(error, NothingListens)
-                )
+                await self._handle_poll_failure(str(error))
                 continue
             try:
                 await self._process_report(report)
@@ -515,9 +512,8 @@
     def _is_open(self) -> bool:
         return not self.closed
 
-    async def _handle_poll_failure(self, error: str, *, is_gone: bool = False) -> None:
-        if is_gone:
-            self._release_ended_incarnation()
+    async def _handle_poll_failure(self, error: str) -> None:
+        # A refused connection proves no more than a silent one: a path that is cut may refuse it.
         if not self._failures:
             logger.info(
                 "worker unresponsive; retrying until its lease expires",
@@ -531,17 +527,6 @@
             return
         await asyncio.sleep(RETRY_SECONDS)
 
-    def _release_ended_incarnation(self) -> None:
-        """Reports the runs of a worker as missing whose process no longer exists.
-
-        An order without a response may yet reach the next incarnation and is kept.
-        """
-        for task, order in list(self.orders.items()):
-            if order.state == STARTED or order.absence_certain_after_ms == ADOPTED:
-                self._report_missing(task, order, "no process listens at the worker's address")
-        for key in list(self.unordered_runs):
-            self._forget_unordered_run(key)
-
     def _close(self, why: str) -> None:
         """Closes the link and reports all its runs as missing, since none is left on the worker."""
         self.closed = True
--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -33,10 +33,6 @@
     """The request was not sent, so the call had no effect."""
 
 
-class NothingListens(PlatformUnreached):
-    """The connection was refused: no process listens at the address."""
-
-
 class PermissionEnded(PlatformUnreached):
     """The caller's permission ended before the request was sent."""
 
@@ -179,9 +175,7 @@
                         )
                 return response, body
         except aiohttp.ClientConnectorError as error:
-            refused = isinstance(error.os_error, ConnectionRefusedError)
-            kind = NothingListens if refused else PlatformUnreached
-            raise kind(f"{method} {path}: {error}") from error
+            raise PlatformUnreached(f"{method} {path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if isinstance(error, TimeoutError) and session is self._session:
                 self._replace_session()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -269,12 +269,14 @@
     cordons.Cordons._now = lambda self: self._clock.now().timestamp()
 
 
-@mutation("runs are given up at once only if nothing listens at the worker", OWNERS)
-def give_up_silent() -> None:
+@mutation("a worker that cannot be reached keeps its runs", OWNERS)
+def give_up_unreached() -> None:
     original = workerlink.WorkerLink._handle_poll_failure
 
-    async def handle(self, error, *, is_gone=False) -> None:
-        await original(self, error, is_gone=True)
+    async def handle(self, error) -> None:
+        for task, order in list(self.orders.items()):
+            self._report_missing(task, order, error)
+        await original(self, error)
 
     workerlink.WorkerLink._handle_poll_failure = handle
 
