--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -363,10 +363,10 @@
         self._release_orphans()
 
     def _open_links_of_unlisted_workers(self) -> None:
-        """Opens links to workers that left the list, or are missing there, while tasks ran there.
+        """Opens links to workers that are missing in the list while tasks may run there.
 
-        The worker's answer shows at once whether the tasks still run, have ended, or ended with
-        the worker; without it, the owner would have to wait for the leases.
+        An answer shows at once whether the tasks still run, or that another worker has the address.
+        Without an answer, the owner has to wait for the leases.
         """
         workers = set(self._orphans.values())
         for worker in self._known_workers.list_workers():
