Log and count the workers that are lost with runs

Cause: of a worker that ended, the log told only that its runs were reset. Change: one line a lost worker with its runs, and the counter caraway_worker_losses. No decision changes.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -30,6 +30,7 @@
     WorkerLink,
     compute_lease_bound_seconds,
 )
+from carawayd.platform.runs import format_task
 from carawayd.supervision import supervised_task
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
@@ -56,6 +57,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from carawayd.partition.workerlink import LostRun
     from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import EndedRun, RunsClient
     from carawayd.platform.store import StoreClient
@@ -453,6 +455,37 @@
         if link.run_count:
             self._contact_loss.begin(link.worker)
 
+    def handle_loss(self, link: WorkerLink, runs: list[LostRun], *, restarted: bool) -> None:
+        """Records that an incarnation of a worker has ended, or has been unreachable for too long.
+
+        Parameters
+        ----------
+        link : WorkerLink
+        runs : list of LostRun
+            Runs that were, or may have been, on the worker.
+        restarted : bool
+            Whether another incarnation has answered, so that the former one has certainly ended.
+        """
+        if not runs:
+            return
+        how = "restarted" if restarted else "unreachable"
+        self._metrics.worker_losses.labels(link.entry.service, how).inc()
+        logger.info(
+            "worker lost with its runs",
+            extra={
+                "fields": {
+                    "worker": link.worker,
+                    "born": link.entry.born,
+                    "restarted": restarted,
+                    "tasks": [format_task(run.task) for run in runs],
+                    "runs": [
+                        [run.run, run.state, run.listed, round(run.seconds, 3)] for run in runs
+                    ],
+                    "epoch": self.fence,
+                }
+            },
+        )
+
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
         if self._contact_loss.end(link.worker):
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -98,6 +98,8 @@
         Tail latency in ms of a serving task, else the processor use; as last reported.
     checkpoint : str
         Checkpoint that the worker last reported.
+    listed : bool
+        Whether a report has listed the run.
     stopping : bool
         Whether a stop order has been issued.
     stop_sent : float
@@ -109,6 +111,7 @@
         "checkpoint",
         "figure",
         "last_progress_at",
+        "listed",
         "ordered_at",
         "progress_percent",
         "run",
@@ -126,9 +129,15 @@
         self.last_progress_at = now
         self.figure = 0.0
         self.checkpoint = ""
+        self.listed = False
         self.stopping = False
         self.stop_sent = -STOP_REPEAT_SECONDS
 
+    @property
+    def may_have_started(self) -> bool:
+        """Whether the start order has been sent, as far as is known."""
+        return self.state != SENDING or self.absence_certain_after_ms != 0
+
 
 class StartOrder(NamedTuple):
     """Content of a start order, apart from the name of the task."""
@@ -139,6 +148,28 @@
     ticket: str = ""
 
 
+class LostRun(NamedTuple):
+    """Run that was, or may have been, on a worker when contact to its incarnation was lost.
+
+    Parameters
+    ----------
+    task : TaskName
+    run : int
+    state : str
+        State of the order.
+    listed : bool
+        Whether a report had listed the run.
+    seconds : float
+        Time from the order to the loss of contact.
+    """
+
+    task: TaskName
+    run: int
+    state: str
+    listed: bool
+    seconds: float
+
+
 class LinkOwner(Protocol):
     """Interface of the partition owner that a link calls."""
 
@@ -150,6 +181,8 @@
 
     def handle_stuck_task(self, link: WorkerLink, task: TaskName) -> None: ...
 
+    def handle_loss(self, link: WorkerLink, runs: list[LostRun], *, restarted: bool) -> None: ...
+
     def handle_report(self, link: WorkerLink) -> None: ...
 
     def adopt_if_ordered(self, task: TaskName, run: int, worker: str) -> bool: ...
@@ -217,6 +250,8 @@
         self._reported = asyncio.Event()
         self._waiting_for_report = 0
         self._failures = 0
+        # Time of the first of the consecutive failures.
+        self._failing_since = 0.0
         self._max_lease_expiry_ms = 0
         self.throttle_percent = 100
         self._update_capacity()
@@ -457,7 +492,7 @@
             try:
                 report = await self._request_report()
             except OtherIncarnation:
-                self._close("another incarnation has the address")
+                self._close("another incarnation has the address", restarted=True)
                 return
             except OrderRefused as refusal:
                 if refusal.reason == "fenced":
@@ -484,7 +519,7 @@
         except TimeoutError:
             pass
         if not self.listed and not self.run_count:
-            self._close("no longer in the worker list")
+            self._close("no longer in the worker list", restarted=False)
 
     async def _request_report(self) -> WorkerReport:
         expires_ms = None
@@ -519,17 +554,31 @@
                 "worker unresponsive; retrying until its lease expires",
                 extra={"fields": {"worker": self.worker, "error": error}},
             )
+            self._failing_since = self._now()
             self._owner.handle_unresponsive(self)
         self._failures += 1
         self._update_capacity()
         if self.is_lease_expired:
-            self._close("lease expired")
+            self._close("lease expired", restarted=False)
             return
         await asyncio.sleep(RETRY_SECONDS)
 
-    def _close(self, why: str) -> None:
-        """Closes the link and reports all its runs as missing, since none is left on the worker."""
+    def _list_runs(self) -> list[LostRun]:
+        """Returns the runs that are or may be on the worker."""
+        until = self._failing_since if self._failures else self._now()
+        return [
+            LostRun(task, order.run, order.state, order.listed, until - order.ordered_at)
+            for task, order in self.orders.items()
+            if order.may_have_started
+        ]
+
+    def _close(self, why: str, *, restarted: bool) -> None:
+        """Closes the link and reports all its runs as missing, since none is left on the worker.
+
+        ``restarted`` tells whether another incarnation has answered.
+        """
         self.closed = True
+        runs = self._list_runs()
         self._update_capacity()
         logger.info(
             "link to worker closed; its runs are treated as missing",
@@ -538,10 +587,12 @@
         for task, order in list(self.orders.items()):
             self._report_missing(task, order, why)
         self.unordered_runs.clear()
+        self._owner.handle_loss(self, runs, restarted=restarted)
 
     async def _process_report(self, report: WorkerReport) -> None:
         if self._incarnation and report.born != self._incarnation:
             logger.info("worker restarted", extra={"fields": {"worker": self.worker}})
+            self._owner.handle_loss(self, self._list_runs(), restarted=True)
             self._acknowledged, self._is_reconciled = 0, False
             # Calls that are still on their way carry times of the previous incarnation's clock, so
             # that only the worker's maximum limits the lease that they give.
@@ -605,6 +656,7 @@
     def _update_order(self, task: TaskName, order: Order, row: RunningTask, now: float) -> None:
         if order.state == UNKNOWN:
             order.state = STARTED
+        order.listed = True
         order.figure, order.checkpoint = row.figure, row.checkpoint
         if row.percent != order.progress_percent:
             order.progress_percent, order.last_progress_at = row.percent, now
@@ -617,7 +669,8 @@
     def _handle_unordered_run(self, task: TaskName, run: int, now: float) -> None:
         """Adopts a listed run that has no order here if the ledger knows it, else stops it."""
         if task not in self.orders and self._owner.adopt_if_ordered(task, run, self.worker):
-            self.orders[task] = Order(run, STARTED, 0, now)
+            order = self.orders[task] = Order(run, STARTED, 0, now)
+            order.listed = True
             return
         key = (task, run)
         if key not in self.unordered_runs:
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -25,6 +25,9 @@
             "caraway_start_orders", "Start orders.", "service", "outcome"
         )
         self.ends = self._add_counter("caraway_run_ends", "Ends of runs.", "service", "kind")
+        self.worker_losses = self._add_counter(
+            "caraway_worker_losses", "Workers that were lost with runs.", "service", "how"
+        )
         self.workflows = self._add_counter(
             "caraway_workflow_ends", "Workflows that ended.", "service", "state", "on_time"
         )
