Give up tasks that crash their workers, and isolate the suspected ones

Cause: an owner that learned of another incarnation at a worker's address reset the runs of the former one and kept nothing of it. Class: the end of a process is taken for bad luck of its runs, never for an effect of one of them. Change: workflows/crashes decides, from the age of each run, whether it was listed and what was beside it; the losses are part of the step's record, written before the next start; suspected workflows start on a reserved worker only; a run that outlives its crashes is cleared. A success that a worker reports after it was taken to be lost counts. The stand-in worker reports progress, since a constant one is taken for a stuck task by more frequent reports.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -20,10 +20,12 @@
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.demand import Demand
+from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.workerlink import (
     SENDING,
+    STARTED,
     TICKET_REFUSED,
     Order,
     StartOrder,
@@ -33,6 +35,13 @@
 from carawayd.platform.runs import format_task
 from carawayd.supervision import supervised_task
 from carawayshore.workflows.admission import Request, decide_admission
+from carawayshore.workflows.crashes import (
+    RunOnWorker,
+    assess_loss,
+    has_outlived,
+    needs_isolation,
+    should_give_up,
+)
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
@@ -199,6 +208,7 @@
         self._deadlines: dict[str, float] = {}
         self._loaded_at = 0.0
         self._cordons = Cordons(clock, self.ledger)
+        self._isolation = Isolation(self.links, clock)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -254,6 +264,7 @@
             if workflow.is_terminal:
                 continue
             self._set_deadline(workflow)
+            self._isolation.update(workflow)
             for name, task in workflow.iterate_ordered_tasks():
                 self._orphans[name] = task.worker
             for step in workflow.steps.values():
@@ -466,6 +477,8 @@
         restarted : bool
             Whether another incarnation has answered, so that the former one has certainly ended.
         """
+        if restarted:
+            self._confirm_losses(link.worker)
         if not runs:
             return
         how = "restarted" if restarted else "unreachable"
@@ -485,6 +498,84 @@
                 }
             },
         )
+        if not link.cordoned and link.entry.state == "ready":
+            self._record_losses(link, runs, restarted)
+
+    def _record_losses(self, link: WorkerLink, runs: list[LostRun], restarted: bool) -> None:
+        """Records the loss of a worker with the tasks that ran there, and gives up the cause."""
+        reserved_for = link.capacity.reserved_for
+        losses = assess_loss(
+            link.worker,
+            link.entry.born,
+            restarted,
+            [
+                RunOnWorker(
+                    run.task.workflow,
+                    run.seconds,
+                    run.listed or run.state == STARTED,
+                    run.listed,
+                    reserved_for == run.task.workflow,
+                )
+                for run in runs
+            ],
+        )
+        for run, loss in zip(runs, losses, strict=True):
+            found = self._find_task(run.task)
+            if found is None or found[0].is_terminal:
+                continue
+            workflow, step, task = found
+            if (task.run, task.worker) == (run.run, link.worker) and task.status != DONE:
+                task.losses = (*task.losses, loss)
+                self._record_step(workflow, step)
+                self._isolation.update(workflow)
+                self._give_up_cause_of_crashes(workflow, run.task, task)
+
+    def _confirm_losses(self, worker: str) -> None:
+        """Records that an unreachable worker, which was taken to be lost, has ended."""
+        for workflow, step, name, task in self._isolation.list_suspects():
+            losses = tuple(
+                loss._replace(confirmed=True) if loss.worker == worker else loss
+                for loss in task.losses
+            )
+            if losses != task.losses:
+                task.losses = losses
+                self._record_step(workflow, step)
+                self._give_up_cause_of_crashes(workflow, name, task)
+
+    def _give_up_cause_of_crashes(
+        self, workflow: WorkflowState, name: TaskName, task: TaskState
+    ) -> None:
+        """Ends a workflow whose task is taken to crash every worker that starts it."""
+        if workflow.is_terminal or not should_give_up(task.losses):
+            return
+        self._metrics.crashing_tasks.labels(workflow.spec.service).inc()
+        self._log_task(
+            name,
+            "task crashes its workers; giving up its workflow",
+            losses=[loss._asdict() for loss in task.losses],
+        )
+        crashed = [f"{loss.worker} (born {loss.born})" for loss in task.losses if loss.confirmed]
+        why = f"workers crashed under {format_task(name)}: {', '.join(crashed)}"
+        self._end_workflow(workflow, FAILED, why)
+
+    def _clear_survivors(self, link: WorkerLink) -> None:
+        """Lifts the suspicion from tasks whose runs have outlived their earlier crashes."""
+        now = self._now()
+        for name, order in list(link.orders.items()):
+            found = self._find_task(name)
+            if found is None or not found[2].losses or not order.listed:
+                continue
+            workflow, step, task = found
+            if task.run == order.run and has_outlived(task.losses, now - order.sent_at):
+                self._log_task(
+                    name,
+                    "run has outlived the crashes of its workers; no longer suspected",
+                    worker=link.worker,
+                    losses=len(task.losses),
+                )
+                task.losses = ()
+                self._record_step(workflow, step)
+                self._isolation.update(workflow)
 
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
@@ -502,6 +593,7 @@
     def handle_report(self, link: WorkerLink) -> None:
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
         self._wake.set()
+        self._clear_survivors(link)
         if not (link.capacity.best_effort and link.capacity.serving):
             return
         serving, best_effort = [], []
@@ -588,7 +680,10 @@
         if found is None:
             return
         workflow, step, task = found
-        if task.status != ORDERED or task.run != end.run or task.worker != link.worker:
+        if task.run != end.run or task.worker != link.worker:
+            return
+        # A run whose worker was taken to be lost may have succeeded all the same.
+        if task.status != ORDERED and not (task.status == WAITING and end.kind == "done"):
             return
         if end.checkpoint and step.spec.checkpointing:
             task.checkpoint = end.checkpoint
@@ -612,8 +707,11 @@
         for item in tasks:
             if item.status != DONE:
                 item.status = DONE
+                item.losses = ()
                 step.done_count += 1
         self._record_step(workflow, step)
+        if workflow.identifier in self._isolation:
+            self._isolation.update(workflow)
         if step.is_done:
             self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
             for other in workflow.steps.values():
@@ -663,6 +761,7 @@
         workflow.state = state
         workflow.ended = self._now()
         self._advisor.forget_workflow(workflow.identifier)
+        self._isolation.update(workflow)
         self.ledger.mark_dirty(workflow.key(), workflow.encode)
         for step in workflow.steps.values():
             self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
@@ -934,6 +1033,8 @@
     def _plan(self) -> None:
         """Places the waiting tasks on workers, the most urgent first."""
         now = self._now()
+        if self._isolation:
+            self._isolation.refresh()
         ranked = []
         for key, step in self._open_steps.items():
             workflow = self.workflows[key[0]]
@@ -1001,6 +1102,10 @@
             tickets = self._advisor.find_tickets(key)
             self._request_advice(workflow, key, capacities, tickets, len(waiting))
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
+        isolated: list[WorkerCapacity] | None = None
+        # The members of a gang start together on several workers, so they are not isolated.
+        if workflow.identifier in self._isolation and not spec.gang:
+            isolated = self._isolation.select(workflow.identifier, spec, capacities)
         if spec.same_rack:
             capacities = self._select_rack(step, capacities)
         chosen: list[tuple[WorkerCapacity, TaskName]] = []
@@ -1009,7 +1114,16 @@
             name = TaskName(workflow.identifier, step.occurrence, step.number, index)
             usage = compute_usage(name, spec)
             failed_on = task.worker if task.failures else ""
-            capacity = choose_worker(capacities, spec, usage, now, failed_on=failed_on)
+            candidates = capacities
+            # Unlike those of short steps, the other tasks of a long-running step do not wait.
+            is_isolated = isolated is not None and (
+                not spec.long_running or needs_isolation(task.losses)
+            )
+            if is_isolated:
+                candidates = isolated
+            capacity = choose_worker(candidates, spec, usage, now, failed_on=failed_on)
+            if capacity is None and is_isolated:
+                continue
             if capacity is None:
                 break
             capacity.reserve(name, usage)
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -39,6 +39,8 @@
 # Long-poll wait for a report of a worker with both best-effort and serving tasks. Shorter, since
 # the latency of serving tasks changes within seconds.
 SHARED_REPORT_WAIT_SECONDS = 0.5
+# Long-poll wait for a report of a worker that is reserved for a suspected workflow.
+ISOLATED_REPORT_WAIT_SECONDS = 0.2
 # Interval at which a worker without tasks is polled.
 IDLE_POLL_SECONDS = 4.0
 # Delay after a failed poll.
@@ -100,6 +102,8 @@
         Checkpoint that the worker last reported.
     listed : bool
         Whether a report has listed the run.
+    sent_at : float
+        Time at which the start order was sent or the run adopted, in seconds of the local clock.
     stopping : bool
         Whether a stop order has been issued.
     stop_sent : float
@@ -115,6 +119,7 @@
         "ordered_at",
         "progress_percent",
         "run",
+        "sent_at",
         "state",
         "stop_sent",
         "stopping",
@@ -124,7 +129,7 @@
         self.run = run
         self.state = state
         self.absence_certain_after_ms = absence_certain_after_ms
-        self.ordered_at = now
+        self.ordered_at = self.sent_at = now
         self.progress_percent = -1
         self.last_progress_at = now
         self.figure = 0.0
@@ -160,7 +165,7 @@
     listed : bool
         Whether a report had listed the run.
     seconds : float
-        Time from the order to the loss of contact.
+        Time from the sending of the order to the loss of contact.
     """
 
     task: TaskName
@@ -359,6 +364,7 @@
             return
         if self.orders.get(task) is not entry:
             return
+        entry.sent_at = self._now()
         entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
         # The expiry of a start order also renews the lease of everything on the worker.
         self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, entry.absence_certain_after_ms)
@@ -529,6 +535,8 @@
             self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, expires_ms)
             shared = self.capacity.best_effort and self.capacity.serving
             wait = SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
+            if self.capacity.reserved_for:
+                wait = ISOLATED_REPORT_WAIT_SECONDS
             if self._waiting_for_report:
                 wait = 0.0
             elif not any(order.state == STARTED for order in self.orders.values()):
@@ -567,7 +575,7 @@
         """Returns the runs that are or may be on the worker."""
         until = self._failing_since if self._failures else self._now()
         return [
-            LostRun(task, order.run, order.state, order.listed, until - order.ordered_at)
+            LostRun(task, order.run, order.state, order.listed, max(0.0, until - order.sent_at))
             for task, order in self.orders.items()
             if order.may_have_started
         ]
@@ -602,6 +610,7 @@
                 else 0
             )
             for order in self.orders.values():
+                order.listed = False
                 if order.state == STARTED:
                     # The new incarnation may have executed the order before it was known here; if
                     # so, this report or the next one lists the run.
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -28,6 +28,9 @@
         self.worker_losses = self._add_counter(
             "caraway_worker_losses", "Workers that were lost with runs.", "service", "how"
         )
+        self.crashing_tasks = self._add_counter(
+            "caraway_crashing_tasks", "Tasks given up since they crash their workers.", "service"
+        )
         self.workflows = self._add_counter(
             "caraway_workflow_ends", "Workflows that ended.", "service", "state", "on_time"
         )
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -67,6 +67,8 @@
         self.best_effort = 0
         self.consecutive_failures = 0
         self.suspect_until = 0.0
+        # Workflow whose tasks alone may be placed on the worker, empty for any.
+        self.reserved_for = ""
 
     def reserve(self, name: TaskName | tuple[TaskName, int], usage: Usage) -> None:
         """Reserves capacity for a run."""
@@ -153,6 +155,8 @@
             continue
         if step.label and step.label not in capacity.entry.labels:
             continue
+        if capacity.reserved_for not in ("", usage.group[0]):
+            continue
         same_group = capacity.groups.get(usage.group, 0)
         if step.most_per_worker and same_group >= step.most_per_worker:
             continue
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
+from carawayshore.workflows.crashes import WorkerLoss
 from carawayshore.workflows.model import StepSpec, TaskName, Workflow
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 # Status of a task, as persisted.
 WAITING, ORDERED, DONE = 0, 1, 2
@@ -45,21 +46,30 @@
         Worker of the last run.
     checkpoint : str
         Checkpoint from which the next run can resume, empty for none.
+    losses : iterable of WorkerLoss
+        Losses of workers under its runs that no later run has outlived.
     """
 
-    __slots__ = ("checkpoint", "failures", "run", "status", "worker")
+    __slots__ = ("checkpoint", "failures", "losses", "run", "status", "worker")
 
     def __init__(
-        self, status: int = WAITING, run: int = 0, failures: int = 0, worker="", checkpoint=""
+        self,
+        status: int = WAITING,
+        run: int = 0,
+        failures: int = 0,
+        worker: str = "",
+        checkpoint: str = "",
+        losses: Iterable[list | WorkerLoss] = (),
     ) -> None:
         self.status = status
         self.run = run
         self.failures = failures
         self.worker = worker
         self.checkpoint = checkpoint
+        self.losses = tuple(WorkerLoss(*loss) for loss in losses)
 
     def to_row(self) -> list:
-        row = [self.status, self.run, self.failures, self.worker, self.checkpoint]
+        row = [self.status, self.run, self.failures, self.worker, self.checkpoint, self.losses]
         while row and not row[-1]:
             row.pop()
         if self.status == DONE:
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -171,6 +171,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _measure_percent(self, started_at: float) -> int:
+        return min(100, int(100 * (self._now() - started_at) / self.run_seconds))
+
     async def _start(self, request: web.Request) -> web.Response:
         body = await request.json()
         if self.start_delay_seconds:
@@ -191,7 +194,7 @@
             timer = asyncio.get_running_loop().call_later(
                 self.run_seconds, self._end, task, outcome
             )
-            self._running[task] = {"run": body["run"], "timer": timer}
+            self._running[task] = {"run": body["run"], "timer": timer, "started_at": self._now()}
             self.starts.append(RunStart(task, body["run"], self.name, self._now()))
         if self.lose_start_responses > 0:
             self.lose_start_responses -= 1
@@ -227,5 +230,8 @@
         if not self._finished and body.get("waitMs"):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), body["waitMs"] / 1000)
-        running = [[task, item["run"], "", 50, 0] for task, item in self._running.items()]
+        running = [
+            [task, item["run"], "", self._measure_percent(item["started_at"]), 0]
+            for task, item in self._running.items()
+        ]
         return self._respond(running=running, finished=self._finished[:500])
