Follow workers whose capacity shrinks while they run

Cause: an entry was used for placement however old it was, from the last read before an outage or a cut; an order was sent by the capacity at the time of its placement, a record and up to 1 s earlier; pools counted machines at their full size; and long-running tasks stayed where they no longer fit. Change: a worker that starts everything is used only while its entry is at most contactMs old by the local clock, and after an outage only once it has written its entry again; the room is checked again when an order is sent; one long-running task at a time moves where it fits, best-effort ones first if memory is short, within the limits of its step; pool sizes and admission count what the workers tell. Workers that refuse overload are used as before: their refusal is the guard that a stale entry needs, and costs nothing.

--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -69,6 +69,10 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, WorkerEntry] = {}
+        self.has_current_capacities = True
+
+    def is_capacity_current(self, entry: WorkerEntry) -> bool:
+        return self.has_current_capacities
 
     def list_services(self, partition: int) -> set[str]:
         return {"booking"}
--- a/features/steps/owner_property_steps.py
+++ b/features/steps/owner_property_steps.py
@@ -25,6 +25,9 @@
     st.tuples(st.just("link"), worker, st.sampled_from(["", "cut", "late", "lost", "refused"])),
     st.tuples(st.just("store"), st.just(0), st.sampled_from(["", "cut"])),
     st.tuples(st.just("jump"), st.just(0), st.sampled_from([-3600.0, -9.0, 9.0, 3600.0])),
+    st.tuples(st.just("resize"), worker, st.sampled_from([2, 6, 12, 16])),
+    st.tuples(st.just("unhear"), worker, st.just(0)),
+    st.tuples(st.just("hear"), worker, st.just(0)),
     st.tuples(st.just("restart"), worker, st.sampled_from([2, 6, 12, 16])),
     st.tuples(st.just("leave"), worker, st.just(0)),
     st.tuples(st.just("unlist"), worker, st.just(0)),
@@ -51,6 +54,20 @@
     return [(restart, draw(st.sampled_from([1.3, 1.35, 1.6, 2.2]))), (work, 0.0), (work, 0.3)]
 
 
+@st.composite
+def build_shrink(draw):
+    """Builds a full worker that shrinks, heard or not, and work that arrives afterwards."""
+    name, work = draw(worker), (
+        "submit",
+        draw(st.integers(2, 6)),
+        draw(st.sampled_from([0.2, 4.0])),
+    )
+    unheard = [(("unhear", name, 0), draw(WAITS))] if draw(st.booleans()) else []
+    shrink = (("resize", name, draw(st.sampled_from([1, 2, 6]))), draw(WAITS))
+    later = [(work, wait) for wait in (2.5, 2.5, 1.0, 1.0, 0.3)]
+    return [(work, 0.3), *unheard, shrink, *later, (("hear", name, 0), 0.0)]
+
+
 @st.composite
 def build_takeover_without_links(draw):
     """Builds a takeover by an owner that cannot reach the workers on which tasks run."""
@@ -66,6 +83,7 @@
         st.lists(st.tuples(STEP, WAITS), min_size=1, max_size=6),
         build_cancel_at_takeover(),
         build_smaller_restart(),
+        build_shrink(),
         build_takeover_without_links(),
     ),
     min_size=2,
@@ -86,6 +104,12 @@
         world.links["store"] = second
     elif kind == "jump":
         world.current.clock.jump_seconds += second
+    elif kind == "resize":
+        world.workers[first].resize(second)
+    elif kind == "unhear":
+        world.unheard.add(first)
+    elif kind == "hear":
+        world.unheard.discard(first)
     elif kind == "restart":
         world.workers[first].restart(second)
     elif kind == "leave":
@@ -107,6 +131,7 @@
             await asyncio.sleep(wait)
         world.links = dict.fromkeys(world.links, "")
         world.unlisted.clear()
+        world.unheard.clear()
         for item in world.workers.values():
             item.restart(16)
         await asyncio.sleep(SETTLE_SECONDS)
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -36,6 +36,12 @@
 LEASE_CHECK_S = 0.02
 # Delay after which a restarted worker's entry tells its new size.
 ENTRY_DELAY_S = 1.0
+# Interval at which a worker writes its entry.
+BEAT_S = 1.5
+# A room that has shrunk counts from this time later: ``contactMs`` and one beat.
+SHRINK_GRACE_S = 3.0 + BEAT_S
+# Age from which the entry of a worker is not used for placement.
+CAPACITY_AGE_S = 3.0
 # Time from the end of a process to the start of the next one.
 DOWNTIME_S = 1.3
 LONGEST_LEASE_MS = 6_000
@@ -77,6 +83,9 @@
         self.replaced = False
         self.born = 1
         self.entry = self._describe()
+        self.written_at = world.now()
+        # Earlier sizes, with the time until which each of them counts.
+        self._former_cores: list[tuple[int, float]] = []
         self._reset()
 
     def _reset(self) -> None:
@@ -95,9 +104,26 @@
         # The slowest rate that the pages allow.
         return int((self.world.now() - self.origin) * 980)
 
+    def resize(self, cores: int) -> None:
+        """Changes the capacity of the running process, which its next entry tells."""
+        self._former_cores.append((self.cores, self.world.now() + SHRINK_GRACE_S))
+        self.cores = cores
+
+    def measure_limit(self) -> int:
+        """Returns the cores that starts may fill now."""
+        now = self.world.now()
+        return max([self.cores, *(cores for cores, until in self._former_cores if now < until)])
+
+    def write_entry(self) -> None:
+        """Writes the entry, unless the process or its path to the store is gone."""
+        if not self.gone and self.name not in self.world.unheard:
+            self.entry = self._describe()
+            self.written_at = self.world.now()
+
     def leave(self) -> None:
         """Ends the process, and with it all that it runs."""
         self.gone = True
+        self._former_cores.clear()
         self.born += 1
         self._reset()
 
@@ -136,7 +162,7 @@
 
     def _update_entry(self, born: int) -> None:
         if self.born == born:
-            self.entry = self._describe()
+            self.write_entry()
 
     def end(self, task: TaskName, kind: str) -> None:
         run = self.runs.pop(task, None)
@@ -353,9 +379,12 @@
             self.add_worker(f"w{number}")
         self.links = dict.fromkeys(self.workers, "")
         self.unlisted: set[str] = set()
+        # Workers that do not reach the store.
+        self.unheard: set[str] = set()
         self.owners: list[ModelOwner] = []
         self._tickers = [
             asyncio.ensure_future(self._advance()),
+            asyncio.ensure_future(self._write_entries()),
             asyncio.ensure_future(self._join()),
         ]
 
@@ -437,6 +466,17 @@
 
     # -- workers ---------------------------------------------------------------------------------
 
+    def is_capacity_current(self, entry) -> bool:
+        return self.now() - self.workers[entry.worker].written_at <= CAPACITY_AGE_S
+
+    async def _write_entries(self) -> None:
+        """Has each worker that is up write its entry, one after the other."""
+        while True:
+            for worker in list(self.workers.values()):
+                await asyncio.sleep(BEAT_S / len(self.workers))
+                if self.now() - worker.origin > ENTRY_DELAY_S:
+                    worker.write_entry()
+
     async def _advance(self) -> None:
         while True:
             for worker in list(self.workers.values()):
@@ -463,10 +503,10 @@
         cores, _ = self.jobs[task.workflow]
         worker.advance()
         used = sum(item.cores for item in worker.runs.values())
-        if used + cores > worker.cores:
+        if used + cores > worker.measure_limit():
             self.violations.append(
                 f"LIMIT at {self.now():.3f}: {task} run {run} on {worker.name}, {used} of"
-                f" {worker.cores} cores used"
+                f" {worker.measure_limit()} cores used"
             )
         for other in self.workers.values():
             other.advance()
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -123,14 +123,13 @@
             for capacity in capacities
             if capacity.expected and capacity.suspect_until <= now
         ]
-        cores = sum(capacity.entry.millicores for capacity in usable)
-        running = 0.0
+        cores = running = 0.0
         for capacity in usable:
-            for usage in capacity.usages.values():
-                if usage.long_running:
-                    cores -= usage.millicores
-                else:
-                    running += usage.millicores
+            usages = capacity.usages.values()
+            long_running = sum(usage.millicores for usage in usages if usage.long_running)
+            # A worker that has shrunk below its long-running tasks takes nothing from the others.
+            cores += max(0, capacity.entry.millicores - long_running)
+            running += sum(usage.millicores for usage in usages if not usage.long_running)
         waiting = self._measure_waiting_work(service, due)
         remaining = running / 1000 * waiting.longest_seconds * REMAINING_SHARE
         return Backlog(
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -45,7 +45,7 @@
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
-from carawayshore.workflows.placement import choose_worker, compute_usage
+from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
 from carawayshore.workflows.runtimes import RuntimeModel, RuntimeStatistics
 from carawayshore.workflows.state import (
     CANCELLED,
@@ -360,6 +360,9 @@
                 link.update(entry)
         self._open_links_of_unlisted_workers()
         for link in self.links.values():
+            link.set_capacity_current(self._discovery.is_capacity_current(link.entry))
+            if link.capacity.is_overcommitted:
+                self._relieve(link)
             if link.cordoned or link.entry.state != "ready":
                 if link.expire_cordon(self._now()):
                     self._cordons.end(link.worker)
@@ -440,6 +443,37 @@
             )
             link.stop_task(name)
 
+    def _relieve(self, link: WorkerLink) -> None:
+        """Stops a long-running task of a worker whose capacity has shrunk below what runs there.
+
+        One at a time, within the limits of the steps, and only if it fits elsewhere. Short tasks
+        end by themselves.
+        """
+        if any(order.stopping for order in link.orders.values()):
+            return
+        others = [
+            other.capacity
+            for other in self.links.values()
+            if other is not link and other.entry.service == link.entry.service
+        ]
+        for name in rank_relief(link.capacity):
+            found = self._find_task(name)
+            if found is None or name not in link.orders or not self._may_stop(found[1], name):
+                continue
+            _, step, _ = found
+            usage = compute_usage(name, step.spec)
+            if choose_worker(others, step.spec, usage, self._now()) is None:
+                continue
+            self._log_task(
+                name,
+                "stopping task on a worker whose capacity has shrunk",
+                worker=link.worker,
+                millicores=[link.capacity.millicores, link.entry.millicores],
+                memory_mb=[link.capacity.memory_mb, link.entry.memory_mb],
+            )
+            link.stop_task(name)
+            return
+
     def _may_stop(self, step: StepState, name: TaskName) -> bool:
         """Returns whether fewer other tasks of the step are interrupted than the step allows."""
         interrupted = sum(
@@ -1155,7 +1189,7 @@
         """Requests more tickets while the workers that have one cannot take all waiting tasks."""
         spec = self._open_steps[key].spec
         free = sum(
-            capacity.free_millicores // max(1, spec.millicores)
+            max(0, capacity.free_millicores) // max(1, spec.millicores)
             for capacity in capacities
             if capacity.entry.worker in tickets
         )
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -237,6 +237,8 @@
         # until it has ended.
         self.unordered_runs: dict[tuple[TaskName, int], float] = {}
         self.closed = False
+        # Whether the entry is recent enough to place tasks by its capacity.
+        self.is_capacity_current = True
         self.cordoned = False
         self._cordoned_until = 0.0
         self._owner = owner
@@ -293,9 +295,19 @@
         # Runs without known usage may fill the whole worker.
         unknown = any(key not in self.capacity.usages for key in self.unordered_runs)
         self.capacity.usable = (
-            self.capacity.expected and self._is_reconciled and described and not unknown
+            self.capacity.expected
+            and self.is_capacity_current
+            and self._is_reconciled
+            and described
+            and not unknown
         )
 
+    def set_capacity_current(self, is_current: bool) -> None:
+        """Sets whether the entry is recent enough to place tasks by its capacity."""
+        if is_current != self.is_capacity_current:
+            self.is_capacity_current = is_current
+            self._update_capacity()
+
     def cordon(self, until: float) -> None:
         """Excludes the worker from new tasks until ``until``, in seconds of the monotonic clock."""
         self._cordoned_until = until
@@ -364,6 +376,9 @@
             return
         if self.orders.get(task) is not entry:
             return
+        if self.capacity.is_overcommitted:
+            self._report_missing(task, entry, "the worker's capacity has shrunk; order not sent")
+            return
         entry.sent_at = self._now()
         entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
         # The expiry of a start order also renews the lease of everything on the worker.
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -84,6 +84,8 @@
     ) -> None:
         super().__init__()
         self.read_at: timedelta | None = None
+        # Time of the first read that succeeded after a failed one.
+        self.recovered_at: timedelta | None = None
         self._store = store
         self._topic = topic
         self._wait = wait
@@ -115,6 +117,7 @@
                 continue
             if self._failing:
                 self._log("reading from the store succeeds again", "")
+                self.recovered_at = self._clock.elapsed()
             self._failing = False
             self.read_at = self._clock.elapsed()
             if not self._wait:
@@ -162,6 +165,8 @@
         self._clock = clock
         self._worker_entries: dict[str, WorkerEntry] = {}
         self._missing_since: dict[str, timedelta] = {}
+        # Time at which a worker last wrote its entry, as far as this process has seen it.
+        self._written_at: dict[str, timedelta] = {}
         self._partition_by_service: dict[str, int] = {}
         self._assignment_running = False
         self._operator_tailer = Tailer(
@@ -237,6 +242,7 @@
 
     def _apply_workers(self, records: list[KeyedRecord], complete: bool) -> None:
         now = self._clock.elapsed()
+        has_gap = self._was_store_lost_since(now - self._max_capacity_age)
         if complete:
             present = {record.key for record in records if record.value}
             for worker in self._worker_entries:
@@ -252,10 +258,38 @@
                 continue
             self._missing_since.pop(key, None)
             self._worker_entries[key] = entry
+            if not complete:
+                self._written_at[key] = now
+            elif not has_gap:
+                self._written_at.setdefault(key, now)
         for worker, since in list(self._missing_since.items()):
             if now - since > timedelta(seconds=MISSING_WORKER_RETENTION_SECONDS):
                 del self._missing_since[worker]
                 self._worker_entries.pop(worker, None)
+                self._written_at.pop(worker, None)
+
+    @property
+    def _max_capacity_age(self) -> timedelta:
+        return timedelta(milliseconds=self._settings.capacity_age_ms)
+
+    def _was_store_lost_since(self, time: timedelta) -> bool:
+        """Returns whether reading from the store failed at some time since ``time``."""
+        recoveries = (self._operator_tailer.recovered_at, self._worker_tailer.recovered_at)
+        return any(at is not None and at > time for at in recoveries)
+
+    def is_capacity_current(self, entry: WorkerEntry) -> bool:
+        """Returns whether tasks may be placed on a worker by the capacity in its entry.
+
+        The capacity of a worker may shrink while it runs. One that refuses what does not fit needs
+        no recent entry.
+        """
+        service = self.deployment and self.deployment.services.get(entry.service)
+        if service and service.enforces_capacity:
+            return True
+        written_at = self._written_at.get(entry.worker)
+        return written_at is not None and (
+            self._clock.elapsed() - written_at <= self._max_capacity_age
+        )
 
     def list_workers(self, services: set[str]) -> dict[str, WorkerEntry] | None:
         """Returns the workers of some services by identifier, None until they have been read."""
--- a/packages/carawayd/src/carawayd/process/site.py
+++ b/packages/carawayd/src/carawayd/process/site.py
@@ -24,6 +24,7 @@
     Field("partitions", "integer", "Partitions of a topic.", required=True, minimum=1),
     Field("least_ttl_ms", "integer", "Minimum lifetime of a group membership.", "ms", 1000),
     Field("longest_lease_ms", "integer", "Maximum lease of a task.", "ms", 6000, minimum=1),
+    Field("capacity_age_ms", "integer", "Maximum age of a capacity in use.", "ms", 3000, minimum=1),
     Field("status_seconds", "number", "Time for which ended workflows can be queried.", "s", 120),
     Field("drain_ms", "integer", "Time after which no new work may start.", "ms", 2000),
     Field("grace_seconds", "number", "Time from SIGTERM to SIGKILL.", "s", 6),
@@ -60,6 +61,7 @@
     partitions: int
     least_ttl_ms: int
     longest_lease_ms: int
+    capacity_age_ms: int
     status_seconds: float
     drain_ms: int
     grace_seconds: float
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -10,10 +10,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayshore.workflows.model import TaskName
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from carawayshore.workflows.model import StepSpec, TaskName, WorkerEntry
+    from carawayshore.workflows.model import StepSpec, WorkerEntry
 
 # Consecutive failed runs after which a worker is suspected and given no tasks.
 SUSPECT_FAILURES = 2
@@ -97,6 +99,15 @@
     def free_millicores(self) -> int:
         return self.entry.millicores - self.millicores
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether the runs reserve more than the worker has, since its capacity has shrunk."""
+        return (
+            self.millicores > self.entry.millicores
+            or self.memory_mb > self.entry.memory_mb
+            or self.accelerators > self.entry.accelerators
+        )
+
     def fits(self, usage: Usage) -> bool:
         """Returns whether a run fits into the free capacity."""
         return (
@@ -171,3 +182,34 @@
         if best_score is None or score > best_score:
             best, best_score = capacity, score
     return best
+
+
+def rank_relief(capacity: WorkerCapacity) -> list[TaskName]:
+    """Returns the long-running tasks to move off a worker that has shrunk, in order.
+
+    Empty while the long-running tasks alone fit. Best-effort tasks come first if memory is short,
+    then tasks without a latency target; among equals, the largest, so that few are interrupted.
+    """
+    usages = {name: usage for name, usage in capacity.usages.items() if usage.long_running}
+    entry = capacity.entry
+    lacks_memory = sum(usage.memory_mb for usage in usages.values()) > entry.memory_mb
+    lacks_others = (
+        sum(usage.millicores for usage in usages.values()) > entry.millicores
+        or sum(usage.accelerators for usage in usages.values()) > entry.accelerators
+    )
+    if not (lacks_memory or lacks_others):
+        return []
+    names = [
+        name
+        for name, usage in usages.items()
+        if isinstance(name, TaskName) and (lacks_memory or not usage.best_effort)
+    ]
+    return sorted(
+        names,
+        key=lambda name: (
+            not usages[name].best_effort,
+            usages[name].serving,
+            -usages[name].millicores,
+            -usages[name].memory_mb,
+        ),
+    )
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -142,10 +142,20 @@
         offered = {name: item.offered_cores for name, item in view.services.items()}
         self._forecast.record_demand(now, offered, all_cores)
         expected = self._forecast.predict_cores(now)
+        # The capacity of a worker may have shrunk below the size of its machine.
+        reported = {
+            worker.worker: worker.millicores
+            for load in view.services.values()
+            for worker in load.workers
+        }
         needs = {}
         for name, load in view.services.items():
             share = REDUCED_MIN_SIZE_SHARE if self._forecast.has_had_turn(name) else MIN_SIZE_SHARE
-            sizes = [item.millicores for item in view.machines if item.pool == name]
+            sizes = [
+                reported.get(item.worker, item.millicores)
+                for item in view.machines
+                if item.pool == name
+            ]
             needs[name] = self._histories.setdefault(name, PoolHistory()).update(
                 now,
                 load,
