--- a/features/platform.feature
+++ b/features/platform.feature
@@ -286,3 +286,31 @@
     Then jobs 1 to 4 become completed
     And every submission was answered
     And no task completed twice
+
+  Scenario: A task that crashes its workers is given up, and the operator is told
+    # Guards against a task that takes down one worker after the other (incident 011).
+    Given tasks run for 1 s
+    And task 0 of job 1 crashes the worker that starts it
+    When job 1 of 1 task is submitted through entry-0
+    And jobs 2 to 5 of 2 tasks are submitted
+    Then job 1 becomes failed through entry-1
+    And jobs 2 to 5 become completed
+    And at most 3 workers have crashed
+    And the owner counts 1 task that crashes its workers
+
+  Scenario: A killed owner's count of crashes is continued by the next one
+    Given tasks run for 1 s
+    And task 0 of job 1 crashes the worker that starts it
+    When job 1 of 1 task is submitted through entry-0
+    And a worker has crashed
+    And the owner of the partition is killed
+    Then job 1 becomes failed through the other entry host
+    And at most 4 workers have crashed
+
+  Scenario: Workers that start everything and shrink are not filled beyond their capacity
+    Given tasks run for 1 s
+    And the workers of configuration 2 start everything
+    When every worker shrinks to 2 cores
+    And jobs 1 to 6 of 3 tasks are submitted
+    Then jobs 1 to 6 become completed
+    And no worker was filled beyond its capacity
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -8,6 +8,9 @@
 
 from aiohttp import web
 
+MILLICORES = 16_000
+TASK_MILLICORES = 1_000
+
 
 class RunStart(NamedTuple):
     """Start of a run; ``started_at`` is in seconds of event-loop time."""
@@ -39,7 +42,13 @@
         End every run as failed.
     refuses_starts : bool
         Refuse start orders for lack of capacity.
-    ends : list of tuple
+    millicores : int
+        Capacity, which may change while the worker runs. Every task takes ``task_millicores``.
+    overloads : list of tuple
+        Task and time of every start beyond the capacity.
+    crashing_tasks : set of str
+        Names of the tasks that crash the worker ``crash_delay_seconds`` after their start.
+        ends : list of tuple
         Task, run, outcome and time of every end.
     """
 
@@ -56,6 +65,12 @@
         self.required_ticket = ""
         self.refused_tickets = 0
         self.refuses_starts = False
+        self.millicores = MILLICORES
+        self.task_millicores = TASK_MILLICORES
+        self.overloads: list[tuple[str, float]] = []
+        self.crashing_tasks: set[str] = set()
+        self.crash_delay_seconds = 0.01
+        self.crash_count = 0
         self.starts: list[RunStart] = []
         self.ends: list[tuple[str, int, str, float]] = []
         # Time at which the end of each (task, run) was acknowledged.
@@ -93,7 +108,7 @@
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
-            "capacity": {"cpu": 16000, "memMb": 65536, "gpus": 0},
+            "capacity": {"cpu": self.millicores, "memMb": 65536, "gpus": 0},
             "labels": ["a", "r1-1"],
             "seq": 1,
         }
@@ -132,6 +147,11 @@
         self.incarnation += 1
         self._clock_origin = self._now()
 
+    def _crash_under(self, task: str) -> None:
+        if task in self._running:
+            self.crash_count += 1
+            self.crash()
+
     async def _watch_lease(self) -> None:
         while True:
             await asyncio.sleep(0.05)
@@ -196,6 +216,12 @@
             )
             self._running[task] = {"run": body["run"], "timer": timer, "started_at": self._now()}
             self.starts.append(RunStart(task, body["run"], self.name, self._now()))
+            if len(self._running) * self.task_millicores > self.millicores:
+                self.overloads.append((task, self._now()))
+            if task in self.crashing_tasks:
+                asyncio.get_running_loop().call_later(
+                    self.crash_delay_seconds, self._crash_under, task
+                )
         if self.lose_start_responses > 0:
             self.lose_start_responses -= 1
             request.transport.close()
