Open no further link to an incarnation that has ended

Cause: after 421 from its address the entry of a crashed or moved worker stays listed for up to 7 s, and each scan, ten a second, opened a link again, which asked the new incarnation and closed. Change: such an entry opens no link until it changes. The scenario fails without it.

--- a/features/owner_workers.feature
+++ b/features/owner_workers.feature
@@ -128,6 +128,15 @@
     And another worker answers at its address
     Then run 1 is taken to be missing
 
+  Scenario: An incarnation that has ended is not asked again while it is still listed
+    # Guards against ten calls a second to an address that another incarnation has.
+    Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
+    When another worker answers at its address
+    And the list of workers is read again
+    Then the owner has no link to it
+    When its entry tells the new birth and 4 cores
+    Then the owner has a link to it
+
   Scenario: A later owner adopts what runs on a worker that is no longer listed
     Given an owner that has started run 1 of a job of 2 cores on a worker of 16 cores
     When the worker leaves the list and the next owner takes over
--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -240,14 +240,32 @@
     following.clock.jump_seconds = seconds
 
 
+def _scan(harness) -> None:
+    async def scan() -> None:
+        harness.owner._scan_workers()
+
+    harness.run(scan())
+
+
 @when("the worker leaves the list and the next owner takes over")
 def leave_list(context):
-    following = _succeed(context)
+    _scan(_succeed(context))
+
+
+@when("the list of workers is read again")
+def read_list(context):
+    for _ in range(2):
+        _scan(context.harness)
+
+
+@then("the owner has no link to it")
+def expect_no_link(context):
+    assert WORKER not in context.harness.owner.links
 
-    async def scan() -> None:
-        following.owner._scan_workers()
 
-    following.run(scan())
+@then("the owner has a link to it")
+def expect_link(context):
+    assert WORKER in context.harness.owner.links
 
 
 @then("a stop of run {run:d} was sent")
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -74,7 +74,7 @@
     from carawayd.process.site import SiteSettings
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock, SteadyTimeOfDay
-    from carawayshore.workflows.model import Workflow
+    from carawayshore.workflows.model import WorkerEntry, Workflow
     from carawayshore.workflows.placement import Usage, WorkerCapacity
 
 logger = logging.getLogger(__name__)
@@ -204,6 +204,8 @@
         self._orphans: dict[TaskName, str] = {}
         self._contact_loss = ContactLoss(clock, self.ledger)
         self._known_workers = KnownWorkers(self.ledger)
+        # Entries of incarnations that have certainly ended but are still listed.
+        self._ended_workers: dict[str, WorkerEntry] = {}
         self._first_attempts: dict[str, float] = {}
         self._deadlines: dict[str, float] = {}
         self._loaded_at = 0.0
@@ -355,9 +357,12 @@
         for worker, entry in entries.items():
             link = self.links.get(worker)
             if link is None:
-                self._open_link(entry)
+                if not entry.born or self._ended_workers.get(worker) != entry:
+                    self._open_link(entry)
             elif link.entry != entry or not link.listed:
                 link.update(entry)
+        for worker in self._ended_workers.keys() - entries.keys():
+            del self._ended_workers[worker]
         self._open_links_of_unlisted_workers()
         for link in self.links.values():
             link.set_capacity_current(self._discovery.is_capacity_current(link.entry))
@@ -513,6 +518,8 @@
         """
         if restarted:
             self._confirm_losses(link.worker)
+        if restarted and link.closed:
+            self._ended_workers[link.worker] = link.entry
         if not runs:
             return
         how = "restarted" if restarted else "unreachable"
