A ledger that has seen another process's records writes nothing more

Callers saw: nothing that was traced. A host that wakes after a freeze could learn of two changes of the group at once and append what its reports and its waiting batch had marked under the newest epoch, over the records of the owner in between: a cancel that is forgotten, a run number that is given twice. Cause: the takeover told its caller that another process had written, and left the ledger usable; the owner was marked lost two layers above, up to one renewal later. Class: an object that outlives its permission because the decision is taken elsewhere. Change: the ledger is lost where the foreign write is seen. It drops what is marked, fails its waiters, refuses a batch that waited for the lock, and takes over no more; the owner is lost in the same step.

--- a/features/steps/owner_property_steps.py
+++ b/features/steps/owner_property_steps.py
@@ -22,6 +22,7 @@
     st.tuples(st.just("submit"), st.integers(4, 10), st.sampled_from([1.0, 4.0])),
     st.tuples(st.just("cancel"), number, st.just(0)),
     st.tuples(st.just("take_over"), st.just(0), st.just(0)),
+    st.tuples(st.just("bounce"), st.sampled_from([0.0, 0.02, 0.05, 0.3]), st.just(0)),
     st.tuples(st.just("link"), worker, st.sampled_from(["", "cut", "late", "lost", "refused"])),
     st.tuples(st.just("store"), st.just(0), st.sampled_from(["", "cut"])),
     st.tuples(st.just("jump"), st.just(0), st.sampled_from([-3600.0, -9.0, 9.0, 3600.0])),
@@ -46,6 +47,20 @@
     ]  # fmt: skip
 
 
+@st.composite
+def build_bounce(draw):
+    """Builds tasks whose ends are reported while the partition is elsewhere and comes back."""
+    work = ("submit", draw(st.integers(1, 6)), draw(st.sampled_from([0.2, 1.0])))
+    bounce = ("bounce", draw(st.sampled_from([0.0, 0.02, 0.05, 0.3])), 0)
+    cancel = ("cancel", draw(number), 0)
+    return [
+        (work, draw(st.sampled_from([0.15, 0.25, 0.9, 1.0]))),
+        (draw(st.sampled_from([work, cancel])), 0.0),
+        (bounce, draw(SHORT_WAITS)),
+        (work, 0.3),
+    ]
+
+
 @st.composite
 def build_smaller_restart(draw):
     """Builds a worker that starts again with another size, and work that arrives then."""
@@ -82,6 +97,7 @@
     st.one_of(
         st.lists(st.tuples(STEP, WAITS), min_size=1, max_size=6),
         build_cancel_at_takeover(),
+        build_bounce(),
         build_smaller_restart(),
         build_shrink(),
         build_takeover_without_links(),
@@ -98,6 +114,8 @@
         await world.cancel(first)
     elif kind == "take_over":
         await world.take_over()
+    elif kind == "bounce":
+        await world.bounce(first)
     elif kind == "link":
         world.links[first] = second
     elif kind == "store":
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -46,6 +46,8 @@
 DOWNTIME_S = 1.3
 LONGEST_LEASE_MS = 6_000
 CONTACT_S = 0.25
+# Time for which a former owner goes on before it learns that it is one.
+FORMER_OWNER_S = 0.8
 # Time from the end of an owner's process to the start of the next owner.
 TAKEOVER_S = 1.7
 WORKER_CORES = 12
@@ -382,6 +384,7 @@
         # Workers that do not reach the store.
         self.unheard: set[str] = set()
         self.owners: list[ModelOwner] = []
+        self.epoch = 0
         self._tickers = [
             asyncio.ensure_future(self._advance()),
             asyncio.ensure_future(self._write_entries()),
@@ -413,23 +416,47 @@
             self.has_crashed.clear()
             await self.has_crashed.wait()
 
+    def _begin_epoch(self) -> int:
+        self.epoch += 1
+        return self.epoch
+
+    async def bounce(self, seconds: float) -> None:
+        """Gives the partition to another owner for a while, and back to the present one.
+
+        The present one learns of both changes at once, as after a freeze of its process.
+        """
+        former = self.current
+        await self.take_over(stop_former=False)
+        await asyncio.sleep(seconds)
+        between = self.current.owner
+        asyncio.get_running_loop().call_later(
+            FORMER_OWNER_S, lambda: asyncio.ensure_future(between.stop())
+        )
+        if former.owner.loaded and await former.owner.raise_epoch(self._begin_epoch()):
+            self.owners.append(former)
+            return
+        asyncio.ensure_future(former.owner.stop())
+        await self._start_owner()
+
+    async def _start_owner(self) -> None:
+        self.owners.append(ModelOwner(self, self._begin_epoch()))
+        await self.current.owner.maybe_start()
+
     async def kill_owner(self) -> None:
         """Ends the current owner's process without a handover; the next owner follows later."""
         killed = self.current.owner
         killed.lost = killed.ledger.lost = True
         await killed.stop()
         await asyncio.sleep(TAKEOVER_S)
-        self.owners.append(ModelOwner(self, len(self.owners) + 1))
-        await self.current.owner.maybe_start()
+        await self._start_owner()
 
-    async def take_over(self) -> None:
+    async def take_over(self, *, stop_former: bool = True) -> None:
         """Starts the next owner; the earlier one goes on for a moment without knowing."""
-        if self.owners:
+        if self.owners and stop_former:
             loop = asyncio.get_running_loop()
             former = self.current.owner
-            loop.call_later(0.8, lambda: asyncio.ensure_future(former.stop()))
-        self.owners.append(ModelOwner(self, len(self.owners) + 1))
-        await self.current.owner.maybe_start()
+            loop.call_later(FORMER_OWNER_S, lambda: asyncio.ensure_future(former.stop()))
+        await self._start_owner()
 
     async def _join(self) -> None:
         """Renews the current owner's membership."""
--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -73,6 +73,7 @@
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
         self._append_started_at: timedelta | None = None
+        # End of the partition after the last append, None before the first takeover.
         self._end_offset: int | None = None
         # Serialises appends and epoch changes: the store would reject, as fenced, an append under
         # the earlier epoch that is still in flight when the epoch changes.
@@ -81,14 +82,19 @@
     async def take_over(self, epoch: int) -> bool:
         """Fences off earlier owners.
 
-        Returns whether no other process has written since the last append of this ledger.
+        Returns whether no other process has written since the last append of this ledger. A ledger
+        that has found another process's records writes nothing more under any epoch, since its
+        owner's state predates them.
 
         Raises
         ------
         OwnershipLost
-            If an owner with a later epoch has already written to the partition.
+            If the ledger is lost, or an owner with a later epoch has already written to the
+            partition.
         """
         async with self._append_lock:
+            if self.lost:
+                raise OwnershipLost("the ledger is lost")
             return await self._take_over(epoch)
 
     async def _take_over(self, epoch: int) -> bool:
@@ -104,8 +110,9 @@
                     sequence=0,
                 )
             except Fenced as error:
-                self.lost = True
-                raise OwnershipLost(str(error)) from error
+                loss = OwnershipLost(str(error))
+                self._fail_waiters([], loss)
+                raise loss from error
             except PlatformError as error:
                 logger.info(
                     "partition takeover failed; retrying",
@@ -115,11 +122,18 @@
                 delay = min(2 * delay, MAX_RETRY_DELAY)
                 continue
             unchanged = self._end_offset == end
+            if self._end_offset is not None and not unchanged:
+                self._fail_waiters([], OwnershipLost("another process has written"))
             self.epoch, self._sequence, self._end_offset = epoch, 0, end
             return unchanged
 
     def mark_dirty(self, key: str, encode: Callable[[], bytes]) -> None:
-        """Queues a changed key; ``encode`` is called for its value when the batch is sent."""
+        """Queues a changed key; ``encode`` is called for its value when the batch is sent.
+
+        A lost ledger ignores the change.
+        """
+        if self.lost:
+            return
         self._dirty[key] = encode
         self._wake.set()
 
@@ -191,6 +205,7 @@
 
     def _fail_waiters(self, waiters: list[asyncio.Future[None]], error: Exception) -> None:
         self.lost = True
+        self._dirty = {}
         for waiter in [*waiters, *self._waiters]:
             if not waiter.done():
                 waiter.set_exception(error)
@@ -215,6 +230,9 @@
     async def _append(self, batch: list[KeyedRecord]) -> None:
         """Retries one append until its outcome is known; the store drops duplicates."""
         async with self._append_lock:
+            # The batch may have waited here while a takeover found another process's records.
+            if self.lost:
+                raise OwnershipLost("the ledger is lost")
             await self._append_locked(batch)
 
     async def _append_locked(self, batch: list[KeyedRecord]) -> None:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -318,6 +318,8 @@
             self._mark_lost("the store rejected the epoch, because a later owner has taken over")
             return False
         self.fence = epoch
+        if not unchanged:
+            self._mark_lost("another member has written to the partition in between")
         return unchanged
 
     async def hand_over(self) -> None:
