Isolate suspected long-running tasks one by one, and for a limited wait

Cause: one reserved worker for each suspected workflow, while the step allows one task on each worker.

--- a/features/steps/worker_crash_steps.py
+++ b/features/steps/worker_crash_steps.py
@@ -17,6 +17,8 @@
 # Owners that are killed one after the other.
 KILLED_OWNERS = 2
 SEED = 11
+# Time within which every task that ran on a crashed worker runs again.
+RESTART_LIMIT_S = 6.0
 
 
 async def _play(context, scenario) -> None:
@@ -136,6 +138,29 @@
     _run(context, play)
 
 
+@when(
+    "a long-running job of {count:d} tasks, one per worker, loses {lost:d} of its workers at once"
+)
+def crash_several(context, count, lost):
+    async def play(world) -> None:
+        for _ in range(3):
+            await world.submit(1, count, LONG_S, long_running=True, most_per_worker=1)
+        await asyncio.sleep(1.0)
+        busy = [worker for worker in world.workers.values() if worker.runs]
+        for worker in busy[:lost]:
+            worker.crash()
+        await asyncio.sleep(RESTART_LIMIT_S)
+        context.running = sum(len(worker.runs) for worker in world.workers.values())
+        context.expected = 3 * count
+
+    _run(context, play)
+
+
+@then("all of its tasks run again within 6 s of the crash")
+def expect_restart(context):
+    assert context.running == context.expected, (context.running, context.expected)
+
+
 @then("at most {most:d} workers crashed under each such task")
 def expect_crashes(context, most):
     crashes = context.world.crashes
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -73,3 +73,11 @@
     When small and long-running jobs are submitted for 12 s while links are cut for 8 s
     Then all other jobs are completed or running
     And no owner broke a promise
+
+  Scenario: Suspected long-running tasks of one job do not wait for each other
+    # Guards against a long-running task that stays down while another one of its step is watched
+    # (rule LOST on day trouble-2 of snrc-atlas, seed 199606622927).
+    Given 6 workers of 12 cores, which return under a new name after a crash
+    When a long-running job of 4 tasks, one per worker, loses 3 of its workers at once
+    Then all of its tasks run again within 6 s of the crash
+    And no owner broke a promise
--- a/packages/carawayd/src/carawayd/partition/isolation.py
+++ b/packages/carawayd/src/carawayd/partition/isolation.py
@@ -1,12 +1,13 @@
-"""Workers reserved for workflows with tasks that are suspected of crashing their workers."""
+"""Workers reserved for tasks that are suspected of crashing their workers."""
 
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.crashes import (
     MAX_DRAIN_SECONDS,
+    MAX_ISOLATION_WAIT_SECONDS,
     MAX_RESERVED_IDLE_SHARE,
     MAX_RESERVED_SHARE,
     needs_isolation,
@@ -21,25 +22,31 @@
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import StepSpec
-    from carawayshore.workflows.placement import WorkerCapacity
+    from carawayshore.workflows.placement import Usage, WorkerCapacity
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
-# Time after which a reservation ends if no task of the workflow has been placed there.
+# Time after which a reservation ends if no task has been placed there.
 UNUSED_RESERVATION_SECONDS = MAX_DRAIN_SECONDS + 1.0
 
+# What a worker is reserved for: the short tasks of a workflow, which share it, or one long-running
+# task, which would keep the others waiting.
+Subject = str | TaskName
 
-class _Reservation:
-    """Worker reserved for one workflow; times are in seconds of the clock."""
 
-    __slots__ = ("capacity", "since")
+def get_workflow(subject: Subject) -> str:
+    """Returns the workflow of the subject of a reservation."""
+    return subject.workflow if isinstance(subject, TaskName) else subject
 
-    def __init__(self, capacity: WorkerCapacity, now: float) -> None:
-        self.capacity = capacity
-        self.since = now
+
+class _Reservation(NamedTuple):
+    """Reserved worker, and the time of the reservation in seconds of the clock."""
+
+    capacity: WorkerCapacity
+    since: float
 
 
 class Isolation:
-    """Restricts suspected workflows to one reserved worker each.
+    """Restricts suspected tasks to reserved workers.
 
     Parameters
     ----------
@@ -52,7 +59,9 @@
         self._links = links
         self._clock = clock
         self._suspects: dict[str, WorkflowState] = {}
-        self._reservations: dict[str, _Reservation] = {}
+        self._reservations: dict[Subject, _Reservation] = {}
+        # Time since which each subject has waited for a worker.
+        self._waiting_since: dict[Subject, float] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -73,7 +82,9 @@
         ):
             self._suspects[workflow.identifier] = workflow
         elif self._suspects.pop(workflow.identifier, None) is not None:
-            self._end(workflow.identifier)
+            for subject in self._reservations.keys() | self._waiting_since.keys():
+                if get_workflow(subject) == workflow.identifier:
+                    self._end(subject)
 
     def list_suspects(self) -> list[tuple[WorkflowState, StepState, TaskName, TaskState]]:
         """Returns the tasks of suspected workflows under which workers were lost."""
@@ -90,89 +101,100 @@
             if task.losses
         ]
 
-    def _end(self, workflow: str) -> None:
-        reservation = self._reservations.pop(workflow, None)
+    def _end(self, subject: Subject) -> None:
+        self._waiting_since.pop(subject, None)
+        reservation = self._reservations.pop(subject, None)
         if reservation is not None:
             reservation.capacity.reserved_for = ""
 
     def refresh(self) -> None:
-        """Ends the reservations that are not needed, and reserves workers of suspected runs."""
+        """Ends the reservations that are not needed, and reserves the workers of suspected runs."""
         now = self._now()
-        for workflow, reservation in list(self._reservations.items()):
-            is_needed = any(
-                link.capacity is reservation.capacity
-                for link in self._iterate_suspected_links(workflow)
-            )
-            is_new = now - reservation.since < UNUSED_RESERVATION_SECONDS and not any(
-                usage.group[0] == workflow for usage in reservation.capacity.usages.values()
-            )
-            if not (reservation.capacity.usable and (is_needed or is_new)):
-                self._end(workflow)
-        for workflow in self._suspects.keys() - self._reservations.keys():
-            for link in self._iterate_suspected_links(workflow):
-                if link.capacity.usable and not link.capacity.reserved_for:
-                    self._reserve(workflow, link.capacity)
-                    break
-
-    def _iterate_suspected_links(self, workflow: str) -> Iterator[WorkerLink]:
-        """Yields the links to the workers of suspected runs that have not proved harmless yet."""
-        for name, task in self._suspects[workflow].iterate_ordered_tasks():
-            link = self._links.get(task.worker)
-            order = link and link.orders.get(name)
+        unproved = dict(self._iterate_unproved_runs())
+        for subject, (capacity, since) in list(self._reservations.items()):
+            link = unproved.get(subject)
+            is_needed = link is not None and link.capacity is capacity
+            is_new = now - since < UNUSED_RESERVATION_SECONDS and not _has_run(capacity, subject)
+            if not (capacity.usable and (is_needed or is_new)):
+                self._end(subject)
+        for subject, link in unproved.items():
             if (
-                order
-                and needs_isolation(task.losses)
-                and needs_reservation(task.losses, self._now() - order.sent_at)
+                subject not in self._reservations
+                and link.capacity.usable
+                and not link.capacity.reserved_for
             ):
-                yield link
+                self._reserve(subject, link.capacity)
 
-    def _reserve(self, workflow: str, capacity: WorkerCapacity) -> None:
-        capacity.reserved_for = workflow
-        self._reservations[workflow] = _Reservation(capacity, self._now())
+    def _iterate_unproved_runs(self) -> Iterator[tuple[Subject, WorkerLink]]:
+        """Yields the links to the workers of suspected runs that have not proved harmless yet."""
+        for workflow in self._suspects.values():
+            for name, task in workflow.iterate_ordered_tasks():
+                link = self._links.get(task.worker)
+                order = link and link.orders.get(name)
+                if (
+                    order
+                    and needs_isolation(task.losses)
+                    and needs_reservation(task.losses, self._now() - order.sent_at)
+                ):
+                    step = workflow.steps[name.occurrence, name.step].spec
+                    yield (name if step.long_running else workflow.identifier), link
+
+    def _reserve(self, subject: Subject, capacity: WorkerCapacity) -> None:
+        capacity.reserved_for = get_workflow(subject)
+        self._reservations[subject] = _Reservation(capacity, self._now())
 
     def select(
-        self, workflow: str, step: StepSpec, capacities: list[WorkerCapacity]
+        self, subject: Subject, step: StepSpec, capacities: list[WorkerCapacity]
     ) -> list[WorkerCapacity]:
-        """Returns the worker on which tasks of a suspected workflow may start now, if any.
+        """Returns the workers on which a suspected task may start now.
+
+        That is its reserved worker, once the short runs of other workflows there have ended. A task
+        that has waited too long for one may start anywhere; a crash is counted all the same.
 
         Parameters
         ----------
-        workflow : str
+        subject : str or TaskName
         step : StepSpec
         capacities : list of WorkerCapacity
             Usable workers on which the step may run.
         """
-        reservation = self._reservations.get(workflow)
+        waited = self._now() - self._waiting_since.setdefault(subject, self._now())
+        reservation = self._reservations.get(subject)
         if reservation is not None and reservation.capacity not in capacities:
-            self._end(workflow)
+            self._reservations.pop(subject).capacity.reserved_for = ""
             reservation = None
         if reservation is None:
-            chosen = self._choose(workflow, step, capacities)
+            chosen = self._choose(subject, step, capacities)
             if chosen is None:
-                return []
-            self._reserve(workflow, chosen)
-            reservation = self._reservations[workflow]
-        capacity = reservation.capacity
-        others = _list_other_runs(capacity, workflow)
-        if not any(not usage.long_running for usage in others):
+                return capacities if waited > MAX_ISOLATION_WAIT_SECONDS else []
+            self._reserve(subject, chosen)
+            reservation = self._reservations[subject]
+        capacity, since = reservation
+        workflow = get_workflow(subject)
+        if all(usage.long_running for usage in _list_other_runs(capacity, workflow)):
             return [capacity]
         orders = self._links[capacity.entry.worker].orders
-        all_listed = all(
+        are_listed = all(
             order.listed for name, order in orders.items() if name.workflow != workflow
         )
-        waited = self._now() - reservation.since
-        return [capacity] if all_listed and waited > MAX_DRAIN_SECONDS else []
+        return [capacity] if are_listed and self._now() - since > MAX_DRAIN_SECONDS else []
+
+    def note_placed(self, subject: Subject) -> None:
+        """Notes that a task of the subject has been placed."""
+        self._waiting_since.pop(subject, None)
 
     def _choose(
-        self, workflow: str, step: StepSpec, capacities: list[WorkerCapacity]
+        self, subject: Subject, step: StepSpec, capacities: list[WorkerCapacity]
     ) -> WorkerCapacity | None:
         """Returns the worker with the fewest other runs, None if enough are reserved."""
+        workflow = get_workflow(subject)
         candidates = [
             capacity
             for capacity in capacities
             if not capacity.reserved_for
             and capacity.suspect_until <= self._now()
             and capacity.could_fit(step)
+            and not _has_enough_tasks(capacity, subject, step)
         ]
         if not candidates:
             return None
@@ -187,5 +209,20 @@
         return chosen if reserved < max(1, math.floor(share * len(capacities))) else None
 
 
-def _list_other_runs(capacity: WorkerCapacity, workflow: str) -> list:
+def _list_other_runs(capacity: WorkerCapacity, workflow: str) -> list[Usage]:
     return [usage for usage in capacity.usages.values() if usage.group[0] != workflow]
+
+
+def _has_run(capacity: WorkerCapacity, subject: Subject) -> bool:
+    if isinstance(subject, TaskName):
+        return subject in capacity.usages
+    return any(usage.group[0] == subject for usage in capacity.usages.values())
+
+
+def _has_enough_tasks(capacity: WorkerCapacity, subject: Subject, step: StepSpec) -> bool:
+    """Returns whether the limit of the step excludes a further long-running task."""
+    return (
+        isinstance(subject, TaskName)
+        and step.most_per_worker > 0
+        and capacity.groups.get(subject[:3], 0) >= step.most_per_worker
+    )
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -1145,10 +1145,8 @@
             tickets = self._advisor.find_tickets(key)
             self._request_advice(workflow, key, capacities, tickets, len(waiting))
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
-        isolated: list[WorkerCapacity] | None = None
         # The members of a gang start together on several workers, so they are not isolated.
-        if workflow.identifier in self._isolation and not spec.gang:
-            isolated = self._isolation.select(workflow.identifier, spec, capacities)
+        is_suspected = workflow.identifier in self._isolation and not spec.gang
         if spec.same_rack:
             capacities = self._select_rack(step, capacities)
         chosen: list[tuple[WorkerCapacity, TaskName]] = []
@@ -1158,15 +1156,16 @@
             usage = compute_usage(name, spec)
             failed_on = task.worker if task.failures else ""
             candidates = capacities
-            # Unlike those of short steps, the other tasks of a long-running step do not wait.
-            is_isolated = isolated is not None and (
-                not spec.long_running or needs_isolation(task.losses)
-            )
+            # Unlike those of short steps, the other tasks of a long-running step are not isolated.
+            is_isolated = is_suspected and (not spec.long_running or needs_isolation(task.losses))
+            subject = name if spec.long_running else workflow.identifier
             if is_isolated:
-                candidates = isolated
+                candidates = self._isolation.select(subject, spec, capacities)
             capacity = choose_worker(candidates, spec, usage, now, failed_on=failed_on)
-            if capacity is None and is_isolated:
-                continue
+            if is_isolated:
+                if capacity is None:
+                    continue
+                self._isolation.note_placed(subject)
             if capacity is None:
                 break
             capacity.reserve(name, usage)
