Count a crash that came before the first contact of a later owner

Seen: the scenario of killed owners, once each owner is killed right after each crash: 9 workers crashed under one task when the workers return under their identifiers. The next owner's first report was of the new incarnation, so no restart was seen, and the runs were only missing. Cause: an owner compared the start of a worker only with what it had seen itself. Change: the first report is compared with the start that was recorded with the last order. The losses name that start, too. The scenario now kills up to seven owners in a row (its former two did not notice a lost count). The decisions on losses have scenarios of their own.

--- a/features/steps/worker_crash_steps.py
+++ b/features/steps/worker_crash_steps.py
@@ -3,20 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from random import Random
 
 import looptime
 from behave import given, then, when
 from worker_model import World
 
+from carawayshore.workflows.crashes import (
+    RunOnWorker,
+    WorkerLoss,
+    assess_loss,
+    has_outlived,
+    needs_isolation,
+    should_give_up,
+)
+
 STOP_S = 0.05
 SUBMISSION_INTERVAL_S = 0.15
 SETTLE_S = 60.0
 # Run time of a long-running task.
 LONG_S = 1_000.0
-# Owners that are killed one after the other.
-KILLED_OWNERS = 2
+# Time without a further crash after which no owner is killed any more.
+LONGEST_QUIET_S = 30.0
+MAX_KILLED_OWNERS = 7
 SEED = 11
+WORKER = "w0"
 # Time within which every task that ran on a crashed worker runs again.
 RESTART_LIMIT_S = 6.0
 
@@ -74,10 +86,12 @@
 def kill_owners(context, seconds, after):
     async def play(world) -> None:
         submitting = asyncio.ensure_future(_submit_beside(world, seconds, 1, 0.01))
-        for crashes in range(1, KILLED_OWNERS + 1):
-            await world.wait_for_crashes(crashes)
-            await asyncio.sleep(after)
-            await world.kill_owner()
+        with contextlib.suppress(TimeoutError):
+            for crashes in range(1, MAX_KILLED_OWNERS + 1):
+                async with asyncio.timeout(LONGEST_QUIET_S):
+                    await world.wait_for_crashes(crashes)
+                await asyncio.sleep(after)
+                await world.kill_owner()
         await submitting
 
     _run(context, play)
@@ -176,3 +190,49 @@
 @then("no owner broke a promise")
 def expect_no_violation(context):
     assert not context.world.violations, context.world.violations
+
+
+@given("a lost worker with runs of these jobs, ages in ms and reports: {runs}")
+def list_lost_runs(context, runs):
+    context.runs = []
+    for text in runs.split(", "):
+        job, age, *flags = text.split()
+        is_listed = "listed" in flags
+        context.runs.append(RunOnWorker(job, int(age) / 1000, True, is_listed, "reserved" in flags))
+
+
+@then("the suspected runs are {suspected}")
+def expect_suspected(context, suspected):
+    losses = assess_loss(WORKER, 1, True, context.runs)
+    found = [run.workflow for run, loss in zip(context.runs, losses, strict=True) if loss.suspected]
+    assert found == suspected.split(", "), found
+
+
+# Losses by the words of the scenarios: confirmed, suspected, isolated, and certainly started.
+LOSS_KINDS = {
+    "beside": (True, False, False, True),
+    "suspected": (True, True, False, True),
+    "unanswered": (True, True, False, False),
+    "alone": (True, True, True, True),
+    "unreachable": (False, True, True, True),
+}
+
+
+@given("a task that lost workers in these ways: {losses}")
+def list_losses(context, losses):
+    context.losses = []
+    for text in losses.split(", "):
+        kind, age = text.split()
+        context.losses.append(WorkerLoss(WORKER, 1, int(age), *LOSS_KINDS[kind]))
+
+
+@then("the task is {verdict}")
+def expect_verdict(context, verdict):
+    found = "isolated" if needs_isolation(context.losses) else "free"
+    found = "given up" if should_give_up(context.losses) else found
+    assert found == verdict, found
+
+
+@then("a run of {age:d} ms is {state}")
+def expect_cleared(context, age, state):
+    assert has_outlived(context.losses, age / 1000) == (state == "cleared")
--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -81,3 +81,48 @@
     When a long-running job of 4 tasks, one per worker, loses 3 of its workers at once
     Then all of its tasks run again within 6 s of the crash
     And no owner broke a promise
+
+  Scenario Outline: Which runs on a lost worker are suspected
+    Given a lost worker with runs of these jobs, ages in ms and reports: <runs>
+    Then the suspected runs are <suspected>
+
+    Examples:
+      | runs                                                   | suspected |
+      | a 40 unlisted, b 45 unlisted, c 700 listed             | a, b      |
+      | a 70 listed, b 116 listed, c 300 listed                | a, b      |
+      | a 20 unlisted, b 900 unlisted, c 900 listed            | a, b      |
+      | a 3000 listed                                          | a         |
+      | a 40 unlisted, b 9000 listed, c 9000 listed reserved   | a, c      |
+
+  Scenario Outline: When a task is taken to crash its workers
+    # Counting alone would give up innocent tasks: they were beside the cause, or never started.
+    Given a task that lost workers in these ways: <losses>
+    Then the task is <verdict>
+
+    Examples:
+      | losses                                                                     | verdict   |
+      | beside 40                                                                  | free      |
+      | beside 900, beside 400                                                     | free      |
+      | beside 900, beside 400, beside 2000                                        | isolated  |
+      | suspected 30                                                               | isolated  |
+      | unanswered 30, alone 20                                                    | isolated  |
+      | unanswered 30, alone 20, alone 25                                          | given up  |
+      | suspected 30, alone 20                                                     | given up  |
+      | suspected 30, alone 1500                                                   | isolated  |
+      | alone 980, alone 270                                                       | isolated  |
+      | alone 2500, alone 2510                                                     | isolated  |
+      | alone 2500, alone 2510, alone 2490                                         | given up  |
+      | suspected 30, unreachable 25                                               | isolated  |
+      | unreachable 30, unreachable 25, unreachable 28, unreachable 20             | isolated  |
+      | unreachable 30, unreachable 25, unreachable 28, unreachable 20, alone 30   | given up  |
+
+  Scenario Outline: When a run is no longer suspected
+    Given a task that lost workers in these ways: suspected <age>
+    Then a run of <survived> ms is <state>
+
+    Examples:
+      | age  | survived | state        |
+      | 30   | 50       | suspected    |
+      | 30   | 70       | cleared      |
+      | 1500 | 2900     | suspected    |
+      | 1500 | 3100     | cleared      |
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -66,6 +66,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from carawayd.partition.isolation import Subject
     from carawayd.partition.workerlink import LostRun
     from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import EndedRun, RunsClient
@@ -507,6 +508,14 @@
         if link.run_count:
             self._contact_loss.begin(link.worker)
 
+    def find_recorded_start(self, worker: str) -> int:
+        """Returns the start of the incarnation of a worker that was last sent an order.
+
+        In Unix milliseconds; 0 if it is not known.
+        """
+        entry = self._known_workers.find_entry(worker)
+        return entry.born if entry is not None else 0
+
     def handle_loss(self, link: WorkerLink, runs: list[LostRun], *, restarted: bool) -> None:
         """Records that an incarnation of a worker has ended, or has been unreachable for too long.
 
@@ -531,7 +540,7 @@
             extra={
                 "fields": {
                     "worker": link.worker,
-                    "born": link.entry.born,
+                    "born": self.find_recorded_start(link.worker),
                     "restarted": restarted,
                     "tasks": [format_task(run.task) for run in runs],
                     "runs": [
@@ -549,7 +558,7 @@
         reserved_for = link.capacity.reserved_for
         losses = assess_loss(
             link.worker,
-            link.entry.born,
+            self.find_recorded_start(link.worker),
             restarted,
             [
                 RunOnWorker(
@@ -1145,8 +1154,6 @@
             tickets = self._advisor.find_tickets(key)
             self._request_advice(workflow, key, capacities, tickets, len(waiting))
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
-        # The members of a gang start together on several workers, so they are not isolated.
-        is_suspected = workflow.identifier in self._isolation and not spec.gang
         if spec.same_rack:
             capacities = self._select_rack(step, capacities)
         chosen: list[tuple[WorkerCapacity, TaskName]] = []
@@ -1155,19 +1162,17 @@
             name = TaskName(workflow.identifier, step.occurrence, step.number, index)
             usage = compute_usage(name, spec)
             failed_on = task.worker if task.failures else ""
-            candidates = capacities
-            # Unlike those of short steps, the other tasks of a long-running step are not isolated.
-            is_isolated = is_suspected and (not spec.long_running or needs_isolation(task.losses))
-            subject = name if spec.long_running else workflow.identifier
-            if is_isolated:
-                candidates = self._isolation.select(subject, spec, capacities)
+            subject = self._find_isolated_subject(step, name)
+            candidates = (
+                self._isolation.select(subject, spec, capacities) if subject else capacities
+            )
             capacity = choose_worker(candidates, spec, usage, now, failed_on=failed_on)
-            if is_isolated:
-                if capacity is None:
-                    continue
-                self._isolation.note_placed(subject)
+            if capacity is None and subject:
+                continue
             if capacity is None:
                 break
+            if subject:
+                self._isolation.note_placed(subject)
             capacity.reserve(name, usage)
             chosen.append((capacity, name))
         if spec.gang and len(chosen) < len(waiting):
@@ -1186,6 +1191,17 @@
             workflow.begun = True
             self._record_step(workflow, step)
 
+    def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
+        """Returns for what a worker has to be reserved before a task starts, None for nothing.
+
+        The members of a gang start together on several workers, so they are not isolated.
+        """
+        if name.workflow not in self._isolation or step.spec.gang:
+            return None
+        if not step.spec.long_running:
+            return name.workflow
+        return name if needs_isolation(step.tasks[name.index].losses) else None
+
     def _request_advice(
         self,
         workflow: WorkflowState,
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -186,6 +186,8 @@
 
     def handle_stuck_task(self, link: WorkerLink, task: TaskName) -> None: ...
 
+    def find_recorded_start(self, worker: str) -> int: ...
+
     def handle_loss(self, link: WorkerLink, runs: list[LostRun], *, restarted: bool) -> None: ...
 
     def handle_report(self, link: WorkerLink) -> None: ...
@@ -612,7 +614,18 @@
         self.unordered_runs.clear()
         self._owner.handle_loss(self, runs, restarted=restarted)
 
+    def _has_ended_before_contact(self, report: WorkerReport) -> bool:
+        """Returns whether adopted runs were ordered on an earlier incarnation of the worker."""
+        recorded = self._owner.find_recorded_start(self.worker)
+        return not self._incarnation and bool(recorded) and report.born not in (0, recorded)
+
     async def _process_report(self, report: WorkerReport) -> None:
+        if self._has_ended_before_contact(report):
+            logger.info(
+                "worker has restarted since it was sent its last order",
+                extra={"fields": {"worker": self.worker, "born": report.born}},
+            )
+            self._owner.handle_loss(self, self._list_runs(), restarted=True)
         if self._incarnation and report.born != self._incarnation:
             logger.info("worker restarted", extra={"fields": {"worker": self.worker}})
             self._owner.handle_loss(self, self._list_runs(), restarted=True)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -21,21 +21,24 @@
 
 from behave.__main__ import main as run_behave
 
-from carawayd.partition import contactloss, cordons, owner, workerlink
+from carawayd.partition import contactloss, cordons, isolation, ledger, owner, workerlink
 from carawayd.platform import common
 from carawayd.process import exchange, fleet, keys, machineorders, membership, streams
 from carawayshore import assignment, claims, fold, records
 from carawayshore import keys as key_rules
 from carawayshore import membership as members
-from carawayshore.workflows import placement
+from carawayshore.workflows import placement, state
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "mutations.md"
 # Features that guard the embedded mode, the owners of the platform mode, and its entry hosts.
 EMBEDDED = ("log_order", "at_most_once", "fleet", "log_property")
 OWNERS = ("owner_workers", "owner_property", "fleet_manager")
+CRASHES = ("worker_crashes",)
+CAPACITIES = ("worker_capacity", "owner_property")
+LEDGERS = ("ledger", "owner_property")
 ENTRY_HOSTS = ("platform",)
-FEATURES = (*EMBEDDED, *OWNERS, *ENTRY_HOSTS)
+FEATURES = tuple(dict.fromkeys((*EMBEDDED, *OWNERS, *CRASHES, *CAPACITIES, *LEDGERS, *ENTRY_HOSTS)))
 PARALLEL_MUTATIONS = 3
 RUN_TIMEOUT_SECONDS = 600
 
@@ -304,6 +307,59 @@
     exchange.PeerRpc._is_expired = lambda self, process, seconds: False
 
 
+@mutation("a task that crashes its workers is given up", CRASHES)
+def never_give_up() -> None:
+    owner.should_give_up = lambda losses: False
+
+
+@mutation("a task counts as the cause of crashes only if it was suspected", CRASHES)
+def count_all_losses() -> None:
+    owner.should_give_up = lambda losses: len(losses) >= 2
+
+
+@mutation("a suspected task starts on a worker of its own", CRASHES)
+def start_suspects_anywhere() -> None:
+    isolation.Isolation.select = lambda self, subject, step, capacities: capacities
+
+
+@mutation("suspected long-running tasks do not wait for each other", CRASHES)
+def isolate_by_workflow() -> None:
+    original = isolation.Isolation.select
+
+    def select(self, subject, step, capacities):
+        return original(self, isolation.get_workflow(subject), step, capacities)
+
+    isolation.Isolation.select = select
+
+
+@mutation("the losses of workers are part of a step's record", CRASHES)
+def forget_losses() -> None:
+    original = state.TaskState.to_row
+    state.TaskState.to_row = lambda self: original(self)[:5]
+
+
+@mutation("an order is sent only while the worker has room for it", CAPACITIES)
+def send_without_room() -> None:
+    placement.WorkerCapacity.is_overcommitted = False
+
+
+@mutation("tasks are placed by recent entries only, unless the worker refuses overload", CAPACITIES)
+def use_old_entries() -> None:
+    workerlink.WorkerLink.set_capacity_current = lambda self, is_current: None
+
+
+@mutation("a ledger that has seen another process's records is lost", LEDGERS)
+def write_over_successor() -> None:
+    original = ledger.Ledger._take_over
+
+    async def take_over(self, epoch: int) -> bool:
+        unchanged = await original(self, epoch)
+        self.lost = False
+        return unchanged
+
+    ledger.Ledger._take_over = take_over
+
+
 def run_scenarios(name: str) -> list[str]:
     """Disables one guard in this process and returns the names of the scenarios that failed."""
     features = FEATURES
