--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -13,6 +13,7 @@
       | a rejection              | 00000000000000a1 | the backlog exceeds the slack |
       | a late end               | 00000000000000a2 | lease expired                 |
       | a failure                | 00000000000000a3 | failed 2 times                |
+      | a crash of its workers   | 00000000000000a4 | workers crashed under         |
 
   Scenario: An identifier that no line has
     Given the logs of two entry hosts in which a failure happened to 00000000000000a3
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -19,3 +19,7 @@
     Examples: with jumps of the time of day, and workers that fill up and accept everything
       | seed | seconds | edition |
       | 2    | 10      | 2       |
+
+    Examples: with tasks that crash their workers, and workers that shrink
+      | seed | seconds | edition |
+      | 3    | 12      | 3       |
--- a/features/soak_faults.py
+++ b/features/soak_faults.py
@@ -246,3 +246,12 @@
     worker = random.choice(deployment.workers)
     worker.lose_start_responses += random.randint(1, 4)
     return worker.name
+
+
+@register_fault("worker-shrinks", edition=3)
+async def shrink_worker(deployment: SoakDeployment, random: Random) -> str:
+    worker = random.choice(deployment.workers)
+    worker.resize(random.choice([1, 2]) * 1000)
+    await asyncio.sleep(random.uniform(3.0, 8.0))
+    worker.resize(deployment.plan.worker_cores * 1000)
+    return worker.name
--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -36,13 +36,22 @@
 MAX_ATTEMPTS = 5
 TASK_DURATION_S = 0.4
 CANCELLATION_SHARE = 0.1
+# Share of the jobs whose first task crashes its workers, since edition 3.
+CRASHING_SHARE = 0.04
+# Workers that may crash under one task: three, and those of two further starts.
+MAX_CRASHES = 5
+# Crashes under one task after which its job may be given up.
+GIVE_UP_CRASHES = 2
+# Interval at which workers write their entries, since edition 3.
+BEAT_S = 1.5
 
 
 class SoakPlan(NamedTuple):
     """Seed, duration and size of a run.
 
     Since edition 2, the time of day of hosts jumps, and workers are so small that they fill up.
-    Workers start whatever they are told, so that only the owner keeps their capacity.
+    Workers start whatever they are told, so that only the owner keeps their capacity. Since edition
+    3, the configuration says so, their capacity changes, and some tasks crash them.
     """
 
     seed: int
@@ -50,7 +59,7 @@
     hosts: int = 4
     workers: int = 5
     callers: int = 6
-    edition: int = 2
+    edition: int = 3
 
     @property
     def worker_cores(self) -> int:
@@ -68,6 +77,7 @@
         self.outcome_unknown = False
         self.rejected = False
         self.completed = False
+        self.is_crashing = False
 
 
 class SoakDeployment:
@@ -81,6 +91,8 @@
         self.hosts: dict[str, ManagedProcess] = {}
         self.caller_addresses: dict[str, str] = {}
         self.configuration_version = 0
+        self._worker_addresses: dict[str, str] = {}
+        self._beating: asyncio.Future[None] | None = None
         # Absolute, since the hosts read their shifts from it as well.
         self._folder = folder.resolve()
         self._ports = PortReserver()
@@ -94,15 +106,30 @@
             worker = PlatformWorker(f"w{number}", SERVICE, address, run_seconds=TASK_DURATION_S)
             await worker.start()
             self.workers.append(worker)
-            entry = worker.describe() | {"address": await self._add_link(worker.name, address)}
-            entry["capacity"] |= {"cpu": self.plan.worker_cores * 1000}
-            self.store.put("keyed.servers", worker.name, entry)
+            worker.millicores = self.plan.worker_cores * 1000
+            self._worker_addresses[worker.name] = await self._add_link(worker.name, address)
+            self.write_entry(worker)
+        if self.plan.edition >= 3:
+            self._beating = asyncio.ensure_future(self._write_entries())
         for number in range(self.plan.hosts):
             name = f"entry-{number}"
             link = await self._add_link(f"{name} to the store", store)
             self.hosts[name] = ManagedProcess(self._plan_host(name, link, number), self._folder)
             await self.start_host(name)
 
+    def write_entry(self, worker: PlatformWorker) -> None:
+        entry = worker.describe() | {"address": self._worker_addresses[worker.name]}
+        if self.plan.edition >= 3:
+            # Only workers that write their entries again can tell their present start there.
+            entry["born"] = worker.incarnation
+        self.store.put("keyed.servers", worker.name, entry)
+
+    async def _write_entries(self) -> None:
+        while True:
+            for worker in self.workers:
+                self.write_entry(worker)
+            await asyncio.sleep(BEAT_S)
+
     async def _add_link(self, name: str, upstream: str) -> str:
         link = FaultProxy(self._ports.reserve(), upstream)
         await link.start()
@@ -145,9 +172,12 @@
             for number in range(self.configuration_version - 1)
         ]
         document = build_operator_configuration(self.configuration_version, *routes)
+        document["services"][0]["rejectsOverload"] = self.plan.edition < 3
         self.store.put("keyed.op", "config", document)
 
     async def stop(self) -> None:
+        if self._beating is not None:
+            self._beating.cancel()
         for host in self.hosts.values():
             await host.kill()
         for link in self.links.values():
@@ -227,6 +257,10 @@
             count += 1
             job = Job(build_identifier((caller + 1) * 100_000 + count), random.randint(1, 4))
             self.jobs.append(job)
+            if self.plan.edition >= 3 and random.random() < CRASHING_SHARE:
+                job.is_crashing = True
+                for worker in self.deployment.workers:
+                    worker.crashing_tasks.add(f"{job.identifier}.0.0.0")
             await self._submit(job, random)
             if job.accepted_at is not None:
                 if random.random() < CANCELLATION_SHARE:
@@ -272,6 +306,8 @@
         if state == "completed":
             job.completed = True
             self._check_completed(job)
+        elif state == "failed" and self._may_be_given_up(job):
+            job.completed = True
         elif state in ("failed", "cancelled"):
             self.findings.append(f"LOST: {job.identifier} is shown as {state} at {host}")
             job.completed = True
@@ -311,6 +347,16 @@
             if result == "done" and task.startswith(identifier)
         )
 
+    def _may_be_given_up(self, job: Job) -> bool:
+        """Returns whether enough workers have crashed under one of the tasks of a job."""
+        crashes = Counter(
+            task
+            for worker in self.deployment.workers
+            for task, _, result, _ in worker.ends
+            if result == "crashed" and task.startswith(job.identifier)
+        )
+        return max(crashes.values(), default=0) >= GIVE_UP_CRASHES
+
     def _check_completed(self, job: Job) -> None:
         if len(self._count_completions(job.identifier)) < job.tasks:
             self.findings.append(f"MIXED: {job.identifier} is completed before all its tasks")
@@ -341,10 +387,29 @@
                 self.findings.append(f"TWICE: {task} began after its end was acknowledged")
         self._check_starts(runs)
         self._check_capacity()
+        self._check_crashes()
+
+    def _check_crashes(self) -> None:
+        """Checks that no task went on crashing its workers."""
+        crashing = {f"{job.identifier}.0.0.0" for job in self.jobs if job.is_crashing}
+        starts = Counter(
+            start.task
+            for worker in self.deployment.workers
+            for start in worker.starts
+            if start.task in crashing
+        )
+        self.findings += [
+            f"BUDGET: {task} was started {count} times, and crashed its worker each time"
+            for task, count in starts.items()
+            if count > MAX_CRASHES
+        ]
 
     def _check_capacity(self) -> None:
         """Checks that no start brought a worker over its capacity; each task uses one core."""
         for worker in self.deployment.workers:
+            if self.plan.edition >= 3:
+                self.findings += [f"LIMIT: {task} at {worker.name}" for task, _ in worker.overloads]
+                continue
             ended = {(task, run): at for task, run, _, at in worker.ends}
             spans = [
                 (start.started_at, ended.get((start.task, start.run), float("inf")))
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -34,6 +34,15 @@
         (9.1, "lulea-1", "tasks ordered", {"step": 0, "workers": {"w2": [0]}}),
         (10, "lulea-1", "workflow ended", {"state": "completed", "late_seconds": 6.1}),
     ],
+    "a crash of its workers": [
+        (1, "umea-1", "worker lost with its runs", {"runs": [[1, "started", False, 0.01]]}),
+        (
+            5,
+            "lulea-1",
+            "workflow ended",
+            {"state": "failed", "why": "workers crashed under a task"},
+        ),
+    ],
     "a failure": [
         (1, "umea-1", "submission considered", {"admitted": True}),
         (3, "umea-1", "task reset: failed", {"worker": "w1", "failures": 1}),
@@ -48,6 +57,8 @@
         for name in (identifier, OTHER_IDENTIFIER):
             key = "task" if "worker" in fields else "workflow"
             value = f"{name}.0.0.0" if key == "task" else name
+            if "runs" in fields:
+                key, value = "tasks", [f"{name}.0.0.0"]
             stamp = f"2026-01-01T00:00:{seconds:06.3f}+00:00"
             line = {"time": stamp, "level": "info", "member": member, "message": message}
             if name == identifier or message != "task reset: lease expired":
--- a/features/steps/platform_crash_steps.py
+++ b/features/steps/platform_crash_steps.py
@@ -7,6 +7,8 @@
 from behave import given, then, when
 from platform_builders import build_identifier, build_operator_configuration
 
+from carawayshore_standins.platform_worker import SHRINK_GRACE_S
+
 # Interval at which the workers write their entries, as on the platform.
 BEAT_S = 1.5
 
@@ -66,9 +68,8 @@
 @when("every worker shrinks to {cores:d} cores")
 def shrink_workers(context, cores):
     for worker in context.platform.workers.values():
-        worker.millicores = cores * 1000
-    # A capacity that has shrunk counts only after some time.
-    context.platform.run(context.platform.pause(2 * BEAT_S))
+        worker.resize(cores * 1000)
+    context.platform.run(context.platform.pause(SHRINK_GRACE_S))
 
 
 @then("no worker was filled beyond its capacity")
