--- a/features/steps/platform_crash_steps.py
+++ b/features/steps/platform_crash_steps.py
@@ -67,9 +67,14 @@
 
 @when("every worker shrinks to {cores:d} cores")
 def shrink_workers(context, cores):
-    for worker in context.platform.workers.values():
-        worker.resize(cores * 1000)
-    context.platform.run(context.platform.pause(SHRINK_GRACE_S))
+    platform = context.platform
+
+    async def shrink() -> None:
+        for worker in platform.workers.values():
+            worker.resize(cores * 1000)
+        await platform.pause(SHRINK_GRACE_S)
+
+    platform.run(shrink())
 
 
 @then("no worker was filled beyond its capacity")
