--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -480,16 +480,17 @@
             self.accepted.append(identifier)
         return identifier
 
-    async def cancel(self, index: int) -> None:
-        """Cancels an accepted job, as soon as the owner answers."""
+    async def cancel(self, index: int) -> bool:
+        """Cancels an accepted job, as soon as the owner answers; returns whether it did."""
         if not self.accepted:
-            return
+            return False
         identifier = self.accepted[index % len(self.accepted)]
         self.cancelled.add(identifier)
         for _ in range(CANCEL_ATTEMPTS):
             if (await self.current.owner.cancel(identifier)).outcome == ACCEPTED:
-                return
+                return True
             await asyncio.sleep(CANCEL_INTERVAL_S)
+        return False
 
     # -- workers ---------------------------------------------------------------------------------
 
