Log and count long-running tasks that are not at work

Change: every half second the owner looks through its long-running tasks. One that has not been at work for 3 s gets a line, again whenever the time has doubled: ordered or waiting, what is known of its run, how many workers cannot start it for each reason, and the worker that is reserved for it. Two gauges by service tell how many there are, and for how long. choose_worker and the line share the test for what keeps a worker from starting a task; placement is unchanged.

--- a/packages/carawayd/src/carawayd/partition/isolation.py
+++ b/packages/carawayd/src/carawayd/partition/isolation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from carawayshore.workflows.crashes import (
     MAX_DRAIN_SECONDS,
@@ -179,6 +179,24 @@
         )
         return [capacity] if are_listed and self._now() - since > MAX_DRAIN_SECONDS else []
 
+    def describe(self, subject: Subject, step: StepSpec) -> dict[str, Any] | None:
+        """Describes for the log what a suspected task waits for, None if it waits for nothing."""
+        since = self._waiting_since.get(subject)
+        if since is None:
+            return None
+        reservation = self._reservations.get(subject)
+        if reservation is None:
+            return {"waited_seconds": round(self._now() - since, 1)}
+        capacity = reservation.capacity
+        return {
+            "waited_seconds": round(self._now() - since, 1),
+            "reserved": capacity.entry.worker,
+            "reserved_seconds": round(self._now() - reservation.since, 1),
+            "needed_millicores": step.millicores,
+            "free_millicores": capacity.free_millicores,
+            "runs": len(capacity.usages),
+        }
+
     def note_placed(self, subject: Subject) -> None:
         """Notes that a task of the subject has been placed."""
         self._waiting_since.pop(subject, None)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -23,6 +23,7 @@
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
+from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
     SENDING,
     STARTED,
@@ -215,6 +216,15 @@
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
+        self._waits = LongRunningWaits(
+            self.workflows,
+            self.links,
+            self._isolation,
+            list_services=self._list_services,
+            is_due=lambda workflow, step: not self._is_before_schedule(workflow, step),
+            clock=clock,
+            metrics=metrics,
+        )
         self._wake = asyncio.Event()
         self._advisor = Advisor(advice, clock, self._wake.set)
 
@@ -242,6 +252,7 @@
             self._scan_workers()
             self._contact_loss.record_progress(compute_lease_bound_seconds(self._settings))
             self._expire_entries()
+            self._waits.check(self.fence)
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
                 return
@@ -1297,6 +1308,7 @@
 
     async def on_stop(self) -> None:
         self.lost = True
+        self._waits.clear()
         self._wake.set()
         for link in self.links.values():
             link.closed = True
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -276,6 +276,11 @@
     def is_unresponsive(self) -> bool:
         return self._failures > 0
 
+    @property
+    def silent_seconds(self) -> float:
+        """Time since the last report, or since the link was opened."""
+        return self._now() - self._reported_at
+
     def update(self, entry: WorkerEntry | None) -> None:
         """Sets the worker's entry in the worker list; None if it is no longer listed."""
         self.listed = entry is not None
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -52,6 +52,16 @@
             "Unexpected errors after which a task was run again.",
             registry=self.registry,
         )
+        self.long_running_absent = self._add_gauge(
+            "caraway_long_running_absent",
+            "Long-running tasks that have not been at work for some seconds.",
+            "service",
+        )
+        self.long_running_longest_wait = self._add_gauge(
+            "caraway_long_running_longest_wait_seconds",
+            "Longest of the times for which they have not been at work.",
+            "service",
+        )
         self.version = Gauge(
             "caraway_configuration_version", "Version in force.", registry=self.registry
         )
@@ -68,6 +78,9 @@
     def _add_counter(self, name: str, help_text: str, *labels: str) -> Counter:
         return Counter(name, help_text, labels, registry=self.registry)
 
+    def _add_gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
+        return Gauge(name, help_text, labels, registry=self.registry)
+
     def _add_histogram(self, name: str, help_text: str, label: str) -> Histogram:
         histogram = Histogram(name, help_text, label)
         self.registry.register(histogram)
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -23,6 +23,15 @@
 SUSPECT_SECONDS = 3.0
 # Longest period without new tasks.
 MAX_SUSPECT_SECONDS = 24.0
+# Reasons for which a task cannot start on a worker.
+UNUSABLE, NO_LABEL, STEP_LIMIT, SUSPECTED, RESERVED, NO_ROOM = (
+    "unusable",
+    "no label",
+    "limit of the step",
+    "suspected",
+    "reserved",
+    "no room",
+)
 
 
 class Usage(NamedTuple):
@@ -139,6 +148,23 @@
             self.suspect_until = max(self.suspect_until, now + period)
 
 
+def find_obstacle(capacity: WorkerCapacity, step: StepSpec, usage: Usage, now: float) -> str:
+    """Returns why a task cannot start on a worker now, empty if it can."""
+    if not capacity.usable:
+        return UNUSABLE
+    if capacity.suspect_until > now:
+        return SUSPECTED
+    if not capacity.fits(usage):
+        return NO_ROOM
+    if step.label and step.label not in capacity.entry.labels:
+        return NO_LABEL
+    if capacity.reserved_for not in ("", usage.group[0]):
+        return RESERVED
+    if step.most_per_worker and capacity.groups.get(usage.group, 0) >= step.most_per_worker:
+        return STEP_LIMIT
+    return ""
+
+
 def choose_worker(
     capacities: Iterable[WorkerCapacity],
     step: StepSpec,
@@ -162,14 +188,7 @@
     """
     best, best_score = None, None
     for capacity in capacities:
-        if not capacity.usable or capacity.suspect_until > now or not capacity.fits(usage):
-            continue
-        if step.label and step.label not in capacity.entry.labels:
-            continue
-        if capacity.reserved_for not in ("", usage.group[0]):
-            continue
-        same_group = capacity.groups.get(usage.group, 0)
-        if step.most_per_worker and same_group >= step.most_per_worker:
+        if find_obstacle(capacity, step, usage, now):
             continue
         score = (
             capacity.entry.worker != failed_on,
