Allow interleavings to show a job as failed once two workers ended under one of its tasks

Cause: the check of the interleavings expected every job to be completed, also one whose task has lost two workers.

--- a/features/steps/owner_property_steps.py
+++ b/features/steps/owner_property_steps.py
@@ -153,7 +153,7 @@
         for item in world.workers.values():
             item.restart(16)
         await asyncio.sleep(SETTLE_SECONDS)
-        return world.violations + await world.list_unfinished()
+        return world.violations + await world.list_unfinished(allow_giving_up=True)
     finally:
         await world.close()
 
