Bound the time for which precautions keep a task from starting

Cause: a task that lost its worker starts on a reserved worker. Isolation chose the one with the fewest runs of other workflows by the size of the empty worker, so one full of the task's own siblings came first. It never gets room. The unused reservation ended after 3 s, and with it the time since which the task had waited, so that the limit of 2 s never applied and the same worker was chosen again. Change: Deferrals measures for each task since when it has been kept from starting, until it is placed, whatever reason follows which. After 2 s, isolation, suspicion and reservations of workers, and for long-running tasks the preference for a rack, no longer exclude a worker; they only rank it last. A reserved worker must have room once its short runs have ended. A long-running task that finds no room gets a worker kept on which it fits beside the long-running runs, so that short tasks can't take each room that comes free. Placing tasks moves from the owner to partition/planner.

--- a/packages/carawayd/src/carawayd/partition/isolation.py
+++ b/packages/carawayd/src/carawayd/partition/isolation.py
@@ -5,9 +5,9 @@
 import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from carawayd.partition.deferrals import get_workflow
 from carawayshore.workflows.crashes import (
     MAX_DRAIN_SECONDS,
-    MAX_ISOLATION_WAIT_SECONDS,
     MAX_RESERVED_IDLE_SHARE,
     MAX_RESERVED_SHARE,
     needs_isolation,
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from carawayd.partition.deferrals import Deferrals, Subject
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import StepSpec
@@ -28,15 +29,6 @@
 # Time after which a reservation ends if no task has been placed there.
 UNUSED_RESERVATION_SECONDS = MAX_DRAIN_SECONDS + 1.0
 
-# What a worker is reserved for: the short tasks of a workflow, which share it, or one long-running
-# task, which would keep the others waiting.
-Subject = str | TaskName
-
-
-def get_workflow(subject: Subject) -> str:
-    """Returns the workflow of the subject of a reservation."""
-    return subject.workflow if isinstance(subject, TaskName) else subject
-
 
 class _Reservation(NamedTuple):
     """Reserved worker, and the time of the reservation in seconds of the clock."""
@@ -52,16 +44,17 @@
     ----------
     links : dict
         Links of the partition owner, which updates them.
+    deferrals : Deferrals
+        Since when each subject has waited.
     clock : Clock
     """
 
-    def __init__(self, links: dict[str, WorkerLink], clock: Clock) -> None:
+    def __init__(self, links: dict[str, WorkerLink], deferrals: Deferrals, clock: Clock) -> None:
         self._links = links
+        self._deferrals = deferrals
         self._clock = clock
         self._suspects: dict[str, WorkflowState] = {}
         self._reservations: dict[Subject, _Reservation] = {}
-        # Time since which each subject has waited for a worker.
-        self._waiting_since: dict[Subject, float] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -82,7 +75,8 @@
         ):
             self._suspects[workflow.identifier] = workflow
         elif self._suspects.pop(workflow.identifier, None) is not None:
-            for subject in self._reservations.keys() | self._waiting_since.keys():
+            self._deferrals.end(workflow.identifier)
+            for subject in list(self._reservations):
                 if get_workflow(subject) == workflow.identifier:
                     self._end(subject)
 
@@ -102,7 +96,6 @@
         ]
 
     def _end(self, subject: Subject) -> None:
-        self._waiting_since.pop(subject, None)
         reservation = self._reservations.pop(subject, None)
         if reservation is not None:
             reservation.capacity.reserved_for = ""
@@ -144,52 +137,65 @@
         self._reservations[subject] = _Reservation(capacity, self._now())
 
     def select(
-        self, subject: Subject, step: StepSpec, capacities: list[WorkerCapacity]
+        self, subject: Subject, step: StepSpec, usage: Usage, capacities: list[WorkerCapacity]
     ) -> list[WorkerCapacity]:
         """Returns the workers on which a suspected task may start now.
 
         That is its reserved worker, once the short runs of other workflows there have ended. A task
-        that has waited too long for one may start anywhere; a crash is counted all the same.
+        that has waited too long may start anywhere; a crash is counted all the same.
 
         Parameters
         ----------
         subject : str or TaskName
         step : StepSpec
+        usage : Usage
+            Resources of the task.
         capacities : list of WorkerCapacity
             Usable workers on which the step may run.
         """
-        waited = self._now() - self._waiting_since.setdefault(subject, self._now())
+        self._deferrals.begin(subject)
         reservation = self._reservations.get(subject)
-        if reservation is not None and reservation.capacity not in capacities:
-            self._reservations.pop(subject).capacity.reserved_for = ""
+        if reservation is not None and (
+            reservation.capacity not in capacities
+            or not reservation.capacity.fits_beside_long_running(usage)
+        ):
+            self._end(subject)
             reservation = None
         if reservation is None:
-            chosen = self._choose(subject, step, capacities)
+            chosen = self._choose(subject, step, usage, capacities)
             if chosen is None:
-                return capacities if waited > MAX_ISOLATION_WAIT_SECONDS else []
+                return capacities if self._deferrals.is_over(subject) else []
             self._reserve(subject, chosen)
             reservation = self._reservations[subject]
+        if self._is_drained(subject, reservation):
+            capacity = reservation.capacity
+            if capacity.fits(usage) or not self._deferrals.is_over(subject):
+                return [capacity]
+        return capacities if self._deferrals.is_over(subject) else []
+
+    def _is_drained(self, subject: Subject, reservation: _Reservation) -> bool:
+        """Returns whether other short runs on a reserved worker have ended or took too long."""
         capacity, since = reservation
         workflow = get_workflow(subject)
         if all(usage.long_running for usage in _list_other_runs(capacity, workflow)):
-            return [capacity]
+            return True
         orders = self._links[capacity.entry.worker].orders
         are_listed = all(
             order.listed for name, order in orders.items() if name.workflow != workflow
         )
-        return [capacity] if are_listed and self._now() - since > MAX_DRAIN_SECONDS else []
+        return are_listed and self._now() - since > MAX_DRAIN_SECONDS
 
     def describe(self, subject: Subject, step: StepSpec) -> dict[str, Any] | None:
         """Describes for the log what a suspected task waits for, None if it waits for nothing."""
-        since = self._waiting_since.get(subject)
-        if since is None:
+        waited = self._deferrals.measure(subject)
+        if not waited or get_workflow(subject) not in self:
             return None
         reservation = self._reservations.get(subject)
         if reservation is None:
-            return {"waited_seconds": round(self._now() - since, 1)}
+            return {"waited_seconds": round(waited, 1)}
         capacity = reservation.capacity
         return {
-            "waited_seconds": round(self._now() - since, 1),
+            "waited_seconds": round(waited, 1),
             "reserved": capacity.entry.worker,
             "reserved_seconds": round(self._now() - reservation.since, 1),
             "needed_millicores": step.millicores,
@@ -197,29 +203,31 @@
             "runs": len(capacity.usages),
         }
 
-    def note_placed(self, subject: Subject) -> None:
-        """Notes that a task of the subject has been placed."""
-        self._waiting_since.pop(subject, None)
-
     def _choose(
-        self, subject: Subject, step: StepSpec, capacities: list[WorkerCapacity]
+        self, subject: Subject, step: StepSpec, usage: Usage, capacities: list[WorkerCapacity]
     ) -> WorkerCapacity | None:
-        """Returns the worker with the fewest other runs, None if enough are reserved."""
+        """Returns the worker with the fewest other runs, None if enough are reserved.
+
+        Only workers on which the task gets room once the short runs there have ended.
+        """
         workflow = get_workflow(subject)
         candidates = [
             capacity
             for capacity in capacities
             if not capacity.reserved_for
+            and capacity.held_for in (None, usage.group)
             and capacity.suspect_until <= self._now()
             and capacity.could_fit(step)
+            and capacity.fits_beside_long_running(usage)
             and not _has_enough_tasks(capacity, subject, step)
         ]
         if not candidates:
             return None
 
-        def rank(capacity: WorkerCapacity) -> tuple[int, int]:
+        def rank(capacity: WorkerCapacity) -> tuple[int, bool, int]:
             others = _list_other_runs(capacity, workflow)
-            return sum(not usage.long_running for usage in others), len(others)
+            short = sum(not other.long_running for other in others)
+            return short, not capacity.fits(usage), len(others)
 
         chosen = min(candidates, key=rank)
         share = MAX_RESERVED_SHARE if rank(chosen)[0] else MAX_RESERVED_IDLE_SHARE
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -19,10 +19,12 @@
 from carawayd.partition.advisor import Advisor
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
+from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.demand import Demand
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
+from carawayd.partition.planner import Planner
 from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
     SENDING,
@@ -40,11 +42,9 @@
     RunOnWorker,
     assess_loss,
     has_outlived,
-    needs_isolation,
     should_give_up,
 )
 from carawayshore.workflows.model import TaskName
-from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
 from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
 from carawayshore.workflows.runtimes import RuntimeModel, RuntimeStatistics
@@ -67,7 +67,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from carawayd.partition.isolation import Subject
+    from carawayd.partition.planner import StepPlacement
     from carawayd.partition.workerlink import LostRun
     from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import EndedRun, RunsClient
@@ -212,21 +212,34 @@
         self._deadlines: dict[str, float] = {}
         self._loaded_at = 0.0
         self._cordons = Cordons(clock, self.ledger)
-        self._isolation = Isolation(self.links, clock)
+        self._deferrals = Deferrals(clock)
+        self._isolation = Isolation(self.links, self._deferrals, clock)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
+        self._wake = asyncio.Event()
+        self._advisor = Advisor(advice, clock, self._wake.set)
+        self._planner = Planner(
+            self.workflows,
+            self.links,
+            self._open_steps,
+            self._deadlines,
+            runtimes=self._runtimes,
+            isolation=self._isolation,
+            deferrals=self._deferrals,
+            advisor=self._advisor,
+            clock=clock,
+            time_of_day=time_of_day,
+        )
         self._waits = LongRunningWaits(
             self.workflows,
             self.links,
             self._isolation,
             list_services=self._list_services,
-            is_due=lambda workflow, step: not self._is_before_schedule(workflow, step),
+            is_due=self._planner.is_due,
             clock=clock,
             metrics=metrics,
         )
-        self._wake = asyncio.Event()
-        self._advisor = Advisor(advice, clock, self._wake.set)
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -824,6 +837,7 @@
         workflow.state = state
         workflow.ended = self._now()
         self._advisor.forget_workflow(workflow.identifier)
+        self._deferrals.end_workflow(workflow.identifier)
         self._isolation.update(workflow)
         self.ledger.mark_dirty(workflow.key(), workflow.encode)
         for step in workflow.steps.values():
@@ -927,7 +941,7 @@
         request = Request(
             chain_seconds=self._runtimes.estimate_chain_seconds(spec),
             work_core_seconds=self._runtimes.estimate_core_seconds(spec),
-            objective_seconds=self._compute_objective(spec),
+            objective_seconds=self._runtimes.estimate_objective_seconds(spec),
             age_seconds=now - first,
             long_running=long_running,
             scheduled=spec.repeats > 0,
@@ -967,12 +981,9 @@
         self._first_attempts.setdefault(spec.identifier, now)
         return Reply(REJECTED, decision.reason, decision.retry_after_seconds)
 
-    def _compute_objective(self, spec: Workflow) -> float:
-        return spec.stretch * self._runtimes.estimate_chain_seconds(spec) + spec.allowance_ms / 1000
-
     def _set_deadline(self, workflow: WorkflowState) -> None:
-        self._deadlines[workflow.identifier] = workflow.submitted + self._compute_objective(
-            workflow.spec
+        self._deadlines[workflow.identifier] = (
+            workflow.submitted + self._runtimes.estimate_objective_seconds(workflow.spec)
         )
 
     async def read_state(self, identifier: str) -> Reply:
@@ -1094,153 +1105,30 @@
                 self._plan()
 
     def _plan(self) -> None:
-        """Places the waiting tasks on workers, the most urgent first."""
-        now = self._now()
-        if self._isolation:
-            self._isolation.refresh()
-        ranked = []
-        for key, step in self._open_steps.items():
-            workflow = self.workflows[key[0]]
-            if self._is_before_schedule(workflow, step):
-                continue
-            ranked.append((self._rank(workflow, step, now), key))
-        ranked.sort()
+        """Places the waiting tasks on workers, the most urgent first, and orders their starts."""
         orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
-        capacities_by_service: dict[str, list[WorkerCapacity]] = {}
-        for _, key in ranked:
-            workflow, step = self.workflows[key[0]], self._open_steps[key]
-            service = workflow.spec.service
-            capacities = capacities_by_service.get(service)
-            if capacities is None:
-                capacities = capacities_by_service[service] = [
-                    link.capacity
-                    for link in self.links.values()
-                    if link.entry.service == service and link.capacity.usable
-                ]
-            self._place_step(workflow, step, capacities, now, orders)
-        if orders:
-            asyncio.ensure_future(self._send_orders(orders))
-
-    def _is_before_schedule(self, workflow: WorkflowState, step: StepState) -> bool:
-        due_ms = workflow.spec.due_ms(step.occurrence)
-        return bool(due_ms) and self._unix_ms() < due_ms
-
-    def _rank(self, workflow: WorkflowState, step: StepState, now: float):
-        due = self._deadlines.get(workflow.identifier, now)
-        due_ms = workflow.spec.due_ms(step.occurrence)
-        if due_ms:
-            due = now + self._compute_objective(workflow.spec) - (self._unix_ms() - due_ms) / 1000
-        remaining = self._runtimes.estimate_step_seconds(workflow.spec.queue, step.spec)
-        candidate = Candidate(
-            step.spec.long_running,
-            workflow.spec.priority,
-            due,
-            remaining,
-            step.spec.best_effort,
-        )
-        return rank_candidate(candidate, now)
-
-    def _place_step(
-        self,
-        workflow: WorkflowState,
-        step: StepState,
-        capacities: list[WorkerCapacity],
-        now: float,
-        orders: list[tuple[WorkerLink, TaskName, StartOrder]],
-    ) -> None:
-        waiting = [index for index, task in enumerate(step.tasks) if task.status == WAITING]
-        key = (workflow.identifier, step.occurrence, step.number)
-        if not waiting:
-            del self._open_steps[key]
-            return
-        spec = step.spec
-        if spec.gang and len(waiting) < len(step.tasks):
-            return
-        if not spec.best_effort and spec.millicores > max(
-            (capacity.free_millicores for capacity in capacities), default=0
-        ):
-            return
-        tickets: dict[str, str] = {}
-        if workflow.spec.advice is not None:
-            tickets = self._advisor.find_tickets(key)
-            self._request_advice(workflow, key, capacities, tickets, len(waiting))
-            capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
-        if spec.same_rack:
-            capacities = self._select_rack(step, capacities)
-        chosen: list[tuple[WorkerCapacity, TaskName]] = []
-        for index in waiting:
-            task = step.tasks[index]
-            name = TaskName(workflow.identifier, step.occurrence, step.number, index)
-            usage = compute_usage(name, spec)
-            failed_on = task.worker if task.failures else ""
-            subject = self._find_isolated_subject(step, name)
-            candidates = (
-                self._isolation.select(subject, spec, capacities) if subject else capacities
-            )
-            capacity = choose_worker(candidates, spec, usage, now, failed_on=failed_on)
-            if capacity is None and subject:
-                continue
-            if capacity is None:
-                break
-            if subject:
-                self._isolation.note_placed(subject)
-            capacity.reserve(name, usage)
-            chosen.append((capacity, name))
-        if spec.gang and len(chosen) < len(waiting):
-            for capacity, name in chosen:
-                capacity.release(name)
-            return
-        run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
-        for capacity, name in chosen:
-            ticket = tickets.get(capacity.entry.worker, "")
-            orders.append(self._create_order(workflow, step, capacity, name, run, ticket))
-        if chosen:
-            self._log_orders(workflow, step, chosen, len(waiting))
+        for placement in self._planner.place_tasks():
+            workflow, step = placement.workflow, placement.step
+            for capacity, name in placement.chosen:
+                ticket = placement.tickets.get(capacity.entry.worker, "")
+                orders.append(
+                    self._create_order(workflow, step, capacity, name, placement.gang_run, ticket)
+                )
+            self._log_orders(placement)
             if not workflow.begun:
-                waited = timedelta(seconds=now - workflow.submitted)
+                waited = timedelta(seconds=self._now() - workflow.submitted)
                 self._metrics.first_start.observe(workflow.spec.service, waited)
             workflow.begun = True
             self._record_step(workflow, step)
+        if orders:
+            asyncio.ensure_future(self._send_orders(orders))
 
-    def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
-        """Returns for what a worker has to be reserved before a task starts, None for nothing.
-
-        The members of a gang start together on several workers, so they are not isolated.
-        """
-        if name.workflow not in self._isolation or step.spec.gang:
-            return None
-        if not step.spec.long_running:
-            return name.workflow
-        return name if needs_isolation(step.tasks[name.index].losses) else None
-
-    def _request_advice(
-        self,
-        workflow: WorkflowState,
-        key: tuple[str, int, int],
-        capacities: list[WorkerCapacity],
-        tickets: dict[str, str],
-        waiting: int,
-    ) -> None:
-        """Requests more tickets while the workers that have one cannot take all waiting tasks."""
-        spec = self._open_steps[key].spec
-        free = sum(
-            max(0, capacity.free_millicores) // max(1, spec.millicores)
-            for capacity in capacities
-            if capacity.entry.worker in tickets
-        )
-        if free < waiting:
-            self._advisor.ask(key, capacities, workflow.spec.advice)
-
-    def _log_orders(
-        self,
-        workflow: WorkflowState,
-        step: StepState,
-        chosen: list[tuple[WorkerCapacity, TaskName]],
-        waiting: int,
-    ) -> None:
+    def _log_orders(self, placement: StepPlacement) -> None:
+        workflow, step = placement.workflow, placement.step
         placed: dict[str, list[int]] = {}
-        for capacity, name in chosen:
+        for capacity, name in placement.chosen:
             placed.setdefault(capacity.entry.worker, []).append(name.index)
+        now = self._now()
         logger.info(
             "tasks ordered",
             extra={
@@ -1249,30 +1137,13 @@
                     "occurrence": step.occurrence,
                     "step": step.number,
                     "workers": placed,
-                    "still_waiting": waiting - len(chosen),
-                    "due_in_seconds": round(
-                        self._deadlines.get(workflow.identifier, self._now()) - self._now(), 3
-                    ),
+                    "still_waiting": placement.still_waiting,
+                    "due_in_seconds": round(self._deadlines.get(workflow.identifier, now) - now, 3),
                     "epoch": self.fence,
                 }
             },
         )
 
-    def _select_rack(
-        self, step: StepState, capacities: list[WorkerCapacity]
-    ) -> list[WorkerCapacity]:
-        """Returns the workers of one rack: that of running tasks, else the one with most room."""
-        used = {task.worker for task in step.tasks if task.status == ORDERED}
-        racks = {capacity.entry.rack for capacity in capacities if capacity.entry.worker in used}
-        if not racks and capacities:
-            free: dict[str, int] = {}
-            for capacity in capacities:
-                free[capacity.entry.rack] = (
-                    free.get(capacity.entry.rack, 0) + capacity.free_millicores
-                )
-            racks = {max(free, key=lambda rack: free[rack])}
-        return [capacity for capacity in capacities if capacity.entry.rack in racks]
-
     def _create_order(
         self,
         workflow: WorkflowState,
--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -0,0 +1,325 @@
+"""Chooses workers for the waiting tasks of a partition, the most urgent tasks first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from carawayshore.workflows.crashes import needs_isolation
+from carawayshore.workflows.model import TaskName
+from carawayshore.workflows.ordering import Candidate, rank_candidate
+from carawayshore.workflows.placement import (
+    choose_worker,
+    choose_worker_to_hold,
+    compute_usage,
+)
+from carawayshore.workflows.state import ORDERED, WAITING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from carawayd.partition.advisor import Advisor
+    from carawayd.partition.deferrals import Deferrals, Subject
+    from carawayd.partition.isolation import Isolation
+    from carawayd.partition.workerlink import WorkerLink
+    from carawayshore.clock import Clock, SteadyTimeOfDay
+    from carawayshore.workflows.model import StepSpec
+    from carawayshore.workflows.ordering import Rank
+    from carawayshore.workflows.placement import Usage, WorkerCapacity
+    from carawayshore.workflows.runtimes import RuntimeModel
+    from carawayshore.workflows.state import StepState, WorkflowState
+
+StepKey = tuple[str, int, int]
+
+
+class StepPlacement(NamedTuple):
+    """Workers chosen for tasks of one step, whose room is reserved.
+
+    Parameters
+    ----------
+    workflow : WorkflowState
+    step : StepState
+    chosen : list of (WorkerCapacity, TaskName)
+    gang_run : int
+        Run number that the members of a gang share, 0 for other tasks.
+    tickets : dict of str to str
+        Placement tickets by worker.
+    still_waiting : int
+        Number of tasks of the step that were not placed.
+    """
+
+    workflow: WorkflowState
+    step: StepState
+    chosen: list[tuple[WorkerCapacity, TaskName]]
+    gang_run: int
+    tickets: dict[str, str]
+    still_waiting: int
+
+
+class Planner:
+    """Places waiting tasks; knows nothing of records and orders.
+
+    Parameters
+    ----------
+    workflows, links, open_steps
+        Tables of the partition owner, which updates them. Steps without waiting tasks are removed
+        from ``open_steps``.
+    deadlines : dict
+        Time by which each workflow should be done, in seconds of the clock.
+    runtimes : RuntimeModel
+    isolation : Isolation
+    deferrals : Deferrals
+    advisor : Advisor
+    clock : Clock
+    time_of_day : SteadyTimeOfDay
+        For scheduled start times only.
+    """
+
+    def __init__(
+        self,
+        workflows: dict[str, WorkflowState],
+        links: dict[str, WorkerLink],
+        open_steps: dict[StepKey, StepState],
+        deadlines: dict[str, float],
+        *,
+        runtimes: RuntimeModel,
+        isolation: Isolation,
+        deferrals: Deferrals,
+        advisor: Advisor,
+        clock: Clock,
+        time_of_day: SteadyTimeOfDay,
+    ) -> None:
+        self._workflows = workflows
+        self._links = links
+        self._open_steps = open_steps
+        self._deadlines = deadlines
+        self._runtimes = runtimes
+        self._isolation = isolation
+        self._deferrals = deferrals
+        self._advisor = advisor
+        self._clock = clock
+        self._time_of_day = time_of_day
+        # Worker whose room is kept for the long-running tasks of a step.
+        self._holds: dict[StepKey, WorkerCapacity] = {}
+
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def _unix_ms(self) -> int:
+        return int(self._time_of_day.now().timestamp() * 1000)
+
+    def is_due(self, workflow: WorkflowState, step: StepState) -> bool:
+        """Returns whether the start time of a step has come."""
+        due_ms = workflow.spec.due_ms(step.occurrence)
+        return not due_ms or self._unix_ms() >= due_ms
+
+    def place_tasks(self) -> Iterator[StepPlacement]:
+        """Yields the placements of the waiting tasks, the most urgent first."""
+        now = self._now()
+        if self._isolation:
+            self._isolation.refresh()
+        for key in [key for key in self._holds if key not in self._open_steps]:
+            self._end_hold(key)
+        ranked = []
+        for key, step in self._open_steps.items():
+            workflow = self._workflows[key[0]]
+            if self.is_due(workflow, step):
+                ranked.append((self._rank(workflow, step, now), key))
+        ranked.sort()
+        capacities_by_service: dict[str, list[WorkerCapacity]] = {}
+        for _, key in ranked:
+            workflow, step = self._workflows[key[0]], self._open_steps[key]
+            service = workflow.spec.service
+            capacities = capacities_by_service.get(service)
+            if capacities is None:
+                capacities = capacities_by_service[service] = [
+                    link.capacity
+                    for link in self._links.values()
+                    if link.entry.service == service and link.capacity.usable
+                ]
+            placement = self._place_step(workflow, step, capacities, now)
+            if placement is not None:
+                yield placement
+
+    def _rank(self, workflow: WorkflowState, step: StepState, now: float) -> Rank:
+        due = self._deadlines.get(workflow.identifier, now)
+        due_ms = workflow.spec.due_ms(step.occurrence)
+        if due_ms:
+            objective = self._runtimes.estimate_objective_seconds(workflow.spec)
+            due = now + objective - (self._unix_ms() - due_ms) / 1000
+        remaining = self._runtimes.estimate_step_seconds(workflow.spec.queue, step.spec)
+        candidate = Candidate(
+            step.spec.long_running,
+            workflow.spec.priority,
+            due,
+            remaining,
+            step.spec.best_effort,
+        )
+        return rank_candidate(candidate, now)
+
+    def _place_step(
+        self,
+        workflow: WorkflowState,
+        step: StepState,
+        capacities: list[WorkerCapacity],
+        now: float,
+    ) -> StepPlacement | None:
+        waiting = [index for index, task in enumerate(step.tasks) if task.status == WAITING]
+        key = (workflow.identifier, step.occurrence, step.number)
+        if not waiting:
+            del self._open_steps[key]
+            return None
+        spec = step.spec
+        if spec.gang and len(waiting) < len(step.tasks):
+            return None
+        if not spec.best_effort and spec.millicores > max(
+            (capacity.free_millicores for capacity in capacities), default=0
+        ):
+            self._keep_room(key, step, waiting, capacities)
+            return None
+        tickets: dict[str, str] = {}
+        if workflow.spec.advice is not None:
+            tickets = self._advisor.find_tickets(key)
+            self._request_advice(workflow, key, capacities, tickets, len(waiting))
+            capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
+        chosen = self._choose_workers(step, key, waiting, capacities, now)
+        if spec.gang and len(chosen) < len(waiting):
+            for capacity, name in chosen:
+                capacity.release(name)
+            chosen = []
+        if len(chosen) < len(waiting):
+            placed = {name.index for _, name in chosen}
+            self._keep_room(key, step, [i for i in waiting if i not in placed], capacities)
+        else:
+            self._end_hold(key)
+        if not chosen:
+            return None
+        run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
+        for _, name in chosen:
+            self._deferrals.end(name if spec.long_running else name.workflow)
+        return StepPlacement(workflow, step, chosen, run, tickets, len(waiting) - len(chosen))
+
+    def _choose_workers(
+        self,
+        step: StepState,
+        key: StepKey,
+        waiting: list[int],
+        capacities: list[WorkerCapacity],
+        now: float,
+    ) -> list[tuple[WorkerCapacity, TaskName]]:
+        """Returns workers for the waiting tasks, as far as there are any; reserves their room."""
+        chosen: list[tuple[WorkerCapacity, TaskName]] = []
+        spec = step.spec
+        preferred = self._select_rack(step, capacities) if spec.same_rack else capacities
+        # Short tasks are not spread over racks, where they are slow and keep others waiting.
+        fallback = capacities if spec.long_running else preferred
+        has_precautions = len(fallback) > len(preferred) or any(
+            capacity.suspect_until > now or capacity.reserved_for for capacity in fallback
+        )
+        for index in waiting:
+            task, name = step.tasks[index], TaskName(*key, index)
+            usage = compute_usage(name, spec)
+            failed_on = task.worker if task.failures else ""
+            isolated = self._find_isolated_subject(step, name)
+            candidates = (
+                self._isolation.select(isolated, spec, usage, preferred) if isolated else preferred
+            )
+            capacity = choose_worker(candidates, spec, usage, now, failed_on=failed_on)
+            if capacity is None and has_precautions:
+                capacity = self._choose_despite_precautions(spec, name, usage, fallback, now)
+            if capacity is not None:
+                capacity.reserve(name, usage)
+                chosen.append((capacity, name))
+            elif not (isolated or spec.long_running):
+                break
+        return chosen
+
+    def _choose_despite_precautions(
+        self,
+        spec: StepSpec,
+        name: TaskName,
+        usage: Usage,
+        capacities: list[WorkerCapacity],
+        now: float,
+    ) -> WorkerCapacity | None:
+        """Returns a worker for a task that precautions have kept from starting for too long."""
+        subject: Subject = name if spec.long_running else name.workflow
+        capacity = choose_worker(capacities, spec, usage, now, despite_precautions=True)
+        if capacity is None or self._deferrals.is_over(subject):
+            return capacity
+        self._deferrals.begin(subject)
+        return None
+
+    def _keep_room(
+        self,
+        key: StepKey,
+        step: StepState,
+        waiting: list[int],
+        capacities: list[WorkerCapacity],
+    ) -> None:
+        """Keeps the room of one worker for long-running tasks that wait without room for too long.
+
+        Otherwise short tasks could take each room that comes free, as long as more of them arrive.
+        """
+        if not step.spec.long_running or step.spec.best_effort or step.spec.gang:
+            return
+        names = [TaskName(*key, index) for index in waiting]
+        for name in names:
+            self._deferrals.begin(name)
+        if not any(self._deferrals.is_over(name) for name in names):
+            return
+        usage = compute_usage(names[0], step.spec)
+        held = choose_worker_to_hold(capacities, step.spec, usage)
+        if self._holds.get(key) is not held:
+            self._end_hold(key)
+            if held is not None:
+                self._holds[key] = held
+                held.held_for = key
+
+    def _end_hold(self, key: StepKey) -> None:
+        held = self._holds.pop(key, None)
+        if held is not None:
+            held.held_for = None
+
+    def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
+        """Returns for what a worker has to be reserved before a task starts, None for nothing.
+
+        The members of a gang start together on several workers, so they are not isolated.
+        """
+        if name.workflow not in self._isolation or step.spec.gang:
+            return None
+        if not step.spec.long_running:
+            return name.workflow
+        return name if needs_isolation(step.tasks[name.index].losses) else None
+
+    def _request_advice(
+        self,
+        workflow: WorkflowState,
+        key: StepKey,
+        capacities: list[WorkerCapacity],
+        tickets: dict[str, str],
+        waiting: int,
+    ) -> None:
+        """Requests more tickets while the workers that have one cannot take all waiting tasks."""
+        spec = self._open_steps[key].spec
+        free = sum(
+            max(0, capacity.free_millicores) // max(1, spec.millicores)
+            for capacity in capacities
+            if capacity.entry.worker in tickets
+        )
+        if free < waiting:
+            self._advisor.ask(key, capacities, workflow.spec.advice)
+
+    def _select_rack(
+        self, step: StepState, capacities: list[WorkerCapacity]
+    ) -> list[WorkerCapacity]:
+        """Returns the workers of one rack: that of running tasks, else the one with most room."""
+        used = {task.worker for task in step.tasks if task.status == ORDERED}
+        racks = {capacity.entry.rack for capacity in capacities if capacity.entry.worker in used}
+        if not racks and capacities:
+            free: dict[str, int] = {}
+            for capacity in capacities:
+                free[capacity.entry.rack] = (
+                    free.get(capacity.entry.rack, 0) + capacity.free_millicores
+                )
+            racks = {max(free, key=lambda rack: free[rack])}
+        return [capacity for capacity in capacities if capacity.entry.rack in racks]
--- a/packages/carawayshore/src/carawayshore/workflows/crashes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/crashes.py
@@ -34,8 +34,6 @@
 MAX_ISOLATION_SECONDS = 3.0
 # Longest time for which other short runs on a reserved worker are waited for.
 MAX_DRAIN_SECONDS = 2.0
-# Longest time for which a suspected task waits for a worker of its own.
-MAX_ISOLATION_WAIT_SECONDS = 2.0
 # Largest share of the workers of a service that are reserved if the next one has short runs of
 # other workflows, and if it has none.
 MAX_RESERVED_SHARE = 0.25
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -2,8 +2,10 @@
 
 Load pattern: many small tasks beside a few wide steps of large tasks, on workers of which some fail
 every task, hang or disappear, in pools that shrink while their queue is quiet. Tasks are packed
-on the fullest workers, so that idle workers can leave the pool. Suspected workers are used last,
-and a task that failed is retried on another worker.
+on the fullest workers, so that idle workers can leave the pool. A suspected worker gets no tasks
+for some time, and a task that failed is retried on another worker. A large long-running task that
+small ones would keep from starting for ever, since they take whatever becomes free, gets a worker
+on which no others start until it has room.
 """
 
 from __future__ import annotations
@@ -24,14 +26,17 @@
 # Longest period without new tasks.
 MAX_SUSPECT_SECONDS = 24.0
 # Reasons for which a task cannot start on a worker.
-UNUSABLE, NO_LABEL, STEP_LIMIT, SUSPECTED, RESERVED, NO_ROOM = (
+UNUSABLE, NO_LABEL, STEP_LIMIT, SUSPECTED, RESERVED, HELD, NO_ROOM = (
     "unusable",
     "no label",
     "limit of the step",
     "suspected",
     "reserved",
+    "held",
     "no room",
 )
+# Reasons that are precautions: the task could start there all the same.
+PRECAUTIONS = frozenset({SUSPECTED, RESERVED})
 
 
 class Usage(NamedTuple):
@@ -80,6 +85,8 @@
         self.suspect_until = 0.0
         # Workflow whose tasks alone may be placed on the worker, empty for any.
         self.reserved_for = ""
+        # Step of the task for which the worker's room is kept, None for none.
+        self.held_for: tuple[str, int, int] | None = None
 
     def reserve(self, name: TaskName | tuple[TaskName, int], usage: Usage) -> None:
         """Reserves capacity for a run."""
@@ -125,6 +132,16 @@
             and usage.accelerators <= self.entry.accelerators - self.accelerators
         )
 
+    def fits_beside_long_running(self, usage: Usage) -> bool:
+        """Returns whether a run fits once the short runs there have ended."""
+        others = [other for other in self.usages.values() if other.long_running]
+        return (
+            usage.millicores + sum(other.millicores for other in others) <= self.entry.millicores
+            and usage.memory_mb + sum(other.memory_mb for other in others) <= self.entry.memory_mb
+            and usage.accelerators + sum(other.accelerators for other in others)
+            <= self.entry.accelerators
+        )
+
     def could_fit(self, step: StepSpec) -> bool:
         """Returns whether a task of the step would fit on the worker if it were empty."""
         entry = self.entry
@@ -149,19 +166,24 @@
 
 
 def find_obstacle(capacity: WorkerCapacity, step: StepSpec, usage: Usage, now: float) -> str:
-    """Returns why a task cannot start on a worker now, empty if it can."""
+    """Returns why a task cannot start on a worker now, empty if it can.
+
+    A precaution is returned only if nothing else keeps the task from starting.
+    """
     if not capacity.usable:
         return UNUSABLE
-    if capacity.suspect_until > now:
-        return SUSPECTED
     if not capacity.fits(usage):
         return NO_ROOM
     if step.label and step.label not in capacity.entry.labels:
         return NO_LABEL
-    if capacity.reserved_for not in ("", usage.group[0]):
-        return RESERVED
     if step.most_per_worker and capacity.groups.get(usage.group, 0) >= step.most_per_worker:
         return STEP_LIMIT
+    if capacity.held_for not in (None, usage.group):
+        return HELD
+    if capacity.suspect_until > now:
+        return SUSPECTED
+    if capacity.reserved_for not in ("", usage.group[0]):
+        return RESERVED
     return ""
 
 
@@ -172,6 +194,7 @@
     now: float,
     *,
     failed_on: str = "",
+    despite_precautions: bool = False,
 ) -> WorkerCapacity | None:
     """Returns the worker for a task, or None if none has free capacity.
 
@@ -185,12 +208,17 @@
         Seconds of the clock that was passed to :meth:`WorkerCapacity.record_failure`.
     failed_on : str
         Worker on which the last run of the task failed, used only if no other worker fits.
+    despite_precautions : bool
+        Whether suspected workers, and those reserved for other workflows, are used if no other
+        worker fits.
     """
     best, best_score = None, None
     for capacity in capacities:
-        if find_obstacle(capacity, step, usage, now):
+        obstacle = find_obstacle(capacity, step, usage, now)
+        if obstacle and not (despite_precautions and obstacle in PRECAUTIONS):
             continue
         score = (
+            not obstacle,
             capacity.entry.worker != failed_on,
             not step.rack or capacity.entry.rack == step.rack,
             -capacity.serving if usage.best_effort else -capacity.best_effort * usage.serving,
@@ -203,6 +231,35 @@
     return best
 
 
+def choose_worker_to_hold(
+    capacities: Iterable[WorkerCapacity], step: StepSpec, usage: Usage
+) -> WorkerCapacity | None:
+    """Returns the worker on which a long-running task gets room soonest, None if on none.
+
+    That is one where it fits beside the other long-running tasks, and where the least has to end.
+    """
+    candidates = [
+        capacity
+        for capacity in capacities
+        if capacity.usable
+        and capacity.held_for in (None, usage.group)
+        and not capacity.reserved_for
+        and (not step.label or step.label in capacity.entry.labels)
+        and not (
+            step.most_per_worker and capacity.groups.get(usage.group, 0) >= step.most_per_worker
+        )
+        and capacity.fits_beside_long_running(usage)
+    ]
+    return min(
+        candidates,
+        key=lambda capacity: (
+            capacity.held_for is None,
+            usage.millicores - capacity.free_millicores,
+        ),
+        default=None,
+    )
+
+
 def rank_relief(capacity: WorkerCapacity) -> list[TaskName]:
     """Returns the long-running tasks to move off a worker that has shrunk, in order.
 
--- a/packages/carawayshore/src/carawayshore/workflows/runtimes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/runtimes.py
@@ -131,6 +131,12 @@
             ends.append(start + self.estimate_step_seconds(workflow.queue, step))
         return max(ends, default=0.0)
 
+    def estimate_objective_seconds(self, workflow: Workflow) -> float:
+        """Returns the time in seconds within which a workflow should be done."""
+        return workflow.stretch * self.estimate_chain_seconds(workflow) + (
+            workflow.allowance_ms / 1000
+        )
+
     def estimate_core_seconds(self, workflow: Workflow) -> float:
         """Returns the expected work of the short tasks of one occurrence in core-seconds."""
         return sum(
