Scenarios for precautions that follow each other, and for rooms taken by short tasks

Without the bound, the three scenarios of precautions fail (no start in 30 s) and so do those of large tasks; without the kept room, tasks of 11 and 12 cores find none in 30 s beside short tasks of 1 and 2 cores at five times the capacity.

--- a/features/steps/long_running_restart_steps.py
+++ b/features/steps/long_running_restart_steps.py
@@ -16,6 +16,11 @@
 # Longest lease that an owner gives, with the margins that it adds.
 LEASE_S = 5.0
 RESTART_LIMIT_S = 6.0
+# Run time and arrival of the short tasks that fill the workers.
+SHORT_S = 2.0
+PRECAUTION_STEP_S = 0.5
+OVERLOAD = 5
+CHECK_S = 0.05
 
 
 def _run(play) -> None:
@@ -54,3 +59,129 @@
 @then("all tasks of the job run again within 6 s after their leases are over")
 def expect_running(context):
     assert context.running == context.task_count, (context.running, context.task_count)
+
+
+@given("{count:d} workers of 12 cores and a waiting long-running task of {cores:d} cores")
+def set_waiting_task(context, count, cores):
+    context.worker_count, context.task_cores = count, cores
+
+
+def _set_precaution(capacity, kind: str, now: float, is_odd: bool) -> None:
+    suspected = "suspected" in kind and ("in turn" not in kind or is_odd)
+    reserved = "reserved" in kind and ("in turn" not in kind or not is_odd)
+    capacity.suspect_until = now + 2 * PRECAUTION_STEP_S if suspected else 0.0
+    capacity.reserved_for = "another job" if reserved else ""
+
+
+@when("for 30 s each worker is {precaution}, one after the other begins anew before it ends")
+def keep_precautions(context, precaution):
+    async def play() -> None:
+        world = World(context.worker_count, STOP_S)
+        try:
+            await world.take_over()
+            await asyncio.sleep(1.0)
+            owner = world.current.owner
+            submitted = None
+            for number in range(int(30 / PRECAUTION_STEP_S)):
+                for link in owner.links.values():
+                    now = world.current.clock.elapsed().total_seconds()
+                    _set_precaution(link.capacity, precaution, now, number % 2 == 1)
+                if submitted is None:
+                    submitted = world.now()
+                    await world.submit(context.task_cores, 1, LONG_S, long_running=True)
+                for _ in range(int(PRECAUTION_STEP_S / CHECK_S)):
+                    await asyncio.sleep(CHECK_S)
+                    if any(worker.runs for worker in world.workers.values()):
+                        context.waited = world.now() - submitted
+                        return
+        finally:
+            await world.close()
+
+    context.waited = None
+    _run(play())
+
+
+@then("the task is placed within {seconds:g} s")
+@then("it runs within {seconds:g} s")
+def expect_placed(context, seconds):
+    assert context.waited is not None and context.waited <= seconds, context.waited
+
+
+@given(
+    "{count:d} workers of 12 cores, and short tasks of {cores:d} cores at five times their capacity"
+)
+def set_overload(context, count, cores):
+    context.worker_count, context.short_cores = count, cores
+
+
+def _find_run(world, identifier):
+    return next(
+        (
+            task
+            for worker in world.workers.values()
+            for task in worker.runs
+            if task.workflow == identifier
+        ),
+        None,
+    )
+
+
+@when("a long-running task of {cores:d} cores waits")
+def wait_for_room(context, cores):
+    async def submit_short(world) -> None:
+        per_second = OVERLOAD * context.worker_count * 12 / context.short_cores / SHORT_S
+        while True:
+            await world.submit(context.short_cores, 1, SHORT_S)
+            await asyncio.sleep(1 / per_second)
+
+    async def play() -> None:
+        world = World(context.worker_count, STOP_S)
+        submitting = None
+        try:
+            await world.take_over()
+            await asyncio.sleep(1.0)
+            if hasattr(context, "short_runs"):
+                for seconds in context.short_runs:
+                    await world.submit(3, 4, seconds)
+                    await asyncio.sleep(0.5)
+            submitting = asyncio.ensure_future(submit_short(world))
+            await asyncio.sleep(3.0)
+            began = world.now()
+            identifier = await world.submit(cores, 1, LONG_S, long_running=True)
+            links = world.current.owner.links
+            while world.now() - began < 30.0 and context.waited is None:
+                await asyncio.sleep(CHECK_S)
+                held = sum(link.capacity.held_for is not None for link in links.values())
+                context.most_held = max(context.most_held, held)
+                if _find_run(world, identifier):
+                    context.waited = world.now() - began
+            await asyncio.sleep(2.0)
+            context.held_afterwards = sum(
+                link.capacity.held_for is not None for link in links.values()
+            )
+            context.violations = world.violations
+        finally:
+            if submitting is not None:
+                submitting.cancel()
+            await world.close()
+
+    context.waited, context.most_held = None, 0
+    if not hasattr(context, "short_cores"):
+        context.short_cores = 1
+    _run(play())
+
+
+@then("at most {count:d} worker at a time is kept for it")
+def expect_held(context, count):
+    assert context.most_held <= count, context.most_held
+    assert context.held_afterwards == 0 and not context.violations, context.violations
+
+
+@given("2 workers of 12 cores that are full of short tasks, of {first:g} s and of {second:g} s")
+def set_short_runs(context, first, second):
+    context.worker_count, context.short_runs = 2, (first, second)
+
+
+@then("short tasks start again on the other worker")
+def expect_release(context):
+    assert context.held_afterwards == 0, context.held_afterwards
