--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/losses.py
@@ -0,0 +1,171 @@
+"""Workers that are lost under runs: what is recorded with the tasks, and what follows from it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from carawayd.partition.workerlink import STARTED
+from carawayd.platform.runs import format_task
+from carawayshore.workflows.crashes import RunOnWorker, assess_loss, has_outlived, should_give_up
+from carawayshore.workflows.state import DONE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from carawayd.partition.isolation import Isolation
+    from carawayd.partition.workerlink import LostRun, WorkerLink
+    from carawayd.process.workflowmetrics import WorkflowMetrics
+    from carawayshore.clock import Clock
+    from carawayshore.workflows.crashes import WorkerLoss
+    from carawayshore.workflows.model import TaskName
+    from carawayshore.workflows.state import StepState, TaskState, WorkflowState
+
+logger = logging.getLogger(__name__)
+
+
+class Losses:
+    """Counts the losses of workers under each task.
+
+    Parameters
+    ----------
+    find_task : callable
+        Returns the workflow, the step and the state of a task, or None.
+    record_step : callable
+        Records the state of a step.
+    give_up : callable
+        Ends the workflow of a task that crashes its workers.
+    isolation : Isolation
+    clock : Clock
+    metrics : WorkflowMetrics
+    """
+
+    def __init__(
+        self,
+        find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
+        record_step: Callable[[WorkflowState, StepState], None],
+        give_up: Callable[[WorkflowState, TaskName, Sequence[WorkerLoss]], None],
+        isolation: Isolation,
+        clock: Clock,
+        metrics: WorkflowMetrics,
+    ) -> None:
+        self._find_task = find_task
+        self._record_step = record_step
+        self._give_up = give_up
+        self._isolation = isolation
+        self._clock = clock
+        self._metrics = metrics
+
+    def handle_loss(
+        self, link: WorkerLink, runs: list[LostRun], born: int, epoch: int, *, restarted: bool
+    ) -> None:
+        """Records the loss of a worker with the tasks that were there.
+
+        Parameters
+        ----------
+        link : WorkerLink
+        runs : list of LostRun
+        born : int
+            Start of the incarnation that was last sent an order, in Unix milliseconds.
+        epoch : int
+        restarted : bool
+            Whether another incarnation has answered, so that the former one has certainly ended.
+        """
+        if restarted:
+            self._confirm(link.worker)
+        if not runs:
+            return
+        how = "restarted" if restarted else "unreachable"
+        self._metrics.worker_losses.labels(link.entry.service, how).inc()
+        logger.info(
+            "worker lost with its runs",
+            extra={
+                "fields": {
+                    "worker": link.worker,
+                    "born": born,
+                    "restarted": restarted,
+                    "tasks": [format_task(run.task) for run in runs],
+                    "runs": [
+                        [run.run, run.state, run.listed, round(run.seconds, 3)] for run in runs
+                    ],
+                    "epoch": epoch,
+                }
+            },
+        )
+        if not link.cordoned and link.entry.state == "ready":
+            self._record(link, runs, born, restarted)
+
+    def _record(self, link: WorkerLink, runs: list[LostRun], born: int, restarted: bool) -> None:
+        reserved_for = link.capacity.reserved_for
+        losses = assess_loss(
+            link.worker,
+            born,
+            restarted,
+            [
+                RunOnWorker(
+                    run.task.workflow,
+                    run.seconds,
+                    run.listed or run.state == STARTED,
+                    run.listed,
+                    reserved_for == run.task.workflow,
+                )
+                for run in runs
+            ],
+        )
+        for run, loss in zip(runs, losses, strict=True):
+            found = self._find_task(run.task)
+            if found is None or found[0].is_terminal:
+                continue
+            workflow, step, task = found
+            if (task.run, task.worker) == (run.run, link.worker) and task.status != DONE:
+                self._replace_losses(workflow, step, task, (*task.losses, loss))
+                self._isolation.update(workflow)
+                self._judge(workflow, run.task, task)
+
+    def _confirm(self, worker: str) -> None:
+        """Records that an unreachable worker, which was taken to be lost, has ended."""
+        for workflow, step, name, task in self._isolation.list_suspects():
+            losses = tuple(
+                loss._replace(confirmed=True) if loss.worker == worker else loss
+                for loss in task.losses
+            )
+            if losses != task.losses:
+                self._replace_losses(workflow, step, task, losses)
+                self._judge(workflow, name, task)
+
+    def _replace_losses(
+        self,
+        workflow: WorkflowState,
+        step: StepState,
+        task: TaskState,
+        losses: tuple[WorkerLoss, ...],
+    ) -> None:
+        task.losses = losses
+        self._record_step(workflow, step)
+
+    def _judge(self, workflow: WorkflowState, name: TaskName, task: TaskState) -> None:
+        if should_give_up(task.losses):
+            self._give_up(workflow, name, task.losses)
+
+    def clear_survivors(self, link: WorkerLink, epoch: int) -> None:
+        """Lifts the suspicion from tasks whose runs have outlived their earlier crashes."""
+        now = self._clock.elapsed().total_seconds()
+        for name, order in list(link.orders.items()):
+            found = self._find_task(name)
+            if found is None or not found[2].losses or not order.listed:
+                continue
+            workflow, step, task = found
+            if task.run == order.run and has_outlived(task.losses, now - order.sent_at):
+                logger.info(
+                    "run has outlived the crashes of its workers; no longer suspected",
+                    extra={
+                        "fields": {
+                            "task": format_task(name),
+                            "epoch": epoch,
+                            "worker": link.worker,
+                            "losses": len(task.losses),
+                        }
+                    },
+                )
+                self._replace_losses(workflow, step, task, ())
+                self._isolation.update(workflow)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -24,11 +24,11 @@
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
+from carawayd.partition.losses import Losses
 from carawayd.partition.planner import Planner
 from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
     SENDING,
-    STARTED,
     TICKET_REFUSED,
     Order,
     StartOrder,
@@ -38,12 +38,6 @@
 from carawayd.platform.runs import format_task
 from carawayd.supervision import supervised_task
 from carawayshore.workflows.admission import Request, decide_admission
-from carawayshore.workflows.crashes import (
-    RunOnWorker,
-    assess_loss,
-    has_outlived,
-    should_give_up,
-)
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
 from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
@@ -64,7 +58,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
     from random import Random
 
     from carawayd.partition.planner import StepPlacement
@@ -76,6 +70,7 @@
     from carawayd.process.site import SiteSettings
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock, SteadyTimeOfDay
+    from carawayshore.workflows.crashes import WorkerLoss
     from carawayshore.workflows.model import WorkerEntry, Workflow
     from carawayshore.workflows.placement import Usage, WorkerCapacity
 
@@ -214,6 +209,9 @@
         self._cordons = Cordons(clock, self.ledger)
         self._deferrals = Deferrals(clock)
         self._isolation = Isolation(self.links, self._deferrals, clock)
+        self._losses = Losses(
+            self._find_task, self._record_step, self._give_up, self._isolation, clock, metrics
+        )
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -551,108 +549,27 @@
         restarted : bool
             Whether another incarnation has answered, so that the former one has certainly ended.
         """
-        if restarted:
-            self._confirm_losses(link.worker)
         if restarted and link.closed:
             self._ended_workers[link.worker] = link.entry
-        if not runs:
-            return
-        how = "restarted" if restarted else "unreachable"
-        self._metrics.worker_losses.labels(link.entry.service, how).inc()
-        logger.info(
-            "worker lost with its runs",
-            extra={
-                "fields": {
-                    "worker": link.worker,
-                    "born": self.find_recorded_start(link.worker),
-                    "restarted": restarted,
-                    "tasks": [format_task(run.task) for run in runs],
-                    "runs": [
-                        [run.run, run.state, run.listed, round(run.seconds, 3)] for run in runs
-                    ],
-                    "epoch": self.fence,
-                }
-            },
-        )
-        if not link.cordoned and link.entry.state == "ready":
-            self._record_losses(link, runs, restarted)
-
-    def _record_losses(self, link: WorkerLink, runs: list[LostRun], restarted: bool) -> None:
-        """Records the loss of a worker with the tasks that ran there, and gives up the cause."""
-        reserved_for = link.capacity.reserved_for
-        losses = assess_loss(
-            link.worker,
-            self.find_recorded_start(link.worker),
-            restarted,
-            [
-                RunOnWorker(
-                    run.task.workflow,
-                    run.seconds,
-                    run.listed or run.state == STARTED,
-                    run.listed,
-                    reserved_for == run.task.workflow,
-                )
-                for run in runs
-            ],
-        )
-        for run, loss in zip(runs, losses, strict=True):
-            found = self._find_task(run.task)
-            if found is None or found[0].is_terminal:
-                continue
-            workflow, step, task = found
-            if (task.run, task.worker) == (run.run, link.worker) and task.status != DONE:
-                task.losses = (*task.losses, loss)
-                self._record_step(workflow, step)
-                self._isolation.update(workflow)
-                self._give_up_cause_of_crashes(workflow, run.task, task)
-
-    def _confirm_losses(self, worker: str) -> None:
-        """Records that an unreachable worker, which was taken to be lost, has ended."""
-        for workflow, step, name, task in self._isolation.list_suspects():
-            losses = tuple(
-                loss._replace(confirmed=True) if loss.worker == worker else loss
-                for loss in task.losses
-            )
-            if losses != task.losses:
-                task.losses = losses
-                self._record_step(workflow, step)
-                self._give_up_cause_of_crashes(workflow, name, task)
+        born = self.find_recorded_start(link.worker)
+        self._losses.handle_loss(link, runs, born, self.fence, restarted=restarted)
 
-    def _give_up_cause_of_crashes(
-        self, workflow: WorkflowState, name: TaskName, task: TaskState
+    def _give_up(
+        self, workflow: WorkflowState, name: TaskName, losses: Sequence[WorkerLoss]
     ) -> None:
         """Ends a workflow whose task is taken to crash every worker that starts it."""
-        if workflow.is_terminal or not should_give_up(task.losses):
+        if workflow.is_terminal:
             return
         self._metrics.crashing_tasks.labels(workflow.spec.service).inc()
         self._log_task(
             name,
             "task crashes its workers; giving up its workflow",
-            losses=[loss._asdict() for loss in task.losses],
+            losses=[loss._asdict() for loss in losses],
         )
-        crashed = [f"{loss.worker} (born {loss.born})" for loss in task.losses if loss.confirmed]
+        crashed = [f"{loss.worker} (born {loss.born})" for loss in losses if loss.confirmed]
         why = f"workers crashed under {format_task(name)}: {', '.join(crashed)}"
         self._end_workflow(workflow, FAILED, why)
 
-    def _clear_survivors(self, link: WorkerLink) -> None:
-        """Lifts the suspicion from tasks whose runs have outlived their earlier crashes."""
-        now = self._now()
-        for name, order in list(link.orders.items()):
-            found = self._find_task(name)
-            if found is None or not found[2].losses or not order.listed:
-                continue
-            workflow, step, task = found
-            if task.run == order.run and has_outlived(task.losses, now - order.sent_at):
-                self._log_task(
-                    name,
-                    "run has outlived the crashes of its workers; no longer suspected",
-                    worker=link.worker,
-                    losses=len(task.losses),
-                )
-                task.losses = ()
-                self._record_step(workflow, step)
-                self._isolation.update(workflow)
-
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
         if self._contact_loss.end(link.worker):
@@ -669,7 +586,7 @@
     def handle_report(self, link: WorkerLink) -> None:
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
         self._wake.set()
-        self._clear_survivors(link)
+        self._losses.clear_survivors(link, self.fence)
         if not (link.capacity.best_effort and link.capacity.serving):
             return
         serving, best_effort = [], []
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -21,7 +21,17 @@
 
 from behave.__main__ import main as run_behave
 
-from carawayd.partition import contactloss, cordons, isolation, ledger, owner, workerlink
+from carawayd.partition import (
+    contactloss,
+    cordons,
+    deferrals,
+    isolation,
+    ledger,
+    losses,
+    owner,
+    planner,
+    workerlink,
+)
 from carawayd.platform import common
 from carawayd.process import exchange, fleet, keys, machineorders, membership, streams
 from carawayshore import assignment, claims, fold, records
@@ -36,9 +46,12 @@
 OWNERS = ("owner_workers", "owner_property", "fleet_manager")
 CRASHES = ("worker_crashes",)
 CAPACITIES = ("worker_capacity", "owner_property")
+RESTARTS = ("long_running_restart",)
 LEDGERS = ("ledger", "owner_property")
 ENTRY_HOSTS = ("platform",)
-FEATURES = tuple(dict.fromkeys((*EMBEDDED, *OWNERS, *CRASHES, *CAPACITIES, *LEDGERS, *ENTRY_HOSTS)))
+FEATURES = tuple(
+    dict.fromkeys((*EMBEDDED, *OWNERS, *CRASHES, *RESTARTS, *CAPACITIES, *LEDGERS, *ENTRY_HOSTS))
+)
 PARALLEL_MUTATIONS = 3
 RUN_TIMEOUT_SECONDS = 600
 
@@ -309,29 +322,39 @@
 
 @mutation("a task that crashes its workers is given up", CRASHES)
 def never_give_up() -> None:
-    owner.should_give_up = lambda losses: False
+    losses.should_give_up = lambda _: False
 
 
 @mutation("a task counts as the cause of crashes only if it was suspected", CRASHES)
 def count_all_losses() -> None:
-    owner.should_give_up = lambda losses: len(losses) >= 2
+    losses.should_give_up = lambda found: len(found) >= 2
 
 
 @mutation("a suspected task starts on a worker of its own", CRASHES)
 def start_suspects_anywhere() -> None:
-    isolation.Isolation.select = lambda self, subject, step, capacities: capacities
+    isolation.Isolation.select = lambda self, subject, step, usage, capacities: capacities
 
 
 @mutation("suspected long-running tasks do not wait for each other", CRASHES)
 def isolate_by_workflow() -> None:
     original = isolation.Isolation.select
 
-    def select(self, subject, step, capacities):
-        return original(self, isolation.get_workflow(subject), step, capacities)
+    def select(self, subject, step, usage, capacities):
+        return original(self, deferrals.get_workflow(subject), step, usage, capacities)
 
     isolation.Isolation.select = select
 
 
+@mutation("precautions keep a task from starting for a limited time", RESTARTS)
+def defer_forever() -> None:
+    deferrals.Deferrals.is_over = lambda self, subject: False
+
+
+@mutation("room is kept for a large task that short ones would keep from starting", RESTARTS)
+def keep_no_room() -> None:
+    planner.Planner._keep_room = lambda self, key, step, waiting, capacities: None
+
+
 @mutation("the losses of workers are part of a step's record", CRASHES)
 def forget_losses() -> None:
     original = state.TaskState.to_row
