Count the wait for an unanswered start from its sending, not from each restart of the worker

A start order without an answer may be carried out for up to 13 s, also by a later incarnation. Each restart of the worker began these 13 s anew, so a worker that restarts every few seconds kept the task from starting elsewhere without end. Change: what is left of the 13 s since the order was sent, also for the lease that such an order gives. Measured: the scenario with restarts 4, 8 and 12 s after the order fails before (the task is still taken to be there 14 s after it) and passes now; 12.5 s after the order it is still waited for.

--- a/features/steps/long_running_restart_steps.py
+++ b/features/steps/long_running_restart_steps.py
@@ -6,8 +6,12 @@
 
 import looptime
 from behave import given, then, when
+from owner_builders import BORN, OwnerHarness
 from worker_model import World
 
+from carawayd.partition.workerlink import UNKNOWN
+from carawayshore.workflows.state import ORDERED, WAITING
+
 STOP_S = 0.05
 LONG_S = 1_000.0
 CORES_PER_TASK = 3
@@ -185,3 +189,33 @@
 @then("short tasks start again on the other worker")
 def expect_release(context):
     assert context.held_afterwards == 0, context.held_afterwards
+
+
+@given("an owner whose start order to a worker got no answer")
+def lose_answer(context):
+    harness = context.harness = OwnerHarness()
+    context.task = harness.add_workflow("a" * 16, 1_000, long_running=True)
+    harness.list_worker()
+    harness.report()
+    harness.order(context.task, 1, state=UNKNOWN, absence_certain_after_ms=51_500)
+
+
+@when("the worker restarts 4, 8 and 12 s after the order, and reports {seconds:g} s after it")
+def restart_repeatedly(context, seconds):
+    harness = context.harness
+    ordered_at = harness.clock.seconds
+    for number, after in enumerate((4.0, 8.0, 12.0), start=1):
+        harness.clock.seconds = ordered_at + after
+        harness.report(clock_ms=100, born=BORN + number)
+    harness.clock.seconds = ordered_at + seconds
+    harness.report(clock_ms=100 + int((seconds - 12.0) * 1000), born=BORN + 3)
+
+
+@then("the task is waiting for another worker")
+def expect_waiting(context):
+    assert context.harness.owner._find_task(context.task)[2].status == WAITING
+
+
+@then("the task is still taken to be on its worker")
+def expect_ordered_still(context):
+    assert context.harness.owner._find_task(context.task)[2].status == ORDERED
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -667,10 +667,13 @@
             self._acknowledged, self._is_reconciled = 0, False
             # Calls that are still on their way carry times of the previous incarnation's clock, so
             # that only the worker's maximum limits the lease that they give.
+            late_ms = [
+                self._measure_late_order_wait_ms(order)
+                for order in self.orders.values()
+                if order.state != STARTED
+            ]
             self._max_lease_expiry_ms = (
-                report.clock_ms + LATE_ORDER_WAIT_MS + self._settings.longest_lease_ms
-                if any(order.state != STARTED for order in self.orders.values())
-                else 0
+                report.clock_ms + max(late_ms) + self._settings.longest_lease_ms if late_ms else 0
             )
             for order in self.orders.values():
                 order.listed = False
@@ -679,7 +682,9 @@
                     # so, this report or the next one lists the run.
                     order.state, order.absence_certain_after_ms = UNKNOWN, report.clock_ms
                 else:
-                    order.absence_certain_after_ms = report.clock_ms + LATE_ORDER_WAIT_MS
+                    order.absence_certain_after_ms = (
+                        report.clock_ms + self._measure_late_order_wait_ms(order)
+                    )
         self._incarnation = report.born
         first = self._worker_clock_ms is None
         self._worker_clock_ms, self._reported_at = report.clock_ms, self._now()
@@ -708,6 +713,14 @@
             await self._owner.flush()
             self._acknowledged = max(self._acknowledged, ended[-1].number)
 
+    def _measure_late_order_wait_ms(self, order: Order) -> int:
+        """Returns for how long a start order may still be carried out by a later incarnation.
+
+        Counted from its sending, so that a worker that restarts repeatedly does not prolong it.
+        """
+        elapsed_ms = int((self._now() - order.sent_at) * 1000)
+        return max(0, LATE_ORDER_WAIT_MS - elapsed_ms)
+
     def _reconcile(self, report: WorkerReport) -> None:
         """Reconciles the ordered runs with those that the worker lists."""
         now = self._now()
