Record the silence of a worker sooner, so that successive owners make progress

An owner recorded for how long a worker has been silent only 1 s after it took over. Owners that follow each other every 0.4 s recorded nothing, so the tasks of a worker that is gone for good were reset only after the series (rule LOST, long_running_tasks). An owner that continues a measurement now records it first after 0.2 s.

--- a/features/long_running_tasks.feature
+++ b/features/long_running_tasks.feature
@@ -75,14 +75,22 @@
     Then each long-running task ran again within 36 s
     And no worker was sent a start of one task more than 30 times
 
-  Scenario: A lost worker's leases are waited for by one owner after the other
-    # The time between two owners is not known to either, and does not count: of each 4 s they
-    # measure 2 s or more of the 9.4 s after which every lease has lapsed.
+  Scenario Outline: A lost worker's leases are waited for by one owner after the other
+    # Guards against owners that follow each other before any of them has recorded how long the
+    # worker has been silent. The time between two owners is not known to either, and does not
+    # count: they measure half of the time or more, until the 9.4 s are over after which every
+    # lease has lapsed.
     Given 6 workers of 12 cores with long-running tasks
-    When for 30 s or more owners are killed every 4 s after a worker is gone for good
-    Then each long-running task ran again within 26 s
+    When for 30 s or more <owners> after a worker is gone for good
+    Then each long-running task ran again within 25 s
     And no long-running task with room for it was away for longer than rule LOST allows
 
+    Examples:
+      | owners                           |
+      | owners are killed every 4 s      |
+      | owners hand over every 0.4 s     |
+      | owners are replaced every 0.4 s  |
+
   Scenario: A worker and the owner of its tasks are killed at once
     # The former owner may only be cut off, and renew the leases until it gives up.
     Given 6 workers of 12 cores with long-running tasks
--- a/features/restart_scenarios.py
+++ b/features/restart_scenarios.py
@@ -147,6 +147,14 @@
     await asyncio.sleep(PLAY_S)
 
 
+@scenario("the owner hands over 1 s after a worker is gone for good")
+async def play_gone_before_handover(world: World) -> None:
+    remove(world, await lose_siblings(world))
+    await asyncio.sleep(1.0)
+    await world.hand_over()
+    await asyncio.sleep(PLAY_S)
+
+
 @scenario("the pool gives away one worker after the other and gets new ones")
 async def play_pool(world: World) -> None:
     await submit_long(world, 5, 6)
--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -14,6 +14,9 @@
 DURATION_MARK = b"+"
 # Interval at which the time is recorded anew, so that a later owner continues from it.
 RECORD_INTERVAL_SECONDS = 1.0
+# Time after which an owner that continues a measurement records it first, so that owners that
+# follow each other quickly make progress together.
+FIRST_RECORD_SECONDS = 0.2
 
 
 class _Loss(NamedTuple):
@@ -50,7 +53,9 @@
         digits = value.removeprefix(DURATION_MARK)
         is_duration = value.startswith(DURATION_MARK) and digits.isdigit()
         now = self._now()
-        self._losses[worker] = _Loss(int(digits) / 1000 if is_duration else 0.0, now, now)
+        earlier_seconds = int(digits) / 1000 if is_duration else 0.0
+        recorded_at = now + FIRST_RECORD_SECONDS - RECORD_INTERVAL_SECONDS
+        self._losses[worker] = _Loss(earlier_seconds, now, recorded_at)
 
     def begin(self, worker: str) -> None:
         """Starts measuring, unless the worker is known as unresponsive."""
