Hand over how long leases last, and write a record before the first renewal

Wait after an orderly handover: a later owner that cannot reach a worker assumed 5 s of renewals by the former owner and one lease more, 9.4 s. An owner that hands over sends no renewal afterwards and knows how long the last one is valid, so it records that duration for each worker with runs. The next owner measures it from its own takeover with its own clock, and removes the record before it renews a lease itself, so that a kill after that leaves the longest wait. An owner that has not heard from a worker records nothing.

First record: an owner that renewed leases and wrote nothing was not noticed by a former owner that got the partition back, since the end of the partition had not moved. If that one could not reach a worker, it counted the leases from its own last report and started the task a second time (TWICE). An owner now writes an empty record before it renews the first lease.

--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -132,6 +132,7 @@
         self._records = records or {}
         self.owner.ledger.read_records = self._read_records
         self.run(self.owner._load())
+        self.run(self.owner._announce())
 
     async def _read_records(self) -> list[tuple[str, bytes]]:
         return list(self._records.items())
--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -12,6 +13,9 @@
 UNRESPONSIVE_PREFIX = "~"
 # Marks a duration in ms; earlier versions recorded a time of day without it.
 DURATION_MARK = b"+"
+# Marks the longest time in ms for which the leases of a worker last, as recorded by an owner that
+# handed over. Earlier versions read it as a worker that has just become unresponsive.
+LEASE_MARK = b"-"
 # Interval at which the time is recorded anew, so that a later owner continues from it.
 RECORD_INTERVAL_SECONDS = 1.0
 
@@ -45,12 +49,30 @@
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
 
-    def restore(self, worker: str, value: bytes) -> None:
-        """Continues from the duration that an earlier owner recorded."""
-        digits = value.removeprefix(DURATION_MARK)
-        is_duration = value.startswith(DURATION_MARK) and digits.isdigit()
+    def restore(self, worker: str, value: bytes, lease_bound_seconds: float) -> None:
+        """Continues from the duration that an earlier owner recorded.
+
+        If that owner handed over and recorded how long the leases last, the worker counts as
+        unresponsive for so long that the rest of ``lease_bound_seconds`` covers them.
+        """
+        earlier_seconds = 0.0
+        digits = value[1:]
+        if digits.isdigit() and value.startswith(DURATION_MARK):
+            earlier_seconds = int(digits) / 1000
+        elif digits.isdigit() and value.startswith(LEASE_MARK):
+            earlier_seconds = max(0.0, lease_bound_seconds - int(digits) / 1000)
         now = self._now()
-        self._losses[worker] = _Loss(int(digits) / 1000 if is_duration else 0.0, now, now)
+        self._losses[worker] = _Loss(earlier_seconds, now, now)
+
+    def record_lease(self, worker: str, seconds: float) -> None:
+        """Records the longest time for which leases last that are no longer renewed."""
+        until = self._now() + seconds
+
+        def encode() -> bytes:
+            remaining = max(0.0, until - self._now())
+            return LEASE_MARK + str(math.ceil(remaining * 1000)).encode()
+
+        self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
 
     def begin(self, worker: str) -> None:
         """Starts measuring, unless the worker is known as unresponsive."""
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -183,6 +183,8 @@
         self.fence = epoch
         self.loaded = False
         self.lost = False
+        # Whether a record of this owner is durable, apart from the epoch.
+        self._has_written = False
         self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock, metrics)
         self.workflows: dict[str, WorkflowState] = {}
         self.links: dict[str, WorkerLink] = {}
@@ -260,6 +262,9 @@
                 )
                 return
             await self.add_runtime_dependency(self.ledger)
+            start_in_background(
+                self._announce(), lambda: self._mark_lost("its first record could not be written")
+            )
         while not self.should_stop and not self.lost:
             self._scan_workers()
             self._contact_loss.record_progress(compute_lease_bound_seconds(self._settings))
@@ -270,6 +275,19 @@
                 return
             await self._clock.sleep(SCAN_INTERVAL)
 
+    async def _announce(self) -> None:
+        """Writes a first record, before which no lease is renewed.
+
+        By it, a former owner that gets the partition back notices that leases may have been renewed
+        meanwhile.
+        """
+        self.ledger.mark_dirty(PROBE_KEY, bytes)
+        try:
+            await self.ledger.flush()
+        except OwnershipLost:
+            return
+        self._has_written = True
+
     async def _load(self) -> None:
         now = self._now()
         records = []
@@ -279,7 +297,11 @@
             elif key.startswith(CORDON_PREFIX):
                 self._cordons.restore(key.removeprefix(CORDON_PREFIX), value)
             elif key.startswith(UNRESPONSIVE_PREFIX):
-                self._contact_loss.restore(key.removeprefix(UNRESPONSIVE_PREFIX), value)
+                self._contact_loss.restore(
+                    key.removeprefix(UNRESPONSIVE_PREFIX),
+                    value,
+                    compute_lease_bound_seconds(self._settings),
+                )
             elif key.startswith(WORKER_PREFIX):
                 self._known_workers.restore(key.removeprefix(WORKER_PREFIX), value)
             else:
@@ -347,7 +369,12 @@
         return unchanged
 
     async def hand_over(self) -> None:
-        """Stops accepting calls and waits until all records are durable."""
+        """Stops accepting calls and waits until all records are durable.
+
+        Among them is how long the leases last, none of which this owner renews any more.
+        """
+        if not self.lost:
+            self._record_leases()
         self.lost = True
         try:
             async with asyncio.timeout(HANDOVER_TIMEOUT_SECONDS):
@@ -359,6 +386,13 @@
                 extra={"fields": {"partition": self.partition, "error": repr(error)}},
             )
 
+    def _record_leases(self) -> None:
+        """Records how long the leases on each worker last, which this owner no longer renews."""
+        for link in self.links.values():
+            seconds = link.measure_lease_seconds()
+            if link.run_count and seconds is not None:
+                self._contact_loss.record_lease(link.worker, seconds)
+
     def _mark_lost(self, why: str) -> None:
         if not self.lost:
             self.lost = True
@@ -585,7 +619,7 @@
 
     def may_renew(self) -> bool:
         """Returns whether orders may be sent and leases renewed."""
-        return not self.lost and self._may_renew()
+        return not self.lost and self._has_written and self._may_renew()
 
     def handle_report(self, link: WorkerLink) -> None:
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -350,18 +350,25 @@
         elapsed = self._now() - self._reported_at
         return int((self._worker_clock_ms or 0) + elapsed * 1000)
 
+    def measure_lease_seconds(self) -> float | None:
+        """Returns for how long leases on the worker may last unless they are renewed.
+
+        None if the worker has not reported to this link.
+        """
+        if self._worker_clock_ms is None:
+            return None
+        lease = max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
+        return max(0.0, lease + LEASE_MARGIN_SECONDS - self.silent_seconds)
+
     @property
     def is_lease_expired(self) -> bool:
         """Whether the worker has been unresponsive for so long that its lease has expired."""
-        now = self._now()
-        if self._worker_clock_ms is None:
-            return self._owner.measure_unresponsive_seconds(
-                self.worker
-            ) > compute_lease_bound_seconds(self._settings)
-        remaining = (
-            max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
+        remaining = self.measure_lease_seconds()
+        if remaining is not None:
+            return remaining <= 0
+        return self._owner.measure_unresponsive_seconds(self.worker) > compute_lease_bound_seconds(
+            self._settings
         )
-        return now - self._reported_at > remaining + LEASE_MARGIN_SECONDS
 
     async def _ensure_recent_report(self) -> bool:
         """Waits for a report if the last one is old; returns whether a start order may be sent."""
