Stop orders to machines that outlive their token, and hand over what is assigned elsewhere

Machine orders: an order that waited for a connection while the process lost the fleet and got it back was sent with its old token, after the order of the holder in between (rule ONE where the machines service checks no token). The permission now belongs to the token of the order. An unexpected error while a machine is ordered counts as a missing response, so that the machine is left alone and stays cordoned. A load of records that ends after the fleet was released no longer changes the state of its successor.

Partitions that are assigned elsewhere: their owners were stopped with records that had not been written. They now hand over in order, as in a planned stop; the group assigns a partition to another member only after this one's next renewal. A partition that was rearranged at once is fenced, and the wait ends at once.

--- a/features/fleet_manager.feature
+++ b/features/fleet_manager.feature
@@ -69,3 +69,17 @@
     Given a holder of the fleet that has begun the upkeep of m1 in wave 3
     When another holder takes over at once
     Then it knows that the upkeep of m1 in wave 3 has begun
+
+  Scenario: An order that waited while the fleet was elsewhere is not sent
+    # Where the machines service checks no fencing token, a lower token would follow a higher one
+    # (rule ONE): the process may order again, but not under the token of that order.
+    Given a holder of the fleet whose orders wait for a connection
+    When it loses the fleet to a holder that orders m1, and gets it back while its order for m1 waits
+    Then only the other holder has ordered m1
+
+  Scenario: An unexpected error while a machine is ordered counts as a missing response
+    # Guards against an order that may have been sent and leaves no trace: the machine would be
+    # ordered again, and given tasks, while the first order may still be executed.
+    Given a holder of the fleet whose orders wait for a connection
+    When its order for m1 ends in an unexpected error
+    Then the holder counts m1 as one that an order may still end
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -18,7 +18,7 @@
 from carawayd.platform.store import STATUS_TOPIC, KeyedRecord, encode_records
 from carawayd.process.machineorders import MAX_ORDER_DELAY, ORDER_PREFIX, MachineOrders
 from carawayd.process.ownercalls import CORDON, REPORT_LOAD, UNCORDON
-from carawayd.supervision import supervised_task
+from carawayd.supervision import start_in_background, supervised_task
 from carawayshore.workflows.model import ServiceLoad, WorkerLoad
 from carawayshore.workflows.pools import PoolSizer, PoolView, choose_moves
 from carawayshore.workflows.upkeep import (
@@ -29,6 +29,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
     from carawayd.platform.machines import MachinesClient
     from carawayd.platform.store import StoreClient
     from carawayd.process.discovery import Discovery
@@ -140,18 +142,22 @@
             self.loaded.clear()
             self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock, self._metrics)
             self._orders = MachineOrders(self._clock, self._settings, self._ledger)
-            asyncio.ensure_future(self._load(self._ledger))
+            start_in_background(self._load(self._ledger))
         elif self._ledger is not None:
             ledger, self._ledger = self._ledger, None
-            asyncio.ensure_future(ledger.stop())
+            start_in_background(ledger.stop())
 
     async def _load(self, ledger: Ledger) -> None:
         try:
             await ledger.take_over(self._fence)
         except OwnershipLost:
-            self._is_token_rejected = True
+            if ledger is self._ledger:
+                self._is_token_rejected = True
             return
         records = await ledger.read_records()
+        if ledger is not self._ledger:
+            # The partition was released meanwhile, and may have been acquired again.
+            return
         for key, value in records:
             if key.startswith(ORDER_PREFIX):
                 self._orders.restore(key.removeprefix(ORDER_PREFIX), value)
@@ -193,6 +199,19 @@
             return False
         return True
 
+    def _start_order(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        """Orders a machine; an unexpected error counts as an order without a response."""
+        task = start_in_background(work, lambda: self._orders.note_missing_answer(name))
+        self._order_tasks[name] = task
+        task.add_done_callback(lambda _: self._order_tasks.pop(name, None))
+
+    def _permit(self, fence: int) -> Callable[[], bool]:
+        """Returns whether orders under a token may be sent, as a function to call before sending.
+
+        The process may have lost the partition and got it back since the order was recorded.
+        """
+        return lambda: fence == self._fence and self._may_order()
+
     @supervised_task
     async def _manage(self) -> None:
         while not self.should_stop:
@@ -328,9 +347,7 @@
                 self._pending_moves.pop(name, None)
                 await self._uncordon(machine)
                 return
-        task = asyncio.ensure_future(self._move(name, pool))
-        self._order_tasks[name] = task
-        task.add_done_callback(lambda _: self._order_tasks.pop(name, None))
+        self._start_order(name, self._move(name, pool))
 
     async def _move(self, name: str, pool: str) -> None:
         """Orders one move; called again until the machine is listed in its new pool."""
@@ -346,7 +363,7 @@
                 pool,
                 holder=self._ownership.member,
                 fence=self._fence,
-                may_send=self._may_order,
+                may_send=self._permit(self._fence),
             )
         except MachineRefused as refusal:
             outcome = refusal.reason
@@ -452,9 +469,7 @@
                 return
         if may_start_upkeep(view, load):
             self._down_until[name] = timedelta.max
-            task = asyncio.ensure_future(self._start_upkeep(view.wave, name))
-            self._order_tasks[name] = task
-            task.add_done_callback(lambda _: self._order_tasks.pop(name, None))
+            self._start_order(name, self._start_upkeep(view.wave, name))
 
     def _list_standby(self) -> set[str]:
         services = self._discovery.deployment.services.values()
@@ -503,7 +518,7 @@
                 wave.number,
                 holder=self._ownership.member,
                 fence=self._fence,
-                may_send=self._may_order,
+                may_send=self._permit(self._fence),
             )
         except MachineRefused as refusal:
             outcome = refusal.reason
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 from mode import Service
@@ -12,7 +13,7 @@
 from carawayd.partition.ledger import FLEET_TOPIC, WORKFLOWS_TOPIC
 from carawayd.partition.owner import PartitionOwner
 from carawayd.platform.common import PlatformError
-from carawayd.supervision import supervised_task
+from carawayd.supervision import start_in_background, supervised_task
 from carawayshore.clock import SteadyTimeOfDay
 from carawayshore.workflows.candidacy import MIN_OWNER_CORES, GroupView, decide_candidacy
 
@@ -149,7 +150,7 @@
         if self._directory_at is not None and now - self._directory_at <= interval:
             return False
         if self._directory_task is None or self._directory_task.done():
-            self._directory_task = asyncio.ensure_future(self._read_directory())
+            self._directory_task = start_in_background(self._read_directory())
         return True
 
     async def _read_directory(self) -> None:
@@ -247,9 +248,9 @@
             if self.fleet.fenced:
                 await self._rejoin()
                 return
-        for partition in list(self.owners):
-            if partition not in wanted or self.owners[partition].lost:
-                self._stop_owner(partition)
+        await self._release_partitions(wanted)
+        if self.leaving:
+            return
         if any(
             partition not in self.owners
             and self._last_epochs.get(partition, -1) >= self._generation
@@ -262,12 +263,29 @@
             if owner is None:
                 await self._start_owner(partition)
             elif changed and owner.loaded:
-                asyncio.ensure_future(self._raise_epoch(owner, membership.generation))
+                start_in_background(
+                    self._raise_epoch(owner, membership.generation),
+                    partial(setattr, owner, "lost", True),
+                )
             elif changed:
                 # The records read so far may predate those of a member that owned it in between.
                 self._stop_owner(partition)
                 await self._start_owner(partition)
 
+    async def _release_partitions(self, wanted: set[int]) -> None:
+        """Stops the owners of partitions that are lost or assigned elsewhere.
+
+        A partition is assigned to another member after this one's next renewal, so that its records
+        can become durable before, unless the group was rearranged at once.
+        """
+        released = [
+            number for number, owner in self.owners.items() if number not in wanted or owner.lost
+        ]
+        owners = [self.owners[number] for number in released]
+        await asyncio.gather(*(owner.hand_over() for owner in owners if not owner.lost))
+        for partition in released:
+            self._stop_owner(partition)
+
     async def _rejoin(self) -> None:
         """Leaves the group and takes a new member name, so that rejoining raises the generation."""
         logger.info("rejoining the owner group", extra={"fields": {"generation": self._generation}})
@@ -319,10 +337,13 @@
             owner.lost = True
 
     def _stop_owner(self, partition: int) -> None:
-        owner = self.owners.pop(partition)
+        owner = self.owners.pop(partition, None)
+        if owner is None:
+            # Stopped by a planned stop that began during a renewal.
+            return
         self._metrics.ownership.labels("lost").inc()
         owner.lost = True
-        asyncio.ensure_future(owner.stop())
+        start_in_background(owner.stop())
 
     async def leave(self) -> None:
         """Hands all partitions over to other members and never rejoins the group."""
