Ask workers that are not listed and run only tasks of ended jobs

A later owner forgot a worker that was not in the list and on which it read no task: cancelled tasks there went on until their lease was over, and no owner looked at them. The owner now asks each worker that an earlier one used and that is not listed, until it reports or its leases have lapsed.

Measured, before: the owner had no link to such a worker.

--- a/features/steps/cancel_at_takeover_steps.py
+++ b/features/steps/cancel_at_takeover_steps.py
@@ -19,6 +19,8 @@
 RETRY_S = 0.1
 MAX_CANCELS = 20
 MAX_LINK_FAULT_S = 2.0
+# Longest time for which a worker is not listed after the owner has changed.
+MAX_LATE_S = 3.0
 LINK_FAULTS = ("", "", "cut", "late", "lost", "refused")
 
 
@@ -35,6 +37,20 @@
         world.unlisted.discard(name)
 
 
+async def _hide_workers(world: World, random: Random) -> None:
+    """Lets workers be listed late or not at all, or answer slowly, while owners change."""
+    for name in world.workers:
+        kind = random.choice(("", "listed late", "not listed", "slow", "slow and listed late"))
+        if "listed" in kind:
+            world.unlisted.add(name)
+        if "slow" in kind:
+            world.links[name] = "slow"
+        if "late" in kind:
+            loop = asyncio.get_running_loop()
+            loop.call_later(random.uniform(0.1, MAX_LATE_S), world.unlisted.discard, name)
+    await asyncio.sleep(MAX_LATE_S)
+
+
 async def _take_over_twice(world: World, random: Random) -> None:
     for _ in range(2):
         await asyncio.sleep(random.uniform(0.0, 0.8))
@@ -44,7 +60,7 @@
             await world.bounce(random.choice([0.0, 0.05, 0.3]))
 
 
-async def _play(seed: int) -> list[str]:
+async def _play(seed: int, disturb=_disturb) -> list[str]:
     random, world = Random(seed), World(WORKERS, STOP_S)
     try:
         await world.take_over()
@@ -54,7 +70,7 @@
         await asyncio.sleep(random.uniform(0.5, 2.0))
         changes = [
             asyncio.ensure_future(_take_over_twice(world, random)),
-            asyncio.ensure_future(_disturb(world, random)),
+            asyncio.ensure_future(disturb(world, random)),
         ]
         await asyncio.sleep(random.uniform(0.0, 1.6))
         is_acknowledged = False
@@ -75,17 +91,29 @@
         await world.close()
 
 
-@when("a long-running job is cancelled around two takeovers in {ways:d} ways with seed {seed:d}")
-def play_ways(context, ways, seed):
+def _play_ways(context, ways: int, seed: int, disturb) -> None:
     context.violations = []
     for number in range(ways):
         loop = looptime.new_event_loop(start=0, noop_cycles=2)
         try:
-            context.violations += loop.run_until_complete(_play(1_000 * seed + number))
+            context.violations += loop.run_until_complete(_play(1_000 * seed + number, disturb))
         finally:
             loop.close()
 
 
+@when("a long-running job is cancelled around two takeovers in {ways:d} ways with seed {seed:d}")
+def play_ways(context, ways, seed):
+    _play_ways(context, ways, seed, _disturb)
+
+
+@when(
+    "a long-running job is cancelled around two takeovers in {ways:d} ways with seed {seed:d},"
+    " and workers are listed late, not at all, or answer slowly"
+)
+def play_hidden_ways(context, ways, seed):
+    _play_ways(context, ways, seed, _hide_workers)
+
+
 @then("no task of it runs 6 s after the acknowledgement")
 def expect_no_run(context):
     assert not context.violations, context.violations
--- a/features/steps/overdue_stop_steps.py
+++ b/features/steps/overdue_stop_steps.py
@@ -5,7 +5,7 @@
 import logging
 
 from behave import then, when
-from owner_builders import OwnerHarness
+from owner_builders import WORKER, OwnerHarness
 
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.state import CANCELLED
@@ -44,6 +44,32 @@
     context.harness.owner.workflows[TASK.workflow].state = CANCELLED
 
 
+@when("its job is cancelled, the worker leaves the list and the next owner takes over")
+def cancel_and_take_over(context):
+    harness: OwnerHarness = context.harness
+    harness.run(harness.owner.cancel(TASK.workflow))
+    context.harness = harness.succeed()
+    context.add_cleanup(context.harness.close)
+    _scan(context.harness)
+
+
+def _scan(harness: OwnerHarness) -> None:
+    async def scan() -> None:
+        harness.owner._scan_workers()
+
+    harness.run(scan())
+
+
+@when("calls to the worker get no response for {seconds:d} s")
+def lose_calls(context, seconds):
+    harness: OwnerHarness = context.harness
+    link = harness.owner.links[WORKER]
+    for _ in range(2):
+        harness.run(link._handle_poll_failure("no response"))
+        harness.clock.seconds += seconds / 2
+    harness.run(link._handle_poll_failure("no response"))
+
+
 @then('run {run:d} is reported {count:d} times as going on, with the state of its job "{state}"')
 @then('run {run:d} is reported {count:d} time as going on, with the state of its job "{state}"')
 def expect_lines(context, run, count, state):
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -33,6 +33,8 @@
 
 SERVICE = "booking"
 CALL_TIMEOUT_S = 1.0
+# Delay of a call over a slow link, shorter than the timeout.
+SLOW_CALL_S = 0.7
 LEASE_CHECK_S = 0.02
 # Delay after which a restarted worker's entry tells its new size.
 ENTRY_DELAY_S = 1.0
@@ -256,6 +258,8 @@
         if link == "cut":
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise PlatformError("no response")
+        if link == "slow":
+            await asyncio.sleep(SLOW_CALL_S)
         if link == "late":
             self._world.carry_out_late(model, carry_out)
             await asyncio.sleep(CALL_TIMEOUT_S)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -435,7 +435,7 @@
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
-            if link.closed or (not link.listed and not link.run_count):
+            if not link.is_needed:
                 del self.links[worker]
                 self._cordons.end(worker)
                 self._contact_loss.end(worker)
@@ -444,20 +444,18 @@
         self._release_orphans()
 
     def _open_links_of_unlisted_workers(self) -> None:
-        """Opens links to workers that are missing in the list while tasks may run there.
+        """Opens links to workers that are missing in the list although an earlier owner used them.
 
         An answer shows at once whether the tasks still run, or that another worker has the address.
         Without an answer, the owner has to wait for the leases.
         """
-        workers = set(self._orphans.values())
         for worker in self._known_workers.list_workers():
-            if worker in self.links:
-                continue
-            if worker in workers:
+            if worker not in self.links:
                 self._open_link(self._known_workers.find_entry(worker))
-                self.links[worker].update(None)
-            else:
-                self._known_workers.forget(worker)
+                link = self.links[worker]
+                link.update(None)
+                # Tasks of ended workflows may run there, which no record tells.
+                link.is_awaited = True
 
     def _list_services(self) -> set[str]:
         return self._discovery.list_services(self.partition)
@@ -565,7 +563,7 @@
 
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
-        if link.run_count:
+        if link.run_count or link.is_awaited:
             self._contact_loss.begin(link.worker)
 
     def find_recorded_start(self, worker: str) -> int:
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -244,6 +244,8 @@
         # until it has ended.
         self.unordered_runs: dict[tuple[TaskName, int], float] = {}
         self.closed = False
+        # Whether the worker is to be asked although it is not listed and no run is known there.
+        self.is_awaited = False
         # Whether the entry is recent enough to place tasks by its capacity.
         self.is_capacity_current = True
         self.cordoned = False
@@ -343,6 +345,11 @@
         """Number of runs that are or may be on the worker."""
         return len(self.orders) + len(self.unordered_runs)
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether the worker may be used, or may run something."""
+        return not self.closed and (self.listed or self.run_count > 0 or self.is_awaited)
+
     def _may_send(self) -> bool:
         return not self.closed and self._owner.may_renew()
 
@@ -688,6 +695,7 @@
                 else:
                     order.absence_certain_after_ms = report.clock_ms + LATE_ORDER_WAIT_MS
         self._incarnation = report.born
+        self.is_awaited = False
         first = self._worker_clock_ms is None
         self._worker_clock_ms, self._reported_at = report.clock_ms, self._now()
         if first:
