Take back the losses of workers that were only silent

A worker that could not be reached until its leases had lapsed counts as lost, and five losses of a suspected task end its job, whether a worker has ended or not. When the same start of the worker answered again, the loss stayed: a long-running task whose workers were cut off one after the other, each just after it had started the task, was given up although none of them had ended. The loss of a start that answers again is now removed from the tasks of suspected workflows, and their isolation ends with the last one. Losses of workflows that are not suspected stay until a run outlives them; they isolate and end nothing by themselves.

--- a/packages/carawayd/src/carawayd/partition/losses.py
+++ b/packages/carawayd/src/carawayd/partition/losses.py
@@ -133,6 +133,29 @@
                 self._replace_losses(workflow, step, task, losses)
                 self._judge(workflow, name, task)
 
+    def retract(self, worker: str, born: int) -> None:
+        """Removes the losses of an incarnation that answers again, so that it was only silent."""
+        if not born:
+            return
+        for workflow, step, name, task in self._isolation.list_suspects():
+            losses = tuple(
+                loss for loss in task.losses if (loss.worker, loss.born) != (worker, born)
+            )
+            if losses != task.losses:
+                logger.info(
+                    "worker was only unreachable; its loss no longer counts against the task",
+                    extra={
+                        "fields": {
+                            "task": format_task(name),
+                            "worker": worker,
+                            "born": born,
+                            "losses": len(losses),
+                        }
+                    },
+                )
+                self._replace_losses(workflow, step, task, losses)
+                self._isolation.update(workflow)
+
     def _replace_losses(
         self,
         workflow: WorkflowState,
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -608,6 +608,7 @@
 
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
+        self._losses.retract(link.worker, link.incarnation)
         if self._contact_loss.end(link.worker):
             await self.ledger.flush()
 
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -280,6 +280,11 @@
     def worker(self) -> str:
         return self.entry.worker
 
+    @property
+    def incarnation(self) -> int:
+        """Start of the process that last reported, in Unix milliseconds; 0 before a report."""
+        return self._incarnation
+
     @property
     def is_unresponsive(self) -> bool:
         return self._failures > 0
