Embedded mode: start no job, and give up no attempt, under a claim that has ended

The holder of the claim checked it before a call to a worker, not once the connection was open, so a process that was paused in between started a job that its successor may have placed elsewhere. If the connection failed, the former holder recorded that the attempt had not started, and the job was placed again although the next holder may have started the same attempt. Both lead to two runs of one job. The permission is now checked before the call is sent, as in the platform mode, and again before the record.

Measured, before: the job was started, and "not-started" was recorded, after the claim had ended.

--- a/features/builders_jobs.py
+++ b/features/builders_jobs.py
@@ -114,7 +114,9 @@
         empty: frozenset[str] = frozenset()
         return WorkerStatus("w", "booking", False, 8, 0, empty, empty, list(self.tasks.values()))
 
-    async def start_task(self, address: str, job: str, body: dict[str, Any], pool: str):
+    async def start_task(
+        self, address: str, job: str, body: dict[str, Any], pool: str, may_send: Any = None
+    ):
         self._record_call("start")
         if self.fault == "refuse":
             raise PlatformRefusal(503, None)
--- a/packages/carawayd/src/carawayd/platform/worker.py
+++ b/packages/carawayd/src/carawayd/platform/worker.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
 from carawayd.platform.common import PlatformClient, PlatformError
 from carawayd.platform.plugins import platform_client
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 REVOCATION_STATES = ("not-run", "running", "finished")
 
 
@@ -81,10 +84,23 @@
             raise PlatformError(f"revocation state {state!r}, accepted: {accepted}")
         return state
 
-    async def start_task(self, address: str, job: str, body: dict[str, Any], pool: str) -> Any:
-        """Starts a task; raises PlatformRefusal with status 409 if the lease is outdated."""
+    async def start_task(
+        self,
+        address: str,
+        job: str,
+        body: dict[str, Any],
+        pool: str,
+        may_send: Callable[[], bool],
+    ) -> Any:
+        """Starts a task; raises PlatformRefusal with status 409 if the lease is outdated.
+
+        ``may_send`` is called before the call is sent. If it returns False, the call raises
+        PermissionEnded and has no effect.
+        """
         headers = {"Carawayshore-Pool": pool}
-        return await self._call_task("PUT", address, job, body=body, headers=headers)
+        return await self._call_task(
+            "PUT", address, job, body=body, headers=headers, may_send=may_send
+        )
 
     async def read_task(self, address: str, job: str) -> Any:
         """Returns the state of a task; raises PlatformRefusal with status 404 if it is unknown."""
@@ -110,6 +126,9 @@
         body: Any = None,
         timeout: float | None = None,
         headers: dict[str, str] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Any:
         url = f"http://{address}{path}"
-        return await self.call(method, url, body=body, timeout=timeout, headers=headers)
+        return await self.call(
+            method, url, body=body, timeout=timeout, headers=headers, may_send=may_send
+        )
--- a/packages/carawayd/src/carawayd/process/tasks.py
+++ b/packages/carawayd/src/carawayd/process/tasks.py
@@ -297,11 +297,13 @@
         )
         self._attempted_leases[name] = lease
         try:
-            task = await self._worker.start_task(host.address, name, body, host.pool)
+            task = await self._worker.start_task(
+                host.address, name, body, host.pool, lambda: self._is_current(name, job)
+            )
         except PlatformUnreached as error:
             # Only after the first start call is it certain that the worker has not started the
-            # attempt.
-            if is_first_start_call:
+            # attempt. A later holder of the claim may have started it.
+            if is_first_start_call and self._is_current(name, job):
                 self._append_result(name, job, "not-started", str(error))
             return
         except PlatformRefusal:
