--- a/features/handover.feature
+++ b/features/handover.feature
@@ -20,6 +20,12 @@
     When its last report is 3 s old, it sends a start order and hands over in order
     Then the next owner waits at least 1.6 s and at most 2.2 s more for the leases
 
+  Scenario: A late order that may give the next life of a worker a lease is waited for
+    Given an owner whose start order of run 1 got no response
+    When a report shows that the worker was born again
+    And it hands over in order and the next owner takes over
+    Then the next owner waits at least 15 s and at most 21 s more for the leases
+
   # Guards against two runs of one task: the next owner renews the leases after it has read how long
   # they last, and is lost.
 
--- a/packages/carawayd/src/carawayd/partition/advisor.py
+++ b/packages/carawayd/src/carawayd/partition/advisor.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from carawayd.platform.common import PlatformError
+from carawayd.supervision import start_in_background
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -75,7 +76,7 @@
         ][:MAX_WORKERS_PER_CALL]
         if candidates:
             self._in_progress.add(key)
-            asyncio.ensure_future(self._request_tickets(key, candidates, config))
+            start_in_background(self._request_tickets(key, candidates, config))
 
     async def _request_tickets(
         self, key: StepKey, candidates: list[str], config: AdviceConfig
--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -60,7 +60,8 @@
         if digits.isdigit() and value.startswith(DURATION_MARK):
             earlier_seconds = int(digits) / 1000
         elif digits.isdigit() and value.startswith(LEASE_MARK):
-            earlier_seconds = max(0.0, lease_bound_seconds - int(digits) / 1000)
+            # Negative if a late order may give a lease that lasts beyond the bound.
+            earlier_seconds = lease_bound_seconds - int(digits) / 1000
         now = self._now()
         self._losses[worker] = _Loss(earlier_seconds, now, now)
 
@@ -112,6 +113,7 @@
         def encode() -> bytes:
             if worker not in self._losses:
                 return b""
-            return DURATION_MARK + str(int(self.measure_seconds(worker) * 1000)).encode()
+            seconds = max(0.0, self.measure_seconds(worker))
+            return DURATION_MARK + str(int(seconds * 1000)).encode()
 
         self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
--- a/packages/carawayd/src/carawayd/process/keys.py
+++ b/packages/carawayd/src/carawayd/process/keys.py
@@ -18,6 +18,7 @@
 
 from carawayd.process.appender import AppendOutcomeUnknown, NotAppended, Priority
 from carawayd.process.messages import Header, KeyAnswer, KeyClaim, KeyCopied, KeyCopy, KeyDone
+from carawayd.supervision import start_in_background
 from carawayshore import records
 from carawayshore.hashing import rank_candidates
 from carawayshore.keys import (
@@ -105,7 +106,6 @@
         self._ticket_incarnations: set[int] = set()
         # Offset of the quarantine last seen, and the time when it was seen or its end submitted.
         self._quarantine = (-1, timedelta())
-        self._tasks: set[asyncio.Task[None]] = set()
         membership.has_unlogged_grants = lambda: bool(self._unlogged_grants)
         peers.add_handler(KeyClaim, self._handle_claim)
         peers.add_handler(KeyAnswer, self._handle_answer)
@@ -220,9 +220,7 @@
             self._pending_answers.pop((claim.key, claim.request), None)
 
     def _handle_claim(self, header: Header, body: KeyClaim) -> None:
-        task = asyncio.ensure_future(self._answer_claim(header, body))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        start_in_background(self._answer_claim(header, body))
 
     async def _answer_claim(self, header: Header, claim: KeyClaim) -> None:
         if claim.relayed or parse_ticket(claim.key):
