--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -213,7 +213,7 @@
     harness = context.harness
     lose_poll(context)
     harness.clock.seconds += seconds
-    harness.owner._contact_loss.record_progress(10.0)
+    harness.owner._contact_loss.record_progress()
     following = _succeed(context)
     following.list_worker()
     lose_poll(context)
--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -14,6 +15,9 @@
 DURATION_MARK = b"+"
 # Marks a duration that an owner measured which had ordered the worker before.
 CONTACT_MARK = b"="
+# Marks the longest time in ms for which the leases of a worker last, as recorded by an owner that
+# handed over. Earlier versions read it as a worker that has just become unresponsive.
+LEASE_MARK = b"-"
 # Interval at which the time is recorded anew, so that a later owner continues from it.
 RECORD_INTERVAL_SECONDS = 1.0
 # Time after which an owner that continues a measurement records it first, so that owners that
@@ -21,6 +25,25 @@
 FIRST_RECORD_SECONDS = 0.2
 
 
+class LeaseBounds(NamedTuple):
+    """Times that bound the leases of a worker.
+
+    Parameters
+    ----------
+    lease_seconds : float
+        Longest time from the renewal of a lease to its certain end.
+    abandon_seconds : float
+        Longest time for which a former owner goes on renewing.
+    """
+
+    lease_seconds: float
+    abandon_seconds: float
+
+    @property
+    def longest(self) -> float:
+        return self.lease_seconds + self.abandon_seconds
+
+
 class _Loss(NamedTuple):
     """Loss of contact.
 
@@ -52,26 +75,44 @@
     ----------
     clock : Clock
     ledger : Ledger
+    bounds : LeaseBounds
     """
 
-    def __init__(self, clock: Clock, ledger: Ledger) -> None:
+    def __init__(self, clock: Clock, ledger: Ledger, bounds: LeaseBounds) -> None:
         self._clock = clock
         self._ledger = ledger
+        self._bounds = bounds
         self._losses: dict[str, _Loss] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
 
     def restore(self, worker: str, value: bytes) -> None:
-        """Continues from the duration that an earlier owner recorded."""
+        """Continues from the duration that an earlier owner recorded.
+
+        If that owner handed over and recorded how long the leases last, the worker counts as
+        unresponsive for so long that the rest of the longest wait covers them.
+        """
         mark, digits = value[:1], value[1:]
-        is_duration = mark in (DURATION_MARK, CONTACT_MARK) and digits.isdigit()
+        earlier_seconds, had_contact = 0.0, False
+        if digits.isdigit() and mark in (DURATION_MARK, CONTACT_MARK):
+            earlier_seconds, had_contact = int(digits) / 1000, mark == CONTACT_MARK
+        elif digits.isdigit() and mark == LEASE_MARK:
+            # Negative if a late order may give a lease that lasts beyond the longest wait.
+            earlier_seconds = self._bounds.longest - int(digits) / 1000
         now = self._now()
-        earlier_seconds = int(digits) / 1000 if is_duration else 0.0
         recorded_at = now + FIRST_RECORD_SECONDS - RECORD_INTERVAL_SECONDS
-        had_contact = is_duration and mark == CONTACT_MARK
         self._losses[worker] = _Loss(earlier_seconds, now, recorded_at, had_contact)
 
+    def record_lease(self, worker: str, seconds: float) -> None:
+        """Records the longest time for which leases last that are no longer renewed."""
+        until = self._now() + seconds
+
+        def encode() -> bytes:
+            return _encode_lease(max(0.0, until - self._now()))
+
+        self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
+
     def begin(self, worker: str, *, had_contact: bool = False) -> None:
         """Starts measuring, unless the worker is known as unresponsive.
 
@@ -94,34 +135,26 @@
         loss = self._losses.get(worker)
         return loss.earlier_seconds + self._now() - loss.since if loss else 0.0
 
-    def are_leases_over(self, worker: str, lease_seconds: float, abandon_seconds: float) -> bool:
-        """Returns whether every lease that any owner has renewed on the worker has expired.
-
-        Parameters
-        ----------
-        worker : str
-        lease_seconds : float
-            Longest time from the renewal of a lease to its certain end.
-        abandon_seconds : float
-            Longest time for which a former owner goes on renewing.
-        """
+    def are_leases_over(self, worker: str) -> bool:
+        """Returns whether every lease that any owner has renewed on the worker has expired."""
         loss = self._losses.get(worker)
         if loss is None:
             return False
-        bound = lease_seconds if loss.had_contact else abandon_seconds + lease_seconds
+        bounds = self._bounds
+        bound = bounds.lease_seconds if loss.had_contact else bounds.longest
         return self.measure_seconds(worker) > bound
 
-    def record_progress(self, limit_seconds: float) -> None:
+    def record_progress(self) -> None:
         """Records the durations whose last record is older than ``RECORD_INTERVAL_SECONDS``.
 
-        Durations beyond ``limit_seconds`` need no further record.
+        Durations beyond the longest wait need no further record.
         """
         now = self._now()
         for worker, loss in list(self._losses.items()):
             recorded_seconds = loss.earlier_seconds + loss.recorded_at - loss.since
             if (
                 now - loss.recorded_at >= RECORD_INTERVAL_SECONDS
-                and recorded_seconds <= limit_seconds
+                and recorded_seconds <= self._bounds.longest
             ):
                 self._losses[worker] = loss._replace(recorded_at=now)
                 self._record(worker)
@@ -130,7 +163,14 @@
         def encode() -> bytes:
             if worker not in self._losses:
                 return b""
+            measured = self.measure_seconds(worker)
+            if measured < 0:
+                return _encode_lease(self._bounds.longest - measured)
             mark = CONTACT_MARK if self._losses[worker].had_contact else DURATION_MARK
-            return mark + str(int(self.measure_seconds(worker) * 1000)).encode()
+            return mark + str(int(measured * 1000)).encode()
 
         self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
+
+
+def _encode_lease(seconds: float) -> bytes:
+    return LEASE_MARK + str(math.ceil(seconds * 1000)).encode()
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -18,7 +18,7 @@
 from mode import Service
 
 from carawayd.partition.advisor import Advisor
-from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss
+from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss, LeaseBounds
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.demand import Demand
@@ -183,6 +183,8 @@
         self.fence = epoch
         self.loaded = False
         self.lost = False
+        # Whether a record of this owner is durable, apart from the epoch.
+        self._has_written = False
         self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock, metrics)
         self.workflows: dict[str, WorkflowState] = {}
         self.links: dict[str, WorkerLink] = {}
@@ -200,7 +202,8 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Worker of each task that an earlier owner ordered, until the link to the worker tracks it.
         self._orphans: dict[TaskName, str] = {}
-        self._contact_loss = ContactLoss(clock, self.ledger)
+        bounds = LeaseBounds(compute_lease_seconds(settings), settings.abandon_seconds)
+        self._contact_loss = ContactLoss(clock, self.ledger, bounds)
         self._known_workers = KnownWorkers(self.ledger)
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
@@ -260,11 +263,12 @@
                 )
                 return
             await self.add_runtime_dependency(self.ledger)
+            start_in_background(
+                self._announce(), lambda: self._mark_lost("its first record could not be written")
+            )
         while not self.should_stop and not self.lost:
             self._scan_workers()
-            self._contact_loss.record_progress(
-                self._settings.abandon_seconds + compute_lease_seconds(self._settings)
-            )
+            self._contact_loss.record_progress()
             self._expire_entries()
             self._waits.check(self.fence)
             if self.ledger.lost:
@@ -272,6 +276,19 @@
                 return
             await self._clock.sleep(SCAN_INTERVAL)
 
+    async def _announce(self) -> None:
+        """Writes a first record, before which no lease is renewed.
+
+        By it, a former owner that gets the partition back notices that leases may have been renewed
+        meanwhile.
+        """
+        self.ledger.mark_dirty(PROBE_KEY, bytes)
+        try:
+            await self.ledger.flush()
+        except OwnershipLost:
+            return
+        self._has_written = True
+
     async def _load(self) -> None:
         now = self._now()
         records = []
@@ -349,7 +366,12 @@
         return unchanged
 
     async def hand_over(self) -> None:
-        """Stops accepting calls and waits until all records are durable."""
+        """Stops accepting calls and waits until all records are durable.
+
+        Among them is how long the leases last, none of which this owner renews any more.
+        """
+        if not self.lost:
+            self._record_leases()
         self.lost = True
         try:
             async with asyncio.timeout(HANDOVER_TIMEOUT_SECONDS):
@@ -361,6 +383,13 @@
                 extra={"fields": {"partition": self.partition, "error": repr(error)}},
             )
 
+    def _record_leases(self) -> None:
+        """Records how long the leases on each worker last, which this owner no longer renews."""
+        for link in self.links.values():
+            seconds = link.measure_lease_seconds()
+            if link.run_count and seconds is not None:
+                self._contact_loss.record_lease(link.worker, seconds)
+
     def _mark_lost(self, why: str) -> None:
         if not self.lost:
             self.lost = True
@@ -403,7 +432,7 @@
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
-            if link.closed or (not link.listed and not link.run_count):
+            if not link.is_needed:
                 del self.links[worker]
                 self._cordons.end(worker)
                 self._contact_loss.end(worker)
@@ -412,20 +441,18 @@
         self._release_orphans()
 
     def _open_links_of_unlisted_workers(self) -> None:
-        """Opens links to workers that are missing in the list while tasks may run there.
+        """Opens links to workers that are missing in the list although an earlier owner used them.
 
         An answer shows at once whether the tasks still run, or that another worker has the address.
         Without an answer, the owner has to wait for the leases.
         """
-        workers = set(self._orphans.values())
         for worker in self._known_workers.list_workers():
-            if worker in self.links:
-                continue
-            if worker in workers:
+            if worker not in self.links:
                 self._open_link(self._known_workers.find_entry(worker))
-                self.links[worker].update(None)
-            else:
-                self._known_workers.forget(worker)
+                link = self.links[worker]
+                link.update(None)
+                # Tasks of ended workflows may run there, which no record tells.
+                link.is_awaited = True
 
     def _list_services(self) -> set[str]:
         return self._discovery.list_services(self.partition)
@@ -532,7 +559,7 @@
 
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
-        if link.run_count:
+        if link.run_count or link.is_awaited:
             self._contact_loss.begin(link.worker, had_contact=link.had_contact)
 
     def find_recorded_start(self, worker: str) -> int:
@@ -577,18 +604,17 @@
 
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
+        self._losses.retract(link.worker, link.incarnation)
         if self._contact_loss.end(link.worker):
             await self.ledger.flush()
 
     def are_leases_over(self, worker: str) -> bool:
         """Returns whether every lease that any owner has renewed on a worker has expired."""
-        return self._contact_loss.are_leases_over(
-            worker, compute_lease_seconds(self._settings), self._settings.abandon_seconds
-        )
+        return self._contact_loss.are_leases_over(worker)
 
     def may_renew(self) -> bool:
         """Returns whether orders may be sent and leases renewed."""
-        return not self.lost and self._may_renew()
+        return not self.lost and self._has_written and self._may_renew()
 
     def handle_report(self, link: WorkerLink) -> None:
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -244,6 +244,8 @@
         # until it has ended.
         self.unordered_runs: dict[tuple[TaskName, int], float] = {}
         self.closed = False
+        # Whether the worker is to be asked although it is not listed and no run is known there.
+        self.is_awaited = False
         # Whether the entry is recent enough to place tasks by its capacity.
         self.is_capacity_current = True
         self.cordoned = False
@@ -280,6 +282,11 @@
     def worker(self) -> str:
         return self.entry.worker
 
+    @property
+    def incarnation(self) -> int:
+        """Start of the process that last reported, in Unix milliseconds; 0 before a report."""
+        return self._incarnation
+
     @property
     def is_unresponsive(self) -> bool:
         return self._failures > 0
@@ -350,6 +357,11 @@
         """Number of runs that are or may be on the worker."""
         return len(self.orders) + len(self.unordered_runs)
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether the worker may be used, or may run something."""
+        return not self.closed and (self.listed or self.run_count > 0 or self.is_awaited)
+
     def _may_send(self) -> bool:
         return not self.closed and self._owner.may_renew()
 
@@ -357,16 +369,23 @@
         elapsed = self._now() - self._reported_at
         return int((self._worker_clock_ms or 0) + elapsed * 1000)
 
+    def measure_lease_seconds(self) -> float | None:
+        """Returns for how long leases on the worker may last unless they are renewed.
+
+        None if the worker has not reported to this link.
+        """
+        if self._worker_clock_ms is None:
+            return None
+        lease = max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
+        return max(0.0, lease + LEASE_MARGIN_SECONDS - self.silent_seconds)
+
     @property
     def is_lease_expired(self) -> bool:
         """Whether the worker has been unresponsive for so long that its lease has expired."""
-        now = self._now()
-        if self._worker_clock_ms is None:
-            return self._owner.are_leases_over(self.worker)
-        remaining = (
-            max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
-        )
-        return now - self._reported_at > remaining + LEASE_MARGIN_SECONDS
+        remaining = self.measure_lease_seconds()
+        if remaining is not None:
+            return remaining <= 0
+        return self._owner.are_leases_over(self.worker)
 
     async def _ensure_recent_report(self) -> bool:
         """Waits for a report if the last one is old; returns whether a start order may be sent."""
@@ -692,6 +711,7 @@
                         report.clock_ms + self._measure_late_order_wait_ms(order)
                     )
         self._incarnation = report.born
+        self.is_awaited = False
         first = self._worker_clock_ms is None
         self._worker_clock_ms, self._reported_at = report.clock_ms, self._now()
         self._reported_fence = self._requested_fence
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -272,7 +272,7 @@
 
 @mutation("an earlier owner's renewals are waited for", OWNERS)
 def ignore_earlier_leases() -> None:
-    workerlink.compute_lease_bound_seconds = owner.compute_lease_bound_seconds = lambda settings: 1
+    contactloss.LeaseBounds.longest = property(lambda self: 1.0)
 
 
 @mutation("silence is measured without the time of day", OWNERS)
