--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument, parse_count
+
 if TYPE_CHECKING:
     from carawayd.partition.ledger import Ledger
     from carawayshore.clock import Clock
@@ -12,6 +15,8 @@
 UNRESPONSIVE_PREFIX = "~"
 # Marks a duration in ms; earlier versions recorded a time of day without it.
 DURATION_MARK = b"+"
+# Owners stop recording within seconds of the bound on leases, so a longer duration is an error.
+MAX_DURATION_MS = 24 * 3_600_000
 # Interval at which the time is recorded anew, so that a later owner continues from it.
 RECORD_INTERVAL_SECONDS = 1.0
 
@@ -46,11 +51,18 @@
         return self._clock.elapsed().total_seconds()
 
     def restore(self, worker: str, value: bytes) -> None:
-        """Continues from the duration that an earlier owner recorded."""
-        digits = value.removeprefix(DURATION_MARK)
-        is_duration = value.startswith(DURATION_MARK) and digits.isdigit()
+        """Continues from the duration that an earlier owner recorded.
+
+        From a record that cannot be read, the whole time is waited again.
+        """
+        seconds = 0.0
+        if value.startswith(DURATION_MARK):
+            try:
+                seconds = parse_count(value.removeprefix(DURATION_MARK), MAX_DURATION_MS) / 1000
+            except MalformedDocument as error:
+                unreadable_records.note(self._ledger.topic, UNRESPONSIVE_PREFIX + worker, error)
         now = self._now()
-        self._losses[worker] = _Loss(int(digits) / 1000 if is_duration else 0.0, now, now)
+        self._losses[worker] = _Loss(seconds, now, now)
 
     def begin(self, worker: str) -> None:
         """Starts measuring, unless the worker is known as unresponsive."""
--- a/packages/carawayd/src/carawayd/partition/cordons.py
+++ b/packages/carawayd/src/carawayd/partition/cordons.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument, parse_count
+
 if TYPE_CHECKING:
     from carawayd.partition.ledger import Ledger
     from carawayshore.clock import Clock
@@ -39,9 +42,18 @@
         return self._clock.elapsed().total_seconds()
 
     def restore(self, worker: str, value: bytes) -> None:
-        """Applies a cordon that an earlier owner recorded."""
-        if value.isdigit():
-            self._ends[worker] = self._now() + min(int(value) / 1000, MAX_LIFETIME_SECONDS)
+        """Applies a cordon that an earlier owner recorded.
+
+        A record that cannot be read, or holds a longer lifetime, counts as the longest one.
+        """
+        if not value:
+            return
+        lifetime = MAX_LIFETIME_SECONDS
+        try:
+            lifetime = min(parse_count(value) / 1000, MAX_LIFETIME_SECONDS)
+        except MalformedDocument as error:
+            unreadable_records.note(self._ledger.topic, CORDON_PREFIX + worker, error)
+        self._ends[worker] = self._now() + lifetime
 
     def find_end(self, worker: str) -> float | None:
         """Returns the recorded end of a worker's cordon, None if it has none."""
--- a/packages/carawayd/src/carawayd/partition/knownworkers.py
+++ b/packages/carawayd/src/carawayd/partition/knownworkers.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import (
+    MalformedDocument,
+    check_address,
+    check_bounds,
+    decode_json,
+    reject,
+)
 from carawayshore.workflows.model import WorkerEntry
 
 if TYPE_CHECKING:
     from carawayd.partition.ledger import Ledger
-logger = logging.getLogger(__name__)
 
 # Prefix of ledger keys for the entry of a worker.
 WORKER_PREFIX = "@"
@@ -33,15 +39,22 @@
         self._entries: dict[str, WorkerEntry] = {}
 
     def restore(self, worker: str, value: bytes) -> None:
+        """Applies the record of an earlier owner; one that cannot be read is noted."""
         if not value:
             return
         try:
-            self._entries[worker] = msgspec.json.decode(value, type=WorkerEntry)
-        except msgspec.MsgspecError as error:
-            logger.warning(
-                "recorded entry of a worker is unreadable; skipping it",
-                extra={"fields": {"worker": worker, "error": str(error)}},
-            )
+            entry = decode_json(value, WorkerEntry)
+            check_bounds(entry)
+            check_address(entry.address, "/2")
+            capacity = (entry.millicores, entry.memory_mb, entry.accelerators)
+            if min(capacity) < 0:
+                raise reject("/5", min(capacity), "a capacity from 0")
+            if entry.worker != worker:
+                raise reject("/0", entry.worker, f"the worker of the record, {worker}")
+        except MalformedDocument as error:
+            unreadable_records.note(self._ledger.topic, WORKER_PREFIX + worker, error)
+            return
+        self._entries[worker] = entry
 
     def find_entry(self, worker: str) -> WorkerEntry | None:
         return self._entries.get(worker)
--- a/packages/carawayd/src/carawayd/platform/advice.py
+++ b/packages/carawayd/src/carawayd/platform/advice.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, NotRequired, TypedDict
 
-from carawayd.platform.common import PlatformClient, PlatformError
+import msgspec
+
+from carawayd.platform.common import PlatformClient
 from carawayd.platform.plugins import platform_client
+from carawayshore.decoding import Milliseconds
 
 
 class Advice(NamedTuple):
@@ -23,6 +26,16 @@
     valid_seconds: float
 
 
+class _TicketRow(msgspec.Struct, array_like=True):
+    worker: str
+    ticket: str
+
+
+class _AdviceDocument(TypedDict):
+    allowed: list[_TicketRow]
+    validMs: NotRequired[Milliseconds | None]
+
+
 @platform_client("advice")
 class AdviceClient(PlatformClient):
     """Requests tickets for one step per call; the service queues the calls of a host."""
@@ -40,9 +53,8 @@
             If there was no valid response.
         """
         body = {"step": f"{workflow}.{occurrence}.{step}", "workers": workers}
-        document = await self.call("POST", "/api/advise", body=body, timeout=timeout)
-        try:
-            tickets = {str(row[0]): str(row[1]) for row in document["allowed"]}
-            return Advice(tickets, int(document.get("validMs") or 0) / 1000)
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            raise PlatformError(f"malformed advice: {error!r}") from error
+        document = await self.call(
+            "POST", "/api/advise", body=body, timeout=timeout, kind=_AdviceDocument
+        )
+        tickets = {row.worker: row.ticket for row in document["allowed"]}
+        return Advice(tickets, (document.get("validMs") or 0) / 1000)
--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import struct
 from contextvars import ContextVar
@@ -11,6 +12,8 @@
 import aiohttp
 import msgspec
 
+from carawayshore.decoding import MalformedDocument, convert, decode_json
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -19,6 +22,8 @@
 # The only server error after which nothing was done.
 SERVICE_UNAVAILABLE = 503
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+RETRY_AFTER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
+MAX_RETRY_AFTER_SECONDS = 3_600.0
 # Longer than the intervals between calls to one service, so that connections are reused.
 KEEPALIVE_SECONDS = 60.0
 # Delay before a replaced session is closed; its pending calls time out within this.
@@ -60,6 +65,12 @@
         self.document = document
         self.retry_after = retry_after
 
+    @property
+    def reason(self) -> str:
+        """Reason that the service gave, empty if it gave none."""
+        reason = self.document.get("reason") if isinstance(self.document, dict) else None
+        return reason if isinstance(reason, str) else ""
+
 
 class _Attempt:
     """State of one request: the permission to send it, and whether sending has begun."""
@@ -176,7 +187,8 @@
                 return response, body
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnreached(f"{method} {path}: {error}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            # A ValueError tells of an address, header or response that the HTTP library rejects.
             if isinstance(error, TimeoutError) and session is self._session:
                 self._replace_session()
             kind = PlatformError if attempt.sent else PlatformUnreached
@@ -191,10 +203,16 @@
         timeout: float | None = None,
         headers: dict[str, str] | None = None,
         may_send: Callable[[], bool] | None = None,
+        kind: Any = Any,
     ) -> Any:
         """Calls the service and returns the decoded JSON of the response.
 
-        The parameters are those of :meth:`send_request`.
+        The other parameters are those of :meth:`send_request`.
+
+        Parameters
+        ----------
+        kind : Any, optional
+            Type of the response.
 
         Raises
         ------
@@ -212,19 +230,45 @@
         response, text = await self.send_request(
             method, path, data=data, timeout=timeout, headers=headers, may_send=may_send
         )
-        return self._decode_response(response, text)
+        return self._decode_response(response, text, kind)
 
-    def _decode_response(self, response: aiohttp.ClientResponse, data: bytes) -> Any:
+    def _decode_response(
+        self, response: aiohttp.ClientResponse, data: bytes, kind: Any = Any
+    ) -> Any:
+        if response.status >= 400:
+            self._raise_refusal(response, data)
+        if not data and kind is Any:
+            return None
+        return decode_response(data, kind)
+
+    def _raise_refusal(self, response: aiohttp.ClientResponse, data: bytes) -> None:
+        if response.status >= 500 and response.status != SERVICE_UNAVAILABLE:
+            raise PlatformFailure(f"the service failed with status {response.status}")
         try:
-            document = msgspec.json.decode(data) if data else None
-        except msgspec.DecodeError as error:
-            if response.status < 400:
-                raise PlatformError(f"response is not JSON: {error}") from error
+            document = decode_json(data)
+        except MalformedDocument:
             document = None
-        if response.status >= 400:
-            retry_after = response.headers.get("Retry-After", "0")
-            seconds = float(retry_after) if retry_after.replace(".", "", 1).isdigit() else 0.0
-            if response.status >= 500 and response.status != SERVICE_UNAVAILABLE:
-                raise PlatformFailure(f"the service failed with status {response.status}")
-            raise PlatformRefusal(response.status, document, seconds)
-        return document
+        retry_after = _parse_retry_after(response.headers.get("Retry-After", ""))
+        raise PlatformRefusal(response.status, document, retry_after)
+
+
+def decode_response(data: bytes, kind: Any) -> Any:
+    """Returns the JSON of a response; raises PlatformError if it is malformed."""
+    try:
+        return decode_json(data, kind)
+    except MalformedDocument as error:
+        raise PlatformError(f"malformed response: {error}") from error
+
+
+def convert_response(document: Any, kind: Any) -> Any:
+    """Returns a decoded response as the type ``kind``; raises PlatformError if it has another."""
+    try:
+        return convert(document, kind)
+    except MalformedDocument as error:
+        raise PlatformError(f"malformed response: {error}") from error
+
+
+def _parse_retry_after(text: str) -> float:
+    if not RETRY_AFTER.fullmatch(text):
+        return 0.0
+    return min(float(text), MAX_RETRY_AFTER_SECONDS)
--- a/packages/carawayd/src/carawayd/platform/documents.py
+++ b/packages/carawayd/src/carawayd/platform/documents.py
@@ -2,10 +2,30 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Literal, NotRequired, TypedDict
 
 import msgspec
 
+from carawayd.platform.store import WORKERS_TOPIC
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import (
+    MAX_IDENTIFIER_LENGTH,
+    Count,
+    Identifier,
+    MalformedDocument,
+    Milliseconds,
+    Number,
+    Quantity,
+    Seconds,
+    Text,
+    UnixMilliseconds,
+    check_address,
+    check_bounds,
+    convert,
+    decode_json,
+    is_identifier,
+    reject,
+)
 from carawayshore.findings import Finding, join_pointer
 from carawayshore.workflows.model import (
     AdviceConfig,
@@ -18,6 +38,7 @@
     Workflow,
     check_steps,
 )
+from carawayshore.workflows.state import MAX_OCCURRING_TASKS, count_occurring_tasks
 
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
@@ -28,63 +49,136 @@
 WORKER_STATES = {"ready": "ready", "draining": "draining"}
 # Fields of a step: name on the wire, field of StepSpec, type of the value.
 STEP_FIELDS = {
-    "count": ("count", int),
-    "cpu": ("millicores", int),
-    "memMb": ("memory_mb", int),
-    "gpus": ("accelerators", int),
-    "estimateMs": ("estimate_ms", int),
-    "after": ("after", tuple),
+    "count": ("count", Count),
+    "cpu": ("millicores", Count),
+    "memMb": ("memory_mb", Count),
+    "gpus": ("accelerators", Count),
+    "estimateMs": ("estimate_ms", Count),
+    "after": ("after", tuple[Count, ...]),
     "checkpointing": ("checkpointing", bool),
     "gang": ("gang", bool),
     "sameRack": ("same_rack", bool),
     "requiredLabel": ("label", str),
     "affinity": ("rack", str),
-    "maxPerServer": ("most_per_worker", int),
+    "maxPerServer": ("most_per_worker", Count),
     "speculative": ("speculative", bool),
     "longRunning": ("long_running", bool),
     "image": ("image", str),
-    "targetMs": ("latency_target_ms", int),
+    "targetMs": ("latency_target_ms", Count),
     "fills": ("best_effort", bool),
     # Number of tasks of a long-running step that may be interrupted by carawayd's own actions.
-    "mayMiss": ("most_away", int),
+    "mayMiss": ("most_away", Count),
+}
+# Fields that repeat a job: name on the wire and type of the value.
+OCCURRENCE_FIELDS = {
+    "repeatCount": Quantity,
+    "startAtMs": UnixMilliseconds,
+    "intervalMs": Milliseconds,
 }
 
 
+class _ServiceDocument(TypedDict):
+    name: str
+    rejectsOverload: NotRequired[bool | None]
+    standby: NotRequired[bool | None]
+    healthPath: NotRequired[str | None]
+
+
+class _AdviceDocument(TypedDict):
+    decisionMs: NotRequired[Milliseconds | None]
+    perWorkerMs: NotRequired[Milliseconds | None]
+    validMs: NotRequired[Milliseconds | None]
+
+
+class _RouteDocument(TypedDict):
+    name: NotRequired[str | None]
+    host: NotRequired[str | None]
+    pathPrefix: str
+    backend: str
+    priority: NotRequired[Number | None]
+    maxAttempts: NotRequired[Quantity | None]
+    stretch: NotRequired[Quantity | None]
+    targetDurationMs: NotRequired[Milliseconds | None]
+    timeoutMs: NotRequired[Milliseconds | None]
+    advice: NotRequired[_AdviceDocument | None]
+
+
+class _LimitsDocument(TypedDict):
+    maxBodyBytes: NotRequired[Quantity | None]
+
+
+class _ConfigurationDocument(TypedDict):
+    version: Quantity
+    routes: NotRequired[list[_RouteDocument] | None]
+    services: NotRequired[list[_ServiceDocument] | None]
+    limits: NotRequired[_LimitsDocument | None]
+
+
+class _CapacityDocument(TypedDict):
+    cpu: Quantity
+    memMb: Quantity
+    gpus: NotRequired[Quantity | None]
+
+
+class _WorkerDocument(TypedDict):
+    backend: Text
+    address: str
+    zone: NotRequired[str | None]
+    state: Literal["ready", "draining"]
+    capacity: _CapacityDocument
+    labels: NotRequired[list[str] | None]
+    machine: NotRequired[str | None]
+    born: NotRequired[UnixMilliseconds | None]
+
+
+class _WaveDocument(TypedDict):
+    wave: Quantity
+    machines: list[Identifier]
+    withinS: NotRequired[Seconds | None]
+    cap: NotRequired[Quantity | None]
+
+
 def decode_configuration(value: bytes) -> Deployment:
-    """Returns the configuration; raises ValueError if the document is malformed."""
-    try:
-        document = msgspec.json.decode(value)
-        queues = tuple(_decode_queue(item) for item in document.get("routes") or ())
-        services = {
-            str(item["name"]): ServiceConfig(
-                str(item["name"]),
-                bool(item.get("rejectsOverload", False)),
-                bool(item.get("standby", False)),
-                str(item.get("healthPath") or ""),
-            )
-            for item in document.get("services") or ()
-        }
-        limits = document.get("limits") or {}
-        return Deployment(
-            int(document["version"]),
-            queues,
-            services,
-            int(limits.get("maxBodyBytes") or DEFAULT_MAX_BODY_BYTES),
+    """Returns the configuration; raises MalformedDocument if the document is malformed."""
+    document = decode_json(value, _ConfigurationDocument)
+    for field in ("routes", "services"):
+        for number, item in enumerate(document.get(field) or ()):
+            _check_name(item.get("name") or "", f"/{field}/{number}/name")
+    queues = tuple(_decode_queue(item) for item in document.get("routes") or ())
+    services = {
+        item["name"]: ServiceConfig(
+            item["name"],
+            bool(item.get("rejectsOverload")),
+            bool(item.get("standby")),
+            item.get("healthPath") or "",
         )
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError, ValueError) as error:
-        raise ValueError(f"malformed configuration: {error!r}") from error
+        for item in document.get("services") or ()
+    }
+    limits = document.get("limits") or {}
+    return Deployment(
+        int(document["version"]),
+        queues,
+        services,
+        int(limits.get("maxBodyBytes") or DEFAULT_MAX_BODY_BYTES),
+    )
 
 
-def _decode_queue(item: dict[str, Any]) -> QueueConfig:
+def _check_name(name: str, pointer: str) -> None:
+    """Checks a name that becomes part of a key in the store."""
+    if len(name.encode()) > MAX_IDENTIFIER_LENGTH:
+        raise reject(pointer, name, f"a name of at most {MAX_IDENTIFIER_LENGTH} bytes")
+
+
+def _decode_queue(item: _RouteDocument) -> QueueConfig:
     advice = item.get("advice")
     return QueueConfig(
-        name=str(item.get("name") or ""),
-        host=str(item.get("host") or ""),
-        prefix=str(item["pathPrefix"]),
-        service=str(item["backend"]),
+        name=item.get("name") or "",
+        host=item.get("host") or "",
+        prefix=item["pathPrefix"],
+        service=item["backend"],
         priority=int(item.get("priority") or 0),
         max_failures=int(item.get("maxAttempts") or 1),
-        stretch=float(item.get("stretch") or 1.0),
+        stretch=item.get("stretch") or 1.0,
         # The objective of a workflow is ``stretch`` times its expected run time plus this.
         allowance_ms=int(item.get("targetDurationMs") or 0),
         timeout_ms=int(item.get("timeoutMs") or 0),
@@ -101,32 +195,32 @@
 
 
 def decode_worker(key: str, value: bytes) -> WorkerEntry | None:
-    """Returns a worker's entry, or None if it is malformed or its state is not a known one."""
+    """Returns a worker's entry, or None if it cannot be read, which is noted."""
     try:
-        document = msgspec.json.decode(value)
-        capacity = document["capacity"]
-        state = WORKER_STATES[document["state"]]
-        return WorkerEntry(
-            worker=key,
-            service=str(document["backend"]),
-            address=_check_address(document["address"]),
-            data_centre=str(document.get("zone") or ""),
-            state=state,
-            millicores=int(capacity["cpu"]),
-            memory_mb=int(capacity["memMb"]),
-            accelerators=int(capacity.get("gpus") or 0),
-            labels=tuple(str(label) for label in document.get("labels") or ()),
-            machine=str(document.get("machine") or ""),
-            born=int(document.get("born") or 0),
-        )
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError, ValueError):
+        return _decode_worker(key, value)
+    except MalformedDocument as error:
+        unreadable_records.note(WORKERS_TOPIC, key, error)
         return None
 
 
-def _check_address(value: Any) -> str:
-    if not isinstance(value, str) or ":" not in value:
-        raise ValueError(f"invalid address {value!r}: expected HOST:PORT")
-    return value
+def _decode_worker(key: str, value: bytes) -> WorkerEntry:
+    if not is_identifier(key):
+        raise reject("", key, "a key of printable ASCII characters without spaces")
+    document = decode_json(value, _WorkerDocument)
+    capacity = document["capacity"]
+    return WorkerEntry(
+        worker=key,
+        service=document["backend"],
+        address=check_address(document["address"], "/address"),
+        data_centre=document.get("zone") or "",
+        state=WORKER_STATES[document["state"]],
+        millicores=int(capacity["cpu"]),
+        memory_mb=int(capacity["memMb"]),
+        accelerators=int(capacity.get("gpus") or 0),
+        labels=tuple(document.get("labels") or ()),
+        machine=document.get("machine") or "",
+        born=int(document.get("born") or 0),
+    )
 
 
 def decode_submission(
@@ -134,14 +228,13 @@
 ) -> tuple[Workflow | None, list[Finding]]:
     """Returns the submitted workflow, or None and the findings about its document."""
     findings: list[Finding] = []
-    if not is_identifier(identifier):
+    if not is_workflow_identifier(identifier):
         findings.append(Finding("", identifier, "an identifier of 16 hexadecimal digits"))
     try:
-        document = msgspec.json.decode(body)
-    except msgspec.DecodeError:
-        document = None
-    if not isinstance(document, dict):
-        return None, [*findings, Finding("", type(document).__name__, "a JSON object")]
+        document = decode_json(body, dict[str, Any])
+        check_bounds(document)
+    except MalformedDocument as error:
+        return None, [*findings, error.finding]
     spec = document.get("spec", "")
     if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
         findings.append(
@@ -151,13 +244,17 @@
     if not isinstance(steps, list) or not steps:
         return None, [*findings, Finding("/steps", type(steps).__name__, "a list of steps")]
     decoded = [_decode_step(f"/steps/{place}", step, findings) for place, step in enumerate(steps)]
-    numbers = {}
-    for name in ("repeatCount", "startAtMs", "intervalMs"):
-        numbers[name] = document.get(name) or 0
-        if not isinstance(numbers[name], (int, float)) or numbers[name] < 0:
-            findings.append(Finding(join_pointer("", name), numbers[name], "a number from 0"))
+    numbers = {
+        name: _convert_field(document.get(name) or 0, kind, f"/{name}", findings)
+        for name, kind in OCCURRENCE_FIELDS.items()
+    }
     if not findings:
         findings = check_steps(decoded)
+    if not findings:
+        task_count = count_occurring_tasks(int(numbers["repeatCount"]), decoded)
+        if task_count > MAX_OCCURRING_TASKS:
+            accepted = f"at most {MAX_OCCURRING_TASKS} tasks of all occurrences together"
+            findings.append(Finding("/repeatCount", numbers["repeatCount"], accepted))
     if findings:
         return None, findings
     workflow = Workflow(
@@ -179,22 +276,31 @@
 
 
 def _decode_step(pointer: str, step: Any, findings: list[Finding]) -> StepSpec:
+    """Returns a step, without the fields that add findings."""
     if not isinstance(step, dict):
         findings.append(Finding(pointer, type(step).__name__, "an object"))
         return StepSpec()
     fields: dict[str, Any] = {}
     for name, (field, kind) in STEP_FIELDS.items():
         value = step.get(name)
-        if value is None:
-            continue
-        try:
-            fields[field] = msgspec.convert(value, tuple[int, ...] if kind is tuple else kind)
-        except msgspec.ValidationError:
-            findings.append(Finding(join_pointer(pointer, name), value, kind.__name__))
+        if value is not None:
+            value = _convert_field(value, kind, join_pointer(pointer, name), findings)
+        if value is not None:
+            fields[field] = value
     return StepSpec(**fields)
 
 
-def is_identifier(text: str) -> bool:
+def _convert_field(value: Any, kind: Any, pointer: str, findings: list[Finding]) -> Any:
+    """Returns a value as the type ``kind``, or None and adds a finding."""
+    try:
+        return convert(value, kind)
+    except MalformedDocument as error:
+        finding = error.finding
+        findings.append(finding._replace(pointer=pointer + finding.pointer))
+        return None
+
+
+def is_workflow_identifier(text: str) -> bool:
     """Whether ``text`` may identify a workflow."""
     digits = "0123456789abcdefABCDEF"
     return len(text) == IDENTIFIER_DIGITS and all(char in digits for char in text)
@@ -203,19 +309,16 @@
 def decode_wave(value: bytes) -> Wave:
     """Returns a wave: machines to maintain, a few at a time.
 
-    Raises ValueError if the document is malformed.
+    Raises MalformedDocument if the document is malformed.
     """
-    try:
-        document = msgspec.json.decode(value)
-        return Wave(
-            int(document["wave"]),
-            tuple(str(machine) for machine in document["machines"]),
-            float(document.get("withinS") or 0),
-            # Maximum number of machines of the wave that may be down at once.
-            max(1, int(document.get("cap") or 1)),
-        )
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError, ValueError) as error:
-        raise ValueError(f"malformed wave: {error!r}") from error
+    document = decode_json(value, _WaveDocument)
+    return Wave(
+        int(document["wave"]),
+        tuple(document["machines"]),
+        document.get("withinS") or 0.0,
+        # Maximum number of machines of the wave that may be down at once.
+        max(1, int(document.get("cap") or 1)),
+    )
 
 
 def encode_wave_state(completed: bool) -> bytes:
--- a/packages/carawayd/src/carawayd/platform/hostlist.py
+++ b/packages/carawayd/src/carawayd/platform/hostlist.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
-import msgspec
-
-from carawayd.platform.common import PlatformClient, PlatformError
+from carawayd.platform.common import PlatformClient, convert_response
 from carawayd.platform.plugins import platform_client
 
 
@@ -25,8 +23,12 @@
     connections: int
 
 
-def _decode_host(item: Any) -> ListedHost:
-    return msgspec.convert([item[name] for name in ListedHost._fields], ListedHost)
+class _HostList(TypedDict):
+    hosts: list[dict[str, Any]]
+
+
+def _decode_host(item: dict[str, Any]) -> ListedHost:
+    return convert_response([item.get(name) for name in ListedHost._fields], ListedHost)
 
 
 @platform_client("hostlist")
@@ -41,8 +43,6 @@
         PlatformError
             If there was no valid response.
         """
-        response = await self.call("GET", f"/v1/hosts?data_centre={data_centre}")
-        try:
-            return [_decode_host(item) for item in response["hosts"]]
-        except (KeyError, TypeError, msgspec.ValidationError) as error:
-            raise PlatformError(f"malformed host list: {error!r}") from error
+        path = f"/v1/hosts?data_centre={data_centre}"
+        response = await self.call("GET", path, kind=_HostList)
+        return [_decode_host(item) for item in response["hosts"]]
--- a/packages/carawayd/src/carawayd/platform/log.py
+++ b/packages/carawayd/src/carawayd/platform/log.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, NotRequired, TypedDict
 
-import msgspec
-
-from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
+from carawayd.platform.common import PlatformClient, PlatformRefusal, convert_response
 from carawayd.platform.plugins import platform_client
+from carawayshore.decoding import Count
 
 if TYPE_CHECKING:
     from carawayshore.records import Envelope
@@ -45,6 +44,27 @@
         self.end = end
 
 
+class _AppendResponse(TypedDict):
+    first: Count
+    end: Count
+
+
+class _RecordDocument(TypedDict):
+    offset: Count
+    record: Any
+
+
+class _PageDocument(TypedDict):
+    records: list[_RecordDocument]
+    first: Count
+    end: Count
+
+
+class _RemovedDocument(TypedDict):
+    first: NotRequired[Count]
+    end: NotRequired[Count]
+
+
 @platform_client("log")
 class LogClient(PlatformClient):
     """Appends records to streams and reads them."""
@@ -60,12 +80,12 @@
             If it is unknown whether the batch was appended.
         """
         response = await self.call(
-            "POST", f"/v1/streams/{stream}/records", body={"records": envelopes}
+            "POST",
+            f"/v1/streams/{stream}/records",
+            body={"records": envelopes},
+            kind=_AppendResponse,
         )
-        try:
-            return Appended(int(response["first"]), int(response["end"]))
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformError(f"malformed response to an append: {response!r}") from error
+        return Appended(response["first"], response["end"])
 
     async def read(self, stream: str, offset: int, *, wait: float) -> Page:
         """Reads records from ``offset`` on, waiting up to ``wait`` seconds for the first one.
@@ -80,14 +100,12 @@
         path = f"/v1/streams/{stream}/records?from={offset}&limit={READ_LIMIT}&wait={wait:g}"
         timeout = wait + READ_GRACE_SECONDS
         try:
-            response = await self.call("GET", path, timeout=timeout)
+            page = await self.call("GET", path, timeout=timeout, kind=_PageDocument)
         except PlatformRefusal as error:
             if error.status == 410 and isinstance(error.document, dict):
-                first = int(error.document.get("first", 0))
-                raise OffsetRemoved(first, int(error.document.get("end", first))) from error
+                bounds = convert_response(error.document, _RemovedDocument)
+                first = bounds.get("first", 0)
+                raise OffsetRemoved(first, bounds.get("end", first)) from error
             raise
-        try:
-            records = [LoggedRecord(int(r["offset"]), r["record"]) for r in response["records"]]
-            return Page(records, int(response["first"]), int(response["end"]))
-        except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
-            raise PlatformError(f"malformed page of stream {stream!r}: {error!r}") from error
+        records = [LoggedRecord(item["offset"], item["record"]) for item in page["records"]]
+        return Page(records, page["first"], page["end"])
--- a/packages/carawayd/src/carawayd/platform/machines.py
+++ b/packages/carawayd/src/carawayd/platform/machines.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NotRequired, TypedDict
 from urllib.parse import urlencode
 
+import msgspec
+
 from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
 from carawayd.platform.plugins import platform_client
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import Identifier, MalformedDocument, Quantity, decode_json
 from carawayshore.workflows.model import Machine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 MACHINE_STATES = {"up": "up", "moving": "moving", "upkeep": "upkeep", "down": "down"}
+# Name of the list in metrics and log lines.
+MACHINE_LIST = "machines"
 CALL_TIMEOUT_SECONDS = 1.5
 MAX_PAGES = 1_000
 
@@ -31,6 +37,29 @@
         self.reason = reason
 
 
+class _CapacityDocument(TypedDict):
+    cpu: NotRequired[Quantity | None]
+
+
+class _MachineDocument(TypedDict):
+    machine: Identifier
+    pool: NotRequired[str | None]
+    state: NotRequired[str | None]
+    zone: NotRequired[str | None]
+    labels: NotRequired[list[str] | None]
+    capacity: NotRequired[_CapacityDocument | None]
+    id: NotRequired[str | None]
+
+
+class _MachineName(TypedDict):
+    machine: Identifier
+
+
+class _MachinePage(TypedDict):
+    machines: list[msgspec.Raw]
+    nextPageToken: NotRequired[str | int | None]
+
+
 @platform_client("machines")
 class MachinesClient(PlatformClient):
     """Lists machines and sends orders.
@@ -44,12 +73,9 @@
         token = ""
         for _ in range(MAX_PAGES):
             path = "/api/machines" + (f"?{urlencode({'pageToken': token})}" if token else "")
-            document = await self.call("GET", path, timeout=CALL_TIMEOUT_SECONDS)
-            try:
-                machines += [_decode_machine(item) for item in document["machines"]]
-                token = str(document.get("nextPageToken") or "")
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
-                raise PlatformError(f"malformed list of machines: {error!r}") from error
+            page = await self.call("GET", path, timeout=CALL_TIMEOUT_SECONDS, kind=_MachinePage)
+            machines += _decode_machines(page["machines"])
+            token = str(page.get("nextPageToken") or "")
             if not token:
                 break
         return machines
@@ -73,9 +99,8 @@
                 may_send=may_send,
             )
         except PlatformRefusal as refusal:
-            document = refusal.document if isinstance(refusal.document, dict) else {}
-            reason = document.get("reason") if refusal.status == 409 else None
-            raise MachineRefused(str(reason or f"status {refusal.status}")) from refusal
+            reason = refusal.reason if refusal.status == 409 else ""
+            raise MachineRefused(reason or f"status {refusal.status}") from refusal
 
     async def move(
         self, machine: str, pool: str, *, holder: str, fence: int, may_send: Callable[[], bool]
@@ -102,14 +127,34 @@
         await self._order("/api/machine-upkeep", body, holder, fence, may_send)
 
 
-def _decode_machine(item: dict[str, Any]) -> Machine:
+def _decode_machines(items: list[msgspec.Raw]) -> list[Machine]:
+    """Returns the machines of a page; a malformed item costs that machine alone.
+
+    A machine whose item names it counts as down, so that the limit of a wave still covers it.
+    """
+    machines = []
+    for number, item in enumerate(items):
+        try:
+            machines.append(_decode_machine(decode_json(item, _MachineDocument)))
+        except MalformedDocument as error:
+            try:
+                name = decode_json(item, _MachineName)["machine"]
+            except MalformedDocument:
+                unreadable_records.note(MACHINE_LIST, f"item {number}", error)
+                continue
+            unreadable_records.note(MACHINE_LIST, name, error)
+            machines.append(Machine(name, "", "down", "", (), 0, ""))
+    return machines
+
+
+def _decode_machine(item: _MachineDocument) -> Machine:
     capacity = item.get("capacity") or {}
     return Machine(
-        machine=str(item["machine"]),
-        pool=str(item.get("pool") or ""),
-        state=MACHINE_STATES.get(item.get("state"), "down"),
-        data_centre=str(item.get("zone") or ""),
-        labels=tuple(str(label) for label in item.get("labels") or ()),
+        machine=item["machine"],
+        pool=item.get("pool") or "",
+        state=MACHINE_STATES.get(item.get("state") or "", "down"),
+        data_centre=item.get("zone") or "",
+        labels=tuple(item.get("labels") or ()),
         millicores=int(capacity.get("cpu") or 0),
-        worker=str(item.get("id") or ""),
+        worker=item.get("id") or "",
     )
--- a/packages/carawayd/src/carawayd/platform/pools.py
+++ b/packages/carawayd/src/carawayd/platform/pools.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 from carawayd.platform.common import PlatformClient, PlatformError
 from carawayd.platform.plugins import platform_client
@@ -17,6 +17,13 @@
     operation: str
 
 
+class _StatusDocument(TypedDict):
+    host: str | None
+    pool: str | None
+    state: str | None
+    operation: str | int | None
+
+
 @platform_client("pools")
 class PoolsClient(PlatformClient):
     """Drains, reboots and returns hosts; idempotent for one operation identifier."""
@@ -45,11 +52,8 @@
         PlatformError
             If there was no valid response.
         """
-        response = await self.call("GET", f"/v1/hosts/{host}")
-        try:
-            status = HostStatus(*(str(response[name] or "") for name in HostStatus._fields))
-        except (KeyError, TypeError) as error:
-            raise PlatformError(f"malformed status of host {host!r}: {response!r}") from error
+        response = await self.call("GET", f"/v1/hosts/{host}", kind=_StatusDocument)
+        status = HostStatus(*(str(response[name] or "") for name in HostStatus._fields))
         if status.state not in STATES:
             raise PlatformError(f"host state {status.state!r}, accepted: {', '.join(STATES)}")
         return status
--- a/packages/carawayd/src/carawayd/platform/runs.py
+++ b/packages/carawayd/src/carawayd/platform/runs.py
@@ -2,10 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+import functools
+from typing import TYPE_CHECKING, Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
 
 from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
 from carawayd.platform.plugins import platform_client
+from carawayshore.decoding import (
+    MalformedDocument,
+    Number,
+    Quantity,
+    UnixMilliseconds,
+    is_identifier,
+    parse_count,
+    reject,
+)
 from carawayshore.workflows.model import TaskName
 
 if TYPE_CHECKING:
@@ -17,6 +29,11 @@
 # The timeout of a lease renewal is its long-poll wait plus this.
 REPORT_GRACE_SECONDS = 0.8
 
+# Limit of the numbers in the name of a task.
+MAX_TASK_NUMBER = 10**9
+# Names of running tasks recur with each report of their worker.
+MAX_CACHED_TASKS = 4_096
+
 # Reasons of a refused order, by their names on the wire.
 REFUSAL_REASONS = {
     # The worker has seen a higher fencing token.
@@ -126,6 +143,33 @@
     ended: list[EndedRun]
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: Quantity
+    saved: str | None
+    percent: Number
+    figure: Number | None = 0.0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: Quantity
+    task: str
+    run: Quantity
+    how: str
+    saved: str | None = None
+
+
+class _ReportDocument(TypedDict):
+    clockMs: Quantity
+    born: NotRequired[UnixMilliseconds | None]
+    running: NotRequired[list[_RunningRow] | None]
+    finished: NotRequired[list[_EndedRow] | None]
+
+
+class _OrderResponse(TypedDict):
+    clockMs: Quantity
+
+
 @platform_client("runs")
 class RunsClient(PlatformClient):
     """Calls workers by address; one connection pool serves all of them.
@@ -142,6 +186,7 @@
         body: dict[str, Any],
         timeout: float,
         may_send: Callable[[], bool],
+        kind: Any = Any,
     ) -> Any:
         instance_headers = {"Expect-Instance": worker}
         try:
@@ -152,15 +197,14 @@
                 timeout=timeout,
                 headers=instance_headers,
                 may_send=may_send,
+                kind=kind,
             )
         except PlatformRefusal as refusal:
-            document = refusal.document if isinstance(refusal.document, dict) else {}
             if refusal.status == 421:
                 raise OtherIncarnation(f"{worker} at {address}") from refusal
             if refusal.status == 409:
-                wire_reason = str(document.get("reason"))
-                reason = REFUSAL_REASONS.get(wire_reason, wire_reason)
-                raise OrderRefused(reason) from refusal
+                reason = REFUSAL_REASONS.get(refusal.reason, refusal.reason)
+                raise OrderRefused(reason or f"status {refusal.status}") from refusal
             if refusal.status in (400, 429, 503):
                 raise OrderRefused(f"status {refusal.status}") from refusal
             raise
@@ -202,12 +246,15 @@
         if ticket:
             body["ticket"] = ticket
         response = await self._order(
-            address, worker, "/api/run-start", body, ORDER_TIMEOUT_SECONDS, may_send
+            address,
+            worker,
+            "/api/run-start",
+            body,
+            ORDER_TIMEOUT_SECONDS,
+            may_send,
+            _OrderResponse,
         )
-        try:
-            return int(response["clockMs"])
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformError(f"malformed response to a start order: {response!r}") from error
+        return int(response["clockMs"])
 
     async def stop(
         self,
@@ -276,7 +323,13 @@
         if expires_ms is not None:
             body["deadlineMs"] = expires_ms
         response = await self._order(
-            address, worker, "/api/hold", body, wait + REPORT_GRACE_SECONDS, may_send
+            address,
+            worker,
+            "/api/hold",
+            body,
+            wait + REPORT_GRACE_SECONDS,
+            may_send,
+            _ReportDocument,
         )
         return _decode_report(response)
 
@@ -286,36 +339,45 @@
     return f"{task.workflow}.{task.occurrence}.{task.step}.{task.index}"
 
 
+@functools.lru_cache(MAX_CACHED_TASKS)
 def parse_task(text: str) -> TaskName:
-    """Returns the task of a wire name."""
-    workflow, occurrence, step, index = text.split(".")
-    return TaskName(workflow, int(occurrence), int(step), int(index))
+    """Returns the task of a wire name; raises MalformedDocument if it is not one."""
+    workflow, *parts = text.split(".")
+    try:
+        numbers = [parse_count(part, MAX_TASK_NUMBER) for part in parts]
+    except MalformedDocument:
+        numbers = []
+    if len(numbers) != 3 or not is_identifier(workflow):
+        raise reject("", text, "a task name, ID.K.STEP.INDEX")
+    return TaskName(workflow, *numbers)
 
 
-def _decode_report(document: Any) -> WorkerReport:
+def _decode_report(document: _ReportDocument) -> WorkerReport:
+    """Returns a report; a report with a malformed row is rejected as a whole.
+
+    A run that is not listed counts as ended, so no row may be left out.
+    """
     try:
         running = [
             RunningTask(
-                parse_task(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                int(row[3]),
-                float(row[4]) if len(row) > 4 else 0.0,
+                parse_task(row.task),
+                int(row.run),
+                row.saved or "",
+                int(row.percent),
+                row.figure or 0.0,
             )
             for row in document.get("running") or ()
         ]
         ended = [
             EndedRun(
-                int(row[0]),
-                parse_task(row[1]),
-                int(row[2]),
-                END_KINDS.get(row[3], str(row[3])),
-                str(row[4] or "") if len(row) > 4 else "",
+                int(row.number),
+                parse_task(row.task),
+                int(row.run),
+                END_KINDS.get(row.how, row.how),
+                row.saved or "",
             )
             for row in document.get("finished") or ()
         ]
-        return WorkerReport(
-            int(document["clockMs"]), int(document.get("born") or 0), running, ended
-        )
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
-        raise PlatformError(f"malformed worker report: {error!r}") from error
+    except MalformedDocument as error:
+        raise PlatformError(f"malformed worker report: {error}") from error
+    return WorkerReport(int(document["clockMs"]), int(document.get("born") or 0), running, ended)
--- a/packages/carawayd/src/carawayd/platform/store.py
+++ b/packages/carawayd/src/carawayd/platform/store.py
@@ -4,14 +4,24 @@
 
 import base64
 import struct
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, NotRequired, TypedDict
 from urllib.parse import urlencode
 
 import msgspec
 
-from carawayd.platform.common import PlatformClient, PlatformError, PlatformRefusal
+from carawayd.platform.common import (
+    PlatformClient,
+    PlatformError,
+    PlatformRefusal,
+    convert_response,
+)
 from carawayd.platform.plugins import platform_client
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import Count, MalformedDocument, decode_json, reject
 
+# Stands for a value that is not base64. It is not empty, since that would delete the key, and no
+# reader accepts it.
+UNDECODABLE_VALUE = b"\xff"
 # A long poll without a response this long after its wait is treated as a lost connection.
 READ_GRACE_SECONDS = 0.8
 CALL_TIMEOUT_SECONDS = 1.5
@@ -57,6 +67,49 @@
     end: int
 
 
+class _AppendResponse(TypedDict):
+    endOffset: Count
+
+
+class _LatestItem(TypedDict):
+    key: str
+    value: NotRequired[str | None]
+
+
+class _ItemKey(TypedDict):
+    key: str
+
+
+class _LatestPage(TypedDict):
+    items: list[_LatestItem]
+    hasMore: NotRequired[bool | None]
+    endOffset: Count
+
+
+class _LoosePage(TypedDict):
+    """Page whose items are decoded one by one."""
+
+    items: list[msgspec.Raw]
+    hasMore: NotRequired[bool | None]
+    endOffset: Count
+
+
+class _PartitionRow(msgspec.Struct, array_like=True):
+    topic: str
+    partition: Count
+
+
+class _OwnerRow(msgspec.Struct, array_like=True):
+    topic: str
+    partition: Count
+    member: str | None
+
+
+class _JoinResponse(TypedDict):
+    generation: Count
+    parts: list[_PartitionRow]
+
+
 class Membership(NamedTuple):
     """Generation of a group, and the (topic, partition) pairs that the member holds."""
 
@@ -73,8 +126,11 @@
     return b"".join(parts)
 
 
-def _decode_records(data: bytes) -> tuple[list[KeyedRecord], int]:
-    """Returns the decodable records and the number of all complete records."""
+def _decode_records(data: bytes, topic: str = "") -> tuple[list[KeyedRecord], int]:
+    """Returns the decodable records and the number of all complete records.
+
+    A record whose key is not UTF-8 names nothing, so it is noted and left out.
+    """
     records, position, count = [], 0, 0
     while position + 4 <= len(data):
         (length,) = struct.unpack_from(">I", data, position)
@@ -83,12 +139,40 @@
             break
         position += 4 + length
         count += 1
-        if record and 1 + record[0] <= len(record):
-            key = record[1 : 1 + record[0]].decode(errors="replace")
-            records.append(KeyedRecord(key, record[1 + record[0] :]))
+        if not record or 1 + record[0] > len(record):
+            continue
+        name = record[1 : 1 + record[0]]
+        try:
+            records.append(KeyedRecord(name.decode(), record[1 + record[0] :]))
+        except UnicodeDecodeError:
+            unreadable_records.note(topic, repr(name), reject("", repr(name), "a key in UTF-8"))
     return records, count
 
 
+def _decode_items(items: list[msgspec.Raw], topic: str) -> list[KeyedRecord]:
+    """Returns the records of a page; an item without a key is noted and left out."""
+    records = []
+    for number, item in enumerate(items):
+        try:
+            checked = decode_json(item, _LatestItem)
+            value = _decode_value(checked.get("value") or "")
+        except MalformedDocument as error:
+            try:
+                checked, value = decode_json(item, _ItemKey), UNDECODABLE_VALUE
+            except MalformedDocument:
+                unreadable_records.note(topic, f"item {number}", error)
+                continue
+        records.append(KeyedRecord(checked["key"], value))
+    return records
+
+
+def _decode_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return UNDECODABLE_VALUE
+
+
 @platform_client("store")
 class StoreClient(PlatformClient):
     """Appends to and reads from partitions, and assigns them to the members of groups."""
@@ -130,14 +214,13 @@
             headers={"Content-Type": "application/octet-stream"},
         )
         try:
-            document = self._decode_response(response, text)
+            return self._decode_response(response, text, _AppendResponse)["endOffset"]
         except PlatformRefusal as refusal:
             if refusal.status == 412:
                 raise OffsetConflict(str(refusal)) from refusal
-            if refusal.status == 409 and (refusal.document or {}).get("reason") == "fenced":
+            if refusal.status == 409 and refusal.reason == "fenced":
                 raise Fenced(str(refusal)) from refusal
             raise
-        return _decode_field(document, "endOffset", int)
 
     async def read(self, topic: str, partition: int, offset: int, *, wait: float) -> RecordBatch:
         """Reads records from ``offset`` on, waiting up to ``wait`` seconds for the first one.
@@ -162,7 +245,7 @@
             raise PlatformError(
                 f"response of {len(data)} bytes to a read of {topic}, expected at least 16"
             )
-        records, count = _decode_records(data[16:])
+        records, count = _decode_records(data[16:], topic)
         return RecordBatch(records, offset + count)
 
     async def read_latest(self, topic: str, partition: int) -> LatestRecords:
@@ -178,15 +261,31 @@
             if after:
                 query["after"] = after
             path = f"/api/log-newest?{urlencode(query)}"
-            document = await self.call("GET", path, timeout=PAGE_TIMEOUT_SECONDS)
-            items = _decode_field(document, "items", list)
-            for item in items:
-                value = base64.b64decode(item.get("value") or "")
-                records.append(KeyedRecord(str(item["key"]), value))
-            end = _decode_field(document, "endOffset", int) if end is None else end
-            if not document.get("hasMore") or not items:
+            response, data = await self.send_request("GET", path, timeout=PAGE_TIMEOUT_SECONDS)
+            page, found = self._decode_page(response, data, topic)
+            records += found
+            end = page["endOffset"] if end is None else end
+            if not page.get("hasMore") or not page["items"]:
                 return LatestRecords(records, end)
-            after = str(items[-1]["key"])
+            if not found or found[-1].key == after:
+                raise PlatformError(f"page of {topic} after {after!r} does not tell where to go on")
+            after = found[-1].key
+
+    def _decode_page(
+        self, response: Any, data: bytes, topic: str
+    ) -> tuple[_LatestPage | _LoosePage, list[KeyedRecord]]:
+        """Returns a page and its records; a malformed item costs that item alone."""
+        try:
+            page = self._decode_response(response, data, _LatestPage)
+            return page, [
+                KeyedRecord(item["key"], _decode_value(item.get("value") or ""))
+                for item in page["items"]
+            ]
+        except PlatformRefusal:
+            raise
+        except PlatformError:
+            page = self._decode_response(response, data, _LoosePage)
+            return page, _decode_items(page["items"], topic)
 
     async def join(
         self, group: str, member: str, topics: list[str], *, ttl: float, generation: int
@@ -199,10 +298,11 @@
             "ttlMs": int(ttl * 1000),
             "generation": generation,
         }
-        document = await self.call("POST", "/api/log-join", body=body, timeout=JOIN_TIMEOUT_SECONDS)
-        rows = _decode_field(document, "parts", list)
-        held = frozenset((str(row[0]), int(row[1])) for row in rows)
-        return Membership(_decode_field(document, "generation", int), held)
+        joined = await self.call(
+            "POST", "/api/log-join", body=body, timeout=JOIN_TIMEOUT_SECONDS, kind=_JoinResponse
+        )
+        held = frozenset((row.topic, row.partition) for row in joined["parts"])
+        return Membership(joined["generation"], held)
 
     async def leave(self, group: str, member: str) -> None:
         """Leaves a group, which releases all partitions of the member at once."""
@@ -214,17 +314,11 @@
         path = f"/api/log-owners?{urlencode({'group': group})}"
         document = await self.call("GET", path, timeout=CALL_TIMEOUT_SECONDS)
         rows = document if isinstance(document, list) else _find_list(document)
-        return {(str(row[0]), int(row[1])): str(row[2]) for row in rows}
+        owners = convert_response(rows, list[_OwnerRow])
+        return {(row.topic, row.partition): row.member or "" for row in owners}
 
 
 def _find_list(document: Any) -> list:
     """Returns the only list in a response; the protocol does not specify the name of its field."""
     values = document.values() if isinstance(document, dict) else ()
     return next((value for value in values if isinstance(value, list)), [])
-
-
-def _decode_field(document: Any, name: str, kind: type) -> Any:
-    try:
-        return msgspec.convert(document[name], kind)
-    except (KeyError, TypeError, msgspec.ValidationError) as error:
-        raise PlatformError(f"field {name!r} is missing or malformed: {error!r}") from error
--- a/packages/carawayd/src/carawayd/platform/worker.py
+++ b/packages/carawayd/src/carawayd/platform/worker.py
@@ -4,9 +4,7 @@
 
 from typing import Any, NamedTuple
 
-import msgspec
-
-from carawayd.platform.common import PlatformClient, PlatformError
+from carawayd.platform.common import PlatformClient, PlatformError, convert_response
 from carawayd.platform.plugins import platform_client
 
 REVOCATION_STATES = ("not-run", "running", "finished")
@@ -55,15 +53,10 @@
             If there was no valid response.
         """
         response = await self._call_worker("GET", address, "/v1/status", timeout=timeout)
-        try:
-            defaults = WorkerStatus._field_defaults
-            values = [
-                response.get(name, defaults[name]) if name in defaults else response[name]
-                for name in WorkerStatus._fields
-            ]
-            return msgspec.convert(values, WorkerStatus)
-        except (AttributeError, KeyError, TypeError, msgspec.ValidationError) as error:
-            raise PlatformError(f"malformed status of worker {address}: {error!r}") from error
+        document = convert_response(response, dict[str, Any])
+        defaults = WorkerStatus._field_defaults
+        values = [document.get(name, defaults.get(name)) for name in WorkerStatus._fields]
+        return convert_response(values, WorkerStatus)
 
     async def revoke(self, address: str, request: str, *, timeout: float) -> str:
         """Prevents a request that has not started from starting; returns its state.
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -27,6 +27,8 @@
     encode_records,
 )
 from carawayd.supervision import supervised_task
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument, parse_count
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -129,8 +131,9 @@
     async def _read(self) -> None:
         if self._offset is None:
             latest = await self._store.read_latest(self._topic, 0)
-            self._apply(latest.records, True)
+            # The offset is set first: records whose application fails must not be read for ever.
             self._offset = latest.end
+            self._apply(latest.records, True)
             return
         try:
             tail = await self._store.read(self._topic, 0, self._offset, wait=self._wait)
@@ -138,9 +141,9 @@
             self._log("change history was removed; reading the latest records instead", "")
             self._offset = None
             return
+        self._offset = tail.end
         if tail.records:
             self._apply(tail.records, False)
-        self._offset = tail.end
 
 
 class Discovery(Service):
@@ -157,7 +160,6 @@
         super().__init__()
         self.deployment: Deployment | None = None
         self.waves: dict[int, KnownWave] = {}
-        self.unreadable_count = 0
         # Set while this process owns a partition; only owners need the workers.
         self.needs_workers = False
         self._store = store
@@ -165,6 +167,8 @@
         self._clock = clock
         self._worker_entries: dict[str, WorkerEntry] = {}
         self._missing_since: dict[str, timedelta] = {}
+        # Workers whose newest entry cannot be read; the one before it is kept for its address.
+        self._unreadable_workers: set[str] = set()
         # Time at which a worker last wrote its entry, as far as this process has seen it.
         self._written_at: dict[str, timedelta] = {}
         self._partition_by_service: dict[str, int] = {}
@@ -188,17 +192,19 @@
     # -- configuration ---------------------------------------------------------------------------
 
     def _apply_operator(self, records: list[KeyedRecord], complete: bool) -> None:
-        for key, value in records:
-            if key == CONFIGURATION_KEY:
-                self._apply_configuration(value)
-            elif key.startswith(WAVE_PREFIX) and value:
-                self._apply_wave(value)
+        unreadable_records.apply_each(OPERATOR_TOPIC, records, self._apply_operator_record)
+
+    def _apply_operator_record(self, key: str, value: bytes) -> None:
+        if key == CONFIGURATION_KEY:
+            self._apply_configuration(value)
+        elif key.startswith(WAVE_PREFIX) and value:
+            self._apply_wave(value)
 
     def _apply_configuration(self, value: bytes) -> None:
         try:
             deployment = decode_configuration(value)
-        except ValueError as error:
-            self.unreadable_count += 1
+        except MalformedDocument as error:
+            unreadable_records.counts[OPERATOR_TOPIC] += 1
             logger.error(
                 "could not decode configuration; keeping the current version",
                 extra={"fields": {"error": str(error)}},
@@ -226,15 +232,7 @@
             asyncio.ensure_future(self._assign_partitions())
 
     def _apply_wave(self, value: bytes) -> None:
-        try:
-            wave = decode_wave(value)
-        except ValueError as error:
-            self.unreadable_count += 1
-            logger.error(
-                "could not decode wave of upkeep; ignoring it",
-                extra={"fields": {"error": str(error)}},
-            )
-            return
+        wave = decode_wave(value)
         if wave.number not in self.waves:
             self.waves[wave.number] = KnownWave(wave, self._clock.elapsed())
 
@@ -248,25 +246,41 @@
             for worker in self._worker_entries:
                 if worker not in present:
                     self._missing_since.setdefault(worker, now)
-        for key, value in records:
+
+        def apply(key: str, value: bytes) -> None:
             if not value:
                 self._missing_since.setdefault(key, now)
-                continue
+                return
             entry = decode_worker(key, value)
             if entry is None:
-                self.unreadable_count += 1
-                continue
+                self._note_unreadable_worker(key)
+                return
             self._missing_since.pop(key, None)
+            self._unreadable_workers.discard(key)
             self._worker_entries[key] = entry
             if not complete:
                 self._written_at[key] = now
             elif not has_gap:
                 self._written_at.setdefault(key, now)
+
+        for key in unreadable_records.apply_each(WORKERS_TOPIC, records, apply):
+            self._note_unreadable_worker(key)
         for worker, since in list(self._missing_since.items()):
             if now - since > timedelta(seconds=MISSING_WORKER_RETENTION_SECONDS):
                 del self._missing_since[worker]
                 self._worker_entries.pop(worker, None)
                 self._written_at.pop(worker, None)
+                self._unreadable_workers.discard(worker)
+
+    def _note_unreadable_worker(self, worker: str) -> None:
+        """Keeps the earlier entry of a worker for its address, but not as its capacity.
+
+        The worker may well be running, so it stays listed. Whether it has gone is then told by its
+        reports, or by the removal of its entry.
+        """
+        if worker in self._worker_entries:
+            self._unreadable_workers.add(worker)
+            self._written_at.pop(worker, None)
 
     @property
     def _max_capacity_age(self) -> timedelta:
@@ -281,8 +295,10 @@
         """Returns whether tasks may be placed on a worker by the capacity in its entry.
 
         The capacity of a worker may shrink while it runs. One that refuses what does not fit needs
-        no recent entry.
+        no recent entry. None is placed on a worker whose newest entry cannot be read.
         """
+        if entry.worker in self._unreadable_workers:
+            return False
         service = self.deployment and self.deployment.services.get(entry.service)
         if service and service.enforces_capacity:
             return True
@@ -311,27 +327,43 @@
 
     async def _assign_partitions(self) -> None:
         """Assigns a permanent partition to each new service, the same on all entry hosts."""
-        while not self.should_stop:
-            try:
-                latest = await self._store.read_latest(LAYOUT_TOPIC, 0)
-                self._partition_by_service |= {
-                    record.key: int(record.value) for record in latest.records if record.value
-                }
-                missing = sorted(set(self.deployment.services) - set(self._partition_by_service))
-                if not missing:
-                    break
-                chosen = choose_partitions(
-                    missing, self._partition_by_service, self._settings.partitions
-                )
-                records = [KeyedRecord(name, str(number).encode()) for name, number in chosen]
-                data = encode_records(records)
-                await self._store.append(LAYOUT_TOPIC, 0, data, expected_end=latest.end)
-            except OffsetConflict:
-                continue
-            except (PlatformError, ValueError) as error:
-                self._log_layout(str(error))
-                await self._clock.sleep(timedelta(seconds=RETRY_SECONDS))
-        self._assignment_running = False
+        try:
+            while not self.should_stop:
+                try:
+                    if await self._assign_missing_partitions():
+                        break
+                except OffsetConflict:
+                    continue
+                except PlatformError as error:
+                    self._log_layout(str(error))
+                    await self._clock.sleep(timedelta(seconds=RETRY_SECONDS))
+        finally:
+            self._assignment_running = False
+
+    async def _assign_missing_partitions(self) -> bool:
+        """Returns whether each service has a partition, apart from those with unreadable records.
+
+        A service whose record cannot be read is left without: another partition would hide the
+        workflows that are recorded in its own.
+        """
+        latest = await self._store.read_latest(LAYOUT_TOPIC, 0)
+        unreadable = unreadable_records.apply_each(
+            LAYOUT_TOPIC, latest.records, self._apply_assignment
+        )
+        known = set(self._partition_by_service) | unreadable
+        missing = sorted(set(self.deployment.services) - known)
+        if not missing:
+            return True
+        chosen = choose_partitions(missing, self._partition_by_service, self._settings.partitions)
+        records = [KeyedRecord(name, str(number).encode()) for name, number in chosen]
+        data = encode_records(records)
+        await self._store.append(LAYOUT_TOPIC, 0, data, expected_end=latest.end)
+        return False
+
+    def _apply_assignment(self, service: str, value: bytes) -> None:
+        if value:
+            partition = parse_count(value, self._settings.partitions - 1)
+            self._partition_by_service[service] = partition
 
     def _log_layout(self, error: str) -> None:
         logger.info(
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -20,6 +20,7 @@
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayd.request.workflows import WorkflowHandler
 from carawayd.supervision import unexpected_errors
+from carawayd.unreadable import unreadable_records
 
 if TYPE_CHECKING:
     from carawayd.process.site import SiteSettings
@@ -120,6 +121,8 @@
         self.metrics.version.set(deployment.version if deployment else 0)
         self.metrics.log_lines_dropped.set(count_dropped_lines())
         self.metrics.unexpected_errors.set(unexpected_errors.count)
+        for topic, count in unreadable_records.counts.items():
+            self.metrics.unreadable_records.labels(topic).set(count)
         return web.Response(body=self.metrics.format_text(), content_type="text/plain")
 
     async def _get_ready(self, request: web.Request) -> web.Response:
--- a/packages/carawayd/src/carawayd/process/exchange.py
+++ b/packages/carawayd/src/carawayd/process/exchange.py
@@ -19,6 +19,14 @@
 
 from carawayd.connection.peer import PeerLink
 from carawayd.supervision import supervised_task
+from carawayshore.decoding import (
+    Count,
+    MalformedDocument,
+    Number,
+    check_address,
+    check_bounds,
+    decode_msgpack,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -57,6 +65,25 @@
     received_at: float
 
 
+class _Call(NamedTuple):
+    """Call as sent; ``expiry`` names the process and the time of its clock, None for no limit."""
+
+    number: Count
+    operation: str
+    arguments: list[Any]
+    expiry: tuple[str, Number] | None
+
+
+class _Reply(NamedTuple):
+    """Reply as sent; ``process`` and ``seconds`` tell the clock of the sender."""
+
+    number: Count
+    outcome: str
+    result: Any
+    process: str
+    seconds: Number
+
+
 class PeerUnreachable(Exception):
     """Raised if a peer did not reply; ``sent``: the call was sent and may have run."""
 
@@ -116,6 +143,10 @@
         """
         link = self._links.get(address)
         if link is None:
+            try:
+                check_address(address)
+            except MalformedDocument as error:
+                raise PeerUnreachable(address, sent=False) from error
             link = self._links[address] = _CallLink(address, self._context, self._clock)
             await self.add_runtime_dependency(link)
         return await link.call(operation, arguments, timeout, max_age)
@@ -136,7 +167,8 @@
 
     async def _serve_call(self, sender: bytes, frames: list[bytes]) -> None:
         try:
-            number, operation, arguments, expiry = msgspec.msgpack.decode(frames[-1])
+            number, operation, arguments, expiry = decode_msgpack(frames[-1], _Call)
+            check_bounds(arguments)
             outcome, result = RAN, None
             if expiry is not None and self._is_expired(*expiry):
                 outcome = EXPIRED
@@ -234,9 +266,9 @@
         while not self.should_stop:
             try:
                 frames = await self._socket.recv_multipart()
-                number, outcome, result, process, seconds = msgspec.msgpack.decode(frames[-1])
-                self._peer_clock = PeerClock(str(process), float(seconds), self._now())
-            except (msgspec.MsgspecError, ValueError, TypeError) as error:
+                number, outcome, result, process, seconds = decode_msgpack(frames[-1], _Reply)
+                self._peer_clock = PeerClock(process, seconds, self._now())
+            except MalformedDocument as error:
                 logger.warning(
                     "could not decode reply from peer; ignoring it",
                     extra={"fields": {"error": str(error)}},
--- a/packages/carawayd/src/carawayd/process/ownercalls.py
+++ b/packages/carawayd/src/carawayd/process/ownercalls.py
@@ -6,8 +6,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from carawayd.partition.owner import (
     ABSENT,
     REJECTED,
@@ -17,6 +15,8 @@
     Reply,
 )
 from carawayd.process.exchange import PeerUnreachable
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import Count, MalformedDocument, Quantity, Seconds, convert
 from carawayshore.workflows.model import Workflow
 
 if TYPE_CHECKING:
@@ -42,6 +42,18 @@
 SUBMIT, GET_STATE, CANCEL, COUNT_PENDING = "submit", "look", "cancel", "count"
 REPORT_LOAD, CORDON, UNCORDON = "survey", "cordon", "uncordon"
 MUTATING_OPERATIONS = frozenset({SUBMIT, CANCEL})
+# Type of the argument of each operation.
+ARGUMENT_TYPES = {
+    SUBMIT: Workflow,
+    GET_STATE: str,
+    CANCEL: str,
+    COUNT_PENDING: str,
+    REPORT_LOAD: dict[str, Quantity],
+    CORDON: tuple[str, Seconds],
+    UNCORDON: str,
+}
+# Name of the peers' replies in metrics and log lines.
+PEER_REPLIES = "peers"
 
 
 class OwnerCalls:
@@ -134,14 +146,17 @@
                 timeout=timeout,
                 max_age=MAX_SUBMISSION_AGE_SECONDS if operation == SUBMIT else None,
             )
+            reply = convert(answer, Reply)
         except PeerUnreachable as error:
             return Reply(UNREADY), error.sent
-        reply = Reply(*answer)
+        except MalformedDocument as error:
+            unreadable_records.note(PEER_REPLIES, address, error)
+            return Reply(UNREADY), True
         return reply, reply.outcome == UNKNOWN_OUTCOME
 
     async def _serve_peer(self, operation: str, arguments: list[Any]) -> Reply:
         """Handles a call that another entry host forwarded."""
-        partition, argument = arguments
+        partition, argument = convert(arguments, tuple[Count, Any])
         owner = self._ownership.find_owner(partition)
         if owner is None:
             return Reply(UNREADY)
@@ -150,8 +165,9 @@
     async def _call_local_owner(
         self, owner: PartitionOwner, operation: str, argument: Any
     ) -> Reply:
+        argument = convert(argument, ARGUMENT_TYPES[operation])
         if operation == SUBMIT:
-            return await owner.submit(msgspec.convert(argument, Workflow))
+            return await owner.submit(argument)
         handlers = {
             GET_STATE: owner.read_state,
             CANCEL: owner.cancel,
--- a/packages/carawayd/src/carawayd/process/settings.py
+++ b/packages/carawayd/src/carawayd/process/settings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from carawayshore.decoding import MalformedDocument, decode_json
 from carawayshore.findings import Finding, FindingsError
 from carawayshore.options import Field, check_fields, fill_defaults
 
@@ -181,9 +181,9 @@
         If the file cannot be read, is not JSON, or has findings.
     """
     try:
-        document = json.loads(path.read_text())
+        document = decode_json(path.read_bytes())
     except OSError as error:
         raise FindingsError(str(path), [Finding("", error.strerror, "a readable file")]) from error
-    except ValueError as error:
-        raise FindingsError(str(path), [Finding("", str(error), "a JSON document")]) from error
+    except MalformedDocument as error:
+        raise FindingsError(str(path), [error.finding]) from error
     return build_settings(document, source=str(path))
--- a/packages/carawayd/src/carawayd/process/site.py
+++ b/packages/carawayd/src/carawayd/process/site.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from carawayshore.decoding import MAX_PORT, MalformedDocument, decode_json
 from carawayshore.findings import Finding, FindingsError
 from carawayshore.options import Field, check_fields, fill_defaults
 
@@ -16,8 +16,22 @@
     Field("caller_address", "address", "Address for callers.", required=True),
     Field("ready_address", "address", "Address of the readiness check.", required=True),
     Field("peer_host", "text", "IP address for other entry hosts.", required=True),
-    Field("peer_port", "integer", "Port for other entry hosts.", required=True, minimum=1),
-    Field("metrics_port", "integer", "Port of the metrics.", required=True, minimum=1),
+    Field(
+        "peer_port",
+        "integer",
+        "Port for other entry hosts.",
+        required=True,
+        minimum=1,
+        maximum=MAX_PORT,
+    ),
+    Field(
+        "metrics_port",
+        "integer",
+        "Port of the metrics.",
+        required=True,
+        minimum=1,
+        maximum=MAX_PORT,
+    ),
     Field("store", "address", "Address of the platform's store.", required=True),
     Field("machines", "text", "Address of the machines service, empty for none.", default=""),
     Field("advice", "text", "Address of the advice service, empty for none.", default=""),
@@ -96,11 +110,11 @@
         If the file cannot be read, is not JSON, or has findings.
     """
     try:
-        document = json.loads(path.read_text())
+        document = decode_json(path.read_bytes())
     except OSError as error:
         raise FindingsError(str(path), [Finding("", error.strerror, "a file")]) from error
-    except ValueError as error:
-        raise FindingsError(str(path), [Finding("", str(error), "a JSON object")]) from error
+    except MalformedDocument as error:
+        raise FindingsError(str(path), [error.finding]) from error
     found = check_site(document)
     if found:
         raise FindingsError(str(path), found)
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -52,6 +52,11 @@
             "Unexpected errors after which a task was run again.",
             registry=self.registry,
         )
+        self.unreadable_records = self._add_gauge(
+            "caraway_unreadable_records",
+            "Records of others that could not be read or applied, each time they were read.",
+            "topic",
+        )
         self.long_running_absent = self._add_gauge(
             "caraway_long_running_absent",
             "Long-running tasks that have not been at work for some seconds.",
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -24,6 +24,7 @@
     encode_state,
 )
 from carawayd.process.ownercalls import CANCEL, COUNT_PENDING, GET_STATE, SUBMIT
+from carawayshore.decoding import MalformedDocument, parse_count
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -116,7 +117,10 @@
     def _read_timeout(self, request: web.BaseRequest) -> float:
         """Returns the time in seconds within which the caller wants the response."""
         text = request.headers.get(TIMEOUT_HEADER, "")
-        return int(text) / 1000 if text.isdecimal() else DEFAULT_TIMEOUT_SECONDS
+        try:
+            return parse_count(text) / 1000
+        except MalformedDocument:
+            return DEFAULT_TIMEOUT_SECONDS
 
     async def _submit(
         self, queue: QueueConfig, identifier: str, body: bytes, timeout: float
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -7,12 +7,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
 
+from carawayshore.decoding import (
+    Count,
+    MalformedDocument,
+    UnixMilliseconds,
+    check_bounds,
+    decode_json,
+    parse_count,
+    reject,
+)
 from carawayshore.workflows.crashes import WorkerLoss
-from carawayshore.workflows.model import StepSpec, TaskName, Workflow
+from carawayshore.workflows.model import MAX_TASKS, StepSpec, TaskName, Workflow, check_steps
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -31,6 +40,26 @@
 TERMINAL = frozenset({COMPLETED, FAILED, CANCELLED})
 
 
+# The state of each task of each occurrence is kept in memory.
+MAX_OCCURRING_TASKS = 10 * MAX_TASKS
+
+
+def count_occurring_tasks(repeats: int, steps: Iterable[StepSpec]) -> int:
+    """Returns the number of tasks of all occurrences of a workflow."""
+    return max(1, repeats) * sum(step.count for step in steps)
+
+
+class _TaskRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """Record of a task, without its last fields if they are empty."""
+
+    status: Annotated[int, msgspec.Meta(ge=WAITING, le=DONE)] = WAITING
+    run: Count = 0
+    failures: Count = 0
+    worker: str = ""
+    checkpoint: str = ""
+    losses: tuple[WorkerLoss, ...] = ()
+
+
 class TaskState:
     """State of one task.
 
@@ -100,8 +129,14 @@
         return msgspec.json.encode([task.to_row() for task in self.tasks])
 
     def restore(self, value: bytes) -> None:
-        rows = msgspec.json.decode(value, type=list[list])
-        self.tasks = [TaskState(*row) for row in rows]
+        """Applies the record of the step; raises MalformedDocument if it cannot be read."""
+        rows = decode_json(value, list[_TaskRow])
+        if len(rows) != self.spec.count:
+            raise reject("", rows, f"{self.spec.count} tasks")
+        self.tasks = [
+            TaskState(row.status, row.run, row.failures, row.worker, row.checkpoint, row.losses)
+            for row in rows
+        ]
         self.done_count = sum(task.status == DONE for task in self.tasks)
 
 
@@ -180,13 +215,51 @@
 
 
 class _Record(msgspec.Struct, array_like=True):
-    state: str
+    state: Literal["queued", "running", "completed", "failed", "cancelled"]
     service: str
     queue: str
-    submitted_unix_ms: int
+    submitted_unix_ms: UnixMilliseconds
     spec: Workflow | None
 
 
+def _restore_workflow(key: str, value: bytes, now: float, unix_ms: int) -> WorkflowState:
+    record = decode_json(value, _Record)
+    if record.spec:
+        _check_spec(record.spec, key)
+    spec = record.spec or Workflow(key, record.service, record.queue, 0, 1, 1.0, 0, "", ())
+    submitted_unix_ms = int(record.submitted_unix_ms)
+    age = max(0, unix_ms - submitted_unix_ms) / 1000
+    workflow = WorkflowState(spec, now - age, submitted_unix_ms)
+    workflow.state = workflow.durable_state = record.state
+    workflow.ended = now if workflow.is_terminal else 0.0
+    return workflow
+
+
+def _check_spec(spec: Workflow, key: str) -> None:
+    """Checks a recorded specification; raises MalformedDocument if it cannot have been accepted."""
+    if spec.identifier != key:
+        raise reject("/4/0", spec.identifier, f"the identifier of the record, {key}")
+    check_bounds(spec)
+    findings = check_steps(spec.steps)
+    if findings:
+        raise MalformedDocument(findings[0])
+    negative = [n for step in spec.steps for n in step if isinstance(n, int) and n < 0]
+    if negative:
+        raise reject("/4/8", negative[0], "numbers from 0")
+    if count_occurring_tasks(spec.repeats, spec.steps) > MAX_OCCURRING_TASKS:
+        raise reject(
+            "/4/9", spec.repeats, f"at most {MAX_OCCURRING_TASKS} tasks of all occurrences"
+        )
+
+
+def _parse_step_key(key: str) -> tuple[str, int, int]:
+    identifier, *numbers = key.split("/")
+    if len(numbers) != 2:
+        raise reject("", key, "a key of the form ID/OCCURRENCE/STEP")
+    occurrence, number = (parse_count(text) for text in numbers)
+    return identifier, occurrence, number
+
+
 def restore_workflows(
     records: list[tuple[str, bytes]], now: float, unix_ms: int
 ) -> tuple[dict[str, WorkflowState], list[str]]:
@@ -211,25 +284,18 @@
             steps.append((key, value))
             continue
         try:
-            record = msgspec.json.decode(value, type=_Record)
-        except msgspec.MsgspecError:
+            workflows[key] = _restore_workflow(key, value, now, unix_ms)
+        except MalformedDocument:
             unreadable.append(key)
-            continue
-        spec = record.spec or Workflow(key, record.service, record.queue, 0, 1, 1.0, 0, "", ())
-        age = max(0, unix_ms - record.submitted_unix_ms) / 1000
-        workflow = WorkflowState(spec, now - age, record.submitted_unix_ms)
-        workflow.state = workflow.durable_state = record.state
-        workflow.ended = now if workflow.is_terminal else 0.0
-        workflows[key] = workflow
     for key, value in steps:
-        identifier, occurrence, number = key.split("/")
-        workflow = workflows.get(identifier)
-        step = workflow and workflow.steps.get((int(occurrence), int(number)))
-        if not workflow or workflow.is_terminal or step is None:
-            continue
         try:
+            identifier, occurrence, number = _parse_step_key(key)
+            workflow = workflows.get(identifier)
+            step = workflow and workflow.steps.get((occurrence, number))
+            if not workflow or workflow.is_terminal or step is None:
+                continue
             step.restore(value)
-        except (msgspec.MsgspecError, TypeError):
+        except MalformedDocument:
             unreadable.append(key)
             continue
         workflow.begun = workflow.begun or any(task.run for task in step.tasks)
