--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -19,8 +19,10 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import msgspec
 from behave.__main__ import main as run_behave
 
+from carawayd import unreadable
 from carawayd.partition import (
     contactloss,
     cordons,
@@ -32,9 +34,9 @@
     planner,
     workerlink,
 )
-from carawayd.platform import common
-from carawayd.process import exchange, fleet, keys, machineorders, membership, streams
-from carawayshore import assignment, claims, fold, records
+from carawayd.platform import common, documents
+from carawayd.process import discovery, exchange, fleet, keys, machineorders, membership, streams
+from carawayshore import assignment, claims, decoding, fold, records
 from carawayshore import keys as key_rules
 from carawayshore import membership as members
 from carawayshore.workflows import placement, state
@@ -48,9 +50,21 @@
 CAPACITIES = ("worker_capacity", "owner_property")
 RESTARTS = ("long_running_restart",)
 LEDGERS = ("ledger", "owner_property")
+DOCUMENTS = ("malformed_documents",)
 ENTRY_HOSTS = ("platform",)
 FEATURES = tuple(
-    dict.fromkeys((*EMBEDDED, *OWNERS, *CRASHES, *RESTARTS, *CAPACITIES, *LEDGERS, *ENTRY_HOSTS))
+    dict.fromkeys(
+        (
+            *EMBEDDED,
+            *OWNERS,
+            *CRASHES,
+            *RESTARTS,
+            *CAPACITIES,
+            *LEDGERS,
+            *DOCUMENTS,
+            *ENTRY_HOSTS,
+        )
+    )
 )
 PARALLEL_MUTATIONS = 3
 RUN_TIMEOUT_SECONDS = 600
@@ -383,6 +397,56 @@
     ledger.Ledger._take_over = take_over
 
 
+@mutation("a record that cannot be read or applied costs that record alone", DOCUMENTS)
+def stop_at_unreadable_record() -> None:
+    def apply_each(self, topic, records, apply) -> set[str]:
+        for key, value in records:
+            apply(key, value)
+        return set()
+
+    unreadable.UnreadableRecords.apply_each = apply_each
+
+
+@mutation("a document that is nested too deeply is rejected like any malformed one", DOCUMENTS)
+def let_recursion_errors_pass() -> None:
+    original = decoding._decode
+
+    def decode(get_decoder, data, kind):
+        try:
+            return original(get_decoder, data, kind)
+        except decoding.MalformedDocument as error:
+            if isinstance(error.__cause__, RecursionError):
+                raise error.__cause__ from None
+            raise
+
+    decoding._decode = decode
+
+
+@mutation("an entry needs an address with a host and a port from 1 to 65535", DOCUMENTS)
+def accept_any_address() -> None:
+    documents.check_address = lambda value, pointer="": value
+
+
+@mutation("no task is placed by the entry before an unreadable one", DOCUMENTS)
+def use_entry_before_unreadable() -> None:
+    discovery.Discovery._note_unreadable_worker = lambda self, worker: None
+
+
+@mutation("a service whose record cannot be read gets no other partition", DOCUMENTS)
+def assign_unreadable_service_again() -> None:
+    def apply_each(self, topic, records, apply) -> set[str]:
+        original(self, topic, records, apply)
+        return set()
+
+    original = unreadable.UnreadableRecords.apply_each
+    unreadable.UnreadableRecords.apply_each = apply_each
+
+
+@mutation("numbers of others are finite", DOCUMENTS)
+def accept_any_number() -> None:
+    exchange.decode_msgpack = lambda data, kind=None: msgspec.msgpack.decode(data)
+
+
 def run_scenarios(name: str) -> list[str]:
     """Disables one guard in this process and returns the names of the scenarios that failed."""
     features = FEATURES
