--- a/features/malformed_documents.feature
+++ b/features/malformed_documents.feature
@@ -172,6 +172,12 @@
     When malformed messages of peers arrive at an entry host, each followed by a call
     Then each call is served, and none whose expiry is no number
 
+  Scenario: Malformed replies on a connection to a peer do not hide the valid one
+    # Guards against a connection whose replies are no longer read, and a peer's clock that is no number.
+    When a peer sends malformed replies ahead of the valid one to each of 10 calls
+    Then each call gets its valid reply
+    And no task of the host has failed
+
   Scenario: Malformed replies of a peer leave the outcome of a call unknown
     When an owner replies with malformed documents to a forwarded submission
     Then the outcome of the submission is unknown each time
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -51,7 +51,7 @@
 from carawayd.platform.store import OPERATOR_TOPIC, WORKERS_TOPIC
 from carawayd.process import discovery as discovery_module
 from carawayd.process.discovery import LAYOUT_TOPIC, Discovery
-from carawayd.process.exchange import PeerRpc, PeerUnreachable
+from carawayd.process.exchange import PeerRpc, PeerUnreachable, _CallLink
 from carawayd.process.ownercalls import SUBMIT, OwnerCalls
 from carawayd.process.site import read_site
 from carawayd.process.workflowmetrics import WorkflowMetrics
@@ -749,6 +749,64 @@
     return handle
 
 
+class _PeerSocket:
+    """Socket of a peer that sends malformed replies ahead of the valid one."""
+
+    def __init__(self) -> None:
+        self._replies: asyncio.Queue[bytes] = asyncio.Queue()
+
+    async def send_multipart(self, frames: list[bytes], flags: int = 0) -> None:
+        number, *_ = msgspec.msgpack.decode(frames[-1])
+        for reply in (
+            *(b"", b"\xff", b"\x91" * 100_000),
+            *(
+                msgspec.msgpack.encode(item)
+                for item in (
+                    *(None, [], [number], [[], "ran", "odd", "p", 1.0]),
+                    *([number, "ran", "odd", "p", NOT_A_NUMBER], [number, "ran", "odd", 7, 1.0]),
+                    *([number, "ran", "odd", "p", 1e300], [number, 7, "odd", "p", 1.0]),
+                    [number, "ran", "valid", "p", 1.0],
+                )
+            ),
+        ):
+            self._replies.put_nowait(reply)
+
+    async def recv_multipart(self) -> list[bytes]:
+        return [await self._replies.get()]
+
+    def close(self) -> None:
+        """Does nothing, as no connection is open."""
+
+
+@when("a peer sends malformed replies ahead of the valid one to each of {count:d} calls")
+def reply_ahead(context, count):
+    context.host = SimpleNamespace(errors_before=supervision.unexpected_errors.count)
+    context.replies = asyncio.run(_call_peer(count))
+
+
+async def _call_peer(count: int) -> list[Any]:
+    rpc = PeerRpc(build_settings(), LoopClock())
+    link = _CallLink("127.0.0.1:1", rpc._context, LoopClock())
+    link._socket.close()
+    link._socket = _PeerSocket()
+    await link.start()
+    replies = []
+    for _ in range(count):
+        try:
+            replies.append(await link.call("look", ("x",), 0.3, None))
+        except PeerUnreachable as error:
+            replies.append(error)
+    await link.stop()
+    rpc._socket.close()
+    rpc._context.destroy(linger=0)
+    return replies
+
+
+@then("each call gets its valid reply")
+def expect_replies(context):
+    assert set(context.replies) == {"valid"}, context.replies
+
+
 @then("each call is served, and none whose expiry is no number")
 def expect_calls(context):
     assert not context.missed, context.missed
--- a/packages/carawayd/src/carawayd/platform/advice.py
+++ b/packages/carawayd/src/carawayd/platform/advice.py
@@ -28,7 +28,7 @@
 
 class _TicketRow(msgspec.Struct, array_like=True):
     worker: str
-    ticket: str
+    ticket: str | int
 
 
 class _AdviceDocument(TypedDict):
@@ -56,5 +56,5 @@
         document = await self.call(
             "POST", "/api/advise", body=body, timeout=timeout, kind=_AdviceDocument
         )
-        tickets = {row.worker: row.ticket for row in document["allowed"]}
+        tickets = {row.worker: str(row.ticket) for row in document["allowed"]}
         return Advice(tickets, (document.get("validMs") or 0) / 1000)
