--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -5,6 +5,9 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument, parse_count
+
 if TYPE_CHECKING:
     from carawayd.partition.ledger import Ledger
     from carawayshore.clock import Clock
@@ -18,6 +21,8 @@
 # Marks the longest time in ms for which the leases of a worker last, as recorded by an owner that
 # handed over. Earlier versions read it as a worker that has just become unresponsive.
 LEASE_MARK = b"-"
+# Owners stop recording within seconds of the bound on leases, so a longer duration is an error.
+MAX_DURATION_MS = 24 * 3_600_000
 # Interval at which the time is recorded anew, so that a later owner continues from it.
 RECORD_INTERVAL_SECONDS = 1.0
 # Time after which an owner that continues a measurement records it first, so that owners that
@@ -91,15 +96,20 @@
         """Continues from the duration that an earlier owner recorded.
 
         If that owner handed over and recorded how long the leases last, the worker counts as
-        unresponsive for so long that the rest of the longest wait covers them.
+        unresponsive for so long that the rest of the longest wait covers them. From a record that
+        cannot be read, the whole time is waited again.
         """
-        mark, digits = value[:1], value[1:]
         earlier_seconds, had_contact = 0.0, False
-        if digits.isdigit() and mark in (DURATION_MARK, CONTACT_MARK):
-            earlier_seconds, had_contact = int(digits) / 1000, mark == CONTACT_MARK
-        elif digits.isdigit() and mark == LEASE_MARK:
-            # Negative if a late order may give a lease that lasts beyond the longest wait.
-            earlier_seconds = self._bounds.longest - int(digits) / 1000
+        mark = value[:1]
+        if mark in (DURATION_MARK, CONTACT_MARK, LEASE_MARK):
+            try:
+                earlier_seconds = parse_count(value[1:], MAX_DURATION_MS) / 1000
+                had_contact = mark == CONTACT_MARK
+                if mark == LEASE_MARK:
+                    # Negative if a late order may give a lease that lasts beyond the longest wait.
+                    earlier_seconds = self._bounds.longest - earlier_seconds
+            except MalformedDocument as error:
+                unreadable_records.note(self._ledger.topic, UNRESPONSIVE_PREFIX + worker, error)
         now = self._now()
         recorded_at = now + FIRST_RECORD_SECONDS - RECORD_INTERVAL_SECONDS
         self._losses[worker] = _Loss(earlier_seconds, now, recorded_at, had_contact)
