Look for a worker once for all waiting steps that need the same

Cause: at the worst load each plan looked at all workers for every waiting step, twice where workers are suspected or reserved, although most steps are alike in what they need. Change: within one plan, a requirement for which no worker was found is not looked for again; whether a worker would have been found despite precautions is remembered with it, so that the wait of each workflow is still measured. Steps with limits of their own (gangs, racks, tickets, tasks per worker) and suspected workflows are looked at as before.

--- a/packages/carawayd/src/carawayd/partition/deferrals.py
+++ b/packages/carawayd/src/carawayd/partition/deferrals.py
@@ -58,6 +58,10 @@
             del self._since[subject]
         self._since.setdefault(subject, self._now())
 
+    def is_waiting(self, subject: Subject) -> bool:
+        """Returns whether the wait of a subject is measured."""
+        return subject in self._since and subject not in self._placed_at
+
     def measure(self, subject: Subject) -> float:
         """Returns for how long a subject has waited in seconds, 0 if it does not wait."""
         since = None if subject in self._placed_at else self._since.get(subject)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -33,6 +33,22 @@
 StepKey = tuple[str, int, int]
 
 
+class _Requirement(NamedTuple):
+    """What decides whether a worker can take a short task without limits of its own."""
+
+    service: str
+    usage: tuple[int, int, int, bool, bool]
+    label: str
+
+
+def _build_requirement(service: str, spec: StepSpec, usage: Usage) -> _Requirement | None:
+    """Returns the requirement of a step, None if its tasks have limits of their own."""
+    if spec.long_running or spec.gang or spec.same_rack or spec.most_per_worker:
+        return None
+    amounts = (usage.millicores, usage.memory_mb, usage.accelerators)
+    return _Requirement(service, (*amounts, usage.serving, usage.best_effort), spec.label)
+
+
 class StepPlacement(NamedTuple):
     """Workers chosen for tasks of one step, whose room is reserved.
 
@@ -103,6 +119,9 @@
         self._rejections = Rejections(clock)
         # Worker whose room is kept for the long-running tasks of a step.
         self._holds: dict[StepKey, WorkerCapacity] = {}
+        # Requirements for which the present plan has found no worker, and whether one would have
+        # been found despite precautions. Room only shrinks while a plan is made.
+        self._unplaceable: dict[_Requirement, bool] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -118,6 +137,7 @@
     def place_tasks(self) -> Iterator[StepPlacement]:
         """Yields the placements of the waiting tasks, the most urgent first."""
         now = self._now()
+        self._unplaceable.clear()
         self._rejections.expire()
         self._deferrals.expire()
         if self._isolation:
@@ -186,6 +206,8 @@
             tickets = self._advisor.find_tickets(key)
             self._request_advice(workflow, key, capacities, tickets, waiting)
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
+        elif self._is_unplaceable(workflow, step):
+            return None
         chosen = self._choose_workers(step, key, waiting, capacities, now)
         if spec.gang and len(chosen) < len(waiting):
             for capacity, name in chosen:
@@ -219,6 +241,7 @@
         preferred = self._select_rack(step, capacities) if spec.same_rack else capacities
         # Short tasks are not spread over racks, where they are slow and keep others waiting.
         fallback = capacities if spec.long_running else preferred
+        requirement = self._find_requirement(step, key[0])
         has_precautions = len(fallback) > len(preferred) or any(
             capacity.suspect_until > now or capacity.reserved_for or capacity.held_for
             for capacity in fallback
@@ -244,9 +267,36 @@
                 capacity.reserve(name, usage)
                 chosen.append((capacity, name))
             elif not (isolated or spec.long_running):
+                if requirement is not None and not avoided:
+                    self._unplaceable[requirement] = has_precautions and self._deferrals.is_waiting(
+                        name.workflow
+                    )
                 break
         return chosen
 
+    def _find_requirement(self, step: StepState, workflow: str) -> _Requirement | None:
+        """Returns what the outcome for one task of a step tells about other steps, or None."""
+        state = self._workflows[workflow]
+        if workflow in self._isolation or state.spec.advice is not None:
+            return None
+        usage = compute_usage(TaskName(workflow, step.occurrence, step.number, 0), step.spec)
+        return _build_requirement(state.spec.service, step.spec, usage)
+
+    def _is_unplaceable(self, workflow: WorkflowState, step: StepState) -> bool:
+        """Returns whether the present plan has found no worker for a task like those of the step.
+
+        At the worst load most steps are alike in this, and one look at the workers serves them all.
+        """
+        if not self._unplaceable:
+            return False
+        requirement = self._find_requirement(step, workflow.identifier)
+        is_kept = self._unplaceable.get(requirement) if requirement is not None else None
+        if is_kept:
+            # Only precautions keep the task waiting, so the time for which they do is measured.
+            self._deferrals.begin(workflow.identifier)
+            return not self._deferrals.is_over(workflow.identifier)
+        return is_kept is not None
+
     def _choose_despite_precautions(
         self,
         spec: StepSpec,
