--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import Counter
 from datetime import UTC, datetime, timedelta
 from random import Random
@@ -95,6 +96,7 @@
         self.state = "ready"
         self.cores = WORKER_CORES
         self.gone = False
+        self.ended_at = -math.inf
         # Whether another worker has its address.
         self.replaced = False
         self.born = 1
@@ -147,6 +149,7 @@
         self.world.losses.update(self.runs.keys())
         self.world.note_disturbance()
         self.gone = True
+        self.ended_at = self.world.now()
         self._former_cores.clear()
         self.born += 1
         self._reset()
