Track ordered runs again that nothing tracks, and outlive unexpected errors of a start

StrayOrders looks for ordered tasks that neither a link nor an orphan tracks, and for sent orders without an outcome, and the owner takes their runs as possibly running after 3 s. An order that is still on its way expires before the run's absence counts. No other path to such a task was found by reading; the check is a second guard.

The mend touches partition/owner.py and workerlink.py.

--- a/features/long_running_tasks.feature
+++ b/features/long_running_tasks.feature
@@ -35,6 +35,8 @@
       | 1 workers with room refuse every start with unadvised     |
       | 2 workers with room refuse every start with unadvised     |
       | all idle workers but one refuse suspected tasks with full |
+      | the answers of a worker to starts cannot be decoded, and it carries them out |
+      | the answers of a worker to starts cannot be decoded, and it does not carry them out |
       | the fullest worker's orders are late                      |
       | the fullest worker's orders are lost                      |
       | the fullest worker's orders are cut                       |
--- a/features/restart_scenarios.py
+++ b/features/restart_scenarios.py
@@ -248,6 +248,21 @@
         register_refusals(_reason, _count)
 
 
+def register_undecodable(text: str, carries_out: bool) -> None:
+    @scenario(f"the answers of a worker to starts cannot be decoded, and it {text} them out")
+    async def play(world: World) -> None:
+        await submit_long(world, 2, 6)
+        await asyncio.sleep(2.0)
+        worker = list_busy(world)[0]
+        worker.end(next(iter(worker.runs)), "stopped")
+        world.undecodable[worker.name] = carries_out
+        await asyncio.sleep(PLAY_S)
+
+
+register_undecodable("carries", True)
+register_undecodable("does not carry", False)
+
+
 def register_links(kind: str) -> None:
     @scenario(f"the fullest worker's orders are {kind}")
     async def play(world: World) -> None:
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -321,9 +321,15 @@
         return result
 
     async def start(self, _address, worker, task, run, *, expires_ms, fence, may_send, **_):
-        return await self._call(
+        carries_out = self._world.undecodable.get(worker)
+        if carries_out is False:
+            raise RecursionError("the answer to a start order is nested too deeply")
+        clock_ms = await self._call(
             worker, may_send, lambda model: model.start(task, run, expires_ms, fence)
         )
+        if carries_out:
+            raise RecursionError("the answer to a start order is nested too deeply")
+        return clock_ms
 
     async def stop(self, _address, worker, task, run, *, fence, may_send):
         await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
@@ -460,6 +466,8 @@
         self.cordoned: set[str] = set()
         # Reasons with which workers refuse every start.
         self.refusals: dict[str, str] = {}
+        # Workers whose answers to starts cause an unexpected error; whether they carry them out.
+        self.undecodable: dict[str, bool] = {}
         # Number of starts of each task that reached each worker and were not already running there.
         self.sent_starts: Counter[tuple[str, TaskName]] = Counter()
         # Workers for which the placement policy service gives no ticket.
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -26,10 +26,12 @@
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.losses import Losses
 from carawayd.partition.planner import Planner
+from carawayd.partition.strayorders import StrayOrders
 from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
     SENDING,
     TICKET_REFUSED,
+    UNKNOWN,
     Order,
     StartOrder,
     WorkerLink,
@@ -62,6 +64,7 @@
     from random import Random
 
     from carawayd.partition.planner import StepPlacement
+    from carawayd.partition.strayorders import StrayOrder
     from carawayd.partition.workerlink import LostRun
     from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import EndedRun, RunsClient
@@ -229,6 +232,7 @@
             clock=clock,
             time_of_day=time_of_day,
         )
+        self._stray_orders = StrayOrders(self.workflows, self.links, self._orphans, clock)
         self._waits = LongRunningWaits(
             self.workflows,
             self.links,
@@ -265,6 +269,7 @@
                 self._settings.abandon_seconds + compute_lease_seconds(self._settings)
             )
             self._expire_entries()
+            self._stray_orders.check(self._track_stray_order)
             self._waits.check(self.fence)
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
@@ -456,6 +461,25 @@
                 workflow, step, task = found
                 self._reset_task(workflow, step, task, name, "its worker is no longer listed")
 
+    def _track_stray_order(self, stray: StrayOrder) -> None:
+        """Takes a run that nothing tracks as possibly running, so that its end will be known."""
+        self._log_task(
+            stray.task,
+            "ordered run is not tracked; taking it as possibly running",
+            run=stray.run,
+            worker=stray.worker,
+            unanswered=stray.is_unanswered,
+        )
+        link = self.links.get(stray.worker)
+        if link is None or link.closed:
+            self._orphans[stray.task] = stray.worker
+        elif stray.is_unanswered:
+            link.orders[stray.task].state = UNKNOWN
+        else:
+            _, step, _ = self._find_task(stray.task)
+            link.track_stray_run(stray.task, stray.run)
+            link.capacity.reserve(stray.task, compute_usage(stray.task, step.spec))
+
     def _evacuate(self, link: WorkerLink) -> None:
         """Stops long-running tasks of a departing worker, so that they restart elsewhere.
 
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -15,7 +15,7 @@
     PlatformUnreached,
 )
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
-from carawayd.supervision import supervised_task
+from carawayd.supervision import supervised_task, unexpected_errors
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
@@ -339,6 +339,15 @@
         """Tracks a run that an earlier owner ordered; the first report shows whether it exists."""
         self.orders[task] = Order(run, UNKNOWN, ADOPTED, self._now())
 
+    def track_stray_run(self, task: TaskName, run: int) -> None:
+        """Tracks a run that may have been ordered a moment ago.
+
+        An order that is still on its way expires before the time from which its absence is certain.
+        """
+        order = self.orders[task] = Order(run, UNKNOWN, 0, self._now())
+        order.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
+        self._wake.set()
+
     @property
     def run_count(self) -> int:
         """Number of runs that are or may be on the worker."""
@@ -430,14 +439,17 @@
                 self.capacity.record_failure(self._now())
             self._report_missing(task, entry, f"order not sent: {error}")
             return
-        except PlatformError as error:
-            logger.info(
+        except Exception as error:
+            if not isinstance(error, PlatformError):
+                unexpected_errors.count += 1
+            logger.log(
+                logging.INFO if isinstance(error, PlatformError) else logging.ERROR,
                 "start order failed; it is unknown whether the run started",
                 extra={
                     "fields": {
                         "task": format_task(task),
                         "worker": self.worker,
-                        "error": str(error),
+                        "error": str(error) or repr(error),
                     }
                 },
             )
