--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -19,6 +19,7 @@
 from malformed_builders import (
     DIGITS,
     JOB,
+    NESTING,
     OTHER_JOB,
     VALUES,
     LineCollector,
@@ -749,6 +750,21 @@
     return handle
 
 
+def _build_malformed_replies(number: int) -> list[bytes]:
+    documents = [
+        None,
+        [],
+        [number],
+        [[], "ran", "odd", "p", 1.0],
+        [number, "ran", "odd", "p", NOT_A_NUMBER],
+        [number, "ran", "odd", 7, 1.0],
+        [number, "ran", "odd", "p", 1e300],
+        [number, 7, "odd", "p", 1.0],
+    ]
+    encoded = [msgspec.msgpack.encode(document) for document in documents]
+    return [b"", b"\xff", b"\x91" * NESTING, *encoded]
+
+
 class _PeerSocket:
     """Socket of a peer that sends malformed replies ahead of the valid one."""
 
@@ -757,18 +773,8 @@
 
     async def send_multipart(self, frames: list[bytes], flags: int = 0) -> None:
         number, *_ = msgspec.msgpack.decode(frames[-1])
-        for reply in (
-            *(b"", b"\xff", b"\x91" * 100_000),
-            *(
-                msgspec.msgpack.encode(item)
-                for item in (
-                    *(None, [], [number], [[], "ran", "odd", "p", 1.0]),
-                    *([number, "ran", "odd", "p", NOT_A_NUMBER], [number, "ran", "odd", 7, 1.0]),
-                    *([number, "ran", "odd", "p", 1e300], [number, 7, "odd", "p", 1.0]),
-                    [number, "ran", "valid", "p", 1.0],
-                )
-            ),
-        ):
+        valid = msgspec.msgpack.encode([number, "ran", "valid", "p", 1.0])
+        for reply in (*_build_malformed_replies(number), valid):
             self._replies.put_nowait(reply)
 
     async def recv_multipart(self) -> list[bytes]:
--- a/packages/carawayshore/src/carawayshore/decoding.py
+++ b/packages/carawayshore/src/carawayshore/decoding.py
@@ -38,7 +38,6 @@
 
 # Types of fields. A quantity may be written with a fraction.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
-Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
 Number = Annotated[float, msgspec.Meta(ge=-float(MAX_EXACT_NUMBER), le=float(MAX_EXACT_NUMBER))]
 Quantity = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_EXACT_NUMBER))]
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / 1000)]
