--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -33,7 +33,16 @@
     workerlink,
 )
 from carawayd.platform import common
-from carawayd.process import exchange, fleet, keys, machineorders, membership, streams
+from carawayd.process import (
+    exchange,
+    fleet,
+    fleetmanager,
+    keys,
+    machineorders,
+    membership,
+    streams,
+    tasks,
+)
 from carawayshore import assignment, claims, fold, records
 from carawayshore import keys as key_rules
 from carawayshore import membership as members
@@ -45,6 +54,7 @@
 EMBEDDED = ("log_order", "at_most_once", "fleet", "log_property")
 OWNERS = ("owner_workers", "owner_property", "fleet_manager")
 CRASHES = ("worker_crashes",)
+HANDOVERS = ("handover",)
 CAPACITIES = ("worker_capacity", "owner_property")
 RESTARTS = ("long_running_restart",)
 LEDGERS = ("ledger", "owner_property")
@@ -355,6 +365,64 @@
     planner.Planner._keep_room = lambda self, key, step, waiting, capacities: None
 
 
+@mutation("an owner writes a record before it renews a lease", HANDOVERS)
+def renew_without_record() -> None:
+    async def announce(self) -> None:
+        self._has_written = True
+
+    owner.PartitionOwner._announce = announce
+
+
+@mutation("how long leases last is no longer recorded once they are renewed", HANDOVERS)
+def keep_record_of_leases() -> None:
+    contactloss.ContactLoss.end = lambda self, worker: self._losses.pop(worker, None) and None
+
+
+@mutation("an owner that hands over records how long its leases last", HANDOVERS)
+def record_expired_leases() -> None:
+    original = contactloss.ContactLoss.record_lease
+    contactloss.ContactLoss.record_lease = lambda self, worker, _: original(self, worker, 0.0)
+
+
+@mutation("a start order whose run is to stop is not sent", ("unsent_orders",))
+def send_order_of_stopped_run() -> None:
+    original = workerlink.WorkerLink.stop_task
+
+    def stop_task(self, task) -> None:
+        order = self.orders.get(task)
+        if order is not None and order.may_have_started:
+            original(self, task)
+
+    workerlink.WorkerLink.stop_task = stop_task
+
+
+@mutation("an order counts as unknown after an unexpected error", ("unsent_orders",))
+def keep_order_after_error() -> None:
+    workerlink.WorkerLink.abandon_sending = lambda self, task, run: None
+
+
+@mutation("workers of ended jobs are asked though they are not listed", ("cancel_at_takeover",))
+def forget_workers_of_ended_jobs() -> None:
+    workerlink.WorkerLink.is_needed = property(
+        lambda self: not self.closed and (self.listed or self.run_count > 0)
+    )
+
+
+@mutation("the loss of a worker that was only silent is taken back", ("silent_workers",))
+def keep_loss_of_silent_worker() -> None:
+    losses.Losses.retract = lambda self, worker, born: None
+
+
+@mutation("an order to a machine is sent under its own token only", ("fleet_manager",))
+def send_order_of_former_token() -> None:
+    fleetmanager.FleetManager._permit = lambda self, fence: self._may_order
+
+
+@mutation("the claim is checked once the connection to a worker is open", ("paused_holder",))
+def start_under_former_claim() -> None:
+    tasks.TaskSupervisor._is_current = lambda self, name, job: True
+
+
 @mutation("the losses of workers are part of a step's record", CRASHES)
 def forget_losses() -> None:
     original = state.TaskState.to_row
