--- a/features/handover.feature
+++ b/features/handover.feature
@@ -26,6 +26,12 @@
     And it hands over in order and the next owner takes over
     Then the next owner waits at least 15 s and at most 21 s more for the leases
 
+  Scenario: Such a lease is waited for after an owner that is killed, too
+    Given an owner whose start order of run 1 got no response
+    When a report to its call shows that the worker was born again
+    And the worker falls silent and the next owner takes over after 0 s
+    Then the next owner waits at least 15 s and at most 21 s more for the leases
+
   # Guards against two runs of one task: the next owner renews the leases after it has read how long
   # they last, and is lost.
 
--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -13,19 +13,37 @@
 UNRESPONSIVE_PREFIX = "~"
 # Marks a duration in ms; earlier versions recorded a time of day without it.
 DURATION_MARK = b"+"
+# Marks a duration that an owner measured which had ordered the worker before.
+CONTACT_MARK = b"="
 # Marks the longest time in ms for which the leases of a worker last, as recorded by an owner that
 # handed over. Earlier versions read it as a worker that has just become unresponsive.
 LEASE_MARK = b"-"
 # Interval at which the time is recorded anew, so that a later owner continues from it.
 RECORD_INTERVAL_SECONDS = 1.0
+# Time after which an owner that continues a measurement records it first, so that owners that
+# follow each other quickly make progress together.
+FIRST_RECORD_SECONDS = 0.2
 
 
 class _Loss(NamedTuple):
-    """Loss of contact: seconds measured by earlier owners, and local times in seconds."""
+    """Loss of contact.
+
+    Parameters
+    ----------
+    earlier_seconds : float
+        Time measured by earlier owners, or since the last renewal; negative if a late order may
+        give a longer lease than a renewal.
+    since, recorded_at : float
+        Local times in seconds.
+    had_contact : bool
+        Whether the worker had seen the fencing token of the owner that lost the contact. Owners
+        before that one can no longer renew its leases, and that one did not renew them since.
+    """
 
     earlier_seconds: float
     since: float
     recorded_at: float
+    had_contact: bool
 
 
 class ContactLoss:
@@ -39,47 +57,56 @@
     ----------
     clock : Clock
     ledger : Ledger
+    lease_seconds : float
+        Longest time from the renewal of a lease to its certain end.
     """
 
-    def __init__(self, clock: Clock, ledger: Ledger) -> None:
+    def __init__(self, clock: Clock, ledger: Ledger, lease_seconds: float) -> None:
         self._clock = clock
         self._ledger = ledger
+        self._lease_seconds = lease_seconds
         self._losses: dict[str, _Loss] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
 
-    def restore(self, worker: str, value: bytes, lease_bound_seconds: float) -> None:
+    def restore(self, worker: str, value: bytes) -> None:
         """Continues from the duration that an earlier owner recorded.
 
-        If that owner handed over and recorded how long the leases last, the worker counts as
-        unresponsive for so long that the rest of ``lease_bound_seconds`` covers them.
+        If that owner recorded how long the leases last, the worker counts as unresponsive for so
+        long that the rest of a lease covers them.
         """
+        mark, digits = value[:1], value[1:]
+        seconds = int(digits) / 1000 if digits.isdigit() else 0.0
         earlier_seconds = 0.0
-        digits = value[1:]
-        if digits.isdigit() and value.startswith(DURATION_MARK):
-            earlier_seconds = int(digits) / 1000
-        elif digits.isdigit() and value.startswith(LEASE_MARK):
-            # Negative if a late order may give a lease that lasts beyond the bound.
-            earlier_seconds = lease_bound_seconds - int(digits) / 1000
+        if mark in (DURATION_MARK, CONTACT_MARK):
+            earlier_seconds = seconds
+        elif mark == LEASE_MARK:
+            # Negative if a late order may give a longer lease.
+            earlier_seconds = self._lease_seconds - seconds
+        had_contact = mark in (CONTACT_MARK, LEASE_MARK) and digits.isdigit()
         now = self._now()
-        self._losses[worker] = _Loss(earlier_seconds, now, now)
+        recorded_at = now + FIRST_RECORD_SECONDS - RECORD_INTERVAL_SECONDS
+        self._losses[worker] = _Loss(earlier_seconds, now, recorded_at, had_contact)
 
     def record_lease(self, worker: str, seconds: float) -> None:
         """Records the longest time for which leases last that are no longer renewed."""
         until = self._now() + seconds
+        self._ledger.mark_dirty(
+            UNRESPONSIVE_PREFIX + worker, lambda: _encode_lease(until - self._now())
+        )
 
-        def encode() -> bytes:
-            remaining = max(0.0, until - self._now())
-            return LEASE_MARK + str(math.ceil(remaining * 1000)).encode()
-
-        self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
+    def begin(self, worker: str, *, lease_left_seconds: float | None = None) -> None:
+        """Starts measuring, unless the worker is known as unresponsive.
 
-    def begin(self, worker: str) -> None:
-        """Starts measuring, unless the worker is known as unresponsive."""
+        ``lease_left_seconds`` is the longest time for which its leases last, None if the worker has
+        not seen this owner's fencing token.
+        """
         if worker not in self._losses:
+            had_contact = lease_left_seconds is not None
+            elapsed = self._lease_seconds - lease_left_seconds if had_contact else 0.0
             now = self._now()
-            self._losses[worker] = _Loss(0.0, now, now)
+            self._losses[worker] = _Loss(elapsed, now, now, had_contact)
             self._record(worker)
 
     def end(self, worker: str) -> bool:
@@ -94,6 +121,21 @@
         loss = self._losses.get(worker)
         return loss.earlier_seconds + self._now() - loss.since if loss else 0.0
 
+    def are_leases_over(self, worker: str, abandon_seconds: float) -> bool:
+        """Returns whether every lease that any owner has renewed on the worker has expired.
+
+        Parameters
+        ----------
+        worker : str
+        abandon_seconds : float
+            Longest time for which a former owner goes on renewing.
+        """
+        loss = self._losses.get(worker)
+        if loss is None:
+            return False
+        renewal_seconds = 0.0 if loss.had_contact else abandon_seconds
+        return self.measure_seconds(worker) > renewal_seconds + self._lease_seconds
+
     def record_progress(self, limit_seconds: float) -> None:
         """Records the durations whose last record is older than ``RECORD_INTERVAL_SECONDS``.
 
@@ -113,7 +155,14 @@
         def encode() -> bytes:
             if worker not in self._losses:
                 return b""
-            seconds = max(0.0, self.measure_seconds(worker))
-            return DURATION_MARK + str(int(seconds * 1000)).encode()
+            seconds = self.measure_seconds(worker)
+            if seconds < 0:
+                return _encode_lease(self._lease_seconds - seconds)
+            mark = CONTACT_MARK if self._losses[worker].had_contact else DURATION_MARK
+            return mark + str(int(seconds * 1000)).encode()
 
         self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
+
+
+def _encode_lease(seconds: float) -> bytes:
+    return LEASE_MARK + str(math.ceil(max(0.0, seconds) * 1000)).encode()
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -34,7 +34,7 @@
     Order,
     StartOrder,
     WorkerLink,
-    compute_lease_bound_seconds,
+    compute_lease_seconds,
 )
 from carawayd.platform.runs import format_task
 from carawayd.supervision import start_in_background, supervised_task
@@ -202,7 +202,7 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Worker of each task that an earlier owner ordered, until the link to the worker tracks it.
         self._orphans: dict[TaskName, str] = {}
-        self._contact_loss = ContactLoss(clock, self.ledger)
+        self._contact_loss = ContactLoss(clock, self.ledger, compute_lease_seconds(settings))
         self._known_workers = KnownWorkers(self.ledger)
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
@@ -267,7 +267,9 @@
             )
         while not self.should_stop and not self.lost:
             self._scan_workers()
-            self._contact_loss.record_progress(compute_lease_bound_seconds(self._settings))
+            self._contact_loss.record_progress(
+                self._settings.abandon_seconds + compute_lease_seconds(self._settings)
+            )
             self._expire_entries()
             self._waits.check(self.fence)
             if self.ledger.lost:
@@ -297,11 +299,7 @@
             elif key.startswith(CORDON_PREFIX):
                 self._cordons.restore(key.removeprefix(CORDON_PREFIX), value)
             elif key.startswith(UNRESPONSIVE_PREFIX):
-                self._contact_loss.restore(
-                    key.removeprefix(UNRESPONSIVE_PREFIX),
-                    value,
-                    compute_lease_bound_seconds(self._settings),
-                )
+                self._contact_loss.restore(key.removeprefix(UNRESPONSIVE_PREFIX), value)
             elif key.startswith(WORKER_PREFIX):
                 self._known_workers.restore(key.removeprefix(WORKER_PREFIX), value)
             else:
@@ -480,10 +478,9 @@
 
     def _release_orphans(self) -> None:
         """Resets tasks whose worker is not listed, once every lease on it has expired."""
-        bound = compute_lease_bound_seconds(self._settings)
         for name, worker in list(self._orphans.items()):
             self._contact_loss.begin(worker)
-            if self.measure_unresponsive_seconds(worker) < bound:
+            if not self.are_leases_over(worker):
                 continue
             del self._orphans[name]
             found = self._find_task(name)
@@ -564,7 +561,8 @@
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
         if link.run_count or link.is_awaited:
-            self._contact_loss.begin(link.worker)
+            lease_left = link.measure_lease_seconds() if link.had_contact else None
+            self._contact_loss.begin(link.worker, lease_left_seconds=lease_left)
 
     def find_recorded_start(self, worker: str) -> int:
         """Returns the start of the incarnation of a worker that was last sent an order.
@@ -612,9 +610,9 @@
         if self._contact_loss.end(link.worker):
             await self.ledger.flush()
 
-    def measure_unresponsive_seconds(self, worker: str) -> float:
-        """Returns for how many seconds a worker has been unresponsive, 0 if it responds."""
-        return self._contact_loss.measure_seconds(worker)
+    def are_leases_over(self, worker: str) -> bool:
+        """Returns whether every lease that any owner has renewed on a worker has expired."""
+        return self._contact_loss.are_leases_over(worker, self._settings.abandon_seconds)
 
     def may_renew(self) -> bool:
         """Returns whether orders may be sent and leases renewed."""
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -282,7 +282,8 @@
 
 @mutation("an earlier owner's renewals are waited for", OWNERS)
 def ignore_earlier_leases() -> None:
-    workerlink.compute_lease_bound_seconds = owner.compute_lease_bound_seconds = lambda settings: 1
+    original = contactloss.ContactLoss.are_leases_over
+    contactloss.ContactLoss.are_leases_over = lambda self, worker, _: original(self, worker, 0.0)
 
 
 @mutation("silence is measured without the time of day", OWNERS)
