--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -55,7 +55,8 @@
     Parameters
     ----------
     earlier_seconds : float
-        Time measured by earlier owners.
+        Time measured by earlier owners, or since the last renewal; negative if a late order may
+        give a longer lease than a renewal.
     since, recorded_at : float
         Local times in seconds.
     had_contact : bool
@@ -95,19 +96,19 @@
     def restore(self, worker: str, value: bytes) -> None:
         """Continues from the duration that an earlier owner recorded.
 
-        If that owner handed over and recorded how long the leases last, the worker counts as
-        unresponsive for so long that the rest of the longest wait covers them. From a record that
-        cannot be read, the whole time is waited again.
+        If that owner recorded how long the leases last, the worker counts as unresponsive for so
+        long that the rest of a lease covers them. From a record that cannot be read, the whole
+        time is waited again.
         """
         earlier_seconds, had_contact = 0.0, False
         mark = value[:1]
         if mark in (DURATION_MARK, CONTACT_MARK, LEASE_MARK):
             try:
                 earlier_seconds = parse_count(value[1:], MAX_DURATION_MS) / 1000
-                had_contact = mark == CONTACT_MARK
+                had_contact = mark in (CONTACT_MARK, LEASE_MARK)
                 if mark == LEASE_MARK:
-                    # Negative if a late order may give a lease that lasts beyond the longest wait.
-                    earlier_seconds = self._bounds.longest - earlier_seconds
+                    # Negative if a late order may give a longer lease.
+                    earlier_seconds = self._bounds.lease_seconds - earlier_seconds
             except MalformedDocument as error:
                 unreadable_records.note(self._ledger.topic, UNRESPONSIVE_PREFIX + worker, error)
         now = self._now()
@@ -118,19 +119,21 @@
         """Records the longest time for which leases last that are no longer renewed."""
         until = self._now() + seconds
 
-        def encode() -> bytes:
-            return _encode_lease(max(0.0, until - self._now()))
-
-        self._ledger.mark_dirty(UNRESPONSIVE_PREFIX + worker, encode)
+        self._ledger.mark_dirty(
+            UNRESPONSIVE_PREFIX + worker, lambda: _encode_lease(until - self._now())
+        )
 
-    def begin(self, worker: str, *, had_contact: bool = False) -> None:
+    def begin(self, worker: str, *, lease_left_seconds: float | None = None) -> None:
         """Starts measuring, unless the worker is known as unresponsive.
 
-        ``had_contact`` tells whether the worker has seen this owner's fencing token.
+        ``lease_left_seconds`` is the longest time for which its leases last, None if the worker has
+        not seen this owner's fencing token.
         """
         if worker not in self._losses:
             now = self._now()
-            self._losses[worker] = _Loss(0.0, now, now, had_contact)
+            had_contact = lease_left_seconds is not None
+            elapsed = self._bounds.lease_seconds - lease_left_seconds if had_contact else 0.0
+            self._losses[worker] = _Loss(elapsed, now, now, had_contact)
             self._record(worker)
 
     def end(self, worker: str) -> bool:
@@ -175,7 +178,7 @@
                 return b""
             measured = self.measure_seconds(worker)
             if measured < 0:
-                return _encode_lease(self._bounds.longest - measured)
+                return _encode_lease(self._bounds.lease_seconds - measured)
             mark = CONTACT_MARK if self._losses[worker].had_contact else DURATION_MARK
             return mark + str(int(measured * 1000)).encode()
 
@@ -183,4 +186,4 @@
 
 
 def _encode_lease(seconds: float) -> bytes:
-    return LEASE_MARK + str(math.ceil(seconds * 1000)).encode()
+    return LEASE_MARK + str(math.ceil(max(0.0, seconds) * 1000)).encode()
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -584,7 +584,8 @@
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
         if link.run_count or link.is_awaited:
-            self._contact_loss.begin(link.worker, had_contact=link.had_contact)
+            lease_left = link.measure_lease_seconds() if link.had_contact else None
+            self._contact_loss.begin(link.worker, lease_left_seconds=lease_left)
 
     def find_recorded_start(self, worker: str) -> int:
         """Returns the start of the incarnation of a worker that was last sent an order.
