Check recorded run times and owners' replies like other documents

Recorded statistics of a queue beyond all bounds were accepted, and raised OverflowError at the next submission and ZeroDivisionError at the next end of a run; a malformed load in an owner's reply raised ValidationError in the fleet manager's loop. Both are decoded with bounds now, noted and skipped.

--- a/features/malformed_documents.feature
+++ b/features/malformed_documents.feature
@@ -127,6 +127,17 @@
       | an empty list            |
       | text that is no UTF-8    |
 
+  Scenario Outline: Run times beyond all bounds are not learned from
+    # They raised OverflowError at the next submission, and ZeroDivisionError at the next end.
+    When the recorded statistics of a queue are <value>, and a new owner reads them
+    Then it estimates and learns run times as without them
+
+    Examples:
+      | value                    |
+      | [50, 1.5e30]             |
+      | [-1, 0.5]                |
+      | [3, 0, 1, 0, 1, -1e300]  |
+
   Scenario Outline: Records that cannot be read never shorten a wait
     # Guards against leases that are taken to be over, and cordons that end, by a damaged record.
     When a new owner reads <value> as the time for which w0 was unresponsive and as its cordon
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -59,7 +59,8 @@
 from carawayd.request.workflows import WorkflowHandler
 from carawayd.unreadable import unreadable_records
 from carawayshore.findings import FindingsError
-from carawayshore.workflows.runtimes import RuntimeStatistics
+from carawayshore.workflows.model import StepSpec
+from carawayshore.workflows.runtimes import RuntimeModel, RuntimeStatistics
 
 SEED = 31
 SERVICES = {"booking"}
@@ -445,6 +446,21 @@
     _check_takeover(context, {RUNTIME_PREFIX + "slots": VALUES[value]})
 
 
+@when("the recorded statistics of a queue are {value}, and a new owner reads them")
+def read_statistics(context, value):
+    context.owner = _take_over({RUNTIME_PREFIX + "slots": value.encode()}).owner
+
+
+@then("it estimates and learns run times as without them")
+def expect_estimates(context):
+    step = StepSpec(estimate_ms=500)
+    runtimes, fresh = context.owner._runtimes, RuntimeModel()
+    for model in (runtimes, fresh):
+        model.learn("slots", step, 0.7)
+    expected = fresh.estimate_task_seconds("slots", step)
+    assert runtimes.estimate_task_seconds("slots", step) == expected
+
+
 @then("it takes over each time and has the workflow whose records are readable")
 def expect_takeovers(context):
     assert not context.missed, context.missed[:5]
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -40,11 +40,13 @@
 )
 from carawayd.platform.runs import format_task
 from carawayd.supervision import start_in_background, supervised_task
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
 from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
-from carawayshore.workflows.runtimes import RuntimeModel, RuntimeStatistics
+from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
     CANCELLED,
     COMPLETED,
@@ -337,12 +339,9 @@
 
     def _restore_runtime(self, queue: str, value: bytes) -> None:
         try:
-            times = msgspec.json.decode(value, type=RuntimeStatistics)
-        except msgspec.MsgspecError as error:
-            logger.warning(
-                "recorded run times of a queue are unreadable; starting without them",
-                extra={"fields": {"queue": queue, "error": str(error)}},
-            )
+            times = decode_statistics(value)
+        except MalformedDocument as error:
+            unreadable_records.note(WORKFLOWS_TOPIC, RUNTIME_PREFIX + queue, error)
             return
         self._runtimes.restore(queue, times)
 
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -19,6 +19,8 @@
 from carawayd.process.machineorders import MAX_ORDER_DELAY, ORDER_PREFIX, MachineOrders
 from carawayd.process.ownercalls import CORDON, REPORT_LOAD, UNCORDON
 from carawayd.supervision import start_in_background, supervised_task
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument, convert
 from carawayshore.workflows.model import ServiceLoad, WorkerLoad
 from carawayshore.workflows.pools import PoolSizer, PoolView, choose_moves
 from carawayshore.workflows.upkeep import (
@@ -248,9 +250,8 @@
         self._services = {}
         for reply, _ in answers:
             if reply.outcome == FOUND:
-                for item in reply.detail:
-                    load = msgspec.convert(msgspec.to_builtins(item), ServiceLoad)
-                    self._services[load.service] = load
+                loads = _convert_reply(reply.detail, list[ServiceLoad], REPORT_LOAD) or []
+                self._services |= {load.service: load for load in loads}
         self._loads = {
             load.worker: load for service in self._services.values() for load in service.workers
         }
@@ -493,7 +494,7 @@
         )
         if reply.outcome != ACCEPTED:
             return None
-        return msgspec.convert(msgspec.to_builtins(reply.detail), WorkerLoad)
+        return _convert_reply(reply.detail, WorkerLoad, CORDON)
 
     async def _uncordon(self, machine: Machine) -> None:
         partition = self._discovery.find_partition(machine.pool)
@@ -574,3 +575,12 @@
             "wave state published",
             extra={"fields": {"wave": wave.number, "completed": completed}},
         )
+
+
+def _convert_reply(detail: Any, kind: Any, call: str) -> Any:
+    """Returns the detail of an owner's reply as a type, None if it does not have it."""
+    try:
+        return convert(msgspec.to_builtins(detail), kind)
+    except MalformedDocument as error:
+        unreadable_records.note("replies of owners", call, error)
+        return None
--- a/packages/carawayshore/src/carawayshore/workflows/runtimes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/runtimes.py
@@ -11,6 +11,8 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayshore.decoding import decode_json, reject
+
 if TYPE_CHECKING:
     from carawayshore.workflows.model import StepSpec, Workflow
 
@@ -54,6 +56,19 @@
     slowest_ratio: float = DEFAULT_SLOWEST_RATIO
 
 
+# Larger than the logarithm of any run time in seconds, or of a ratio of two.
+MAX_LOGARITHM = 50.0
+
+
+def decode_statistics(value: bytes) -> RuntimeStatistics:
+    """Returns recorded statistics; raises MalformedDocument if they cannot be used."""
+    times = decode_json(value, RuntimeStatistics)
+    numbers = (times.mean, times.variance, times.bias, times.error_variance, times.slowest_ratio)
+    if times.count < 0 or not all(abs(number) <= MAX_LOGARITHM for number in numbers):
+        raise reject("", times, f"a count from 0 and numbers of at most {MAX_LOGARITHM}")
+    return times
+
+
 class RuntimeModel:
     """Learns and estimates run times for each queue."""
 
