Play long-running tasks, and workers that leave for good, in the soak

Change: edition 4 submits two long-running jobs, of which one fills two workers, and adds faults: workers that leave for good and are replaced later, workers that grow and shrink, and crashes of the worker with the most long-running tasks. After each series of faults a worker leaves under long-running tasks and a calm time follows.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,3 +23,7 @@
     Examples: with tasks that crash their workers, and workers that shrink
       | seed | seconds | edition |
       | 3    | 12      | 3       |
+
+    Examples: with long-running tasks, and a worker that leaves for good under them
+      | seed | seconds | edition |
+      | 36   | 10      | 4       |
--- a/features/soak_faults.py
+++ b/features/soak_faults.py
@@ -227,14 +227,14 @@
 
 @register_fault("worker-crash")
 async def crash_worker(deployment: SoakDeployment, random: Random) -> str:
-    worker = random.choice(deployment.workers)
+    worker = random.choice(deployment.list_present_workers())
     worker.crash()
     return worker.name
 
 
 @register_fault("worker-late-starts")
 async def delay_starts(deployment: SoakDeployment, random: Random) -> str:
-    worker = random.choice(deployment.workers)
+    worker = random.choice(deployment.list_present_workers())
     worker.start_delay_seconds = random.uniform(1.0, 5.0)
     await asyncio.sleep(random.uniform(0.5, 2.0))
     worker.start_delay_seconds = 0.0
@@ -243,15 +243,42 @@
 
 @register_fault("worker-answers-lost")
 async def lose_starts(deployment: SoakDeployment, random: Random) -> str:
-    worker = random.choice(deployment.workers)
+    worker = random.choice(deployment.list_present_workers())
     worker.lose_start_responses += random.randint(1, 4)
     return worker.name
 
 
 @register_fault("worker-shrinks", edition=3)
 async def shrink_worker(deployment: SoakDeployment, random: Random) -> str:
-    worker = random.choice(deployment.workers)
+    worker = random.choice(deployment.list_present_workers())
     worker.resize(random.choice([1, 2]) * 1000)
     await asyncio.sleep(random.uniform(3.0, 8.0))
     worker.resize(deployment.plan.worker_cores * 1000)
     return worker.name
+
+
+@register_fault("worker-gone", edition=4)
+async def remove_worker(deployment: SoakDeployment, random: Random) -> str:
+    worker = random.choice(deployment.list_present_workers())
+    await deployment.remove_worker(worker)
+    await asyncio.sleep(random.uniform(1.0, 4.0))
+    await deployment.add_worker()
+    return worker.name
+
+
+@register_fault("worker-grows", edition=4)
+async def grow_worker(deployment: SoakDeployment, random: Random) -> str:
+    worker = random.choice(deployment.list_present_workers())
+    worker.resize(random.randint(0, 4) * 1000)
+    await asyncio.sleep(random.uniform(0.5, 3.0))
+    worker.resize(deployment.plan.worker_cores * 1500)
+    await asyncio.sleep(random.uniform(0.5, 3.0))
+    worker.resize(deployment.plan.worker_cores * 1000)
+    return worker.name
+
+
+@register_fault("worker-crash-busiest", edition=4)
+async def crash_busiest_worker(deployment: SoakDeployment, random: Random) -> str:
+    worker = deployment.find_busiest_worker()
+    worker.crash()
+    return worker.name
--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -20,9 +20,9 @@
     build_route,
 )
 from soak_faults import FaultProxy, get_faults
+from soak_lasting import LongRunningWatch, SoakWorker
 
 from carawayshore_standins.platform_store import PlatformStore
-from carawayshore_standins.platform_worker import PlatformWorker
 from carawayshore_standins.ports import PortReserver
 from carawayshore_standins.processes import ManagedProcess, ProcessSpec
 
@@ -44,6 +44,16 @@
 GIVE_UP_CRASHES = 2
 # Interval at which workers write their entries, since edition 3.
 BEAT_S = 1.5
+# Time from the end of a worker's process to the removal of its entry: three beats.
+ENTRY_LIFETIME_S = 4.5
+# Numbers of tasks of the long-running jobs, since edition 4. The first one fills two workers.
+LONG_RUNNING_TASKS = (13, 2)
+# Faults of this duration are followed by a calm time, since edition 4.
+SERIES_S = 10.0
+# Time from a series of faults to the loss of a worker that follows it.
+SETTLING_TIME_S = 3.0
+# Time without further faults in which long-running tasks have to run again.
+CALM_TIME_S = 14.0
 
 
 class SoakPlan(NamedTuple):
@@ -51,7 +61,8 @@
 
     Since edition 2, the time of day of hosts jumps, and workers are so small that they fill up.
     Workers start whatever they are told, so that only the owner keeps their capacity. Since edition
-    3, the configuration says so, their capacity changes, and some tasks crash them.
+    3, the configuration says so, their capacity changes, and some tasks crash them. Since edition
+    4, there are long-running jobs, workers leave for good, and a calm time follows each series.
     """
 
     seed: int
@@ -59,11 +70,23 @@
     hosts: int = 4
     workers: int = 5
     callers: int = 6
-    edition: int = 3
+    edition: int = 4
 
     @property
     def worker_cores(self) -> int:
-        return 16 if self.edition == 1 else 3
+        return {1: 16, 2: 3, 3: 3}.get(self.edition, 6)
+
+    @property
+    def total_seconds(self) -> float:
+        """Duration of all series, with the times after them."""
+        calm_times = len(self.series) if self.edition >= 4 else 0
+        return self.seconds + calm_times * (SETTLING_TIME_S + CALM_TIME_S)
+
+    @property
+    def series(self) -> list[float]:
+        """Durations of the series of faults."""
+        count = 1 if self.edition < 4 else max(1, round(self.seconds / SERIES_S))
+        return [self.seconds / count] * count
 
 
 class Job:
@@ -78,6 +101,7 @@
         self.rejected = False
         self.completed = False
         self.is_crashing = False
+        self.is_long_running = False
 
 
 class SoakDeployment:
@@ -86,7 +110,9 @@
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
         self.plan = plan
         self.store = PlatformStore()
-        self.workers: list[PlatformWorker] = []
+        self.workers: list[SoakWorker] = []
+        self.crashing_tasks: set[str] = set()
+        self.long_running_jobs: set[str] = set()
         self.links: dict[str, FaultProxy] = {}
         self.hosts: dict[str, ManagedProcess] = {}
         self.caller_addresses: dict[str, str] = {}
@@ -101,14 +127,8 @@
         store = self._ports.reserve()
         await self.store.start(store)
         self.publish_configuration()
-        for number in range(self.plan.workers):
-            address = self._ports.reserve()
-            worker = PlatformWorker(f"w{number}", SERVICE, address, run_seconds=TASK_DURATION_S)
-            await worker.start()
-            self.workers.append(worker)
-            worker.millicores = self.plan.worker_cores * 1000
-            self._worker_addresses[worker.name] = await self._add_link(worker.name, address)
-            self.write_entry(worker)
+        for _ in range(self.plan.workers):
+            await self.add_worker()
         if self.plan.edition >= 3:
             self._beating = asyncio.ensure_future(self._write_entries())
         for number in range(self.plan.hosts):
@@ -117,7 +137,39 @@
             self.hosts[name] = ManagedProcess(self._plan_host(name, link, number), self._folder)
             await self.start_host(name)
 
-    def write_entry(self, worker: PlatformWorker) -> None:
+    async def add_worker(self) -> None:
+        address = self._ports.reserve()
+        name = f"w{len(self.workers)}"
+        worker = SoakWorker(name, SERVICE, address, run_seconds=TASK_DURATION_S)
+        worker.millicores = self.plan.worker_cores * 1000
+        worker.crashing_tasks = self.crashing_tasks
+        worker.long_running_jobs = self.long_running_jobs
+        await worker.start()
+        self.workers.append(worker)
+        self._worker_addresses[name] = await self._add_link(name, address)
+        self.write_entry(worker)
+
+    async def remove_worker(self, worker: SoakWorker) -> None:
+        """Ends a worker for good; its entry is removed later."""
+        await worker.leave()
+        asyncio.get_running_loop().call_later(
+            ENTRY_LIFETIME_S, self.store.put, "keyed.servers", worker.name, None
+        )
+
+    def find_busiest_worker(self) -> SoakWorker:
+        """Returns the worker with the most long-running tasks."""
+        return max(self.list_present_workers(), key=SoakWorker.count_long_running)
+
+    def end_pending_faults(self) -> None:
+        """Ends the faults that would hit calls to come."""
+        self.store.lose_answers = 0
+        for worker in self.workers:
+            worker.lose_start_responses = 0
+
+    def list_present_workers(self) -> list[SoakWorker]:
+        return [worker for worker in self.workers if not worker.gone]
+
+    def write_entry(self, worker: SoakWorker) -> None:
         entry = worker.describe() | {"address": self._worker_addresses[worker.name]}
         if self.plan.edition >= 3:
             # Only workers that write their entries again can tell their present start there.
@@ -126,7 +178,7 @@
 
     async def _write_entries(self) -> None:
         while True:
-            for worker in self.workers:
+            for worker in self.list_present_workers():
                 self.write_entry(worker)
             await asyncio.sleep(BEAT_S)
 
@@ -182,7 +234,7 @@
             await host.kill()
         for link in self.links.values():
             link.close()
-        for worker in self.workers:
+        for worker in self.list_present_workers():
             await worker.stop()
         await self.store.stop()
         self._ports.release()
@@ -206,7 +258,14 @@
         self.findings: list[str] = []
         self.faults: list[str] = []
         self.response_counts: Counter[str] = Counter()
+        self.long_running_jobs: list[Job] = []
+        self.watch = LongRunningWatch(
+            self.long_running_jobs, self.deployment.workers, self._measure_calm_seconds
+        )
         self._random = Random(plan.seed)
+        # Time since which no fault has been injected, None outside of calm times.
+        self._calm_since: float | None = None
+        self._crash_count = 0
         self._session: aiohttp.ClientSession | None = None
 
     def _now(self) -> float:
@@ -218,17 +277,59 @@
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(connector=connector, timeout=timeout) as self._session:
             await asyncio.sleep(1.5)
-            ends_at = self._now() + self.plan.seconds
+            if self.plan.edition >= 4:
+                await self._submit_long_running_jobs()
+            watching = asyncio.ensure_future(self.watch.watch())
+            ends_at = self._now() + self.plan.total_seconds
             seeds = [self._random.getrandbits(32) for _ in range(self.plan.callers + 2)]
             callers = [
                 self._run_caller(Random(seed), number, ends_at)
                 for number, seed in enumerate(seeds[2:])
             ]
-            await asyncio.gather(*callers, *(self._inject(Random(s), ends_at) for s in seeds[:2]))
+            await asyncio.gather(*callers, self._inject_series([Random(s) for s in seeds[:2]]))
+            watching.cancel()
             await self._await_completion()
         await self.deployment.stop()
         self._check_runs()
 
+    async def _submit_long_running_jobs(self) -> None:
+        for number, tasks in enumerate(LONG_RUNNING_TASKS, 1):
+            job = Job(build_identifier(number), tasks)
+            job.is_long_running = True
+            self.jobs.append(job)
+            self.long_running_jobs.append(job)
+            self.deployment.long_running_jobs.add(job.identifier)
+            while job.accepted_at is None:
+                await self._submit(job, self._random)
+            job.rejected = False
+
+    def _measure_calm_seconds(self) -> float:
+        """Returns for how long there has been no fault; a crash under a task is one."""
+        crash_count = sum(worker.crash_count for worker in self.deployment.workers)
+        if self._calm_since is not None and crash_count != self._crash_count:
+            self._calm_since = self._now()
+        self._crash_count = crash_count
+        return self._now() - self._calm_since if self._calm_since is not None else 0.0
+
+    async def _inject_series(self, randoms: list[Random]) -> None:
+        """Injects each series of faults, and since edition 4 observes a calm time after it.
+
+        A worker leaves for good under long-running tasks at its beginning.
+        """
+        for seconds in self.plan.series:
+            ends_at = self._now() + seconds
+            await asyncio.gather(*(self._inject(random, ends_at) for random in randoms))
+            if self.plan.edition >= 4:
+                self.deployment.end_pending_faults()
+                await asyncio.sleep(SETTLING_TIME_S)
+                worker = self.deployment.find_busiest_worker()
+                await self.deployment.remove_worker(worker)
+                self.faults.append(f"{self._now():.2f}: {worker.name} gone; a calm time begins")
+                self._calm_since = self._now()
+                await asyncio.sleep(CALM_TIME_S)
+                self._calm_since = None
+                await self.deployment.add_worker()
+
     async def _inject(self, random: Random, ends_at: float) -> None:
         """Injects faults sequentially; two such sequences run in parallel, so faults overlap."""
         faults = get_faults(self.plan.edition)
@@ -257,10 +358,10 @@
             count += 1
             job = Job(build_identifier((caller + 1) * 100_000 + count), random.randint(1, 4))
             self.jobs.append(job)
-            if self.plan.edition >= 3 and random.random() < CRASHING_SHARE:
+            is_crashing = self.plan.edition >= 3 and random.random() < CRASHING_SHARE
+            if is_crashing and self._calm_since is None:
                 job.is_crashing = True
-                for worker in self.deployment.workers:
-                    worker.crashing_tasks.add(f"{job.identifier}.0.0.0")
+                self.deployment.crashing_tasks.add(f"{job.identifier}.0.0.0")
             await self._submit(job, random)
             if job.accepted_at is not None:
                 if random.random() < CANCELLATION_SHARE:
@@ -273,7 +374,12 @@
         return random.choice(sorted(self.deployment.hosts))
 
     async def _submit(self, job: Job, random: Random) -> None:
-        document = build_job(job.tasks, estimateMs=int(TASK_DURATION_S * 1000))
+        options = (
+            {"longRunning": True, "mayMiss": 1}
+            if job.is_long_running
+            else {"estimateMs": int(TASK_DURATION_S * 1000)}
+        )
+        document = build_job(job.tasks, **options)
         for _ in range(MAX_ATTEMPTS):
             status, _, headers = await self._call(
                 "POST", job.identifier, self._choose_host(random), document
@@ -296,12 +402,13 @@
             await self._poll(job, self._choose_host(random))
             await asyncio.sleep(random.uniform(0.2, 0.6))
 
-    async def _poll(self, job: Job, host: str) -> None:
+    async def _poll(self, job: Job, host: str) -> bool:
+        """Reads the state of a job; returns whether there was one."""
         status, document, _ = await self._call("GET", job.identifier, host)
         if status == 410 and self._now() - job.accepted_at > VISIBILITY_DELAY_S:
             self.findings.append(f"LOST: {job.identifier} is not known at {host}")
         if status != 200:
-            return
+            return False
         state = document["state"]
         if state == "completed":
             job.completed = True
@@ -311,6 +418,7 @@
         elif state in ("failed", "cancelled"):
             self.findings.append(f"LOST: {job.identifier} is shown as {state} at {host}")
             job.completed = True
+        return True
 
     async def _await_completion(self) -> None:
         """Restarts the entry hosts and polls all accepted jobs until they are completed."""
@@ -324,12 +432,18 @@
                 job
                 for job in self.jobs
                 if job.accepted_at is not None and job.cancelled_at is None and not job.completed
+                if not job.is_long_running
             ]
 
         while list_incomplete() and self._now() < deadline:
             for job in list_incomplete():
                 await self._poll(job, self._choose_host(random))
             await asyncio.sleep(0.3)
+        for job in self.long_running_jobs:
+            while self._now() < deadline:
+                if await self._poll(job, self._choose_host(random)):
+                    break
+                await asyncio.sleep(0.3)
         self.findings += [
             f"LOST: {job.identifier} is not completed {COMPLETION_TIMEOUT_S:.0f} s after the last"
             " fault"
@@ -386,9 +500,19 @@
             if task in acknowledged and items[-1][0] > acknowledged[task]:
                 self.findings.append(f"TWICE: {task} began after its end was acknowledged")
         self._check_starts(runs)
+        self._check_long_running_tasks()
         self._check_capacity()
         self._check_crashes()
 
+    def _check_long_running_tasks(self) -> None:
+        """Checks that no long-running task stayed away in calm times with room for it."""
+        given_up = {job.identifier for job in self.long_running_jobs if job.completed}
+        self.findings += [
+            f"LOST: {task} did not run again after {last:.2f}"
+            for task, last in self.watch.missing.items()
+            if task.partition(".")[0] not in given_up
+        ]
+
     def _check_crashes(self) -> None:
         """Checks that no task went on crashing its workers."""
         crashing = {f"{job.identifier}.0.0.0" for job in self.jobs if job.is_crashing}
@@ -446,6 +570,7 @@
             "completed": sum(job.completed for job in self.jobs),
             "answers": dict(self.response_counts),
             "faults": len(self.faults),
+            "restarts": self.watch.restart_count,
             "findings": self.findings,
         }
 
