--- a/features/soak_lasting.py
+++ b/features/soak_lasting.py
@@ -71,6 +71,13 @@
         Table of the deployment, which adds workers to it.
     measure_calm_seconds : callable
         Returns for how long no fault has been in effect, 0 during one.
+
+    Attributes
+    ----------
+    missing : dict of str to float
+        Tasks that stayed away too long, with the time of their last run.
+    restart_count : int
+        Number of times that a task has run again after it was away.
     """
 
     def __init__(
@@ -84,17 +91,16 @@
         self._measure_calm_seconds = measure_calm_seconds
         self._last_run_at: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
-        # Tasks that were missing too long, with the time of their last run.
         self.missing: dict[str, float] = {}
-        # Number of times that a task has run again after it was away.
         self.restart_count = 0
 
     async def watch(self) -> None:
         while True:
-            self._sample(asyncio.get_running_loop().time())
+            self.sample(asyncio.get_running_loop().time())
             await asyncio.sleep(SAMPLE_S)
 
-    def _sample(self, now: float) -> None:
+    def sample(self, now: float) -> None:
+        """Updates the times of all tasks; ``now`` is the time of the event loop."""
         running = {task for worker in self._workers for task in worker.running}
         is_countable = self._measure_calm_seconds() >= CALM_S and self._has_room()
         for job in self._jobs:
--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -278,7 +278,8 @@
         async with aiohttp.ClientSession(connector=connector, timeout=timeout) as self._session:
             await asyncio.sleep(1.5)
             if self.plan.edition >= 4:
-                await self._submit_long_running_jobs()
+                async with asyncio.timeout(COMPLETION_TIMEOUT_S):
+                    await self._submit_long_running_jobs()
             watching = asyncio.ensure_future(self.watch.watch())
             ends_at = self._now() + self.plan.total_seconds
             seeds = [self._random.getrandbits(32) for _ in range(self.plan.callers + 2)]
@@ -444,6 +445,8 @@
                 if await self._poll(job, self._choose_host(random)):
                     break
                 await asyncio.sleep(0.3)
+            else:
+                self.findings.append(f"LOST: the state of {job.identifier} cannot be read")
         self.findings += [
             f"LOST: {job.identifier} is not completed {COMPLETION_TIMEOUT_S:.0f} s after the last"
             " fault"
