Move one long-running task at a time off the shrunk workers of a service

Cause: each worker that had shrunk stopped a task if it fit elsewhere, by the same free room for all of them. If several entries were read at once, several tasks were stopped for room that one of them got; the others did not fit where they had been any more and stayed without a worker.

Change: a service moves the next task once the last one has been placed. The decision is a module of its own, partition/relief.py, taken out of the owner.

--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -4,10 +4,12 @@
 
 import asyncio
 
+import looptime
 import msgspec
 from behave import given, then, when
 from owner_builders import BORN, WORKER, ManualClock, OwnerHarness, build_settings
 from platform_builders import SERVICE, build_operator_configuration
+from worker_model import World
 from workflow_builders import build_entry, build_load, build_machines, build_pool_view
 
 from carawayd.partition.workerlink import STARTED, StartOrder
@@ -21,6 +23,18 @@
 JOB = "a" * 16
 TASK = TaskName(JOB, 0, 0, 0)
 OTHER_WORKER = "w1"
+STOP_S = 0.05
+LONG_S = 1_000.0
+# Interval at which runs are counted.
+CHECK_S = 0.05
+
+
+def _run(play) -> None:
+    loop = looptime.new_event_loop(start=0, noop_cycles=2)
+    try:
+        loop.run_until_complete(play)
+    finally:
+        loop.close()
 
 
 @when("its entry tells {cores:d} cores")
@@ -148,6 +162,54 @@
     assert len(stops) == 1, stops
 
 
+@given(
+    "3 workers of 12 cores, each with two long-running tasks of 5 cores, and one with 5 cores free"
+)
+def set_shared_room(context):
+    context.shrinking = 3
+
+
+@when("the three shrink to {cores:d} cores")
+def shrink_several(context, cores):
+    async def play() -> None:
+        world = World(context.shrinking + 1, STOP_S)
+        try:
+            await world.take_over()
+            await asyncio.sleep(1.0)
+            for _ in range(2 * context.shrinking):
+                await world.submit(5, 1, LONG_S, long_running=True, most_away=1)
+                await asyncio.sleep(0.1)
+            await world.submit(7, 1, LONG_S, long_running=True)
+            await asyncio.sleep(2.0)
+            workers = sorted(world.workers.values(), key=lambda worker: len(worker.runs))
+            free, *full = workers
+            assert [len(worker.runs) for worker in workers] == [1, 2, 2, 2]
+            for worker in full:
+                worker.resize(cores)
+                worker.write_entry()
+            context.absent = []
+            for _ in range(int(10 / CHECK_S)):
+                await asyncio.sleep(CHECK_S)
+                context.absent.append(7 - sum(len(worker.runs) for worker in workers))
+            context.moved = len(free.runs) - 1
+            context.violations = world.violations
+        finally:
+            await world.close()
+
+    _run(play())
+
+
+@then("at most one of the tasks is not at work at any time in 10 s")
+def expect_few_absent(context):
+    assert max(context.absent) <= 1, max(context.absent)
+
+
+@then("all of them are at work then, one of them on the worker with free room")
+def expect_move(context):
+    assert (context.absent[-1], context.moved) == (0, 1), (context.absent[-1], context.moved)
+    assert not context.violations, context.violations
+
+
 @given("a pool of {count:d} machines of 16 cores with work for {cores:d} cores")
 def build_pool(context, count, cores):
     context.machines = build_machines(booking=count)
--- a/features/worker_capacity.feature
+++ b/features/worker_capacity.feature
@@ -62,6 +62,13 @@
     When that worker shrinks to 5 cores
     Then one of the two tasks is stopped
 
+  Scenario: Several workers that have shrunk do not stop tasks for the same room
+    # Each of them would stop a task for it, and all but one of these would stay without a worker.
+    Given 3 workers of 12 cores, each with two long-running tasks of 5 cores, and one with 5 cores free
+    When the three shrink to 7 cores
+    Then at most one of the tasks is not at work at any time in 10 s
+    And all of them are at work then, one of them on the worker with free room
+
   Scenario: A pool whose workers have shrunk needs more machines
     Given a pool of 4 machines of 16 cores with work for 40 cores
     Then it needs 4 machines
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -27,6 +27,7 @@
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.losses import Losses
 from carawayd.partition.planner import Planner
+from carawayd.partition.relief import Relief
 from carawayd.partition.strayorders import StrayOrders
 from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
@@ -45,7 +46,7 @@
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
-from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
+from carawayshore.workflows.placement import compute_usage
 from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
     CANCELLED,
@@ -221,6 +222,7 @@
         self._losses = Losses(
             self._find_task, self._record_step, self._give_up, self._isolation, clock, metrics
         )
+        self._relief = Relief(self.links, self._find_task, self._may_stop, clock)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -428,7 +430,7 @@
         for link in self.links.values():
             link.set_capacity_current(self._discovery.is_capacity_current(link.entry))
             if link.capacity.is_overcommitted:
-                self._relieve(link)
+                self._relief.relieve(link, self.fence)
             if link.cordoned or link.entry.state != "ready":
                 if link.expire_cordon(self._now()):
                     self._cordons.end(link.worker)
@@ -528,37 +530,6 @@
             )
             link.stop_task(name)
 
-    def _relieve(self, link: WorkerLink) -> None:
-        """Stops a long-running task of a worker whose capacity has shrunk below what runs there.
-
-        One at a time, within the limits of the steps, and only if it fits elsewhere. Short tasks
-        end by themselves.
-        """
-        if any(order.stopping for order in link.orders.values()):
-            return
-        others = [
-            other.capacity
-            for other in self.links.values()
-            if other is not link and other.entry.service == link.entry.service
-        ]
-        for name in rank_relief(link.capacity):
-            found = self._find_task(name)
-            if found is None or name not in link.orders or not self._may_stop(found[1], name):
-                continue
-            _, step, _ = found
-            usage = compute_usage(name, step.spec)
-            if choose_worker(others, step.spec, usage, self._now()) is None:
-                continue
-            self._log_task(
-                name,
-                "stopping task on a worker whose capacity has shrunk",
-                worker=link.worker,
-                millicores=[link.capacity.millicores, link.entry.millicores],
-                memory_mb=[link.capacity.memory_mb, link.entry.memory_mb],
-            )
-            link.stop_task(name)
-            return
-
     def _may_stop(self, step: StepState, name: TaskName) -> bool:
         """Returns whether fewer other tasks of the step are interrupted than the step allows."""
         interrupted = sum(
