Let a job that only shrunk workers are too small for come back soon

Cause: admission compared each task with the present capacities alone. If all workers of a service had shrunk below a task, which lasts for seconds and which a pool of one worker meets easily, the job was rejected as too large for any worker, with a Retry-After of 30 s and without the jitter, and its load was not counted, so that the pool got no other machine.

Change: a worker keeps the largest entry of its present start. A job that would fit there is rejected with the time until another machine can arrive, with jitter, and counts as offered load. A job that never fitted still gets 30 s.

The scenario failed before: Retry-After of 30.0 s.

--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -10,8 +10,15 @@
 from owner_builders import BORN, WORKER, ManualClock, OwnerHarness, build_settings
 from platform_builders import SERVICE, build_operator_configuration
 from worker_model import World
-from workflow_builders import build_entry, build_load, build_machines, build_pool_view
+from workflow_builders import (
+    build_entry,
+    build_load,
+    build_machines,
+    build_pool_view,
+    build_workflow,
+)
 
+from carawayd.partition.owner import REJECTED
 from carawayd.partition.workerlink import STARTED, StartOrder
 from carawayd.platform.runs import RunningTask, WorkerReport
 from carawayd.platform.store import KeyedRecord
@@ -210,6 +217,27 @@
     assert not context.violations, context.violations
 
 
+@given("an owner whose only worker of 16 cores has shrunk to {cores:d} cores")
+def shrink_only_worker(context, cores):
+    harness = context.harness = OwnerHarness()
+    context.add_cleanup(harness.close)
+    harness.list_worker()
+    harness.report()
+    harness.list_worker(millicores=cores * 1000)
+
+
+@when("a job with a task of {cores:d} cores is submitted")
+def submit_large(context, cores):
+    workflow = build_workflow(StepSpec(millicores=cores * 1000), identifier=JOB)
+    context.reply = context.harness.run(context.harness.owner.submit(workflow))
+
+
+@then("it is rejected with a Retry-After of {least:d} to {most:d} s")
+def expect_retry(context, least, most):
+    reply = context.reply
+    assert reply.outcome == REJECTED and least <= reply.retry_after <= most, reply
+
+
 @given("a pool of {count:d} machines of 16 cores with work for {cores:d} cores")
 def build_pool(context, count, cores):
     context.machines = build_machines(booking=count)
--- a/features/worker_capacity.feature
+++ b/features/worker_capacity.feature
@@ -69,6 +69,17 @@
     Then at most one of the tasks is not at work at any time in 10 s
     And all of them are at work then, one of them on the worker with free room
 
+  Scenario Outline: A job that is too large for workers that have shrunk may come back soon
+    # They grow again, and the pool may get another one within seconds; 30 s would be too late.
+    Given an owner whose only worker of 16 cores has shrunk to 8 cores
+    When a job with a task of <cores> cores is submitted
+    Then it is <outcome> with a Retry-After of <least> to <most> s
+
+    Examples:
+      | cores | outcome  | least | most |
+      | 10    | rejected | 2     | 4    |
+      | 20    | rejected | 30    | 30   |
+
   Scenario: A pool whose workers have shrunk needs more machines
     Given a pool of 4 machines of 16 cores with work for 40 cores
     Then it needs 4 machines
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -901,9 +901,13 @@
             scheduled=spec.repeats > 0,
             fits=not capacities
             or all(any(capacity.could_fit(step) for capacity in capacities) for step in spec.steps),
+            has_fit=all(
+                any(capacity.could_have_fit(step) for capacity in capacities) for step in spec.steps
+            ),
         )
         bound = not (request.long_running or request.scheduled)
-        if spec.identifier not in self._first_attempts and request.fits and bound:
+        may_fit = request.fits or request.has_fit
+        if spec.identifier not in self._first_attempts and may_fit and bound:
             self._demand.record_submission(
                 spec.service, request.work_core_seconds, request.chain_seconds
             )
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -305,7 +305,8 @@
         """Sets the worker's entry in the worker list; None if it is no longer listed."""
         self.listed = entry is not None
         if entry is not None:
-            self.entry = self.capacity.entry = entry
+            self.entry = entry
+            self.capacity.resize(entry)
         self._update_capacity()
         self._wake.set()
 
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -101,6 +101,8 @@
         Whether the workflow runs at scheduled times.
     fits : bool
         Whether each task fits on at least one worker.
+    has_fit : bool
+        Whether each task would fit if no worker had shrunk.
     """
 
     chain_seconds: float
@@ -110,6 +112,7 @@
     long_running: bool
     scheduled: bool
     fits: bool
+    has_fit: bool = False
 
 
 class AdmissionDecision(NamedTuple):
@@ -128,6 +131,11 @@
     jitter : float
         Random number from 0 to 1 that spreads the retries of rejected callers.
     """
+    if not request.fits and request.has_fit:
+        # Workers shrink for some seconds only, and the pool may get another one.
+        return AdmissionDecision(
+            False, "no worker is large enough now", spread_retry(MACHINE_ARRIVAL_SECONDS, jitter)
+        )
     if not request.fits:
         return AdmissionDecision(False, "no worker is large enough", MAX_RETRY_SECONDS)
     if request.long_running or request.scheduled:
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -66,6 +66,15 @@
     )
 
 
+def _is_large_enough(entry: WorkerEntry, step: StepSpec) -> bool:
+    return (
+        (step.best_effort or step.millicores <= entry.millicores)
+        and step.memory_mb <= entry.memory_mb
+        and step.accelerators <= entry.accelerators
+        and (not step.label or step.label in entry.labels)
+    )
+
+
 class WorkerCapacity:
     """Capacity of one worker, reserved by the runs that were ordered there and have not ended."""
 
@@ -89,6 +98,8 @@
         self.reserved_for = ""
         # Step of the task for which the worker's room is kept, None for none.
         self.held_for: tuple[str, int, int] | None = None
+        # Entry of this start of the worker that told the most processors.
+        self._largest_entry = entry
 
     def reserve(self, name: TaskName | tuple[TaskName, int], usage: Usage) -> None:
         """Reserves capacity for a run."""
@@ -146,13 +157,18 @@
 
     def could_fit(self, step: StepSpec) -> bool:
         """Returns whether a task of the step would fit on the worker if it were empty."""
-        entry = self.entry
-        return (
-            (step.best_effort or step.millicores <= entry.millicores)
-            and step.memory_mb <= entry.memory_mb
-            and step.accelerators <= entry.accelerators
-            and (not step.label or step.label in entry.labels)
-        )
+        return _is_large_enough(self.entry, step)
+
+    def could_have_fit(self, step: StepSpec) -> bool:
+        """Returns whether such a task would fit, or would have fit before the worker shrank."""
+        return self.could_fit(step) or _is_large_enough(self._largest_entry, step)
+
+    def resize(self, entry: WorkerEntry) -> None:
+        """Sets the entry that the worker has written last."""
+        is_same_start = entry.born == self.entry.born
+        self.entry = entry
+        if not is_same_start or entry.millicores > self._largest_entry.millicores:
+            self._largest_entry = entry
 
     def record_success(self) -> None:
         self.consecutive_failures = 0
