Find jobs whose queue has been sent to another service

Cause: calls about a job went to the partition of the service to which its queue is sent now. A job that was accepted before a configuration moved the queue is with the former service's owner, so its state and its cancel were answered 410, and a repeated submission was accepted a second time. Change: discovery remembers the services from which a queue has moved. State, cancel and count ask their owners as well, and a submission does for 30 s after the move. If one of them can't be reached, the answer is 503 instead of 410. An entry host that starts after the move does not know of it; that stays open.

--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -36,7 +36,7 @@
     from carawayd.platform.store import StoreClient
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
-    from carawayshore.workflows.model import Deployment, Wave, WorkerEntry
+    from carawayshore.workflows.model import Deployment, QueueConfig, Wave, WorkerEntry
 
 logger = logging.getLogger(__name__)
 
@@ -172,6 +172,9 @@
         # Time at which a worker last wrote its entry, as far as this process has seen it.
         self._written_at: dict[str, timedelta] = {}
         self._partition_by_service: dict[str, int] = {}
+        # Services to which earlier configurations sent each queue, by its host and prefix, with the
+        # time of the move.
+        self._former_services: dict[tuple[str, str], dict[str, timedelta]] = {}
         self._assignment_running = False
         self._operator_tailer = Tailer(
             store, OPERATOR_TOPIC, CONFIGURATION_WAIT_SECONDS, self._apply_operator, clock
@@ -213,6 +216,8 @@
         current = self.deployment
         if current is not None and deployment.version <= current.version:
             return
+        if current is not None:
+            self._remember_services(current, deployment)
         self.deployment = deployment
         logger.info(
             "configuration applied",
@@ -321,6 +326,35 @@
         """Returns the partition that stores a service's workflows, None while it is unknown."""
         return self._partition_by_service.get(service)
 
+    def list_partitions(
+        self, queue: QueueConfig, *, moved_within: timedelta = timedelta.max
+    ) -> list[int]:
+        """Returns the partitions that may store workflows of a queue, the present one first.
+
+        Workflows stay with the service to which their queue was sent when they were submitted.
+
+        Parameters
+        ----------
+        queue : QueueConfig
+        moved_within : timedelta
+            Leaves out services from which the queue has moved longer ago.
+        """
+        now = self._clock.elapsed()
+        former = self._former_services.get((queue.host, queue.prefix), {})
+        services = [name for name, moved_at in former.items() if now - moved_at <= moved_within]
+        found = [self.find_partition(name) for name in (queue.service, *reversed(services))]
+        return list(dict.fromkeys(item for item in found if item is not None))
+
+    def _remember_services(self, current: Deployment, deployment: Deployment) -> None:
+        """Notes the services of queues that a later configuration sends elsewhere."""
+        services = {(queue.host, queue.prefix): queue.service for queue in deployment.queues}
+        for queue in current.queues:
+            key = (queue.host, queue.prefix)
+            if services.get(key) != queue.service:
+                former = self._former_services.setdefault(key, {})
+                former.pop(queue.service, None)
+                former[queue.service] = self._clock.elapsed()
+
     def list_services(self, partition: int) -> set[str]:
         """Returns the services whose workflows a partition stores."""
         return {name for name, number in self._partition_by_service.items() if number == partition}
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -40,6 +41,9 @@
 DEFAULT_TIMEOUT_SECONDS = 3.0
 # A call that changed nothing may be repeated soon.
 UNREADY_RETRY_SECONDS = 1
+# Time within which callers repeat a submission. It may have been accepted by the service to which
+# its queue was sent before.
+REPEAT_TIME = timedelta(seconds=30)
 
 
 def _build_response(status: int, document: Any = None, retry_after: float = 0.0) -> web.Response:
@@ -130,7 +134,15 @@
             return _build_response(
                 400, {"error": "bad job", "findings": [str(item) for item in findings]}
             )
-        reply = await self._call_owner(queue, SUBMIT, msgspec.to_builtins(workflow), timeout)
+        partitions = self._discovery.list_partitions(queue, moved_within=REPEAT_TIME)
+        partition, *former = partitions or [None]
+        for other in former:
+            reply = await self._call_owner(other, GET_STATE, identifier, timeout)
+            if reply.outcome == FOUND:
+                return _build_response(200)
+            if reply.outcome != ABSENT:
+                return self._build_failure_response(Reply(UNREADY), identifier)
+        reply = await self._call_owner(partition, SUBMIT, msgspec.to_builtins(workflow), timeout)
         if reply.outcome == ACCEPTED:
             return _build_response(200)
         if reply.outcome == REJECTED:
@@ -140,7 +152,7 @@
     async def _read_state(
         self, queue: QueueConfig, identifier: str, timeout: float
     ) -> web.Response:
-        reply = await self._call_owner(queue, GET_STATE, identifier, timeout)
+        reply = await self._call_first(queue, GET_STATE, identifier, timeout)
         if reply.outcome == FOUND:
             return _build_response(200, encode_state(reply.detail))
         if reply.outcome == ABSENT:
@@ -148,7 +160,7 @@
         return self._build_failure_response(Reply(UNREADY), identifier)
 
     async def _cancel(self, queue: QueueConfig, identifier: str, timeout: float) -> web.Response:
-        reply = await self._call_owner(queue, CANCEL, identifier, timeout)
+        reply = await self._call_first(queue, CANCEL, identifier, timeout)
         if reply.outcome == ACCEPTED:
             return _build_response(200)
         if reply.outcome == ABSENT:
@@ -156,9 +168,12 @@
         return self._build_failure_response(reply, identifier)
 
     async def _count(self, queue: QueueConfig, timeout: float) -> web.Response:
-        reply = await self._call_owner(queue, COUNT_PENDING, queue.name, timeout)
-        if reply.outcome == FOUND:
-            return _build_response(200, encode_pending(reply.detail))
+        replies = [
+            await self._call_owner(partition, COUNT_PENDING, queue.name, timeout)
+            for partition in self._discovery.list_partitions(queue)
+        ]
+        if replies and all(reply.outcome == FOUND for reply in replies):
+            return _build_response(200, encode_pending(sum(reply.detail for reply in replies)))
         return self._build_failure_response(Reply(UNREADY), queue.name)
 
     def _build_failure_response(self, reply: Reply, subject: str) -> web.Response:
@@ -174,10 +189,20 @@
             503, {"error": "the partition owner cannot be reached"}, UNREADY_RETRY_SECONDS
         )
 
+    async def _call_first(
+        self, queue: QueueConfig, operation: str, identifier: str, timeout: float
+    ) -> Reply:
+        """Calls the owners that may know a workflow until one of them does, or can't be reached."""
+        reply = Reply(UNREADY)
+        for partition in self._discovery.list_partitions(queue):
+            reply = await self._call_owner(partition, operation, identifier, timeout)
+            if reply.outcome != ABSENT:
+                break
+        return reply
+
     async def _call_owner(
-        self, queue: QueueConfig, operation: str, subject: Any, timeout: float
+        self, partition: int | None, operation: str, subject: Any, timeout: float
     ) -> Reply:
-        partition = self._discovery.find_partition(queue.service)
         if partition is None:
             return Reply(UNREADY)
         return await self._owners.call(partition, operation, subject, deadline_seconds=timeout)
