Start each entry host of the soak only once, if several faults end at the same time

Cause: two faults that ended at once both found the host's process missing and started one. The handle of the first process was lost, so nothing ended it. Change: a lock for each host. Measured: the new scenario failed before (2 starts), passes now.

--- a/features/soak_watch.feature
+++ b/features/soak_parts.feature
@@ -1,4 +1,4 @@
-Feature: The soak's check of long-running tasks
+Feature: Parts of the soak
   A check that never fails would hide a task that stays away. Times are those of the rule LOST: 6 s
   after the last run, 3 s of absence, and 4 s of calm before them.
 
@@ -15,3 +15,10 @@
       | 2    | -5   | 11.5 | 0     |
       | 2    | -5   | 12.5 | 1     |
       | 1    | 4    | 30   | 0     |
+
+  Scenario: Two faults that end at the same time start an entry host once
+    # Guards against a second process that no one ends: it joins the store of the next seed, on the
+    # same ports, under a higher epoch.
+    Given an entry host of the soak whose process takes a moment to start
+    When two faults start it again at the same time
+    Then one process was started
--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import tempfile
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
@@ -115,6 +115,8 @@
         self.long_running_jobs: set[str] = set()
         self.links: dict[str, FaultProxy] = {}
         self.hosts: dict[str, ManagedProcess] = {}
+        # Several faults may start the same host again at once.
+        self._start_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.caller_addresses: dict[str, str] = {}
         self.configuration_version = 0
         self._worker_addresses: dict[str, str] = {}
@@ -212,8 +214,9 @@
         (self._folder / f"{name}.jump").write_text(str(seconds))
 
     async def start_host(self, name: str) -> None:
-        if not self.hosts[name].is_running():
-            await self.hosts[name].start()
+        async with self._start_locks[name]:
+            if not self.hosts[name].is_running():
+                await self.hosts[name].start()
 
     def publish_configuration(self) -> None:
         """Publishes the next configuration version, which adds a queue."""
