Join the group under a new name after each start, whatever the seed

Cause: the unique part of a member's name came from the generator that the setting seed initialises. A process that was killed and started again before its membership had expired (1.5 s) joined under the same name, so it kept the generation, and wrote under the epoch of its predecessor from sequence number 1 on. The store took these batches for repeats of the predecessor's first ones, answered them with success and dropped them. Orders carried the same fencing token, too. Change: the unique part comes from the operating system. The deployment's template sets no seed, so only deployments that set one were affected, as the soak and the tests do.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,6 +12,8 @@
       | seed | seconds | edition |
       | 1    | 8       | 1       |
 
+    # A host of seed 447128 is killed and starts again within 0.3 s. Its records were lost while it
+    # joined the group as the same member (features/restart.feature).
     Examples: a seed that failed; started orders were given up with the old life of their worker
       | seed   | seconds | edition |
       | 447128 | 15      | 1       |
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import secrets
 from datetime import timedelta
 from functools import partial
 from typing import TYPE_CHECKING
@@ -113,9 +114,13 @@
         self._directory_task: asyncio.Task[None] | None = None
 
     def _build_member_name(self) -> str:
-        """Returns a unique member name, so that rejoining the group raises the generation."""
+        """Returns a unique member name, so that rejoining the group raises the generation.
+
+        It is not drawn from the seeded generator: a process that starts again while its membership
+        still runs would keep the name, and with it the epoch, of its predecessor.
+        """
         cores = f"{self._settings.cores:.3f}"
-        return f"{self._settings.peer_address}#{cores}#{self._random.getrandbits(48):012x}"
+        return f"{self._settings.peer_address}#{cores}#{secrets.token_hex(6)}"
 
     @property
     def address(self) -> str:
