Report batches that share an epoch and a sequence number in the soak

Change: the soak's store compares each batch with the first one under its number and reports a different one.

--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -21,8 +21,8 @@
 )
 from soak_faults import FaultProxy, get_faults
 from soak_lasting import LongRunningWatch, SoakWorker
+from soak_store import CheckedStore
 
-from carawayshore_standins.platform_store import PlatformStore
 from carawayshore_standins.ports import PortReserver
 from carawayshore_standins.processes import ManagedProcess, ProcessSpec
 
@@ -109,7 +109,7 @@
 
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
         self.plan = plan
-        self.store = PlatformStore()
+        self.store = CheckedStore()
         self.workers: list[SoakWorker] = []
         self.crashing_tasks: set[str] = set()
         self.long_running_jobs: set[str] = set()
@@ -506,10 +506,18 @@
             if task in acknowledged and items[-1][0] > acknowledged[task]:
                 self.findings.append(f"TWICE: {task} began after its end was acknowledged")
         self._check_starts(runs)
+        self._check_batches()
         self._check_long_running_tasks()
         self._check_capacity()
         self._check_crashes()
 
+    def _check_batches(self) -> None:
+        """Checks that no batch of records arrived under the number of another one."""
+        self.findings += [
+            f"LOST: a batch under the number of another one: {number}"
+            for number in self.deployment.store.reused_numbers
+        ]
+
     def _check_long_running_tasks(self) -> None:
         """Checks that no long-running task stayed away in calm times with room for it."""
         given_up = {job.identifier for job in self.long_running_jobs if job.completed}
