--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import tempfile
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
@@ -21,8 +21,8 @@
 )
 from soak_faults import FaultProxy, get_faults
 from soak_lasting import LongRunningWatch, SoakWorker
+from soak_store import CheckedStore
 
-from carawayshore_standins.platform_store import PlatformStore
 from carawayshore_standins.ports import PortReserver
 from carawayshore_standins.processes import ManagedProcess, ProcessSpec
 
@@ -109,12 +109,14 @@
 
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
         self.plan = plan
-        self.store = PlatformStore()
+        self.store = CheckedStore()
         self.workers: list[SoakWorker] = []
         self.crashing_tasks: set[str] = set()
         self.long_running_jobs: set[str] = set()
         self.links: dict[str, FaultProxy] = {}
         self.hosts: dict[str, ManagedProcess] = {}
+        # Several faults may start the same host again at once.
+        self._start_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.caller_addresses: dict[str, str] = {}
         self.configuration_version = 0
         self._worker_addresses: dict[str, str] = {}
@@ -212,8 +214,9 @@
         (self._folder / f"{name}.jump").write_text(str(seconds))
 
     async def start_host(self, name: str) -> None:
-        if not self.hosts[name].is_running():
-            await self.hosts[name].start()
+        async with self._start_locks[name]:
+            if not self.hosts[name].is_running():
+                await self.hosts[name].start()
 
     def publish_configuration(self) -> None:
         """Publishes the next configuration version, which adds a queue."""
@@ -503,10 +506,18 @@
             if task in acknowledged and items[-1][0] > acknowledged[task]:
                 self.findings.append(f"TWICE: {task} began after its end was acknowledged")
         self._check_starts(runs)
+        self._check_batches()
         self._check_long_running_tasks()
         self._check_capacity()
         self._check_crashes()
 
+    def _check_batches(self) -> None:
+        """Checks that no batch of records arrived under the number of another one."""
+        self.findings += [
+            f"LOST: a batch under the number of another one: {number}"
+            for number in self.deployment.store.reused_numbers
+        ]
+
     def _check_long_running_tasks(self) -> None:
         """Checks that no long-running task stayed away in calm times with room for it."""
         given_up = {job.identifier for job in self.long_running_jobs if job.completed}
