--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -11,13 +11,14 @@
 import logging
 import math
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 from mode import Service
 
 from carawayd.partition.advisor import Advisor
-from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss
+from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss, LeaseBounds
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.demand import Demand
@@ -38,7 +39,7 @@
     compute_lease_seconds,
 )
 from carawayd.platform.runs import format_task
-from carawayd.supervision import supervised_task
+from carawayd.supervision import start_in_background, supervised_task
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
@@ -185,6 +186,8 @@
         self.fence = epoch
         self.loaded = False
         self.lost = False
+        # Whether a record of this owner is durable, apart from the epoch.
+        self._has_written = False
         self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock, metrics)
         self.workflows: dict[str, WorkflowState] = {}
         self.links: dict[str, WorkerLink] = {}
@@ -202,7 +205,8 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Worker of each task that an earlier owner ordered, until the link to the worker tracks it.
         self._orphans: dict[TaskName, str] = {}
-        self._contact_loss = ContactLoss(clock, self.ledger)
+        bounds = LeaseBounds(compute_lease_seconds(settings), settings.abandon_seconds)
+        self._contact_loss = ContactLoss(clock, self.ledger, bounds)
         self._known_workers = KnownWorkers(self.ledger)
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
@@ -263,11 +267,12 @@
                 )
                 return
             await self.add_runtime_dependency(self.ledger)
+            start_in_background(
+                self._announce(), lambda: self._mark_lost("its first record could not be written")
+            )
         while not self.should_stop and not self.lost:
             self._scan_workers()
-            self._contact_loss.record_progress(
-                self._settings.abandon_seconds + compute_lease_seconds(self._settings)
-            )
+            self._contact_loss.record_progress()
             self._expire_entries()
             self._stray_orders.check(self._track_stray_order)
             self._waits.check(self.fence)
@@ -276,6 +281,19 @@
                 return
             await self._clock.sleep(SCAN_INTERVAL)
 
+    async def _announce(self) -> None:
+        """Writes a first record, before which no lease is renewed.
+
+        By it, a former owner that gets the partition back notices that leases may have been renewed
+        meanwhile.
+        """
+        self.ledger.mark_dirty(PROBE_KEY, bytes)
+        try:
+            await self.ledger.flush()
+        except OwnershipLost:
+            return
+        self._has_written = True
+
     async def _load(self) -> None:
         now = self._now()
         records = []
@@ -353,7 +371,12 @@
         return unchanged
 
     async def hand_over(self) -> None:
-        """Stops accepting calls and waits until all records are durable."""
+        """Stops accepting calls and waits until all records are durable.
+
+        Among them is how long the leases last, none of which this owner renews any more.
+        """
+        if not self.lost:
+            self._record_leases()
         self.lost = True
         try:
             async with asyncio.timeout(HANDOVER_TIMEOUT_SECONDS):
@@ -365,6 +388,13 @@
                 extra={"fields": {"partition": self.partition, "error": repr(error)}},
             )
 
+    def _record_leases(self) -> None:
+        """Records how long the leases on each worker last, which this owner no longer renews."""
+        for link in self.links.values():
+            seconds = link.measure_lease_seconds()
+            if link.run_count and seconds is not None:
+                self._contact_loss.record_lease(link.worker, seconds)
+
     def _mark_lost(self, why: str) -> None:
         if not self.lost:
             self.lost = True
@@ -407,29 +437,27 @@
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
-            if link.closed or (not link.listed and not link.run_count):
+            if not link.is_needed:
                 del self.links[worker]
                 self._cordons.end(worker)
                 self._contact_loss.end(worker)
                 self._known_workers.forget(worker)
-                asyncio.ensure_future(link.stop())
+                start_in_background(link.stop())
         self._release_orphans()
 
     def _open_links_of_unlisted_workers(self) -> None:
-        """Opens links to workers that are missing in the list while tasks may run there.
+        """Opens links to workers that are missing in the list although an earlier owner used them.
 
         An answer shows at once whether the tasks still run, or that another worker has the address.
         Without an answer, the owner has to wait for the leases.
         """
-        workers = set(self._orphans.values())
         for worker in self._known_workers.list_workers():
-            if worker in self.links:
-                continue
-            if worker in workers:
+            if worker not in self.links:
                 self._open_link(self._known_workers.find_entry(worker))
-                self.links[worker].update(None)
-            else:
-                self._known_workers.forget(worker)
+                link = self.links[worker]
+                link.update(None)
+                # Tasks of ended workflows may run there, which no record tells.
+                link.is_awaited = True
 
     def _list_services(self) -> set[str]:
         return self._discovery.list_services(self.partition)
@@ -447,7 +475,10 @@
                     link.capacity.reserve(name, compute_usage(name, step.spec))
         self.links[entry.worker] = link
         self._restore_cordon(link)
-        asyncio.ensure_future(self.add_runtime_dependency(link))
+        start_in_background(
+            self.add_runtime_dependency(link),
+            lambda: self._mark_lost("the link to a worker could not be started"),
+        )
 
     def _release_orphans(self) -> None:
         """Resets tasks whose worker is not listed, once every lease on it has expired."""
@@ -552,7 +583,7 @@
 
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
-        if link.run_count:
+        if link.run_count or link.is_awaited:
             self._contact_loss.begin(link.worker, had_contact=link.had_contact)
 
     def find_recorded_start(self, worker: str) -> int:
@@ -597,18 +628,17 @@
 
     async def handle_recovery(self, link: WorkerLink) -> None:
         """Records that a worker is responsive again, before its leases are renewed."""
+        self._losses.retract(link.worker, link.incarnation)
         if self._contact_loss.end(link.worker):
             await self.ledger.flush()
 
     def are_leases_over(self, worker: str) -> bool:
         """Returns whether every lease that any owner has renewed on a worker has expired."""
-        return self._contact_loss.are_leases_over(
-            worker, compute_lease_seconds(self._settings), self._settings.abandon_seconds
-        )
+        return self._contact_loss.are_leases_over(worker)
 
     def may_renew(self) -> bool:
         """Returns whether orders may be sent and leases renewed."""
-        return not self.lost and self._may_renew()
+        return not self.lost and self._has_written and self._may_renew()
 
     def handle_report(self, link: WorkerLink) -> None:
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
@@ -630,7 +660,7 @@
         if percent != link.throttle_percent:
             link.throttle_percent = percent
             for name in best_effort:
-                asyncio.ensure_future(link.throttle_task(name, percent))
+                start_in_background(link.throttle_task(name, percent))
 
     def handle_stuck_task(self, link: WorkerLink, task: TaskName) -> None:
         """Stops a task that makes no progress, to restart it elsewhere."""
@@ -670,6 +700,15 @@
         found = self._find_task(task)
         return compute_usage(task, found[1].spec) if found is not None else None
 
+    def describe_job(self, task: TaskName) -> str:
+        """Returns the state of a task's workflow, ``unknown`` if there is no record of it."""
+        workflow = self.workflows.get(task.workflow)
+        return workflow.state if workflow is not None else "unknown"
+
+    def is_wanted(self, task: TaskName) -> bool:
+        """Returns whether a task may go on: its workflow is known and has not ended early."""
+        return self.describe_job(task) not in (CANCELLED, FAILED, "unknown")
+
     def handle_missing_run(self, link: WorkerLink, task: TaskName, run: int, why: str) -> None:
         """Resets the task of a run that is not on its worker and will not start there."""
         link.capacity.release(task)
@@ -788,7 +827,7 @@
             self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
             if any(task.run for task in step.tasks):
                 self.ledger.mark_dirty(workflow.step_key(step), bytes)
-        asyncio.ensure_future(self._publish_state(workflow, state))
+        start_in_background(self._publish_state(workflow, state))
         for name, task in list(workflow.iterate_ordered_tasks()):
             link = self.links.get(task.worker)
             if link is not None:
@@ -1051,21 +1090,30 @@
     def _plan(self) -> None:
         """Places the waiting tasks on workers, the most urgent first, and orders their starts."""
         orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
-        for placement in self._planner.place_tasks():
-            workflow, step = placement.workflow, placement.step
-            for capacity, name in placement.chosen:
-                ticket = placement.tickets.get(capacity.entry.worker, "")
-                orders.append(
-                    self._create_order(workflow, step, capacity, name, placement.gang_run, ticket)
-                )
-            self._log_orders(placement)
-            if not workflow.begun:
-                waited = timedelta(seconds=self._now() - workflow.submitted)
-                self._metrics.first_start.observe(workflow.spec.service, waited)
-            workflow.begun = True
-            self._record_step(workflow, step)
+        try:
+            for placement in self._planner.place_tasks():
+                workflow, step = placement.workflow, placement.step
+                for capacity, name in placement.chosen:
+                    ticket = placement.tickets.get(capacity.entry.worker, "")
+                    orders.append(
+                        self._create_order(
+                            workflow, step, capacity, name, placement.gang_run, ticket
+                        )
+                    )
+                self._log_orders(placement)
+                if not workflow.begun:
+                    waited = timedelta(seconds=self._now() - workflow.submitted)
+                    self._metrics.first_start.observe(workflow.spec.service, waited)
+                workflow.begun = True
+                self._record_step(workflow, step)
+        except Exception:
+            _abandon_orders(orders)
+            raise
         if orders:
-            asyncio.ensure_future(self._send_orders(orders))
+            self._start_sending(orders)
+
+    def _start_sending(self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
+        start_in_background(self._send_orders(orders), lambda: _abandon_orders(orders))
 
     def _log_orders(self, placement: StepPlacement) -> None:
         workflow, step = placement.workflow, placement.step
@@ -1119,7 +1167,9 @@
                 link.capacity.release(name)
                 link.orders.pop(name, None)
                 continue
-            asyncio.ensure_future(link.start_task(name, order))
+            start_in_background(
+                link.start_task(name, order), partial(link.abandon_sending, name, order.run)
+            )
 
     async def on_stop(self) -> None:
         self.lost = True
@@ -1127,3 +1177,9 @@
         self._wake.set()
         for link in self.links.values():
             link.closed = True
+
+
+def _abandon_orders(orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
+    """Leaves it to the workers' reports whether the runs of some start orders exist."""
+    for link, name, order in orders:
+        link.abandon_sending(name, order.run)
--- a/packages/carawayd/src/carawayd/partition/rejections.py
+++ b/packages/carawayd/src/carawayd/partition/rejections.py
@@ -13,8 +13,10 @@
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import TaskName
 
-# A placement was in vain if its task waits again within this time, without a failure.
-VAIN_SECONDS = 2.0
+# A placement was in vain if its task waits again within this time, without a failure. An order
+# without an answer is known not to have been carried out after up to 3.5 s: the call, the validity
+# of the order, and a report.
+VAIN_SECONDS = 4.0
 # First time for which a worker is not used for a task that was placed there in vain; doubled each
 # time up to the maximum.
 RETRY_SECONDS = 0.25
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -9,13 +9,14 @@
 from mode import Service
 
 from carawayd.partition.ledger import OwnershipLost
+from carawayd.partition.stops import Stops
 from carawayd.platform.common import (
     PermissionEnded,
     PlatformError,
     PlatformUnreached,
 )
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
-from carawayd.supervision import supervised_task, unexpected_errors
+from carawayd.supervision import start_in_background, supervised_task
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
@@ -196,6 +197,10 @@
 
     def find_usage(self, task: TaskName) -> Usage | None: ...
 
+    def describe_job(self, task: TaskName) -> str: ...
+
+    def is_wanted(self, task: TaskName) -> bool: ...
+
     def handle_fenced(self) -> None: ...
 
     def handle_unresponsive(self, link: WorkerLink) -> None: ...
@@ -239,6 +244,8 @@
         # until it has ended.
         self.unordered_runs: dict[tuple[TaskName, int], float] = {}
         self.closed = False
+        # Whether the worker is to be asked although it is not listed and no run is known there.
+        self.is_awaited = False
         # Whether the entry is recent enough to place tasks by its capacity.
         self.is_capacity_current = True
         self.cordoned = False
@@ -260,6 +267,7 @@
         # Set at each report; orders that need a recent one wait for it.
         self._reported = asyncio.Event()
         self._waiting_for_report = 0
+        self._stops = Stops()
         self._failures = 0
         # Time of the first of the consecutive failures.
         self._failing_since = 0.0
@@ -274,6 +282,11 @@
     def worker(self) -> str:
         return self.entry.worker
 
+    @property
+    def incarnation(self) -> int:
+        """Start of the process that last reported, in Unix milliseconds; 0 before a report."""
+        return self._incarnation
+
     @property
     def is_unresponsive(self) -> bool:
         return self._failures > 0
@@ -353,6 +366,11 @@
         """Number of runs that are or may be on the worker."""
         return len(self.orders) + len(self.unordered_runs)
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether the worker may be used, or may run something."""
+        return not self.closed and (self.listed or self.run_count > 0 or self.is_awaited)
+
     def _may_send(self) -> bool:
         return not self.closed and self._owner.may_renew()
 
@@ -360,16 +378,23 @@
         elapsed = self._now() - self._reported_at
         return int((self._worker_clock_ms or 0) + elapsed * 1000)
 
+    def measure_lease_seconds(self) -> float | None:
+        """Returns for how long leases on the worker may last unless they are renewed.
+
+        None if the worker has not reported to this link.
+        """
+        if self._worker_clock_ms is None:
+            return None
+        lease = max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
+        return max(0.0, lease + LEASE_MARGIN_SECONDS - self.silent_seconds)
+
     @property
     def is_lease_expired(self) -> bool:
         """Whether the worker has been unresponsive for so long that its lease has expired."""
-        now = self._now()
-        if self._worker_clock_ms is None:
-            return self._owner.are_leases_over(self.worker)
-        remaining = (
-            max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
-        )
-        return now - self._reported_at > remaining + LEASE_MARGIN_SECONDS
+        remaining = self.measure_lease_seconds()
+        if remaining is not None:
+            return remaining <= 0
+        return self._owner.are_leases_over(self.worker)
 
     async def _ensure_recent_report(self) -> bool:
         """Waits for a report if the last one is old; returns whether a start order may be sent."""
@@ -387,16 +412,32 @@
                 self._waiting_for_report -= 1
         return self.capacity.usable and self._incarnation == incarnation
 
+    def abandon_sending(self, task: TaskName, run: int) -> None:
+        """Counts a start order as unanswered after an unexpected error while it was sent.
+
+        A later report shows whether the run exists.
+        """
+        order = self.orders.get(task)
+        if order is not None and order.run == run and order.state == SENDING:
+            order.state = UNKNOWN
+            self._wake.set()
+
     async def start_task(self, task: TaskName, order: StartOrder) -> None:
-        """Sends a start order, which must already be recorded durably."""
+        """Sends a start order, which must already be recorded durably.
+
+        An order whose run is to stop before it has been sent is not sent at all.
+        """
         entry = self.orders.get(task)
         if entry is None or entry.run != order.run:
             return
-        if not await self._ensure_recent_report():
+        if not entry.stopping and not await self._ensure_recent_report():
             self._report_missing(task, entry, "no recent report of the worker; order not sent")
             return
         if self.orders.get(task) is not entry:
             return
+        if entry.stopping:
+            self._report_missing(task, entry, "stopped before its start order was sent")
+            return
         if self.capacity.is_overcommitted:
             self._report_missing(task, entry, "the worker's capacity has shrunk; order not sent")
             return
@@ -414,7 +455,7 @@
                 spec=order.spec,
                 expires_ms=entry.absence_certain_after_ms,
                 fence=fence,
-                may_send=self._may_send,
+                may_send=lambda: not entry.stopping and self._may_send(),
                 checkpoint=order.checkpoint,
                 ticket=order.ticket,
             )
@@ -439,17 +480,14 @@
                 self.capacity.record_failure(self._now())
             self._report_missing(task, entry, f"order not sent: {error}")
             return
-        except Exception as error:
-            if not isinstance(error, PlatformError):
-                unexpected_errors.count += 1
-            logger.log(
-                logging.INFO if isinstance(error, PlatformError) else logging.ERROR,
+        except PlatformError as error:
+            logger.info(
                 "start order failed; it is unknown whether the run started",
                 extra={
                     "fields": {
                         "task": format_task(task),
                         "worker": self.worker,
-                        "error": str(error) or repr(error),
+                        "error": str(error),
                     }
                 },
             )
@@ -470,14 +508,20 @@
             self._owner.handle_missing_run(self, task, order.run, why)
 
     def stop_task(self, task: TaskName) -> None:
-        """Sends a stop order, which is resent until the worker reports the end of the run."""
+        """Sends a stop order, which is resent until the worker reports the end of the run.
+
+        A run whose start order has not been sent needs none, since the order is dropped.
+        """
         order = self.orders.get(task)
         if order is not None and not order.stopping:
             order.stopping = True
-            order.stop_sent = self._now()
-            asyncio.ensure_future(self._send_stop(task, order.run))
+            if order.may_have_started:
+                order.stop_sent = self._now()
+                start_in_background(self._send_stop(task, order.run))
 
     async def _send_stop(self, task: TaskName, run: int) -> None:
+        self._stops.record_sending((task, run), self._now())
+        error_text = ""
         try:
             await self._runs.stop(
                 self.entry.address,
@@ -488,16 +532,18 @@
                 may_send=self._may_send,
             )
         except PlatformError as error:
+            error_text = str(error)
             logger.info(
                 "stop order failed; resending it while the worker lists the run",
                 extra={
                     "fields": {
                         "task": format_task(task),
                         "worker": self.worker,
-                        "error": str(error),
+                        "error": error_text,
                     }
                 },
             )
+        self._stops.record_outcome((task, run), error_text)
         self._wake.set()
 
     async def throttle_task(self, task: TaskName, percent: int) -> None:
@@ -655,10 +701,13 @@
             self._acknowledged, self._is_reconciled = 0, False
             # Calls that are still on their way carry times of the previous incarnation's clock, so
             # that only the worker's maximum limits the lease that they give.
+            late_ms = [
+                self._measure_late_order_wait_ms(order)
+                for order in self.orders.values()
+                if order.state != STARTED
+            ]
             self._max_lease_expiry_ms = (
-                report.clock_ms + LATE_ORDER_WAIT_MS + self._settings.longest_lease_ms
-                if any(order.state != STARTED for order in self.orders.values())
-                else 0
+                report.clock_ms + max(late_ms) + self._settings.longest_lease_ms if late_ms else 0
             )
             for order in self.orders.values():
                 order.listed = False
@@ -667,8 +716,11 @@
                     # so, this report or the next one lists the run.
                     order.state, order.absence_certain_after_ms = UNKNOWN, report.clock_ms
                 else:
-                    order.absence_certain_after_ms = report.clock_ms + LATE_ORDER_WAIT_MS
+                    order.absence_certain_after_ms = (
+                        report.clock_ms + self._measure_late_order_wait_ms(order)
+                    )
         self._incarnation = report.born
+        self.is_awaited = False
         first = self._worker_clock_ms is None
         self._worker_clock_ms, self._reported_at = report.clock_ms, self._now()
         self._reported_fence = self._requested_fence
@@ -697,6 +749,14 @@
             await self._owner.flush()
             self._acknowledged = max(self._acknowledged, ended[-1].number)
 
+    def _measure_late_order_wait_ms(self, order: Order) -> int:
+        """Returns for how long a start order may still be carried out by a later incarnation.
+
+        Counted from its sending, so that a worker that restarts repeatedly does not prolong it.
+        """
+        elapsed_ms = int((self._now() - order.sent_at) * 1000)
+        return max(0, LATE_ORDER_WAIT_MS - elapsed_ms)
+
     def _reconcile(self, report: WorkerReport) -> None:
         """Reconciles the ordered runs with those that the worker lists."""
         now = self._now()
@@ -713,6 +773,27 @@
             order = self.orders.get(task)
             if order is None or order.run != run:
                 self._handle_unordered_run(task, run, now)
+        self._stops.retain(listed)
+        self._log_overdue_stops(now)
+
+    def _log_overdue_stops(self, now: float) -> None:
+        """Reports runs that go on although they are stopped; their lease is renewed with others."""
+        for (task, run), stop in self._stops.take_overdue(now):
+            logger.warning(
+                "a run goes on although it was stopped",
+                extra={
+                    "fields": {
+                        "task": format_task(task),
+                        "run": run,
+                        "worker": self.worker,
+                        "job": self._owner.describe_job(task),
+                        "seconds": round(now - stop.since, 3),
+                        "stops": stop.sent,
+                        "error": stop.error,
+                        "epoch": self._owner.fence,
+                    }
+                },
+            )
 
     def _update_order(self, task: TaskName, order: Order, row: RunningTask, now: float) -> None:
         if order.state == UNKNOWN:
@@ -723,9 +804,23 @@
             order.progress_percent, order.last_progress_at = row.percent, now
         elif now - order.last_progress_at > STUCK_TASK_SECONDS:
             self._owner.handle_stuck_task(self, task)
-        if order.stopping and now - order.stop_sent > STOP_REPEAT_SECONDS:
+        if not order.stopping and not self._owner.is_wanted(task):
+            logger.warning(
+                "stopping a run whose job has ended or is not known",
+                extra={
+                    "fields": {
+                        "task": format_task(task),
+                        "run": order.run,
+                        "worker": self.worker,
+                        "job": self._owner.describe_job(task),
+                        "epoch": self._owner.fence,
+                    }
+                },
+            )
+            self.stop_task(task)
+        elif order.stopping and now - order.stop_sent > STOP_REPEAT_SECONDS:
             order.stop_sent = now
-            asyncio.ensure_future(self._send_stop(task, order.run))
+            start_in_background(self._send_stop(task, order.run))
 
     def _handle_unordered_run(self, task: TaskName, run: int, now: float) -> None:
         """Adopts a listed run that has no order here if the ledger knows it, else stops it."""
@@ -752,7 +847,7 @@
         elif now - self.unordered_runs[key] < STOP_REPEAT_SECONDS:
             return
         self.unordered_runs[key] = now
-        asyncio.ensure_future(self._send_stop(task, run))
+        start_in_background(self._send_stop(task, run))
 
     def _forget_unordered_run(self, key: tuple[TaskName, int]) -> None:
         del self.unordered_runs[key]
