Place the other tasks of a step while one is kept from a worker that refused it

A short task that may not be sent to the only worker with room for up to 2 s ended the look at its step, so that its siblings waited as long. Held workers make the planner look twice for long-running tasks only, for which alone a hold is a precaution.

Found by reading; no test shows the wait of the siblings.

--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -220,7 +220,9 @@
         # Short tasks are not spread over racks, where they are slow and keep others waiting.
         fallback = capacities if spec.long_running else preferred
         has_precautions = len(fallback) > len(preferred) or any(
-            capacity.suspect_until > now or capacity.reserved_for or capacity.held_for
+            capacity.suspect_until > now
+            or capacity.reserved_for
+            or (spec.long_running and capacity.held_for)
             for capacity in fallback
         )
         for index in waiting:
@@ -230,10 +232,9 @@
             avoided = self._rejections.list_avoided(name)
             if task.failures:
                 avoided.append(task.worker)
-            candidates, others = preferred, fallback
-            if not spec.gang:
-                excluded = self._rejections.list_excluded(name)
-                candidates, others = _exclude(preferred, excluded), _exclude(fallback, excluded)
+            # A gang starts together: one refusal does not speak against the workers of the others.
+            excluded = [] if spec.gang else self._rejections.list_excluded(name)
+            candidates, others = _exclude(preferred, excluded), _exclude(fallback, excluded)
             isolated = self._find_isolated_subject(step, name)
             if isolated:
                 candidates = self._isolation.select(isolated, spec, usage, candidates)
@@ -243,7 +244,7 @@
             if capacity is not None:
                 capacity.reserve(name, usage)
                 chosen.append((capacity, name))
-            elif not (isolated or spec.long_running):
+            elif not (isolated or excluded or spec.long_running):
                 break
         return chosen
 
