--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -11,7 +11,7 @@
     leave_around_handover,
     return_after_freeze,
 )
-from owner_builders import WORKER, OwnerHarness
+from owner_builders import BORN, WORKER, OwnerHarness
 
 from carawayd.partition.workerlink import SENDING, StartOrder
 from carawayd.platform.common import PlatformError
@@ -101,6 +101,13 @@
     _lose_poll(context)
 
 
+@when("a report to its call shows that the worker was born again")
+def report_birth_to_call(context):
+    harness = context.harness
+    harness.run(harness.owner.links[WORKER]._request_report())
+    harness.report(clock_ms=100, born=BORN + 7)
+
+
 def _play(play) -> list[str]:
     loop = looptime.new_event_loop(start=0, noop_cycles=2)
     try:
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -19,6 +19,7 @@
 from malformed_builders import (
     DIGITS,
     JOB,
+    NESTING,
     OTHER_JOB,
     VALUES,
     LineCollector,
@@ -58,7 +59,8 @@
 from carawayd.request.workflows import WorkflowHandler
 from carawayd.unreadable import unreadable_records
 from carawayshore.findings import FindingsError
-from carawayshore.workflows.runtimes import RuntimeStatistics
+from carawayshore.workflows.model import StepSpec
+from carawayshore.workflows.runtimes import RuntimeModel, RuntimeStatistics
 
 SEED = 31
 SERVICES = {"booking"}
@@ -444,6 +446,21 @@
     _check_takeover(context, {RUNTIME_PREFIX + "slots": VALUES[value]})
 
 
+@when("the recorded statistics of a queue are {value}, and a new owner reads them")
+def read_statistics(context, value):
+    context.owner = _take_over({RUNTIME_PREFIX + "slots": value.encode()}).owner
+
+
+@then("it estimates and learns run times as without them")
+def expect_estimates(context):
+    step = StepSpec(estimate_ms=500)
+    runtimes, fresh = context.owner._runtimes, RuntimeModel()
+    for model in (runtimes, fresh):
+        model.learn("slots", step, 0.7)
+    expected = fresh.estimate_task_seconds("slots", step)
+    assert runtimes.estimate_task_seconds("slots", step) == expected
+
+
 @then("it takes over each time and has the workflow whose records are readable")
 def expect_takeovers(context):
     assert not context.missed, context.missed[:5]
@@ -749,6 +766,21 @@
     return handle
 
 
+def _build_malformed_replies(number: int) -> list[bytes]:
+    documents = [
+        None,
+        [],
+        [number],
+        [[], "ran", "odd", "p", 1.0],
+        [number, "ran", "odd", "p", NOT_A_NUMBER],
+        [number, "ran", "odd", 7, 1.0],
+        [number, "ran", "odd", "p", 1e300],
+        [number, 7, "odd", "p", 1.0],
+    ]
+    encoded = [msgspec.msgpack.encode(document) for document in documents]
+    return [b"", b"\xff", b"\x91" * NESTING, *encoded]
+
+
 class _PeerSocket:
     """Socket of a peer that sends malformed replies ahead of the valid one."""
 
@@ -757,18 +789,8 @@
 
     async def send_multipart(self, frames: list[bytes], flags: int = 0) -> None:
         number, *_ = msgspec.msgpack.decode(frames[-1])
-        for reply in (
-            *(b"", b"\xff", b"\x91" * 100_000),
-            *(
-                msgspec.msgpack.encode(item)
-                for item in (
-                    *(None, [], [number], [[], "ran", "odd", "p", 1.0]),
-                    *([number, "ran", "odd", "p", NOT_A_NUMBER], [number, "ran", "odd", 7, 1.0]),
-                    *([number, "ran", "odd", "p", 1e300], [number, 7, "odd", "p", 1.0]),
-                    [number, "ran", "valid", "p", 1.0],
-                )
-            ),
-        ):
+        valid = msgspec.msgpack.encode([number, "ran", "valid", "p", 1.0])
+        for reply in (*_build_malformed_replies(number), valid):
             self._replies.put_nowait(reply)
 
     async def recv_multipart(self) -> list[bytes]:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -27,6 +27,7 @@
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.losses import Losses
 from carawayd.partition.planner import Planner
+from carawayd.partition.relief import Relief
 from carawayd.partition.strayorders import StrayOrders
 from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
@@ -40,11 +41,13 @@
 )
 from carawayd.platform.runs import format_task
 from carawayd.supervision import start_in_background, supervised_task
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
-from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
-from carawayshore.workflows.runtimes import RuntimeModel, RuntimeStatistics
+from carawayshore.workflows.placement import compute_usage
+from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
     CANCELLED,
     COMPLETED,
@@ -219,6 +222,7 @@
         self._losses = Losses(
             self._find_task, self._record_step, self._give_up, self._isolation, clock, metrics
         )
+        self._relief = Relief(self.links, self._find_task, self._may_stop, clock)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -337,12 +341,9 @@
 
     def _restore_runtime(self, queue: str, value: bytes) -> None:
         try:
-            times = msgspec.json.decode(value, type=RuntimeStatistics)
-        except msgspec.MsgspecError as error:
-            logger.warning(
-                "recorded run times of a queue are unreadable; starting without them",
-                extra={"fields": {"queue": queue, "error": str(error)}},
-            )
+            times = decode_statistics(value)
+        except MalformedDocument as error:
+            unreadable_records.note(WORKFLOWS_TOPIC, RUNTIME_PREFIX + queue, error)
             return
         self._runtimes.restore(queue, times)
 
@@ -429,7 +430,7 @@
         for link in self.links.values():
             link.set_capacity_current(self._discovery.is_capacity_current(link.entry))
             if link.capacity.is_overcommitted:
-                self._relieve(link)
+                self._relief.relieve(link, self.fence)
             if link.cordoned or link.entry.state != "ready":
                 if link.expire_cordon(self._now()):
                     self._cordons.end(link.worker)
@@ -529,37 +530,6 @@
             )
             link.stop_task(name)
 
-    def _relieve(self, link: WorkerLink) -> None:
-        """Stops a long-running task of a worker whose capacity has shrunk below what runs there.
-
-        One at a time, within the limits of the steps, and only if it fits elsewhere. Short tasks
-        end by themselves.
-        """
-        if any(order.stopping for order in link.orders.values()):
-            return
-        others = [
-            other.capacity
-            for other in self.links.values()
-            if other is not link and other.entry.service == link.entry.service
-        ]
-        for name in rank_relief(link.capacity):
-            found = self._find_task(name)
-            if found is None or name not in link.orders or not self._may_stop(found[1], name):
-                continue
-            _, step, _ = found
-            usage = compute_usage(name, step.spec)
-            if choose_worker(others, step.spec, usage, self._now()) is None:
-                continue
-            self._log_task(
-                name,
-                "stopping task on a worker whose capacity has shrunk",
-                worker=link.worker,
-                millicores=[link.capacity.millicores, link.entry.millicores],
-                memory_mb=[link.capacity.memory_mb, link.entry.memory_mb],
-            )
-            link.stop_task(name)
-            return
-
     def _may_stop(self, step: StepState, name: TaskName) -> bool:
         """Returns whether fewer other tasks of the step are interrupted than the step allows."""
         interrupted = sum(
@@ -584,7 +554,8 @@
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
         if link.run_count or link.is_awaited:
-            self._contact_loss.begin(link.worker, had_contact=link.had_contact)
+            lease_left = link.measure_lease_seconds() if link.had_contact else None
+            self._contact_loss.begin(link.worker, lease_left_seconds=lease_left)
 
     def find_recorded_start(self, worker: str) -> int:
         """Returns the start of the incarnation of a worker that was last sent an order.
