--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -16,7 +16,7 @@
     PlatformUnreached,
 )
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
-from carawayd.supervision import start_in_background, supervised_task, unexpected_errors
+from carawayd.supervision import start_in_background, supervised_task
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
@@ -481,17 +481,14 @@
                 self.capacity.record_failure(self._now())
             self._report_missing(task, entry, f"order not sent: {error}")
             return
-        except Exception as error:
-            if not isinstance(error, PlatformError):
-                unexpected_errors.count += 1
-            logger.log(
-                logging.INFO if isinstance(error, PlatformError) else logging.ERROR,
+        except PlatformError as error:
+            logger.info(
                 "start order failed; it is unknown whether the run started",
                 extra={
                     "fields": {
                         "task": format_task(task),
                         "worker": self.worker,
-                        "error": str(error) or repr(error),
+                        "error": str(error),
                     }
                 },
             )
