Keep a partition when a renewal under its earlier epoch is refused

Cause: an owner whose epoch rises while a renewal is on its way is refused by the worker, which has seen a call under the later epoch already, and gave its partition up. Start orders were told apart, renewals not.

--- a/features/owner_workers.feature
+++ b/features/owner_workers.feature
@@ -148,3 +148,13 @@
     Given an owner whose worker reported 1 s ago and has no tasks
     When its epoch rises while a start order is refused for its fencing token
     Then the owner keeps the partition
+
+  Scenario: A renewal under an earlier epoch that is refused does not cost the partition
+    Given an owner whose worker reported 1 s ago and has no tasks
+    When its epoch rises while a renewal is refused for its fencing token
+    Then the owner keeps the partition
+
+  Scenario: A renewal under the present epoch that is refused costs the partition
+    Given an owner whose worker reported 1 s ago and has no tasks
+    When a renewal is refused for its fencing token
+    Then the owner has lost the partition
--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -9,7 +9,7 @@
 
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX
 from carawayd.partition.workerlink import STARTED, UNKNOWN, StartOrder
-from carawayd.platform.common import PlatformError, PlatformUnreached
+from carawayd.platform.common import PermissionEnded, PlatformError, PlatformUnreached
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, WorkerReport
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.state import CANCELLED, ORDERED, WAITING
@@ -153,6 +153,40 @@
     harness.run(harness.owner.links[WORKER].start_task(TASK, StartOrder(1, "text", "")))
 
 
+def _refuse_renewal(context, raised: int) -> None:
+    """Has the next renewal refused, while the epoch rises, and ends the link after it."""
+    harness = context.harness
+    link = harness.owner.links[WORKER]
+    harness.order(TASK, 1, state=STARTED, absence_certain_after_ms=0)
+
+    async def renew(*_arguments, **_options):
+        if harness.runs.calls:
+            link.closed = True
+            raise PermissionEnded("the test ends")
+        harness.runs.calls.append(("renew", "", 0))
+        harness.owner.fence += raised
+        raise OrderRefused("fenced")
+
+    harness.runs.calls.clear()
+    harness.runs.renew = renew
+    harness.run(link._poll_reports.fun(link))
+
+
+@when("its epoch rises while a renewal is refused for its fencing token")
+def refuse_earlier_renewal(context):
+    _refuse_renewal(context, 1)
+
+
+@when("a renewal is refused for its fencing token")
+def refuse_renewal(context):
+    _refuse_renewal(context, 0)
+
+
+@then("the owner has lost the partition")
+def expect_partition_lost(context):
+    assert context.harness.owner.lost
+
+
 @when("a start order is due and the worker reports {outcome}")
 def order_after_report(context, outcome):
     harness = context.harness
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -588,6 +588,9 @@
                 return
             except OrderRefused as refusal:
                 if refusal.reason == "fenced":
+                    # A call under an earlier epoch of the same owner may arrive after a later one.
+                    if self._requested_fence != self._owner.fence:
+                        continue
                     self._owner.handle_fenced()
                     return
                 await self._handle_poll_failure(str(refusal))
