Fleet matrix: end the faults of a stand-in that a reboot has just ended once it is back

A cell failed once, beside load: the harness reached a worker whose process a reboot was ending, and the connection was closed before the request was written (ClientConnectionResetError in heal). The call is repeated until the stand-in answers, within the time of the reset. The message of a failed submission in platform.feature now tells the statuses.

--- a/features/matrix/fleet_deployment.py
+++ b/features/matrix/fleet_deployment.py
@@ -139,10 +139,23 @@
         for name in set(stopped) & set(WORKERS):
             # On a drained host, a worker answers status calls but does not become ready.
             await self.wait_until(lambda n=name: self.read_status(n), name, RESET_TIMEOUT_S)
-        await asyncio.gather(*(self.set_faults(name) for name in (*PLATFORM, *WORKERS)))
+        await asyncio.gather(
+            *(
+                self.wait_until(lambda n=name: self._end_faults(n), name, RESET_TIMEOUT_S)
+                for name in (*PLATFORM, *WORKERS)
+            )
+        )
         await asyncio.gather(*(self.start(n) for n in stopped if n not in WORKERS))
         self._faults.clear()
 
+    async def _end_faults(self, name: str) -> bool:
+        """Ends the faults of a stand-in; returns False if a reboot has just ended its process."""
+        try:
+            await self.set_faults(name)
+        except aiohttp.ClientConnectionError:
+            return False
+        return True
+
     async def reset(self) -> bool:
         """Ends all faults and returns every host to its initial pool."""
         await self.heal()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -226,7 +226,8 @@
         jobs = [platform.submit("entry-0", n, count=count) for n in range(first, last + 1)]
         return await asyncio.gather(platform.start_host("entry-2"), *jobs)
 
-    assert set(platform.run(submit_all_and_join())[1:]) == {200}
+    statuses = platform.run(submit_all_and_join())[1:]
+    assert set(statuses) == {200}, statuses
 
 
 @when(
