Scenarios for late calls after a restart, kept workers, and dropped log lines

A start order that was held up reaches the next incarnation of its worker after the next owner has taken its leases to be over. A renewal that was held up gives the next incarnation a longer lease than its owner assumes. A worker kept for a long-running task is chosen by the cores that have to come free, so that the task may wait for one long run. The limit of the log drops the line on a task that is not at work.

Change: tests only.

--- /dev/null
+++ b/features/review_builders.py
@@ -0,0 +1,132 @@
+"""Calls that are held up and carried out by a later incarnation of their worker."""
+
+from __future__ import annotations
+
+import asyncio
+
+from restart_scenarios import overload_workers
+from worker_model import CALL_TIMEOUT_S, World
+
+from carawayd.platform.common import PlatformError
+from carawayd.platform.runs import OrderRefused
+
+STOP_S = 0.05
+UPTIME_S = 30.0
+LONG_S = 1_000.0
+HELD_S = 12.0
+
+
+class HeldCall:
+    """Holds up the next call of one kind by the current owner; carried out ``HELD_S`` later."""
+
+    def __init__(self, world: World, kind: str, worker: str | None = None) -> None:
+        self.worker = ""
+        self.is_sent = asyncio.Event()
+        self.was_carried_out = False
+        self._world = world
+        self._runs = world.current.owner._runs
+        self._call, self._method = self._runs._call, getattr(self._runs, kind)
+        self._kind, self._wanted = kind, worker
+        setattr(self._runs, kind, self._hold)
+
+    async def _hold(self, address, worker, *args, **options):
+        if self._wanted not in (None, worker) or options.get("expires_ms") is None:
+            return await self._method(address, worker, *args, **options)
+        setattr(self._runs, self._kind, self._method)
+        self.worker = worker
+        model = self._world.workers[worker]
+        fence, expires_ms = options["fence"], options["expires_ms"]
+
+        def carry_out() -> None:
+            if model.gone:
+                return
+            try:
+                if self._kind == "start":
+                    task, run = args
+                    model.start(task, run, expires_ms, fence)
+                else:
+                    model.renew(fence, 0, expires_ms)
+                self.was_carried_out = True
+            except OrderRefused:
+                return
+
+        asyncio.get_running_loop().call_later(HELD_S, carry_out)
+        self.is_sent.set()
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise PlatformError("no response")
+
+
+async def build_world(workers: int) -> World:
+    world = World(workers, STOP_S)
+    await world.take_over()
+    await asyncio.sleep(UPTIME_S)
+    return world
+
+
+async def hold_start(*, kill: bool) -> tuple[list[str], bool]:
+    """Holds up a start order; returns the broken promises and whether it was carried out."""
+    world = await build_world(3)
+    try:
+        held = HeldCall(world, "start")
+        await world.submit(2, 1, LONG_S, long_running=True)
+        await held.is_sent.wait()
+        worker = world.workers[held.worker]
+        await asyncio.sleep(0.3)
+        worker.restart(worker.cores)
+        await asyncio.sleep(2.7)
+        world.links[worker.name] = "cut"
+        await asyncio.sleep(1.5)
+        if kill:
+            await world.kill_owner()
+        await asyncio.sleep(20.0)
+        return world.violations, held.was_carried_out
+    finally:
+        await world.close()
+
+
+async def hold_renewal() -> tuple[list[str], bool]:
+    """Holds up a renewal; returns the broken promises and whether it was carried out."""
+    world = await build_world(2)
+    try:
+        await world.submit(12, 1, LONG_S, long_running=True)
+        await asyncio.sleep(2.0)
+        [worker] = [worker for worker in world.workers.values() if worker.runs]
+        held = HeldCall(world, "renew", worker.name)
+        await held.is_sent.wait()
+        sent_at = world.now()
+        worker.restart(worker.cores)
+        await asyncio.sleep(6.0)
+        await world.submit(12, 1, LONG_S, long_running=True)
+        await asyncio.sleep(2.0)
+        assert worker.runs, "the next incarnation runs nothing"
+        world.add_worker("idle")
+        await asyncio.sleep(HELD_S - (world.now() - sent_at) + 0.01)
+        world.links[worker.name] = "cut"
+        await asyncio.sleep(20.0)
+        return world.violations, held.was_carried_out
+    finally:
+        await world.close()
+
+
+async def wait_beside_long_run() -> float | None:
+    """Returns the wait of a long-running task while one worker has a long short task, else None."""
+    world = World(2, STOP_S)
+    try:
+        await world.take_over()
+        await asyncio.sleep(1.0)
+        await world.submit(6, 1, 60.0)
+        await asyncio.sleep(0.5)
+        async with overload_workers(world, 1):
+            identifier = await world.submit(12, 1, LONG_S, long_running=True)
+            submitted = world.now()
+            while world.now() - submitted < 30.0:
+                await asyncio.sleep(0.1)
+                if any(
+                    task.workflow == identifier
+                    for worker in world.workers.values()
+                    for task in worker.runs
+                ):
+                    return world.now() - submitted
+        return None
+    finally:
+        await world.close()
--- /dev/null
+++ b/features/steps/review_steps.py
@@ -0,0 +1,87 @@
+"""Steps on calls that are carried out by the next incarnation of their worker."""
+
+from __future__ import annotations
+
+import logging
+
+import looptime
+from behave import given, then, when
+from owner_builders import ManualClock
+from review_builders import hold_renewal, hold_start, wait_beside_long_run
+
+from carawayd.process.logs import MAX_LINES_PER_SECOND, RateLimitFilter
+
+
+def _play(play):
+    loop = looptime.new_event_loop(start=0, noop_cycles=2)
+    try:
+        return loop.run_until_complete(play)
+    finally:
+        loop.close()
+
+
+@given("workers of 12 cores that have been up for 30 s")
+def note_workers(context):
+    context.outcome = None
+
+
+@when(
+    "a start order is held up for 12 s, its worker restarts, falls silent, and the owner is killed"
+)
+def play_kill(context):
+    context.outcome = _play(hold_start(kill=True))
+
+
+@when("a start order is held up for 12 s, its worker restarts, falls silent, and the owner goes on")
+def play_same(context):
+    context.outcome = _play(hold_start(kill=False))
+
+
+@when("a renewal is held up for 12 s, its worker restarts, runs a task, and is cut off after it")
+def play_renewal(context):
+    context.outcome = _play(hold_renewal())
+
+
+@then("no owner started a task twice")
+def expect_no_second_run(context):
+    violations, was_carried_out = context.outcome
+    assert was_carried_out, "the call was not carried out"
+    assert not violations, violations
+
+
+@given("2 workers of 12 cores, one with a task of 6 cores that takes 60 s")
+def note_long_task(context):
+    context.waited = None
+
+
+@when("a long-running task of 12 cores waits beside small tasks at five times their capacity")
+def play_long_task(context):
+    context.waited = _play(wait_beside_long_run())
+
+
+@then("the long-running task runs within {seconds:g} s")
+def expect_start(context, seconds):
+    assert context.waited is not None, "the task did not run within 30 s"
+    assert context.waited <= seconds, context.waited
+
+
+def _build_record(level: int, message: str) -> logging.LogRecord:
+    return logging.LogRecord("carawayd.partition", level, "", 0, message, None, None)
+
+
+@given("a log that has written its 50 lines of this second")
+def fill_log(context):
+    context.filter = RateLimitFilter(ManualClock(10.0))
+    for _ in range(MAX_LINES_PER_SECOND):
+        assert context.filter.filter(_build_record(logging.INFO, "tasks ordered"))
+
+
+@when("the line on a long-running task that is not at work follows")
+def log_wait(context):
+    record = _build_record(logging.WARNING, "long-running task is not at work")
+    context.was_written = context.filter.filter(record)
+
+
+@then("the log writes it")
+def expect_line(context):
+    assert context.was_written
