Scenario for a step record of a later version, which starts its tasks twice

Cause: a row with a field more makes the record of the step unreadable, and its tasks then count as never started, while their runs go on at the workers.

--- a/features/review_builders.py
+++ b/features/review_builders.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import msgspec
+from handover_builders import build_busy_world
 from restart_scenarios import overload_workers
 from worker_model import CALL_TIMEOUT_S, World
 
@@ -130,3 +132,20 @@
         return None
     finally:
         await world.close()
+
+
+async def read_later_record() -> tuple[list[str], bool]:
+    """Kills the owner of a job whose record has fields that this version does not know."""
+    world = await build_busy_world(3)
+    try:
+        killing = asyncio.ensure_future(world.kill_owner())
+        await asyncio.sleep(0.5)
+        [key] = [key for key in world.store.records if key.endswith("/0/0")]
+        rows = msgspec.json.decode(world.store.records[key])
+        later = [[*row, *["", "", []][len(row) - 4 :], "later"] for row in rows]
+        world.store.records[key] = msgspec.json.encode(later)
+        await killing
+        await asyncio.sleep(15.0)
+        return world.violations, True
+    finally:
+        await world.close()
--- a/features/review_findings.feature
+++ b/features/review_findings.feature
@@ -35,3 +35,10 @@
     Given a log that has written its 50 lines of this second
     When the line on a long-running task that is not at work follows
     Then the log writes it
+
+  Scenario: The record of a step by a later version of the program does not start its tasks twice
+    # Guards against two runs of each task after a version is rolled back: a row with a field more
+    # cannot be read, and the tasks count as never started.
+    Given a long-running job of 3 tasks, and the record of its step with one field more in each row
+    When its owner is killed and the next one takes over
+    Then no owner started a task twice
--- a/features/steps/review_steps.py
+++ b/features/steps/review_steps.py
@@ -7,7 +7,12 @@
 import looptime
 from behave import given, then, when
 from owner_builders import ManualClock
-from review_builders import hold_renewal, hold_start, wait_beside_long_run
+from review_builders import (
+    hold_renewal,
+    hold_start,
+    read_later_record,
+    wait_beside_long_run,
+)
 
 from carawayd.process.logs import MAX_LINES_PER_SECOND, RateLimitFilter
 
@@ -85,3 +90,13 @@
 @then("the log writes it")
 def expect_line(context):
     assert context.was_written
+
+
+@given("a long-running job of 3 tasks, and the record of its step with one field more in each row")
+def note_record(context):
+    context.outcome = None
+
+
+@when("its owner is killed and the next one takes over")
+def play_later_record(context):
+    context.outcome = _play(read_later_record())
