Scenario for a silent worker of the embedded mode whose job is never queued again

Cause: each holder of the claim counts the silence of a worker from the start of its own monitoring, so a claim that changes hands within 25 s prolongs the wait without end.

--- a/features/review_builders.py
+++ b/features/review_builders.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import msgspec
+from builders_jobs import TaskBench
 from handover_builders import build_busy_world
 from restart_scenarios import overload_workers
 from worker_model import CALL_TIMEOUT_S, World
@@ -16,6 +17,9 @@
 UPTIME_S = 30.0
 LONG_S = 1_000.0
 HELD_S = 12.0
+# The lease of the embedded mode is 20 s, and counts as over after 25 s of silence.
+CLAIM_PERIOD_S = 22.0
+CLAIM_GAP_S = 2.5
 
 
 class HeldCall:
@@ -149,3 +153,24 @@
         return world.violations, True
     finally:
         await world.close()
+
+
+async def lose_claim_repeatedly() -> str:
+    """Returns the state of a job on a silent worker after the claim was lost several times."""
+    bench = TaskBench()
+    bench.submit("a", repeatable=True)
+    bench.place("a")
+    await bench.run(2.0)
+    bench.worker.fault = "silent"
+    began = bench.clock.elapsed()
+
+    async def change_claim() -> None:
+        while True:
+            elapsed = (bench.clock.elapsed() - began).total_seconds()
+            bench.claim.held = elapsed % CLAIM_PERIOD_S > CLAIM_GAP_S
+            await asyncio.sleep(0)
+
+    changing = asyncio.ensure_future(change_claim())
+    await bench.run(200.0)
+    changing.cancel()
+    return bench.index.find("a").state
--- a/features/review_findings.feature
+++ b/features/review_findings.feature
@@ -42,3 +42,10 @@
     Given a long-running job of 3 tasks, and the record of its step with one field more in each row
     When its owner is killed and the next one takes over
     Then no owner started a task twice
+
+  Scenario: A job on a silent worker of the embedded mode is queued again although the claim changes
+    # Guards against a wait that each holder of the claim begins anew: the silence of a worker is
+    # counted from the start of its monitoring, and is not recorded.
+    Given a repeatable job of the embedded mode on a worker that has fallen silent
+    When the holder loses the claim for 2.5 s every 22 s, and 200 s pass
+    Then the job is queued again
--- a/features/steps/review_steps.py
+++ b/features/steps/review_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 
 import looptime
@@ -10,6 +11,7 @@
 from review_builders import (
     hold_renewal,
     hold_start,
+    lose_claim_repeatedly,
     read_later_record,
     wait_beside_long_run,
 )
@@ -100,3 +102,18 @@
 @when("its owner is killed and the next one takes over")
 def play_later_record(context):
     context.outcome = _play(read_later_record())
+
+
+@given("a repeatable job of the embedded mode on a worker that has fallen silent")
+def note_job(context):
+    context.job_state = None
+
+
+@when("the holder loses the claim for 2.5 s every 22 s, and 200 s pass")
+def play_claims(context):
+    context.job_state = asyncio.run(lose_claim_repeatedly())
+
+
+@then("the job is queued again")
+def expect_queued(context):
+    assert context.job_state == "queued", context.job_state
