Give warnings and errors a limit of their own in the log

Cause: the limit of 50 lines a second does not look at the level. Change: 20 warnings and errors a second are written whatever else is.

--- a/packages/carawayd/src/carawayd/process/logs.py
+++ b/packages/carawayd/src/carawayd/process/logs.py
@@ -14,6 +14,9 @@
     from carawayshore.clock import Clock
 
 MAX_LINES_PER_SECOND = 50
+# Warnings and errors have a limit of their own, since a busy process writes them when it also
+# writes most of its routine lines.
+MAX_WARNINGS_PER_SECOND = 20
 # Further lines are dropped and counted while the output is slow.
 MAX_QUEUED_LINES = 1_000
 # Limit for writing the queued lines at the end of the process.
@@ -50,14 +53,20 @@
         self._limit = lines_per_second
         self._window_start = clock.elapsed()
         self._count = 0
+        self._warning_count = 0
         self._dropped = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
         now = self._clock.elapsed()
         if now - self._window_start >= timedelta(seconds=1):
-            self._window_start, self._count = now, 0
-        self._count += 1
-        if self._count > self._limit:
+            self._window_start, self._count, self._warning_count = now, 0, 0
+        if record.levelno >= logging.WARNING:
+            self._warning_count += 1
+            is_dropped = self._warning_count > MAX_WARNINGS_PER_SECOND
+        else:
+            self._count += 1
+            is_dropped = self._count > self._limit
+        if is_dropped:
             self._dropped += 1
             return False
         if self._dropped:
