Keep another worker for a long-running task when the first one gets no room

Cause: the worker to keep was chosen by the cores that have to come free, not by when they do, and was never given up. Beside a short task of 60 s on it, a long-running task of 12 cores did not run within 30 s although the other worker drains in 2 s. Change: partition/holds. After 3 s without room another worker is kept instead, for twice as long each time.

--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayd.partition.holds import Holds
 from carawayd.partition.rejections import Rejections
 from carawayshore.workflows.crashes import needs_isolation
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.placement import (
     choose_worker,
-    choose_worker_to_hold,
     compute_usage,
     count_slots,
 )
@@ -117,8 +117,7 @@
         self._clock = clock
         self._time_of_day = time_of_day
         self._rejections = Rejections(clock)
-        # Worker whose room is kept for the long-running tasks of a step.
-        self._holds: dict[StepKey, WorkerCapacity] = {}
+        self._holds = Holds(clock)
         # Requirements for which the present plan has found no worker, and whether one would have
         # been found despite precautions. Room only shrinks while a plan is made.
         self._unplaceable: dict[_Requirement, bool] = {}
@@ -142,8 +141,9 @@
         self._deferrals.expire()
         if self._isolation:
             self._isolation.refresh()
-        for key in [key for key in self._holds if key not in self._open_steps]:
-            self._end_hold(key)
+        for key in self._holds.list_steps():
+            if key not in self._open_steps:
+                self._holds.end(key)
         ranked = []
         for key, step in self._open_steps.items():
             workflow = self._workflows[key[0]]
@@ -217,7 +217,7 @@
             placed = {name.index for _, name in chosen}
             self._keep_room(key, step, [i for i in waiting if i not in placed], capacities)
         else:
-            self._end_hold(key)
+            self._holds.end(key)
         if not chosen:
             return None
         run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
@@ -333,17 +333,7 @@
         if not any(self._deferrals.is_over(name) for name in names):
             return
         usage = compute_usage(names[0], step.spec)
-        held = choose_worker_to_hold(capacities, step.spec, usage)
-        if self._holds.get(key) is not held:
-            self._end_hold(key)
-            if held is not None:
-                self._holds[key] = held
-                held.held_for = key
-
-    def _end_hold(self, key: StepKey) -> None:
-        held = self._holds.pop(key, None)
-        if held is not None:
-            held.held_for = None
+        self._holds.keep(key, step.spec, usage, capacities)
 
     def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
         """Returns for what a worker has to be reserved before a task starts, None for nothing.
