--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -208,8 +208,10 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Worker of each task that an earlier owner ordered, until the link to the worker tracks it.
         self._orphans: dict[TaskName, str] = {}
-        bounds = LeaseBounds(compute_lease_seconds(settings), settings.abandon_seconds)
-        self._contact_loss = ContactLoss(clock, self.ledger, bounds)
+        self._lease_bounds = LeaseBounds(compute_lease_seconds(settings), settings.abandon_seconds)
+        self._contact_loss = ContactLoss(clock, self.ledger, self._lease_bounds)
+        # Steps whose records could not be read.
+        self._closed_steps: list[tuple[WorkflowState, StepState]] = []
         self._known_workers = KnownWorkers(self.ledger)
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
@@ -278,6 +280,7 @@
             self._scan_workers()
             self._contact_loss.record_progress()
             self._expire_entries()
+            self._open_closed_steps()
             self._stray_orders.check(self._track_stray_order)
             self._waits.check(self.fence)
             if self.ledger.lost:
@@ -322,7 +325,16 @@
             for name, task in workflow.iterate_ordered_tasks():
                 self._orphans[name] = task.worker
             for step in workflow.steps.values():
-                self._open_step(workflow, step)
+                if workflow.step_key(step) in unreadable:
+                    self._closed_steps.append((workflow, step))
+                else:
+                    self._open_step(workflow, step)
+        for key in unreadable:
+            unreadable_records.counts[WORKFLOWS_TOPIC] += 1
+            logger.error(
+                "record of a workflow or step cannot be read",
+                extra={"fields": {"key": key, "partition": self.partition, "epoch": self.fence}},
+            )
         self.loaded = True
         self._loaded_at = self._now()
         self._wake.set()
@@ -339,6 +351,17 @@
             },
         )
 
+    def _open_closed_steps(self) -> None:
+        """Opens the steps whose records could not be read, once no earlier run can be left.
+
+        Their tasks count as never started, but may run until the leases of the last owner are over.
+        """
+        if self._closed_steps and self._now() - self._loaded_at > self._lease_bounds.longest:
+            for workflow, step in self._closed_steps:
+                self._open_step(workflow, step)
+            self._closed_steps.clear()
+            self._wake.set()
+
     def _restore_runtime(self, queue: str, value: bytes) -> None:
         try:
             times = decode_statistics(value)
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -49,8 +49,11 @@
     return max(1, repeats) * sum(step.count for step in steps)
 
 
-class _TaskRow(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
-    """Record of a task, without its last fields if they are empty."""
+class _TaskRow(msgspec.Struct, array_like=True):
+    """Record of a task, without its last fields if they are empty.
+
+    Fields that a later version has added are ignored.
+    """
 
     status: Annotated[int, msgspec.Meta(ge=WAITING, le=DONE)] = WAITING
     run: Count = 0
