Count the lease of a renewal that may reach the next incarnation of a worker

Cause: after a restart of a worker, only start orders without an answer were counted as late. Change: a renewal that timed out counts like such an order, from its sending. One whose connection was closed does not.

--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -13,6 +13,7 @@
 from carawayd.platform.common import (
     PermissionEnded,
     PlatformError,
+    PlatformTimedOut,
     PlatformUnreached,
 )
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
@@ -263,6 +264,10 @@
         self._worker_clock_ms: int | None = None
         # Fencing tokens of the last request for a report, and of the last one that was answered.
         self._requested_fence = self._reported_fence = -1
+        # Time at which the last call renewed the lease, None if it did not; and that of the last
+        # renewal that timed out, None if there was none.
+        self._renewed_at: float | None = None
+        self._late_renewal_at: float | None = None
         self._reported_at = self._now()
         # Set at each report and each failed poll; orders that need a recent report wait for it.
         self._reported = asyncio.Event()
@@ -599,6 +604,8 @@
                 # The next call does not renew the lease, and needs no permission.
                 continue
             except PlatformError as error:
+                if isinstance(error, PlatformTimedOut) and self._renewed_at is not None:
+                    self._late_renewal_at = self._renewed_at
                 await self._handle_poll_failure(str(error))
                 continue
             try:
@@ -617,10 +624,11 @@
             self._close("no longer in the worker list", restarted=False)
 
     async def _request_report(self) -> WorkerReport:
-        expires_ms = None
+        expires_ms = self._renewed_at = None
         wait = 0.0
         if self._worker_clock_ms is not None and not self._failures and self._owner.may_renew():
             expires_ms = self._estimate_worker_clock() + self._lease_ms
+            self._renewed_at = self._now()
             self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, expires_ms)
             shared = self.capacity.best_effort and self.capacity.serving
             wait = SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
@@ -708,10 +716,12 @@
             # Calls that are still on their way carry times of the previous incarnation's clock, so
             # that only the worker's maximum limits the lease that they give.
             late_ms = [
-                self._measure_late_order_wait_ms(order)
+                self._measure_late_wait_ms(order.sent_at)
                 for order in self.orders.values()
                 if order.state != STARTED
             ]
+            if self._may_lease_late():
+                late_ms.append(self._measure_late_wait_ms(self._late_renewal_at))
             self._max_lease_expiry_ms = (
                 report.clock_ms + max(late_ms) + self._settings.longest_lease_ms if late_ms else 0
             )
@@ -722,8 +732,8 @@
                     # so, this report or the next one lists the run.
                     order.state, order.absence_certain_after_ms = UNKNOWN, report.clock_ms
                 else:
-                    order.absence_certain_after_ms = (
-                        report.clock_ms + self._measure_late_order_wait_ms(order)
+                    order.absence_certain_after_ms = report.clock_ms + self._measure_late_wait_ms(
+                        order.sent_at
                     )
         self._incarnation = report.born
         self.is_awaited = False
@@ -755,12 +765,19 @@
             await self._owner.flush()
             self._acknowledged = max(self._acknowledged, ended[-1].number)
 
-    def _measure_late_order_wait_ms(self, order: Order) -> int:
-        """Returns for how long a start order may still be carried out by a later incarnation.
+    def _may_lease_late(self) -> bool:
+        """Returns whether a renewal that timed out may still lease the worker's runs."""
+        if self._late_renewal_at is None:
+            return False
+        elapsed_ms = (self._now() - self._late_renewal_at) * 1000
+        return elapsed_ms < LATE_ORDER_WAIT_MS + self._settings.longest_lease_ms
+
+    def _measure_late_wait_ms(self, sent_at: float) -> int:
+        """Returns for how long a call without an answer may reach a later incarnation.
 
         Counted from its sending, so that a worker that restarts repeatedly does not prolong it.
         """
-        elapsed_ms = int((self._now() - order.sent_at) * 1000)
+        elapsed_ms = int((self._now() - sent_at) * 1000)
         return max(0, LATE_ORDER_WAIT_MS - elapsed_ms)
 
     def _reconcile(self, report: WorkerReport) -> None:
--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -34,6 +34,10 @@
     """A call failed, and it is unknown whether it took effect."""
 
 
+class PlatformTimedOut(PlatformError):
+    """There was no response in time; the call may still be carried out later."""
+
+
 class PlatformUnreached(PlatformError):
     """The request was not sent, so the call had no effect."""
 
@@ -191,7 +195,9 @@
             # A ValueError tells of an address, header or response that the HTTP library rejects.
             if isinstance(error, TimeoutError) and session is self._session:
                 self._replace_session()
-            kind = PlatformError if attempt.sent else PlatformUnreached
+            kind = PlatformTimedOut if isinstance(error, TimeoutError) else PlatformError
+            if not attempt.sent:
+                kind = PlatformUnreached
             raise kind(f"{method} {path}: {type(error).__name__}: {error}") from error
 
     async def call(
