--- a/features/rare_sequence_builders.py
+++ b/features/rare_sequence_builders.py
@@ -10,7 +10,7 @@
 from restart_scenarios import overload_workers
 from worker_model import CALL_TIMEOUT_S, World
 
-from carawayd.platform.common import PlatformError
+from carawayd.platform.common import PlatformTimedOut
 from carawayd.platform.runs import OrderRefused
 
 STOP_S = 0.05
@@ -59,7 +59,7 @@
         asyncio.get_running_loop().call_later(HELD_S, carry_out)
         self.is_sent.set()
         await asyncio.sleep(CALL_TIMEOUT_S)
-        raise PlatformError("no response")
+        raise PlatformTimedOut("no response")
 
 
 async def build_world(workers: int) -> World:
@@ -138,16 +138,14 @@
         await world.close()
 
 
-async def read_later_record() -> tuple[list[str], bool]:
-    """Kills the owner of a job whose record has fields that this version does not know."""
+async def read_record(change) -> tuple[list[str], bool]:
+    """Kills the owner of a job, whose record of a step is changed before the next one reads it."""
     world = await build_busy_world(3)
     try:
         killing = asyncio.ensure_future(world.kill_owner())
         await asyncio.sleep(0.5)
         [key] = [key for key in world.store.records if key.endswith("/0/0")]
-        rows = msgspec.json.decode(world.store.records[key])
-        later = [[*row, *["", "", []][len(row) - 4 :], "later"] for row in rows]
-        world.store.records[key] = msgspec.json.encode(later)
+        world.store.records[key] = change(world.store.records[key])
         await killing
         await asyncio.sleep(15.0)
         return world.violations, True
@@ -155,6 +153,17 @@
         await world.close()
 
 
+def add_field(record: bytes) -> bytes:
+    """Returns the record of a step with a field more in each row, as a later version writes it."""
+    rows = msgspec.json.decode(record)
+    return msgspec.json.encode([[*row, *["", []][len(row) - 4 :], "later"] for row in rows])
+
+
+def damage(record: bytes) -> bytes:
+    """Returns the record of a step without its end."""
+    return record[:-2]
+
+
 async def lose_claim_repeatedly() -> str:
     """Returns the state of a job on a silent worker after the claim was lost several times."""
     bench = TaskBench()
--- a/features/rare_sequences.feature
+++ b/features/rare_sequences.feature
@@ -1,7 +1,7 @@
-Feature: Calls that reach the next incarnation of a worker
+Feature: Rare sequences of faults start no task twice and keep none down
   A worker that starts again under its identifier has a new clock and knows nothing of before, so the
   expiry of a call that was sent to its former incarnation does not limit it. Such a call may be
-  carried out up to 12 s after it was sent.
+  carried out up to 12 s after it was sent. Long waits and damaged records are played here as well.
 
   Scenario: An owner is killed after a worker with an unanswered start order restarted and fell silent
     # Guards against two runs of one task: the record of the silence tells the next owner to wait for
@@ -43,6 +43,12 @@
     When its owner is killed and the next one takes over
     Then no owner started a task twice
 
+  Scenario: A damaged record of a step does not start its tasks beside their runs
+    # The tasks count as never started, so the step waits until no earlier run can be left.
+    Given a long-running job of 3 tasks, and the record of its step without its end
+    When its owner is killed and the next one reads the damaged record
+    Then no task runs twice
+
   Scenario: A job on a silent worker of the embedded mode is queued again although the claim changes
     # Guards against a wait that each holder of the claim begins anew: the silence of a worker is
     # counted from the start of its monitoring, and is not recorded.
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -617,7 +617,7 @@
 
 def _submit(body: bytes) -> Any:
     handler = WorkflowHandler(
-        SimpleNamespace(find_partition=lambda service: 0),
+        SimpleNamespace(find_partition=lambda service: 0, list_partitions=lambda _, **__: [0]),
         _AcceptingOwners(),
         WorkflowMetrics(),
         lambda: True,
--- a/features/steps/rare_sequence_steps.py
+++ b/features/steps/rare_sequence_steps.py
@@ -8,11 +8,13 @@
 import looptime
 from behave import given, then, when
 from owner_builders import ManualClock
-from review_builders import (
+from rare_sequence_builders import (
+    add_field,
+    damage,
     hold_renewal,
     hold_start,
     lose_claim_repeatedly,
-    read_later_record,
+    read_record,
     wait_beside_long_run,
 )
 
@@ -101,7 +103,23 @@
 
 @when("its owner is killed and the next one takes over")
 def play_later_record(context):
-    context.outcome = _play(read_later_record())
+    context.outcome = _play(read_record(add_field))
+
+
+@given("a long-running job of 3 tasks, and the record of its step without its end")
+def note_damaged_record(context):
+    context.outcome = None
+
+
+@when("its owner is killed and the next one reads the damaged record")
+def play_damaged_record(context):
+    context.outcome = _play(read_record(damage))
+
+
+@then("no task runs twice")
+def expect_no_twice(context):
+    violations, _ = context.outcome
+    assert not [item for item in violations if item.startswith("TWICE")], violations
 
 
 @given("a repeatable job of the embedded mode on a worker that has fallen silent")
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -21,7 +21,12 @@
 
 from carawayd.partition.owner import ACCEPTED, PartitionOwner
 from carawayd.platform.advice import Advice
-from carawayd.platform.common import PermissionEnded, PlatformError, PlatformUnreached
+from carawayd.platform.common import (
+    PermissionEnded,
+    PlatformError,
+    PlatformTimedOut,
+    PlatformUnreached,
+)
 from carawayd.platform.runs import (
     EndedRun,
     OrderRefused,
@@ -307,18 +312,18 @@
             raise PlatformUnreached(worker)
         if link == "cut" or worker in self._cut:
             await asyncio.sleep(CALL_TIMEOUT_S)
-            raise PlatformError("no response")
+            raise PlatformTimedOut("no response")
         if link == "slow":
             await asyncio.sleep(SLOW_CALL_S)
         if link == "late":
             self._world.carry_out_late(model, carry_out)
             await asyncio.sleep(CALL_TIMEOUT_S)
-            raise PlatformError("no response")
+            raise PlatformTimedOut("no response")
         born = model.born
         result = carry_out(model)
         if link == "lost":
             await asyncio.sleep(CALL_TIMEOUT_S)
-            raise PlatformError("no response")
+            raise PlatformTimedOut("no response")
         await asyncio.sleep(0.002)
         if model.born != born:
             raise PlatformError("disconnected")
