--- a/packages/carawayd/src/carawayd/partition/deferrals.py
+++ b/packages/carawayd/src/carawayd/partition/deferrals.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from carawayd.partition.rejections import VAIN_SECONDS
+from carawayd.partition.rejections import REJECTION_SECONDS
 from carawayshore.workflows.model import TaskName
 
 if TYPE_CHECKING:
@@ -51,10 +51,10 @@
     def begin(self, subject: Subject) -> None:
         """Starts measuring, unless the subject waits already.
 
-        A long-running task that was placed a moment ago has been placed in vain and still waits.
+        A long-running task that was placed a moment ago was rejected, so its wait goes on.
         """
         placed_at = self._placed_at.pop(subject, None)
-        if placed_at is not None and self._now() - placed_at > VAIN_SECONDS:
+        if placed_at is not None and self._now() - placed_at > REJECTION_SECONDS:
             del self._since[subject]
         self._since.setdefault(subject, self._now())
 
@@ -92,5 +92,5 @@
         """Ends the waits of the subjects whose placement has lasted."""
         now = self._now()
         for subject, placed_at in list(self._placed_at.items()):
-            if now - placed_at > VAIN_SECONDS:
+            if now - placed_at > REJECTION_SECONDS:
                 self.end(subject)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -251,7 +251,7 @@
         for index in waiting:
             task, name = step.tasks[index], TaskName(*key, index)
             usage = compute_usage(name, spec)
-            self._rejections.record_wait(name, task.failures)
+            self._rejections.note_waiting(name, task.failures)
             avoided = self._rejections.list_avoided(name)
             if task.failures:
                 avoided.append(task.worker)
--- a/packages/carawayd/src/carawayd/partition/rejections.py
+++ b/packages/carawayd/src/carawayd/partition/rejections.py
@@ -1,4 +1,4 @@
-"""Workers on which tasks were placed in vain, and for how long they are avoided.
+"""Workers on which tasks were placed without a run, and for how long they are avoided.
 
 Load pattern: a worker refuses every start although it seems to have room, or does not answer.
 Tasks are packed on the fullest workers, so without a memory each task would be placed there again
@@ -13,11 +13,11 @@
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import TaskName
 
-# A placement was in vain if its task waits again within this time, without a failure. An order
-# without an answer is known not to have been carried out after up to 3.5 s: the call, the validity
-# of the order, and a report.
-VAIN_SECONDS = 4.0
-# First time for which a worker is not used for a task that was placed there in vain; doubled each
+# A placement counts as rejected if its task waits again within this time, without a failure. An
+# order without an answer is known not to have been carried out after up to 3.5 s: the call, the
+# validity of the order, and a report.
+REJECTION_SECONDS = 4.0
+# First time for which a worker is not used for a task that it rejected; doubled each
 # time up to the maximum.
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 2.0
@@ -34,7 +34,7 @@
 
 
 class _Rejection(NamedTuple):
-    """Number of placements in vain on one worker, and the time of the last one."""
+    """Number of rejected placements on one worker, and the time of the last one."""
 
     count: int
     at: float
@@ -70,18 +70,22 @@
         """Forgets what no longer counts."""
         now = self._now()
         for name, placement in list(self._placements.items()):
-            if now - placement.at <= VAIN_SECONDS:
+            if now - placement.at <= REJECTION_SECONDS:
                 break
             del self._placements[name]
         for name, workers in list(self._rejections.items()):
             if all(now - rejection.at > MEMORY_SECONDS for rejection in workers.values()):
                 del self._rejections[name]
 
-    def record_wait(self, name: TaskName, failures: int) -> None:
-        """Notes that a task waits; its last placement was in vain if that is only a moment ago."""
+    def note_waiting(self, name: TaskName, failures: int) -> None:
+        """Notes that a task waits, and a rejection if its last placement is only a moment ago."""
         placement = self._placements.pop(name, None)
         now = self._now()
-        if placement is None or placement.failures != failures or now - placement.at > VAIN_SECONDS:
+        if (
+            placement is None
+            or placement.failures != failures
+            or now - placement.at > REJECTION_SECONDS
+        ):
             return
         workers = self._rejections.setdefault(name, {})
         former = workers.get(placement.worker)
