--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -1,4 +1,8 @@
-"""Chooses workers for the waiting tasks of a partition, the most urgent tasks first."""
+"""Chooses workers for the waiting tasks of a partition, the most urgent tasks first.
+
+Load pattern: at the peak of a burst hundreds of steps wait, most of them alike, while no worker has
+room. Long-running tasks wait among them after the loss of their workers, some suspected of it.
+"""
 
 from __future__ import annotations
 
