Owner: conclude no absence from a report whose ends are cut

Cause: a worker lists at most 500 ends in a report. The owner took the report for whole, so a run that was neither running nor among the first 500 ends counted as missing, was started again, and its end was read with the next page. Change: a report tells whether it lists all ends (`WorkerReport.lists_all_ends`). A run is reported missing only by one that does. While a worker has further ends it counts as busy, so that the next page is asked for at once and not after the poll interval of an idle worker. The model of the workers cuts its reports as well, and counts a start between an end and its acknowledgement as a breach, unless a lease lapsed.

--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -62,6 +62,8 @@
 # Time from the end of an owner's process to the start of the next owner.
 TAKEOVER_S = 1.7
 WORKER_CORES = 12
+# Maximum number of ends in one report.
+ENDS_PER_REPORT = 500
 # Time from a crash to the start of the next process, and to the removal of the crashed one's entry.
 CRASH_DOWNTIME_S = 3.0
 ENTRY_LIFETIME_S = 4.5
@@ -120,6 +122,9 @@
         self.ended: list[EndedRun] = []
         self.numbers = itertools.count(1)
         self.highest_ended: dict[TaskName, int] = {}
+        # Time at which the last run of each task succeeded, and at which the lease last lapsed.
+        self.done_at: dict[TaskName, float] = {}
+        self.lapsed_at = -math.inf
 
     def _describe(self):
         return build_entry(
@@ -217,6 +222,8 @@
         run = self.runs.pop(task, None)
         if run is not None:
             self.highest_ended[task] = max(run.run, self.highest_ended.get(task, 0))
+            if kind == "done":
+                self.done_at[task] = self.world.now()
             self.ended.append(EndedRun(next(self.numbers), task, run.run, kind, ""))
 
     def advance(self) -> None:
@@ -225,6 +232,7 @@
             if self.world.now() >= run.ends_at:
                 self.end(task, "done")
         if self.clock_ms > self.lease_ms:
+            self.lapsed_at = self.world.now()
             for task in list(self.runs):
                 self.end(task, "lapsed")
 
@@ -276,6 +284,7 @@
         for end in self.ended:
             if end.number <= acknowledged and end.kind == "done":
                 self.world.acknowledged.add(end.task)
+                self.world.check_acknowledged(self, end.task)
         self.ended = [end for end in self.ended if end.number > acknowledged]
 
     def report(self) -> WorkerReport:
@@ -284,7 +293,7 @@
             RunningTask(task, run.run, "", run.measure_percent(now), 0.0)
             for task, run in self.runs.items()
         ]
-        return WorkerReport(self.clock_ms, self.born, running, list(self.ended))
+        return WorkerReport(self.clock_ms, self.born, running, self.ended[:ENDS_PER_REPORT])
 
 
 class ModelRuns:
@@ -369,9 +378,10 @@
         self.records: dict[str, bytes] = {}
         self.epoch = 0
         self.end = 0
+        self.append_seconds = 0.0
 
     async def append(self, topic, partition, data, *, producer, epoch, sequence) -> int:
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(0.004 + self.append_seconds)
         if epoch < self.epoch:
             raise Fenced("a later epoch has written")
         self.epoch = epoch
@@ -462,6 +472,7 @@
         # Runs of other tasks that were lost in these crashes.
         self.lost_runs = 0
         self._starts_after_crashes: Counter[TaskName] = Counter()
+        self._last_start_at: dict[TaskName, float] = {}
         self.stop_seconds = stop_seconds
         self.late_seconds = 2.0
         self.store = ModelStore()
@@ -690,6 +701,19 @@
         if task in self.acknowledged:
             self.violations.append(f"TWICE at {self.now():.3f}: {task} began after its end")
 
+        self._last_start_at[task] = self.now()
+
+    def check_acknowledged(self, worker: ModelWorker, task: TaskName) -> None:
+        """Records a start between the end of a run and its acknowledgement, unless a lease lapsed.
+
+        An end counts from its time once it is acknowledged, so that start breaks the rule as well.
+        """
+        ended_at = worker.done_at.get(task, math.inf)
+        if self._last_start_at.get(task, -math.inf) > ended_at > worker.lapsed_at:
+            self.violations.append(
+                f"TWICE at {self.now():.3f}: {task} began before its end counted"
+            )
+
     # -- end -------------------------------------------------------------------------------------
 
     async def list_unfinished(self, *, allow_giving_up: bool = False) -> list[str]:
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -261,6 +261,8 @@
         self._incarnation = 0
         # Whether the runs of the worker's last report are all reserved.
         self._is_reconciled = False
+        # Whether the worker has more ends than it could list in its last report.
+        self._has_further_ends = False
         self._worker_clock_ms: int | None = None
         # Fencing tokens of the last request for a report, and of the last one that was answered.
         self._requested_fence = self._reported_fence = -1
@@ -582,7 +584,7 @@
     @supervised_task
     async def _poll_reports(self) -> None:
         while not self.should_stop and not self.closed:
-            if not self.run_count and self._worker_clock_ms is not None and not self._failures:
+            if self._is_idle:
                 await self._wait_while_idle()
                 if self.should_stop:
                     return
@@ -613,6 +615,16 @@
             except OwnershipLost:
                 return
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether the worker has reported, runs nothing, and has no further end to report."""
+        return (
+            not self.run_count
+            and not self._has_further_ends
+            and self._worker_clock_ms is not None
+            and not self._failures
+        )
+
     async def _wait_while_idle(self) -> None:
         self._wake.clear()
         try:
@@ -758,6 +770,7 @@
             self._owner.handle_end(self, end, seconds)
         self._reconcile(report)
         self._is_reconciled = True
+        self._has_further_ends = not report.lists_all_ends
         self._update_capacity()
         self._reported.set()
         self._owner.handle_report(self)
@@ -790,7 +803,12 @@
             row = listed.get((task, order.run))
             if row is not None:
                 self._update_order(task, order, row, now)
-            elif order.state != SENDING and report.clock_ms > order.absence_certain_after_ms:
+            elif (
+                # The end of the run may be among those that the report could not list.
+                report.lists_all_ends
+                and order.state != SENDING
+                and report.clock_ms > order.absence_certain_after_ms
+            ):
                 self._report_missing(task, order, "not listed by the worker")
         for task, run in listed:
             order = self.orders.get(task)
--- a/packages/carawayd/src/carawayd/platform/runs.py
+++ b/packages/carawayd/src/carawayd/platform/runs.py
@@ -29,6 +29,9 @@
 # The timeout of a lease renewal is its long-poll wait plus this.
 REPORT_GRACE_SECONDS = 0.8
 
+# Maximum number of ends in one report. A worker holds back the ends after these until the reported
+# ones are acknowledged.
+MAX_REPORTED_ENDS = 500
 # Limit of the numbers in the name of a task.
 MAX_TASK_NUMBER = 10**9
 # Names of running tasks recur with each report of their worker.
@@ -133,8 +136,9 @@
     born : int
         Start of this incarnation of the worker, in Unix milliseconds.
     running : list of RunningTask
+        All runs in progress.
     ended : list of EndedRun
-        Ends that have not been acknowledged.
+        The first ends that have not been acknowledged, at most ``MAX_REPORTED_ENDS``.
     """
 
     clock_ms: int
@@ -142,6 +146,11 @@
     running: list[RunningTask]
     ended: list[EndedRun]
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Whether a run that is in neither list is not on the worker and has not ended there."""
+        return len(self.ended) < MAX_REPORTED_ENDS
+
 
 class _RunningRow(msgspec.Struct, array_like=True):
     task: str
