Discovery: record the routes of queues before jobs are accepted under them

Cause: the services to which a queue was sent before were kept only in the memory of the processes that had seen the move. Change: `process/layout` records each route (address of the queue, service, name) in the topic of the layout, and a submission is accepted only once its route is recorded. All entry hosts record the routes of a new version, each after a delay of its own, so that mostly one of them writes; a submission records its route at once. A process reads the layout at its start, and again before it says that a job is unknown; while the store doesn't answer, it says 503. After a read of the newest configuration alone, which hides the versions before it, submissions and counts read it again for 5 s. Counts ask for the names that a queue had. A response to a read tells the end of the partition, so that a cut one is read on. Hosts of the former version skip the new records as unreadable, and log each once.

--- a/features/malformed_builders.py
+++ b/features/malformed_builders.py
@@ -187,6 +187,10 @@
         self.logs: dict[str, list[tuple[bytes, bytes]]] = defaultdict(list)
         # Items that the pages of a topic have as well, as they are written.
         self.items: dict[str, list[bytes]] = defaultdict(list)
+        # First offset of each topic that is still there.
+        self.start_offsets: dict[str, int] = defaultdict(int)
+        # Whether every call is rejected.
+        self.is_down = False
 
     def put(self, topic: str, key: str | bytes, value: bytes) -> None:
         name = key if isinstance(key, bytes) else key.encode()
@@ -200,10 +204,16 @@
         query = dict(parse_qsl(url.query))
         log = self.logs[query["topic"]]
         await asyncio.sleep(LATENCY_S)
+        if self.is_down:
+            return _respond(b"", 503)
         if url.path == "/api/log-read":
+            if int(query["from"]) < self.start_offsets[query["topic"]]:
+                return _respond(b"", 410)
             return await self._read(log, int(query["from"]), int(query["waitMs"]) / 1000)
         if url.path == "/api/log-newest":
             return _respond(self._encode_page(query["topic"]))
+        if "at" in query and int(query["at"]) != len(log):
+            return _respond(json.dumps({"endOffset": len(log)}).encode(), 412)
         position = 0
         while position < len(data):
             length, name_length = struct.unpack_from(">IB", data, position)
@@ -223,6 +233,10 @@
         )
         return _respond(struct.pack(">QQ", len(log), 0) + frames)
 
+    def forget_history(self, topic: str) -> None:
+        """Expires all records of a topic; the newest one of each key stays."""
+        self.start_offsets[topic] = len(self.logs[topic])
+
     def _encode_page(self, topic: str) -> bytes:
         newest = {name.decode(): value for name, value in self.logs[topic]}
         items = [
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -51,8 +51,9 @@
 from carawayd.platform.documents import decode_submission
 from carawayd.platform.store import OPERATOR_TOPIC, WORKERS_TOPIC
 from carawayd.process import discovery as discovery_module
-from carawayd.process.discovery import LAYOUT_TOPIC, Discovery
+from carawayd.process.discovery import Discovery
 from carawayd.process.exchange import PeerRpc, PeerUnreachable, _CallLink
+from carawayd.process.layout import LAYOUT_TOPIC
 from carawayd.process.ownercalls import SUBMIT, OwnerCalls
 from carawayd.process.site import read_site
 from carawayd.process.workflowmetrics import WorkflowMetrics
@@ -615,9 +616,15 @@
         return Reply(ACCEPTED)
 
 
+async def _prepare_submission(queue: Any) -> bool:
+    return True
+
+
 def _submit(body: bytes) -> Any:
     handler = WorkflowHandler(
-        SimpleNamespace(find_partition=lambda service: 0, list_partitions=lambda _, **__: [0]),
+        SimpleNamespace(
+            prepare_submission=_prepare_submission, list_partitions=lambda _, **__: [0]
+        ),
         _AcceptingOwners(),
         WorkflowMetrics(),
         lambda: True,
--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -90,7 +90,7 @@
 def read_entry(context, guard, read):
     context.clock = ManualClock(1_000.0)
     discovery = context.discovery = Discovery(None, build_settings(), context.clock)
-    discovery._assignment_running = True
+    discovery._is_recording_layout = True
     configuration = build_operator_configuration(1)
     configuration["services"][0]["rejectsOverload"] = guard == "refuse overload"
     discovery._apply_configuration(msgspec.json.encode(configuration))
--- a/packages/carawayd/src/carawayd/platform/store.py
+++ b/packages/carawayd/src/carawayd/platform/store.py
@@ -54,10 +54,21 @@
 
 
 class RecordBatch(NamedTuple):
-    """Records read from an offset on; ``end`` is the offset of the next read."""
+    """Records read from an offset on.
+
+    Parameters
+    ----------
+    records : list of KeyedRecord
+    end : int
+        Offset of the next read.
+    partition_end : int
+        End of the partition at the time of the read. It is beyond ``end`` if not all records were
+        returned.
+    """
 
     records: list[KeyedRecord]
     end: int
+    partition_end: int
 
 
 class LatestRecords(NamedTuple):
@@ -246,7 +257,8 @@
                 f"response of {len(data)} bytes to a read of {topic}, expected at least 16"
             )
         records, count = _decode_records(data[16:], topic)
-        return RecordBatch(records, offset + count)
+        (partition_end,) = struct.unpack_from(">Q", data)
+        return RecordBatch(records, offset + count, partition_end)
 
     async def read_latest(self, topic: str, partition: int) -> LatestRecords:
         """Returns the latest record of each key.
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import zlib
 from datetime import timedelta
@@ -22,13 +21,12 @@
     OPERATOR_TOPIC,
     WORKERS_TOPIC,
     KeyedRecord,
-    OffsetConflict,
     RecordsExpired,
-    encode_records,
 )
-from carawayd.supervision import supervised_task
+from carawayd.process.layout import Layout, build_route
+from carawayd.supervision import start_in_background, supervised_task
 from carawayd.unreadable import unreadable_records
-from carawayshore.decoding import MalformedDocument, parse_count
+from carawayshore.decoding import MalformedDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-LAYOUT_TOPIC = "keyed.layout"
 # Long-poll limit for reads of the configuration. This plus the timeout margin of a read is the time
 # in which a lost connection is detected.
 CONFIGURATION_WAIT_SECONDS = 0.9
@@ -50,6 +47,13 @@
 # A worker whose entry has disappeared is kept for this long: entries that expired during a store
 # outage reappear within about 2 s of its end.
 MISSING_WORKER_RETENTION_SECONDS = 2.5
+# Age of the layout up to which a workflow that it does not lead to is said to be unknown.
+LAYOUT_MAX_AGE = timedelta(seconds=1)
+# Time after a read of the newest configuration alone in which other entry hosts may still apply
+# versions before it, and submit workflows to routes that this process does not know.
+ROUTE_SETTLE_TIME = timedelta(seconds=5)
+# Entry hosts record new routes after delays of up to this, so that one of them does it for all.
+MAX_RECORD_DELAY = timedelta(seconds=1)
 
 
 class KnownWave(NamedTuple):
@@ -171,11 +175,11 @@
         self._unreadable_workers: set[str] = set()
         # Time at which a worker last wrote its entry, as far as this process has seen it.
         self._written_at: dict[str, timedelta] = {}
-        self._partition_by_service: dict[str, int] = {}
-        # Services to which earlier configurations sent each queue, by its host and prefix, with the
-        # time of the move.
-        self._former_services: dict[tuple[str, str], dict[str, timedelta]] = {}
-        self._assignment_running = False
+        self.layout = Layout(store, settings, clock)
+        self._is_recording_layout = False
+        self._record_delay = MAX_RECORD_DELAY * (zlib.crc32(settings.member.encode()) / 2**32)
+        # Time of the last read of the newest configuration without the versions before it.
+        self._routes_uncertain_since: timedelta | None = None
         self._operator_tailer = Tailer(
             store, OPERATOR_TOPIC, CONFIGURATION_WAIT_SECONDS, self._apply_operator, clock
         )
@@ -195,6 +199,8 @@
     # -- configuration ---------------------------------------------------------------------------
 
     def _apply_operator(self, records: list[KeyedRecord], complete: bool) -> None:
+        if complete:
+            self._routes_uncertain_since = self._clock.elapsed()
         unreadable_records.apply_each(OPERATOR_TOPIC, records, self._apply_operator_record)
 
     def _apply_operator_record(self, key: str, value: bytes) -> None:
@@ -217,7 +223,7 @@
         if current is not None and deployment.version <= current.version:
             return
         if current is not None:
-            self._remember_services(current, deployment)
+            self._note_routes(current, deployment)
         self.deployment = deployment
         logger.info(
             "configuration applied",
@@ -229,12 +235,9 @@
                 }
             },
         )
-        if (
-            set(deployment.services) - set(self._partition_by_service)
-            and not self._assignment_running
-        ):
-            self._assignment_running = True
-            asyncio.ensure_future(self._assign_partitions())
+        if self.layout.lacks_records_of(deployment) and not self._is_recording_layout:
+            self._is_recording_layout = True
+            start_in_background(self._record_layout())
 
     def _apply_wave(self, value: bytes) -> None:
         wave = decode_wave(value)
@@ -324,14 +327,19 @@
 
     def find_partition(self, service: str) -> int | None:
         """Returns the partition that stores a service's workflows, None while it is unknown."""
-        return self._partition_by_service.get(service)
+        return self.layout.find_partition(service)
+
+    def list_services(self, partition: int) -> set[str]:
+        """Returns the services whose workflows a partition stores."""
+        return self.layout.list_services(partition)
 
     def list_partitions(
         self, queue: QueueConfig, *, moved_within: timedelta = timedelta.max
-    ) -> list[int]:
+    ) -> list[int | None]:
         """Returns the partitions that may store workflows of a queue, the present one first.
 
-        Workflows stay with the service to which their queue was sent when they were submitted.
+        Workflows stay with the service to which their queue was sent when they were submitted. A
+        partition that is not known yet is None.
 
         Parameters
         ----------
@@ -339,88 +347,68 @@
         moved_within : timedelta
             Leaves out services from which the queue has moved longer ago.
         """
-        now = self._clock.elapsed()
-        former = self._former_services.get((queue.host, queue.prefix), {})
-        services = [name for name, moved_at in former.items() if now - moved_at <= moved_within]
-        found = [self.find_partition(name) for name in (queue.service, *reversed(services))]
-        return list(dict.fromkeys(item for item in found if item is not None))
-
-    def _remember_services(self, current: Deployment, deployment: Deployment) -> None:
-        """Notes the services of queues that a later configuration sends elsewhere."""
-        services = {(queue.host, queue.prefix): queue.service for queue in deployment.queues}
-        for queue in current.queues:
-            key = (queue.host, queue.prefix)
-            if services.get(key) != queue.service:
-                former = self._former_services.setdefault(key, {})
-                former.pop(queue.service, None)
-                former[queue.service] = self._clock.elapsed()
+        routes = self.layout.list_routes(queue, within=moved_within)
+        return list(dict.fromkeys(self.find_partition(route.service) for route in routes))
+
+    def list_names(self, queue: QueueConfig) -> list[tuple[int | None, str]]:
+        """Returns the partitions that may store workflows of a queue, each with its name there."""
+        routes = self.layout.list_routes(queue)
+        return list(
+            dict.fromkeys((self.find_partition(route.service), route.queue) for route in routes)
+        )
 
-    def list_services(self, partition: int) -> set[str]:
-        """Returns the services whose workflows a partition stores."""
-        return {name for name, number in self._partition_by_service.items() if number == partition}
+    async def refresh_layout(self, max_age: timedelta) -> bool:
+        """Reads the layout again unless it is recent; returns whether it is recent now."""
+        try:
+            await self.layout.refresh(max_age)
+        except PlatformError as error:
+            self._log_layout(str(error))
+            return False
+        return True
+
+    async def prepare_submission(self, queue: QueueConfig) -> bool:
+        """Makes sure that every process finds a workflow that is submitted to a queue.
+
+        Returns False if the store does not answer.
+        """
+        if not await self.settle_routes():
+            return False
+        if not self.layout.is_recorded(queue):
+            try:
+                await self.layout.record(self.deployment, [queue])
+            except PlatformError as error:
+                self._log_layout(str(error))
+        return self.layout.is_recorded(queue)
+
+    async def settle_routes(self) -> bool:
+        """Reads the routes that this process may not know; returns whether it knows all."""
+        read_at = self._routes_uncertain_since
+        if read_at is None or self._clock.elapsed() - read_at > ROUTE_SETTLE_TIME:
+            return True
+        return await self.refresh_layout(LAYOUT_MAX_AGE)
+
+    def _note_routes(self, current: Deployment, deployment: Deployment) -> None:
+        """Notes until when the routes that a configuration changes or removes were in force."""
+        kept = {build_route(queue) for queue in deployment.queues}
+        for queue in current.queues:
+            if build_route(queue) not in kept:
+                self.layout.note_route(queue)
 
-    async def _assign_partitions(self) -> None:
-        """Assigns a permanent partition to each new service, the same on all entry hosts."""
+    async def _record_layout(self) -> None:
+        """Records the services and routes of the configuration in force, until it succeeds."""
         try:
-            while not self.should_stop:
+            if not self.layout.lacks_partition_of(self.deployment):
+                await self._clock.sleep(self._record_delay)
+            while not self.should_stop and self.layout.lacks_records_of(self.deployment):
                 try:
-                    if await self._assign_missing_partitions():
-                        break
-                except OffsetConflict:
-                    continue
+                    await self.layout.record(self.deployment)
                 except PlatformError as error:
                     self._log_layout(str(error))
                     await self._clock.sleep(timedelta(seconds=RETRY_SECONDS))
         finally:
-            self._assignment_running = False
-
-    async def _assign_missing_partitions(self) -> bool:
-        """Returns whether each service has a partition, apart from those with unreadable records.
-
-        A service whose record cannot be read is left without: another partition would hide the
-        workflows that are recorded in its own.
-        """
-        latest = await self._store.read_latest(LAYOUT_TOPIC, 0)
-        unreadable = unreadable_records.apply_each(
-            LAYOUT_TOPIC, latest.records, self._apply_assignment
-        )
-        known = set(self._partition_by_service) | unreadable
-        missing = sorted(set(self.deployment.services) - known)
-        if not missing:
-            return True
-        chosen = choose_partitions(missing, self._partition_by_service, self._settings.partitions)
-        records = [KeyedRecord(name, str(number).encode()) for name, number in chosen]
-        data = encode_records(records)
-        await self._store.append(LAYOUT_TOPIC, 0, data, expected_end=latest.end)
-        return False
-
-    def _apply_assignment(self, service: str, value: bytes) -> None:
-        if value:
-            partition = parse_count(value, self._settings.partitions - 1)
-            self._partition_by_service[service] = partition
+            self._is_recording_layout = False
 
     def _log_layout(self, error: str) -> None:
         logger.info(
-            "could not assign partitions to services; retrying", extra={"fields": {"error": error}}
-        )
-
-
-def choose_partitions(
-    services: list[str], assigned: dict[str, int], partitions: int
-) -> list[tuple[str, int]]:
-    """Returns a partition for each new service: the partition with the fewest services.
-
-    A hash of the service name breaks ties, so that deployments get different layouts.
-    """
-    counts = dict.fromkeys(range(partitions), 0)
-    for number in assigned.values():
-        counts[number] = counts.get(number, 0) + 1
-    chosen = []
-    for name in services:
-        start = zlib.crc32(name.encode()) % partitions
-        number = min(
-            range(partitions), key=lambda item: (counts[item], (item - start) % partitions)
+            "could not read or record the layout; retrying", extra={"fields": {"error": error}}
         )
-        counts[number] += 1
-        chosen.append((name, number))
-    return chosen
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -24,11 +25,12 @@
     encode_pending,
     encode_state,
 )
+from carawayd.process.discovery import LAYOUT_MAX_AGE
 from carawayd.process.ownercalls import CANCEL, COUNT_PENDING, GET_STATE, SUBMIT
 from carawayshore.decoding import MalformedDocument, parse_count
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from carawayd.process.discovery import Discovery
     from carawayd.process.ownercalls import OwnerCalls
@@ -44,6 +46,8 @@
 # Time within which callers repeat a submission. It may have been accepted by the service to which
 # its queue was sent before.
 REPEAT_TIME = timedelta(seconds=30)
+# Share of the time to the caller's deadline in which the layout has to be read or recorded.
+LAYOUT_SHARE = 0.3
 
 
 def _build_response(status: int, document: Any = None, retry_after: float = 0.0) -> web.Response:
@@ -134,8 +138,9 @@
             return _build_response(
                 400, {"error": "bad job", "findings": [str(item) for item in findings]}
             )
-        partitions = self._discovery.list_partitions(queue, moved_within=REPEAT_TIME)
-        partition, *former = partitions or [None]
+        if not await self._wait_for(self._discovery.prepare_submission(queue), timeout):
+            return self._build_failure_response(Reply(UNREADY), identifier)
+        partition, *former = self._discovery.list_partitions(queue, moved_within=REPEAT_TIME)
         for other in former:
             reply = await self._call_owner(other, GET_STATE, identifier, timeout)
             if reply.outcome == FOUND:
@@ -168,11 +173,13 @@
         return self._build_failure_response(reply, identifier)
 
     async def _count(self, queue: QueueConfig, timeout: float) -> web.Response:
+        if not await self._wait_for(self._discovery.settle_routes(), timeout):
+            return self._build_failure_response(Reply(UNREADY), queue.name)
         replies = [
-            await self._call_owner(partition, COUNT_PENDING, queue.name, timeout)
-            for partition in self._discovery.list_partitions(queue)
+            await self._call_owner(partition, COUNT_PENDING, name, timeout)
+            for partition, name in self._discovery.list_names(queue)
         ]
-        if replies and all(reply.outcome == FOUND for reply in replies):
+        if all(reply.outcome == FOUND for reply in replies):
             return _build_response(200, encode_pending(sum(reply.detail for reply in replies)))
         return self._build_failure_response(Reply(UNREADY), queue.name)
 
@@ -192,13 +199,34 @@
     async def _call_first(
         self, queue: QueueConfig, operation: str, identifier: str, timeout: float
     ) -> Reply:
-        """Calls the owners that may know a workflow until one of them does, or can't be reached."""
-        reply = Reply(UNREADY)
+        """Calls the owners that may know a workflow until one of them does, or can't be reached.
+
+        Only a recent layout tells that no other owner may know it.
+        """
+        asked: set[int | None] = {None}
         for partition in self._discovery.list_partitions(queue):
-            reply = await self._call_owner(partition, operation, identifier, timeout)
-            if reply.outcome != ABSENT:
-                break
-        return reply
+            if partition not in asked:
+                asked.add(partition)
+                reply = await self._call_owner(partition, operation, identifier, timeout)
+                if reply.outcome != ABSENT:
+                    return reply
+        if not await self._wait_for(self._discovery.refresh_layout(LAYOUT_MAX_AGE), timeout):
+            return Reply(UNREADY)
+        for partition in self._discovery.list_partitions(queue):
+            if partition is None:
+                return Reply(UNREADY)
+            if partition not in asked:
+                reply = await self._call_owner(partition, operation, identifier, timeout)
+                if reply.outcome != ABSENT:
+                    return reply
+        return Reply(ABSENT)
+
+    async def _wait_for(self, work: Awaitable[bool], timeout: float) -> bool:
+        """Returns the result of ``work``, False if it takes too much of the caller's time."""
+        try:
+            return await asyncio.wait_for(work, timeout * LAYOUT_SHARE)
+        except TimeoutError:
+            return False
 
     async def _call_owner(
         self, partition: int | None, operation: str, subject: Any, timeout: float
