Fleet: a later holder does not show a completed wave as running

What the operator would see: a wave that is shown as completed, then as running, then as completed again. Cause: which waves were announced and completed is known to the holder alone; a new one announced each wave as running before it looked at the recorded upkeep. Change: it looks first, and announces a wave whose upkeep has begun everywhere as completed. Evidence: a scenario of features/fleet_manager.feature failed before, passes now.

--- a/features/fleet_manager.feature
+++ b/features/fleet_manager.feature
@@ -83,3 +83,9 @@
     Given a holder of the fleet whose orders wait for a connection
     When its order for m1 ends in an unexpected error
     Then the holder counts m1 as one that an order may still end
+
+  Scenario: A later holder does not take back that a wave is completed
+    # Guards against a wave that is shown as running again after it was completed.
+    Given a wave of machines m-1 m-2 with upkeep begun on m-1 m-2
+    Then the wave was not shown as running
+    And the wave is completed
--- a/features/steps/bounded_list_steps.py
+++ b/features/steps/bounded_list_steps.py
@@ -61,6 +61,11 @@
     assert context.waves.is_completed
 
 
+@then("the wave was not shown as running")
+def expect_not_running(context):
+    assert not any(b"running" in data for data in context.waves.store.published)
+
+
 @then("the wave is not completed")
 def expect_not_completed(context):
     assert not context.waves.is_completed
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -434,10 +434,11 @@
 
     async def _manage_waves(self) -> None:
         for wave, age in self._list_waves():
-            await self._publish_wave_state(wave, completed=False)
             view = self._build_upkeep_view(wave, age)
-            if is_wave_complete(view):
-                await self._publish_wave_state(wave, completed=True)
+            # A former holder may have published the end of the wave already.
+            is_complete = is_wave_complete(view)
+            await self._publish_wave_state(wave, completed=is_complete)
+            if is_complete:
                 continue
             for machine in choose_upkeep_machines(view):
                 if machine.machine in self._pending_moves:
