Workers: count failures without end

Cause: the period for which a worker is suspected doubles with each failure, and 2 to the power of the failures was taken before the limit applied. The delay after a rejection had the same form. Change: the number of doublings is bounded.

--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -24,7 +24,12 @@
 from carawayd.platform.store import KeyedRecord
 from carawayd.process.discovery import Discovery
 from carawayshore.workflows.model import StepSpec, TaskName
-from carawayshore.workflows.placement import WorkerCapacity, compute_usage, rank_relief
+from carawayshore.workflows.placement import (
+    MAX_SUSPECT_SECONDS,
+    WorkerCapacity,
+    compute_usage,
+    rank_relief,
+)
 from carawayshore.workflows.pools import PoolSizer
 
 JOB = "a" * 16
@@ -255,3 +260,15 @@
     view = build_pool_view(context.machines, {})._replace(services={"booking": context.load})
     need = PoolSizer().update(1.0, view)["booking"]
     assert need.needed == count, need
+
+
+@given("a worker with {count:d} consecutive failures")
+def fail_often(context, count):
+    context.capacity = WorkerCapacity(build_entry("w0"))
+    for _ in range(count):
+        context.capacity.record_failure(100.0)
+
+
+@then("it is suspected for no longer than the maximum")
+def expect_bounded_suspicion(context):
+    assert context.capacity.suspect_until == 100.0 + MAX_SUSPECT_SECONDS
--- a/features/worker_capacity.feature
+++ b/features/worker_capacity.feature
@@ -85,3 +85,8 @@
     Then it needs 4 machines
     When its workers tell 8 cores each
     Then it needs 6 machines
+
+  # Guards against a worker whose failures can no longer be counted.
+  Scenario: A worker fails two thousand times
+    Given a worker with 2000 consecutive failures
+    Then it is suspected for no longer than the maximum
--- a/packages/carawayd/src/carawayd/partition/rejections.py
+++ b/packages/carawayd/src/carawayd/partition/rejections.py
@@ -20,6 +20,7 @@
 # First time for which a worker is not used for a task that it rejected; doubled each
 # time up to the maximum.
 RETRY_SECONDS = 0.25
+MAX_RETRY_DOUBLINGS = 10
 MAX_RETRY_SECONDS = 2.0
 # Time for which such a worker is used for the task only if no other one has room.
 MEMORY_SECONDS = 10.0
@@ -41,7 +42,8 @@
 
     @property
     def retry_at(self) -> float:
-        return self.at + min(RETRY_SECONDS * 2 ** (self.count - 1), MAX_RETRY_SECONDS)
+        delay = RETRY_SECONDS * 2 ** min(self.count - 1, MAX_RETRY_DOUBLINGS)
+        return self.at + min(delay, MAX_RETRY_SECONDS)
 
 
 class Rejections:
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -24,6 +24,7 @@
 # First period without new tasks; doubled with each further failure.
 SUSPECT_SECONDS = 3.0
 # Longest period without new tasks.
+MAX_SUSPECT_DOUBLINGS = 10
 MAX_SUSPECT_SECONDS = 24.0
 # Reasons for which a task cannot start on a worker.
 UNUSABLE, NO_LABEL, STEP_LIMIT, SUSPECTED, RESERVED, HELD, NO_ROOM = (
@@ -179,7 +180,8 @@
         self.consecutive_failures += 1
         further_failures = self.consecutive_failures - SUSPECT_FAILURES
         if further_failures >= 0:
-            period = min(SUSPECT_SECONDS * 2**further_failures, MAX_SUSPECT_SECONDS)
+            period = SUSPECT_SECONDS * 2 ** min(further_failures, MAX_SUSPECT_DOUBLINGS)
+            period = min(period, MAX_SUSPECT_SECONDS)
             self.suspect_until = max(self.suspect_until, now + period)
 
 
