Fleet: record the machines of a wave in parts, and let a refused status keep nothing waiting

What could follow: the record of a wave holds all machines whose upkeep has begun and is written anew for each of them. A wave of over 10,000 machines would outgrow the store's limit on a record, and its bytes grow with the square of the wave. While the state of a wave could not be published, no upkeep and no move went on. Change: records of up to 64 machines, the first under the former key, so that waves of up to 64 machines look as before; the others are skipped by the former version, whose holder orders their upkeep again, which the platform answers as done. A status that cannot be published is tried again at the next interval without ending the round. Evidence: a scenario of features/fleet_manager.feature with 1,000 machines.

--- a/features/bounded_list_builders.py
+++ b/features/bounded_list_builders.py
@@ -16,6 +16,7 @@
 from carawayd.platform.store import StoreClient
 from carawayd.process.discovery import KnownWave
 from carawayd.process.fleetmanager import FleetManager
+from carawayd.process.upkeeprecords import UpkeepRecords
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayshore.workflows.model import Wave
 
@@ -83,6 +84,8 @@
             WorkflowMetrics(),
         )
         self.manager._orders = SimpleNamespace(list_unanswered=set)
+        ledger = SimpleNamespace(mark_dirty=lambda key, encode: None)
+        self.manager._upkeep_records = UpkeepRecords(ledger)
         self.list(*machines)
 
     def list(self, *machines: str, **changes: Any) -> None:
@@ -90,7 +93,8 @@
 
     def begin(self, *machines: str) -> None:
         """Records that the upkeep of machines has begun."""
-        self.manager._begun_by_wave[WAVE] = set(machines)
+        for machine in machines:
+            self.manager._upkeep_records.record(WAVE, machine)
 
     def manage(self, seconds: float = 0.0) -> bool:
         """Reads the fleet and manages its waves; returns whether the list could be read."""
--- a/features/fleet_manager.feature
+++ b/features/fleet_manager.feature
@@ -89,3 +89,10 @@
     Given a wave of machines m-1 m-2 with upkeep begun on m-1 m-2
     Then the wave was not shown as running
     And the wave is completed
+
+  # Guards against a record that grows with its wave until the store refuses it.
+  Scenario: The record of one more machine of a wave does not grow with the wave
+    Given a wave of 1000 machines
+    When the upkeep of all of them begins
+    Then no record has more than 64 machines
+    And the next holder knows that all of them have begun
--- a/features/steps/fleet_manager_steps.py
+++ b/features/steps/fleet_manager_steps.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 from fleet_manager_builders import FleetHarness
 
+from carawayd.process.upkeeprecords import UpkeepRecords
+
+WAVE = 4
+
 
 @given("a holder of the fleet that has ordered machine {machine:w}")
 def order_machine(context, machine):
@@ -136,4 +142,37 @@
 
 @then("it knows that the upkeep of {machine:w} in wave {wave:d} has begun")
 def expect_begun_upkeep(context, machine, wave):
-    assert machine in context.holder._begun_by_wave[wave]
+    assert machine in context.holder._upkeep_records.list_begun(wave)
+
+
+@given("a wave of {count:d} machines")
+def build_wave(context, count):
+    context.machines = [f"m-{number}" for number in range(count)]
+    context.written = {}
+    context.changes = 0
+
+    def mark_dirty(key, encode) -> None:
+        context.written[key] = encode
+
+    context.upkeep = UpkeepRecords(SimpleNamespace(mark_dirty=mark_dirty))
+
+
+@when("the upkeep of all of them begins")
+def begin_upkeep(context):
+    for machine in context.machines:
+        context.upkeep.record(WAVE, machine)
+
+
+@then("no record has more than {count:d} machines")
+def expect_small_records(context, count):
+    sizes = [len(msgspec.json.decode(encode())) for encode in context.written.values()]
+    assert max(sizes) <= count, sizes
+    assert len(sizes) == -(-len(context.machines) // count)
+
+
+@then("the next holder knows that all of them have begun")
+def expect_known(context):
+    following = UpkeepRecords(SimpleNamespace(mark_dirty=lambda key, encode: None))
+    for key, encode in context.written.items():
+        following.restore(key, encode())
+    assert following.list_begun(WAVE) == set(context.machines)
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -19,6 +19,7 @@
 from carawayd.process.machineinventory import MachineInventory
 from carawayd.process.machineorders import MAX_ORDER_DELAY, ORDER_PREFIX, MachineOrders
 from carawayd.process.ownercalls import CORDON, REPORT_LOAD, UNCORDON
+from carawayd.process.upkeeprecords import UpkeepRecords
 from carawayd.supervision import start_in_background, supervised_task
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument, convert
@@ -107,7 +108,7 @@
         self._fence = 0
         self._orders: MachineOrders | None = None
         self._ledger: Ledger | None = None
-        self._begun_by_wave: dict[int, set[str]] = {}
+        self._upkeep_records: UpkeepRecords | None = None
         self._completed_waves: set[int] = set()
         self._announced_waves: set[int] = set()
         # Machine to wave number: selected for upkeep that is not confirmed to have begun.
@@ -147,8 +148,11 @@
             self._fence = generation
             self._pending_upkeep, self._down_until, self._pending_moves = {}, {}, {}
             self.loaded.clear()
-            self._ledger = Ledger(self._store, FLEET_TOPIC, 0, self._clock, self._metrics)
+            self._ledger = Ledger(
+                self._store, FLEET_TOPIC, 0, self._settings, self._clock, self._metrics
+            )
             self._orders = MachineOrders(self._clock, self._settings, self._ledger)
+            self._upkeep_records = UpkeepRecords(self._ledger)
             start_in_background(self._load(self._ledger))
         elif self._ledger is not None:
             ledger, self._ledger = self._ledger, None
@@ -168,16 +172,8 @@
         for key, value in records:
             if key.startswith(ORDER_PREFIX):
                 self._orders.restore(key.removeprefix(ORDER_PREFIX), value)
-            if not key.startswith(WAVE_PREFIX):
-                continue
-            try:
-                begun = msgspec.json.decode(value, type=list[str])
-                self._begun_by_wave[int(key.removeprefix(WAVE_PREFIX))] = set(begun)
-            except (msgspec.MsgspecError, ValueError) as error:
-                logger.error(
-                    "could not decode wave record; skipping it",
-                    extra={"fields": {"key": key, "error": str(error)}},
-                )
+            elif key.startswith(WAVE_PREFIX):
+                self._upkeep_records.restore(key, value)
         await self.add_runtime_dependency(ledger)
         self.loaded.set()
 
@@ -201,7 +197,7 @@
             return False
         self._orders.record_sending(name)
         await self._ledger.flush()
-        if not self._may_order():
+        if not self._may_order() or not self._ledger.is_durable([ORDER_PREFIX + name]):
             self._orders.record_answer(name)
             return False
         return True
@@ -424,7 +420,7 @@
         return UpkeepView(
             wave,
             age,
-            frozenset(self._begun_by_wave.get(wave.number, ())),
+            self._upkeep_records.list_begun(wave.number),
             frozenset(pending),
             frozenset(down),
             self._machines,
@@ -550,12 +546,7 @@
             self._orders.record_answer(name)
             self._pending_upkeep.pop(name, None)
             self._down_until[name] = self._clock.elapsed() + timedelta(seconds=1)
-            begun = self._begun_by_wave.setdefault(wave.number, set())
-            begun.add(name)
-            if self._ledger is not None:
-                self._ledger.mark_dirty(
-                    f"{WAVE_PREFIX}{wave.number}", lambda: msgspec.json.encode(sorted(begun))
-                )
+            self._upkeep_records.record(wave.number, name)
         self._metrics.machine_orders.labels("upkeep", str(outcome)[:40]).inc()
         logger.info(
             "upkeep order attempted",
@@ -576,7 +567,15 @@
         if completed and self._ledger is not None:
             await self._ledger.flush()
         record = KeyedRecord(f"{WAVE_PREFIX}{wave.number}", encode_wave_state(completed))
-        await self._store.append(STATUS_TOPIC, 0, encode_records([record]))
+        try:
+            await self._store.append(STATUS_TOPIC, 0, encode_records([record]))
+        except PlatformError as error:
+            # The upkeep of this wave and of others goes on meanwhile.
+            logger.info(
+                "wave state could not be published; retrying at the next interval",
+                extra={"fields": {"wave": wave.number, "error": str(error)}},
+            )
+            return
         self._announced_waves.add(wave.number)
         if completed:
             self._completed_waves.add(wave.number)
