--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,7 @@
     refusal_cost,
     short_behind_long,
     slow_targets,
+    wide_step,
     wrong_sizes,
 )
 from benchmarks.report import list_cases
@@ -29,6 +30,7 @@
     refusal_cost,
     short_behind_long,
     slow_targets,
+    wide_step,
     wrong_sizes,
 )
 
--- a/benchmarks/owner_plan.py
+++ b/benchmarks/owner_plan.py
@@ -17,6 +17,7 @@
 from carawayd.partition.advisor import Advisor
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.isolation import Isolation
+from carawayd.partition.owner import MAX_PENDING_STARTS
 from carawayd.partition.planner import Planner
 from carawayshore.clock import SteadyTimeOfDay
 from carawayshore.workflows.model import StepSpec, TaskName, WorkerEntry, Workflow
@@ -112,7 +113,7 @@
     for _ in range(ROUNDS):
         clock.seconds += PLAN_INTERVAL_SECONDS
         start = time.process_time_ns()
-        list(planner.place_tasks())
+        list(planner.place_tasks(MAX_PENDING_STARTS))
         times.append((time.process_time_ns() - start) / 1e9)
     return min(times)
 
--- a/features/malformed_builders.py
+++ b/features/malformed_builders.py
@@ -238,10 +238,14 @@
         self.start_offsets[topic] = len(self.logs[topic])
 
     def _encode_page(self, topic: str) -> bytes:
-        newest = {name.decode(): value for name, value in self.logs[topic]}
+        newest = {
+            name.decode(): (value, offset) for offset, (name, value) in enumerate(self.logs[topic])
+        }
         items = [
-            json.dumps({"key": key, "value": base64.b64encode(value).decode()}).encode()
-            for key, value in newest.items()
+            json.dumps(
+                {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            ).encode()
+            for key, (value, offset) in sorted(newest.items())
             if value
         ]
         joined = b",".join([*self.items[topic], *items])
@@ -283,6 +287,9 @@
     def __init__(self) -> None:
         self.recoveries = 0
 
+    def are_recorded(self, tasks: Any) -> bool:
+        return True
+
     def may_renew(self) -> bool:
         return True
 
--- a/features/membership_builders.py
+++ b/features/membership_builders.py
@@ -30,6 +30,9 @@
         held = frozenset((WORKFLOWS_TOPIC, number) for number in self.assigned)
         return Membership(self.generation, held)
 
+    async def list_owners(self, group: str) -> dict[tuple[str, int], str]:
+        return {}
+
     async def append(self, topic: str, partition: int, data: bytes, **options: Any) -> int:
         return await self._find(partition).append(topic, partition, data, **options)
 
--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -186,7 +186,7 @@
         link.orders[task] = Order(run, state, absence_certain_after_ms, self.clock.seconds)
         link.capacity.reserve(task, compute_usage(task, step.spec))
         self.owner._known_workers.record(link.entry)
-        self.owner._record_step(self.owner.workflows[task.workflow], step)
+        self.owner._record_tasks(self.owner.workflows[task.workflow], step, [task.index])
 
     def report(
         self,
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from behave import given, then, when
+from owner_builders import build_settings
 from worker_model import ModelStore
 
 from carawayd.partition.ledger import Ledger, OwnershipLost
@@ -30,7 +31,7 @@
         self.refused = False
 
     def _build(self) -> Ledger:
-        return Ledger(self.store, TOPIC, 0, SystemClock(), WorkflowMetrics())
+        return Ledger(self.store, TOPIC, 0, build_settings(), SystemClock(), WorkflowMetrics())
 
     def run(self, work):
         return self.loop.run_until_complete(work)
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -381,7 +381,7 @@
         store.put(WORKFLOWS_TOPIC, key, value)
 
     async def read() -> dict[str, bytes]:
-        ledger = Ledger(store, WORKFLOWS_TOPIC, 0, LoopClock(), WorkflowMetrics())
+        ledger = Ledger(store, WORKFLOWS_TOPIC, 0, build_settings(), LoopClock(), WorkflowMetrics())
         return dict(await ledger.read_records())
 
     try:
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -24,6 +24,7 @@
 from carawayd.platform.common import (
     PermissionEnded,
     PlatformError,
+    PlatformRefusal,
     PlatformTimedOut,
     PlatformUnreached,
 )
@@ -379,17 +380,37 @@
         self.epoch = 0
         self.end = 0
         self.append_seconds = 0.0
+        # Limit of a record in bytes, None for none; keys whose records are refused; and the number
+        # and size of the records that were written.
+        self.record_bytes: int | None = None
+        self.refused_keys: set[str] = set()
+        self.refusals = 0
+        self.written_records = self.written_bytes = 0
 
     async def append(self, topic, partition, data, *, producer, epoch, sequence) -> int:
         await asyncio.sleep(0.004 + self.append_seconds)
         if epoch < self.epoch:
             raise Fenced("a later epoch has written")
+        self._check_records(_decode_records(data)[0])
         self.epoch = epoch
         for record in _decode_records(data)[0]:
+            # The records are read in the order in which they were written.
+            self.records.pop(record.key, None)
             self.records[record.key] = record.value
             self.end += 1
         return self.end
 
+    def _check_records(self, records: list[KeyedRecord]) -> None:
+        """Refuses the records of one append as a whole if the store cannot take one of them."""
+        sizes = [1 + len(record.key.encode()) + len(record.value) for record in records]
+        limit = self.record_bytes
+        is_large = limit is not None and any(size > limit for size in sizes)
+        if is_large or any(record.key in self.refused_keys for record in records):
+            self.refusals += 1
+            raise PlatformRefusal(400, {"reason": "size"})
+        self.written_records += len(records)
+        self.written_bytes += sum(sizes)
+
     async def read_latest(self, topic, partition) -> LatestRecords:
         await asyncio.sleep(0.01)
         records = [KeyedRecord(key, value) for key, value in self.records.items() if value]
@@ -440,7 +461,9 @@
             store=world.store,
             runs=ModelRuns(world, self.cut),
             discovery=world,
-            settings=build_settings()._replace(longest_lease_ms=LONGEST_LEASE_MS),
+            settings=build_settings()._replace(
+                longest_lease_ms=LONGEST_LEASE_MS, **world.settings_changes
+            ),
             clock=self.clock,
             time_of_day=SteadyTimeOfDay(self.clock),
             random=Random(epoch),
@@ -453,7 +476,8 @@
 class World:
     """Workers, links, store and owners; ``violations`` lists the broken promises."""
 
-    def __init__(self, worker_count: int, stop_seconds: float) -> None:
+    def __init__(self, worker_count: int, stop_seconds: float, **settings_changes: Any) -> None:
+        self.settings_changes = settings_changes
         self.violations: list[str] = []
         # Cores and duration of the tasks of each workflow.
         self.jobs: dict[str, tuple[int, float]] = {}
--- a/packages/carawayd/src/carawayd/__main__.py
+++ b/packages/carawayd/src/carawayd/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import gc
 import json
 import logging
 import os
@@ -26,6 +27,9 @@
 EXIT_INVALID_SETTINGS = 2
 # Environment variable in which the platform passes the path of the settings file.
 SETTINGS_VARIABLE = "CARAWAYSHORE_SETTINGS"
+# Thresholds of the garbage collector. With those of the interpreter, it goes through the tasks of a
+# wide step again after each few hundred new objects.
+COLLECTION_THRESHOLDS = (10_000, 20, 20)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -103,6 +107,7 @@
     handler = configure_queued_logging(
         settings.member, clock, level=arguments.log_level, stream=sys.stdout
     )
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     try:
         return asyncio.run(run_entry_host(settings, clock))
     finally:
--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -1,4 +1,9 @@
-"""Durable key-value records of one partition, written only by its owner under a fencing epoch."""
+"""Durable key-value records of one partition, written only by its owner under a fencing epoch.
+
+A record that the store cannot take is left out, so that it does not keep the others waiting: it is
+logged once, and tried again at long intervals. Whoever waits for a certain record asks
+:meth:`Ledger.is_durable`.
+"""
 
 from __future__ import annotations
 
@@ -10,13 +15,22 @@
 from mode import Service
 
 from carawayd.platform.common import PlatformError, PlatformRefusal
-from carawayd.platform.store import Fenced, KeyedRecord, encode_records
-from carawayd.supervision import supervised_task
+from carawayd.platform.store import (
+    MAX_KEY_BYTES,
+    RECORD_HEADER_BYTES,
+    Fenced,
+    KeyedRecord,
+    encode_records,
+    measure_record,
+)
+from carawayd.supervision import supervised_task, unexpected_errors
+from carawayshore.decoding import shorten
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from carawayd.platform.store import StoreClient
+    from carawayd.process.site import SiteSettings
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
 
@@ -32,8 +46,10 @@
 MAX_RETRY_DELAY = timedelta(milliseconds=400)
 # While an append has been unanswered for longer than this, the owner rejects submissions at once.
 STALL_TIMEOUT = timedelta(milliseconds=400)
-# Half of the store's default limit on one call, so that every batch fits.
+# Limit of the records of one append, if the store does not have a lower one.
 MAX_BATCH_BYTES = 500_000
+# Interval at which a record that the store has refused is tried again.
+REFUSED_RETRY_SECONDS = 5.0
 
 
 class OwnershipLost(Exception):
@@ -48,6 +64,8 @@
     store : StoreClient
     topic : str
     partition : int
+    settings : SiteSettings
+        Gives the store's limits on records and appends.
     clock : Clock
     metrics : WorkflowMetrics
     """
@@ -57,10 +75,15 @@
         store: StoreClient,
         topic: str,
         partition: int,
+        settings: SiteSettings,
         clock: Clock,
         metrics: WorkflowMetrics,
     ) -> None:
         super().__init__()
+        self.max_record_bytes = min(
+            settings.record_bytes, settings.request_bytes - RECORD_HEADER_BYTES
+        )
+        self._max_batch_bytes = min(MAX_BATCH_BYTES, settings.request_bytes)
         self._metrics = metrics
         self.topic = topic
         self.partition = partition
@@ -70,6 +93,8 @@
         self._clock = clock
         self._sequence = 0
         self._dirty: dict[str, Callable[[], bytes]] = {}
+        # Records that are not written because the store cannot take them.
+        self._refused: dict[str, Callable[[], bytes]] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
         self._append_started_at: timedelta | None = None
@@ -138,7 +163,7 @@
         self._wake.set()
 
     def flush(self) -> asyncio.Future[None]:
-        """Returns a future that completes once all changes marked so far are durable.
+        """Returns a future that completes once all changes marked so far are durable or left out.
 
         The future raises OwnershipLost if the records could not be written.
         """
@@ -175,10 +200,14 @@
             and self._clock.elapsed() - self._append_started_at > STALL_TIMEOUT
         )
 
+    def is_durable(self, keys: Iterable[str]) -> bool:
+        """Returns whether no change of some keys that was flushed is left out."""
+        return not self._refused or self._refused.keys().isdisjoint(keys)
+
     @supervised_task
     async def _write_batches(self) -> None:
         while not self.should_stop and not self.lost:
-            await self._wake.wait()
+            await self._wait_for_changes()
             await self._clock.sleep(BATCH_DELAY)
             self._wake.clear()
             dirty, self._dirty = self._dirty, {}
@@ -214,28 +243,94 @@
                 waiter.exception()
         self._waiters = []
 
+    async def _wait_for_changes(self) -> None:
+        if not self._refused:
+            await self._wake.wait()
+            return
+        try:
+            async with asyncio.timeout(REFUSED_RETRY_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            self._dirty = self._refused | self._dirty
+
     async def _append_all(self, dirty: dict[str, Callable[[], bytes]]) -> None:
         batch: list[KeyedRecord] = []
         size = 0
         for key, encode in dirty.items():
-            value = encode()
-            if batch and size + len(value) > MAX_BATCH_BYTES:
-                await self._append(batch)
+            record = self._encode(key, encode)
+            if record is None:
+                continue
+            record_size = RECORD_HEADER_BYTES + measure_record(record)
+            if batch and size + record_size > self._max_batch_bytes:
+                await self._append(batch, dirty)
                 batch, size = [], 0
-            batch.append(KeyedRecord(key, value))
-            size += len(value)
+            batch.append(record)
+            size += record_size
         if batch:
-            await self._append(batch)
-
-    async def _append(self, batch: list[KeyedRecord]) -> None:
-        """Retries one append until its outcome is known; the store drops duplicates."""
-        async with self._append_lock:
-            # The batch may have waited here while a takeover found another process's records.
-            if self.lost:
-                raise OwnershipLost("the ledger is lost")
-            await self._append_locked(batch)
+            await self._append(batch, dirty)
+
+    def _encode(self, key: str, encode: Callable[[], bytes]) -> KeyedRecord | None:
+        """Returns a record, or None if the store cannot take it."""
+        try:
+            record = KeyedRecord(key, encode())
+            size, key_bytes = measure_record(record), len(key.encode())
+        except Exception as error:
+            unexpected_errors.count += 1
+            self._refuse(key, encode, 0, f"cannot be encoded: {error!r}")
+            return None
+        if key_bytes > MAX_KEY_BYTES or size > self.max_record_bytes:
+            self._refuse(key, encode, size, "exceeds the limit")
+            return None
+        return record
+
+    def _refuse(self, key: str, encode: Callable[[], bytes], size: int, why: str) -> None:
+        if key not in self._refused:
+            logger.error(
+                "record is not written; what depends on it waits",
+                extra={
+                    "fields": {
+                        "topic": self.topic,
+                        "partition": self.partition,
+                        "key": shorten(key),
+                        "bytes": size,
+                        "limit": self.max_record_bytes,
+                        "why": why,
+                    }
+                },
+            )
+            self._metrics.refused_records.labels(self.topic).inc()
+        self._refused[key] = encode
+
+    async def _append(
+        self, batch: list[KeyedRecord], encoders: dict[str, Callable[[], bytes]]
+    ) -> None:
+        """Appends a batch, in ever smaller parts if the store refuses it for good."""
+        try:
+            async with self._append_lock:
+                # The batch may have waited here while a takeover found another process's records.
+                if self.lost:
+                    raise OwnershipLost("the ledger is lost")
+                await self._append_locked(batch)
+        except PlatformRefusal as refusal:
+            if len(batch) == 1:
+                [record] = batch
+                self._refuse(record.key, encoders[record.key], measure_record(record), str(refusal))
+                return
+            middle = len(batch) // 2
+            await self._append(batch[:middle], encoders)
+            await self._append(batch[middle:], encoders)
+            return
+        for record in batch:
+            self._refused.pop(record.key, None)
 
     async def _append_locked(self, batch: list[KeyedRecord]) -> None:
+        """Repeats one append until its outcome is known; the store drops duplicates.
+
+        Raises
+        ------
+        PlatformRefusal
+            If repeating the append cannot succeed.
+        """
         data = encode_records(batch)
         self._sequence += 1
         self._append_started_at = self._clock.elapsed()
@@ -260,6 +355,11 @@
                         extra={"fields": {"partition": self.partition, "error": str(refusal)}},
                     )
                     raise OwnershipLost(str(refusal)) from refusal
+                if refusal.is_final:
+                    # The number is not used up.
+                    self._sequence -= 1
+                    self._append_started_at = None
+                    raise
                 self._log_retry(refusal)
             except PlatformError as error:
                 self._log_retry(error)
--- a/packages/carawayd/src/carawayd/partition/losses.py
+++ b/packages/carawayd/src/carawayd/partition/losses.py
@@ -8,17 +8,17 @@
 from carawayd.partition.workerlink import STARTED
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.crashes import RunOnWorker, assess_loss, has_outlived, should_give_up
-from carawayshore.workflows.state import DONE
+from carawayshore.workflows.model import TaskName
+from carawayshore.workflows.state import DONE, MAX_RECORDED_LOSSES
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from carawayd.partition.isolation import Isolation
     from carawayd.partition.workerlink import LostRun, WorkerLink
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
     from carawayshore.workflows.crashes import WorkerLoss
-    from carawayshore.workflows.model import TaskName
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
 logger = logging.getLogger(__name__)
@@ -31,8 +31,8 @@
     ----------
     find_task : callable
         Returns the workflow, the step and the state of a task, or None.
-    record_step : callable
-        Records the state of a step.
+    record_tasks : callable
+        Records the state of tasks of a step, by their numbers.
     give_up : callable
         Ends the workflow of a task that crashes its workers.
     isolation : Isolation
@@ -43,18 +43,29 @@
     def __init__(
         self,
         find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
-        record_step: Callable[[WorkflowState, StepState], None],
+        record_tasks: Callable[[WorkflowState, StepState, Iterable[int]], None],
         give_up: Callable[[WorkflowState, TaskName, Sequence[WorkerLoss]], None],
         isolation: Isolation,
         clock: Clock,
         metrics: WorkflowMetrics,
     ) -> None:
         self._find_task = find_task
-        self._record_step = record_step
+        self._record_tasks = record_tasks
         self._give_up = give_up
         self._isolation = isolation
         self._clock = clock
         self._metrics = metrics
+        # Tasks with losses, and possibly some whose losses no longer count.
+        self._bereaved: set[TaskName] = set()
+
+    def restore(self, workflow: WorkflowState) -> None:
+        """Notes the tasks of a workflow whose records have losses."""
+        self._bereaved.update(
+            TaskName(workflow.identifier, step.occurrence, step.number, index)
+            for step in workflow.steps.values()
+            for index, task in enumerate(step.tasks)
+            if task.losses
+        )
 
     def handle_loss(
         self, link: WorkerLink, runs: list[LostRun], born: int, epoch: int, *, restarted: bool
@@ -112,15 +123,22 @@
                 for run in runs
             ],
         )
+        changed: dict[str, WorkflowState] = {}
         for run, loss in zip(runs, losses, strict=True):
             found = self._find_task(run.task)
             if found is None or found[0].is_terminal:
                 continue
             workflow, step, task = found
             if (task.run, task.worker) == (run.run, link.worker) and task.status != DONE:
-                self._replace_losses(workflow, step, task, (*task.losses, loss))
-                self._isolation.update(workflow)
+                self._replace_losses(workflow, step, run.task, (*task.losses, loss))
+                changed[workflow.identifier] = workflow
                 self._judge(workflow, run.task, task)
+        self._update_isolation(changed)
+
+    def _update_isolation(self, changed: dict[str, WorkflowState]) -> None:
+        """Updates each workflow once, since that looks at all its tasks."""
+        for workflow in changed.values():
+            self._isolation.update(workflow)
 
     def _confirm(self, worker: str) -> None:
         """Records that an unreachable worker, which was taken to be lost, has ended."""
@@ -130,13 +148,14 @@
                 for loss in task.losses
             )
             if losses != task.losses:
-                self._replace_losses(workflow, step, task, losses)
+                self._replace_losses(workflow, step, name, losses)
                 self._judge(workflow, name, task)
 
     def retract(self, worker: str, born: int) -> None:
         """Removes the losses of an incarnation that answers again, so that it was only silent."""
         if not born:
             return
+        changed: dict[str, WorkflowState] = {}
         for workflow, step, name, task in self._isolation.list_suspects():
             losses = tuple(
                 loss for loss in task.losses if (loss.worker, loss.born) != (worker, born)
@@ -153,18 +172,20 @@
                         }
                     },
                 )
-                self._replace_losses(workflow, step, task, losses)
-                self._isolation.update(workflow)
+                self._replace_losses(workflow, step, name, losses)
+                changed[workflow.identifier] = workflow
+        self._update_isolation(changed)
 
     def _replace_losses(
         self,
         workflow: WorkflowState,
         step: StepState,
-        task: TaskState,
+        name: TaskName,
         losses: tuple[WorkerLoss, ...],
     ) -> None:
-        task.losses = losses
-        self._record_step(workflow, step)
+        step.tasks[name.index].losses = losses[-MAX_RECORDED_LOSSES:]
+        self._bereaved.add(name)
+        self._record_tasks(workflow, step, [name.index])
 
     def _judge(self, workflow: WorkflowState, name: TaskName, task: TaskState) -> None:
         if should_give_up(task.losses):
@@ -173,9 +194,14 @@
     def clear_survivors(self, link: WorkerLink, epoch: int) -> None:
         """Lifts the suspicion from tasks whose runs have outlived their earlier crashes."""
         now = self._clock.elapsed().total_seconds()
-        for name, order in list(link.orders.items()):
+        changed: dict[str, WorkflowState] = {}
+        for name in list(self._bereaved):
             found = self._find_task(name)
-            if found is None or not found[2].losses or not order.listed:
+            if found is None or not found[2].losses:
+                self._bereaved.discard(name)
+                continue
+            order = link.orders.get(name)
+            if order is None or not order.listed:
                 continue
             workflow, step, task = found
             if task.run == order.run and has_outlived(task.losses, now - order.sent_at):
@@ -190,5 +216,6 @@
                         }
                     },
                 )
-                self._replace_losses(workflow, step, task, ())
-                self._isolation.update(workflow)
+                self._replace_losses(workflow, step, name, ())
+                changed[workflow.identifier] = workflow
+        self._update_isolation(changed)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -40,6 +40,7 @@
     compute_lease_seconds,
 )
 from carawayd.platform.runs import format_task
+from carawayd.platform.store import MAX_KEY_BYTES
 from carawayd.supervision import start_in_background, supervised_task
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument
@@ -53,6 +54,7 @@
     COMPLETED,
     DONE,
     FAILED,
+    MAX_CHECKPOINT_BYTES,
     ORDERED,
     QUEUED,
     RUNNING,
@@ -60,11 +62,13 @@
     StepState,
     TaskState,
     WorkflowState,
+    count_part_tasks,
+    fits_checkpoint,
     restore_workflows,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
     from random import Random
 
     from carawayd.partition.planner import StepPlacement
@@ -88,6 +92,9 @@
 # Maximum interval between plans; needed for scheduled start times and for workers that become
 # usable again some time after failures.
 PLAN_INTERVAL_SECONDS = 0.25
+# Start orders that are recorded or sent at a time. Further tasks wait for their turn, so that none
+# queues behind a wide step, and so that the process keeps up with its calls.
+MAX_PENDING_STARTS = 256
 # Interval at which the list of workers is read.
 SCAN_INTERVAL = timedelta(milliseconds=100)
 # Time after a takeover within which the workers of a service are discovered.
@@ -124,9 +131,10 @@
     retry_after: float = 0.0
 
 
-ACCEPTED, REJECTED, UNREADY, UNKNOWN_OUTCOME, FOUND, ABSENT = (
+ACCEPTED, REJECTED, TOO_LARGE, UNREADY, UNKNOWN_OUTCOME, FOUND, ABSENT = (
     "accepted",
     "rejected",
+    "too-large",
     "unready",
     "unknown",
     "found",
@@ -166,6 +174,8 @@
         the ledger.
     advice : AdviceClient, optional
         Client of the placement policy service, None if the deployment has none.
+    has_former_hosts : callable, optional
+        Returns whether hosts of an earlier version, which read no parts of steps, own partitions.
     """
 
     def __init__(
@@ -183,6 +193,7 @@
         may_renew: Callable[[], bool],
         metrics: WorkflowMetrics,
         advice: AdviceClient | None = None,
+        has_former_hosts: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self.partition = partition
@@ -191,7 +202,7 @@
         self.lost = False
         # Whether a record of this owner is durable, apart from the epoch.
         self._has_written = False
-        self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, clock, metrics)
+        self.ledger = Ledger(store, WORKFLOWS_TOPIC, partition, settings, clock, metrics)
         self.workflows: dict[str, WorkflowState] = {}
         self.links: dict[str, WorkerLink] = {}
         self._runs = runs
@@ -201,6 +212,8 @@
         self._time_of_day = time_of_day
         self._random = random
         self._may_renew = may_renew
+        self._has_former_hosts = has_former_hosts
+        self._had_former_hosts = False
         self._metrics = metrics
         self._runtimes = RuntimeModel()
         # Ready steps that may have waiting tasks, by workflow, occurrence and step.
@@ -216,18 +229,22 @@
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
         self._first_attempts: dict[str, float] = {}
+        # Workflows of which a checkpoint was left out.
+        self._large_checkpoints: set[str] = set()
         self._deadlines: dict[str, float] = {}
         self._loaded_at = 0.0
         self._cordons = Cordons(clock, self.ledger)
         self._deferrals = Deferrals(clock)
         self._isolation = Isolation(self.links, self._deferrals, clock)
         self._losses = Losses(
-            self._find_task, self._record_step, self._give_up, self._isolation, clock, metrics
+            self._find_task, self._record_tasks, self._give_up, self._isolation, clock, metrics
         )
         self._relief = Relief(self.links, self._find_task, self._may_stop, clock)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
+        # Number of start orders that are being recorded or sent.
+        self._pending_starts = 0
         self._wake = asyncio.Event()
         self._advisor = Advisor(advice, clock, self._wake.set)
         self._planner = Planner(
@@ -282,12 +299,19 @@
             self._expire_entries()
             self._open_closed_steps()
             self._stray_orders.check(self._track_stray_order)
+            self._follow_former_hosts()
             self._waits.check(self.fence)
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
                 return
             await self._clock.sleep(SCAN_INTERVAL)
 
+    def _follow_former_hosts(self) -> None:
+        """Records wide steps as a whole when a host of an earlier version joins the group."""
+        had_former_hosts, self._had_former_hosts = self._had_former_hosts, self._has_former_hosts()
+        if self._had_former_hosts and not had_former_hosts:
+            self._record_whole_steps()
+
     async def _announce(self) -> None:
         """Writes a first record, before which no lease is renewed.
 
@@ -315,21 +339,23 @@
                 self._known_workers.restore(key.removeprefix(WORKER_PREFIX), value)
             else:
                 records.append((key, value))
-        restored, unreadable = restore_workflows(records, now, self._unix_ms())
-        self.workflows.update(restored)
+        restored = restore_workflows(records, now, self._unix_ms())
+        self.workflows.update(restored.workflows)
+        self._closed_steps += restored.closed_steps
         for workflow in self.workflows.values():
             if workflow.is_terminal:
                 continue
             self._set_deadline(workflow)
             self._isolation.update(workflow)
+            self._losses.restore(workflow)
             for name, task in workflow.iterate_ordered_tasks():
                 self._orphans[name] = task.worker
             for step in workflow.steps.values():
-                if workflow.step_key(step) in unreadable:
-                    self._closed_steps.append((workflow, step))
-                else:
+                if (workflow, step) not in self._closed_steps:
                     self._open_step(workflow, step)
-        for key in unreadable:
+        for key in restored.leftovers:
+            self.ledger.mark_dirty(key, bytes)
+        for key in restored.unreadable:
             unreadable_records.counts[WORKFLOWS_TOPIC] += 1
             logger.error(
                 "record of a workflow or step cannot be read",
@@ -346,7 +372,8 @@
                     "epoch": self.fence,
                     "workflows": len(self.workflows),
                     "ordered": len(self._orphans),
-                    "unreadable": len(unreadable),
+                    "unreadable": len(restored.unreadable),
+                    "leftovers": len(restored.leftovers),
                 }
             },
         )
@@ -401,6 +428,7 @@
         """
         if not self.lost:
             self._record_leases()
+            self._record_whole_steps()
         self.lost = True
         try:
             async with asyncio.timeout(HANDOVER_TIMEOUT_SECONDS):
@@ -739,30 +767,42 @@
         if task.status != ORDERED and not (task.status == WAITING and end.kind == "done"):
             return
         if end.checkpoint and step.spec.checkpointing:
-            task.checkpoint = end.checkpoint
+            self._keep_checkpoint(end, task)
         if end.kind == "done" and not step.spec.long_running:
             if seconds > 0:
                 self._learn_runtime(workflow, step, seconds)
-            self._finish_task(workflow, step, task)
+            self._finish_task(workflow, step, end.task)
         elif end.kind == "failed" and not step.spec.long_running:
             task.failures += 1
             if task.failures >= workflow.spec.max_failures and not workflow.is_terminal:
                 task.status = WAITING
-                self._record_step(workflow, step)
                 self._end_workflow(workflow, FAILED, f"{end.task} failed {task.failures} times")
                 return
             self._reset_task(workflow, step, task, end.task, "failed")
         else:
             self._reset_task(workflow, step, task, end.task, end.kind)
 
-    def _finish_task(self, workflow: WorkflowState, step: StepState, task: TaskState) -> None:
-        tasks = step.tasks if step.spec.gang else [task]
-        for item in tasks:
-            if item.status != DONE:
-                item.status = DONE
-                item.losses = ()
+    def _keep_checkpoint(self, end: EndedRun, task: TaskState) -> None:
+        """Keeps the checkpoint of a run, or the one before it if it is too large to be recorded."""
+        if fits_checkpoint(end.checkpoint):
+            task.checkpoint = end.checkpoint
+        elif end.task.workflow not in self._large_checkpoints:
+            self._large_checkpoints.add(end.task.workflow)
+            self._log_task(
+                end.task,
+                "checkpoint is too large to be recorded; keeping the one before it",
+                characters=len(end.checkpoint),
+                limit_bytes=MAX_CHECKPOINT_BYTES,
+            )
+
+    def _finish_task(self, workflow: WorkflowState, step: StepState, name: TaskName) -> None:
+        indexes = range(len(step.tasks)) if step.spec.gang else [name.index]
+        for task in (step.tasks[index] for index in indexes):
+            if task.status != DONE:
+                task.status = DONE
+                task.losses = ()
                 step.done_count += 1
-        self._record_step(workflow, step)
+        self._record_tasks(workflow, step, indexes)
         if workflow.identifier in self._isolation:
             self._isolation.update(workflow)
         if step.is_done:
@@ -778,7 +818,7 @@
         self, workflow: WorkflowState, step: StepState, task: TaskState, name: TaskName, why: str
     ) -> None:
         task.status = WAITING
-        self._record_step(workflow, step)
+        self._record_tasks(workflow, step, [name.index])
         if step.spec.gang:
             self._stop_gang(step, name)
         if not workflow.is_terminal:
@@ -805,22 +845,61 @@
 
     # -- records ---------------------------------------------------------------------------------
 
-    def _record_step(self, workflow: WorkflowState, step: StepState) -> None:
+    def _record_tasks(
+        self, workflow: WorkflowState, step: StepState, indexes: Iterable[int]
+    ) -> None:
         if not workflow.is_terminal:
-            self.ledger.mark_dirty(workflow.step_key(step), step.encode)
+            for key, encode in self._list_step_records(workflow, step, indexes):
+                self.ledger.mark_dirty(key, encode)
+
+    def _list_step_records(
+        self, workflow: WorkflowState, step: StepState, indexes: Iterable[int]
+    ) -> list[tuple[str, Callable[[], bytes]]]:
+        limit = self.ledger.max_record_bytes
+        part_tasks = count_part_tasks(limit)
+        # Hosts of an earlier version read no parts, and may own the partition next.
+        if part_tasks < len(step.tasks) and self._has_former_hosts() and _fits_whole(step, limit):
+            part_tasks = len(step.tasks)
+        return list(workflow.list_step_records(step, indexes, part_tasks))
+
+    def _record_whole_steps(self) -> None:
+        """Records each wide step as a whole, for an owner of an earlier version."""
+        limit = self.ledger.max_record_bytes
+        for workflow in self.workflows.values():
+            for step in () if workflow.is_terminal else workflow.steps.values():
+                is_wide = len(step.tasks) > count_part_tasks(limit)
+                if is_wide and any(task.run for task in step.tasks) and _fits_whole(step, limit):
+                    self.ledger.mark_dirty(workflow.step_key(step), step.encode)
+
+    def _is_recorded(self, name: TaskName) -> bool:
+        """Returns whether the flushed state of a task is durable."""
+        found = self._find_task(name)
+        if found is None or found[0].is_terminal:
+            return True
+        workflow, step, _ = found
+        keys = [key for key, _ in self._list_step_records(workflow, step, [name.index])]
+        return self.ledger.is_durable(keys)
+
+    def are_recorded(self, tasks: Iterable[TaskName]) -> bool:
+        """Returns whether the flushed ends of runs are durable."""
+        return self.ledger.is_durable([]) or all(self._is_recorded(task) for task in tasks)
 
     def _end_workflow(self, workflow: WorkflowState, state: str, why: str) -> None:
         """Records the end of a workflow and stops its running tasks."""
         workflow.state = state
         workflow.ended = self._now()
         self._advisor.forget_workflow(workflow.identifier)
+        self._large_checkpoints.discard(workflow.identifier)
         self._deferrals.end_workflow(workflow.identifier)
         self._isolation.update(workflow)
         self.ledger.mark_dirty(workflow.key(), workflow.encode)
         for step in workflow.steps.values():
             self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
-            if any(task.run for task in step.tasks):
+            started = [index for index, task in enumerate(step.tasks) if task.run]
+            if started:
                 self.ledger.mark_dirty(workflow.step_key(step), bytes)
+            for key, _ in self._list_step_records(workflow, step, started):
+                self.ledger.mark_dirty(key, bytes)
         start_in_background(self._publish_state(workflow, state))
         for name, task in list(workflow.iterate_ordered_tasks()):
             link = self.links.get(task.worker)
@@ -871,6 +950,9 @@
             return Reply(UNREADY)
         known = self.workflows.get(spec.identifier)
         if known is None:
+            limit = self.ledger.max_record_bytes - MAX_KEY_BYTES
+            if len(WorkflowState(spec, 0.0, self._unix_ms()).encode()) > limit:
+                return Reply(TOO_LARGE, f"its record exceeds {limit} bytes")
             if self.ledger.is_stalled:
                 return Reply(REJECTED, "the store does not answer", 1.0)
             if not self._has_discovered_workers(spec.service):
@@ -888,6 +970,8 @@
                 await self.ledger.flush()
             except OwnershipLost:
                 return Reply(UNKNOWN_OUTCOME)
+            if not self.ledger.is_durable([known.key()]):
+                return self._withdraw(known)
             if not known.durable_state:
                 known.durable_state = QUEUED
             if not known.is_terminal:
@@ -899,8 +983,17 @@
                 await self.ledger.flush()
             except OwnershipLost:
                 return Reply(UNKNOWN_OUTCOME)
+            if not self.ledger.is_durable([known.key()]):
+                return Reply(TOO_LARGE, "the store refuses its record")
         return Reply(ACCEPTED)
 
+    def _withdraw(self, workflow: WorkflowState) -> Reply:
+        """Rejects a workflow that the store refused to record, although it is not too large."""
+        del self.workflows[workflow.identifier]
+        self._deadlines.pop(workflow.identifier, None)
+        self.ledger.mark_dirty(workflow.key(), bytes)
+        return Reply(TOO_LARGE, "the store refuses its record")
+
     def _has_discovered_workers(self, service: str) -> bool:
         """Returns whether the workers of a service have been discovered since the takeover."""
         return (
@@ -1089,7 +1182,7 @@
         """Places the waiting tasks on workers, the most urgent first, and orders their starts."""
         orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
         try:
-            for placement in self._planner.place_tasks():
+            for placement in self._planner.place_tasks(MAX_PENDING_STARTS - self._pending_starts):
                 workflow, step = placement.workflow, placement.step
                 for capacity, name in placement.chosen:
                     ticket = placement.tickets.get(capacity.entry.worker, "")
@@ -1103,7 +1196,7 @@
                     waited = timedelta(seconds=self._now() - workflow.submitted)
                     self._metrics.first_start.observe(workflow.spec.service, waited)
                 workflow.begun = True
-                self._record_step(workflow, step)
+                self._record_tasks(workflow, step, [name.index for _, name in placement.chosen])
         except Exception:
             _abandon_orders(orders)
             raise
@@ -1111,6 +1204,7 @@
             self._start_sending(orders)
 
     def _start_sending(self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
+        self._pending_starts += len(orders)
         start_in_background(self._send_orders(orders), lambda: _abandon_orders(orders))
 
     def _log_orders(self, placement: StepPlacement) -> None:
@@ -1155,19 +1249,53 @@
 
     async def _send_orders(self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
         """Sends start orders once they are recorded durably."""
+        sending = 0
         try:
             await self.ledger.flush()
+            for link, name, order in orders:
+                if self._may_start(link, name):
+                    start_in_background(
+                        self._send_order(link, name, order),
+                        partial(link.abandon_sending, name, order.run),
+                    )
+                    sending += 1
         except OwnershipLost:
             return
-        for link, name, order in orders:
-            found = self._find_task(name)
-            if found is None or found[0].is_terminal or self.lost:
-                link.capacity.release(name)
-                link.orders.pop(name, None)
-                continue
-            start_in_background(
-                link.start_task(name, order), partial(link.abandon_sending, name, order.run)
-            )
+        finally:
+            self._settle_starts(len(orders) - sending)
+
+    def _may_start(self, link: WorkerLink, name: TaskName) -> bool:
+        """Returns whether a recorded start order is to be sent; otherwise it is dropped."""
+        found = self._find_task(name)
+        if found is None or found[0].is_terminal or self.lost:
+            link.capacity.release(name)
+            link.orders.pop(name, None)
+            return False
+        if not self._is_recorded(name):
+            self._suspend_order(link, name)
+            return False
+        return True
+
+    async def _send_order(self, link: WorkerLink, name: TaskName, order: StartOrder) -> None:
+        try:
+            await link.start_task(name, order)
+        finally:
+            self._settle_starts(1)
+
+    def _settle_starts(self, count: int) -> None:
+        """Counts start orders whose outcome is known, or not going to be known soon."""
+        was_busy = self._pending_starts > MAX_PENDING_STARTS // 2
+        self._pending_starts -= count
+        if was_busy and self._pending_starts <= MAX_PENDING_STARTS // 2:
+            self._wake.set()
+
+    def _suspend_order(self, link: WorkerLink, name: TaskName) -> None:
+        """Drops an order that could not be recorded; its step starts no further tasks here."""
+        workflow, step, task = self._find_task(name)
+        link.capacity.release(name)
+        link.orders.pop(name, None)
+        task.status = WAITING
+        self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
 
     async def on_stop(self) -> None:
         self.lost = True
@@ -1181,3 +1309,8 @@
     """Leaves it to the workers' reports whether the runs of some start orders exist."""
     for link, name, order in orders:
         link.abandon_sending(name, order.run)
+
+
+def _fits_whole(step: StepState, limit: int) -> bool:
+    """Returns whether all tasks of a step fit into one record."""
+    return len(step.encode()) <= limit - MAX_KEY_BYTES
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -137,8 +137,14 @@
         due_ms = workflow.spec.due_ms(step.occurrence)
         return not due_ms or self._unix_ms() >= due_ms
 
-    def place_tasks(self) -> Iterator[StepPlacement]:
-        """Yields the placements of the waiting tasks, the most urgent first."""
+    def place_tasks(self, limit: int) -> Iterator[StepPlacement]:
+        """Yields the placements of the waiting tasks, the most urgent first.
+
+        Parameters
+        ----------
+        limit : int
+            Number of tasks after which no further step is placed. A gang is placed as a whole.
+        """
         now = self._now()
         self._unplaceable.clear()
         self._rejections.expire()
@@ -156,6 +162,8 @@
         ranked.sort()
         capacities_by_service: dict[str, list[WorkerCapacity]] = {}
         for _, key in ranked:
+            if limit <= 0:
+                return
             workflow, step = self._workflows[key[0]], self._open_steps[key]
             service = workflow.spec.service
             capacities = capacities_by_service.get(service)
@@ -165,8 +173,9 @@
                     for link in self._links.values()
                     if link.entry.service == service and link.capacity.usable
                 ]
-            placement = self._place_step(workflow, step, capacities, now)
+            placement = self._place_step(workflow, step, capacities, now, limit)
             if placement is not None:
+                limit -= len(placement.chosen)
                 yield placement
 
     def _rank(self, workflow: WorkflowState, step: StepState, now: float) -> Rank:
@@ -191,6 +200,7 @@
         step: StepState,
         capacities: list[WorkerCapacity],
         now: float,
+        limit: int,
     ) -> StepPlacement | None:
         waiting = [index for index, task in enumerate(step.tasks) if task.status == WAITING]
         key = (workflow.identifier, step.occurrence, step.number)
@@ -200,6 +210,8 @@
         spec = step.spec
         if spec.gang and len(waiting) < len(step.tasks):
             return None
+        if spec.gang:
+            limit = len(waiting)
         if not spec.best_effort and spec.millicores > max(
             (capacity.free_millicores for capacity in capacities), default=0
         ):
@@ -212,15 +224,15 @@
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
         elif self._is_unplaceable(workflow, step):
             return None
-        chosen = self._choose_workers(step, key, waiting, capacities, now)
+        chosen = self._choose_workers(step, key, waiting, capacities, now, limit)
         if spec.gang and len(chosen) < len(waiting):
             for capacity, name in chosen:
                 capacity.release(name)
             chosen = []
-        if len(chosen) < len(waiting):
+        if len(chosen) < min(limit, len(waiting)):
             placed = {name.index for _, name in chosen}
             self._keep_room(key, step, [i for i in waiting if i not in placed], capacities)
-        else:
+        elif len(chosen) == len(waiting):
             self._holds.end(key)
         if not chosen:
             return None
@@ -238,8 +250,12 @@
         waiting: list[int],
         capacities: list[WorkerCapacity],
         now: float,
+        limit: int,
     ) -> list[tuple[WorkerCapacity, TaskName]]:
-        """Returns workers for the waiting tasks, as far as there are any; reserves their room."""
+        """Returns workers for up to ``limit`` waiting tasks, as far as there are any.
+
+        Their room is reserved.
+        """
         chosen: list[tuple[WorkerCapacity, TaskName]] = []
         spec = step.spec
         preferred = self._select_rack(step, capacities) if spec.same_rack else capacities
@@ -253,6 +269,8 @@
             for capacity in fallback
         )
         for index in waiting:
+            if len(chosen) >= limit:
+                break
             task, name = step.tasks[index], TaskName(*key, index)
             usage = compute_usage(name, spec)
             self._rejections.note_waiting(name, task.failures)
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -21,6 +21,8 @@
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from carawayd.platform.runs import EndedRun, RunningTask, RunsClient, WorkerReport
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
@@ -36,6 +38,11 @@
 # Wait for an unanswered start order after the worker has restarted. The order may reach the new
 # incarnation, whose clock starts anew, so that the expiry in the order does not apply there.
 LATE_ORDER_WAIT_MS = 13_000
+# Start orders to one worker that are sent at a time. Each one has a connection, and must reach the
+# worker within its validity.
+MAX_STARTS_IN_FLIGHT = 16
+# Longest wait for other start orders to the worker, after which the task is placed anew.
+MAX_START_QUEUE_SECONDS = 1.0
 # Long-poll wait for a report while tasks run.
 REPORT_WAIT_SECONDS = 1.0
 # Long-poll wait for a report of a worker with both best-effort and serving tasks. Shorter, since
@@ -214,6 +221,8 @@
 
     def flush(self) -> asyncio.Future[None]: ...
 
+    def are_recorded(self, tasks: Iterable[TaskName]) -> bool: ...
+
 
 class WorkerLink(Service):
     """Renews the lease of one worker, processes its reports and sends it orders.
@@ -274,6 +283,7 @@
         # Set at each report and each failed poll; orders that need a recent report wait for it.
         self._reported = asyncio.Event()
         self._waiting_for_report = 0
+        self._starts_in_flight = asyncio.Semaphore(MAX_STARTS_IN_FLIGHT)
         self._stops = Stops()
         self._failures = 0
         # Time of the first of the consecutive failures.
@@ -406,6 +416,8 @@
 
     async def _ensure_recent_report(self) -> bool:
         """Waits for a report if the last one is old; returns whether a start order may be sent."""
+        if self._failures or self.closed:
+            return False
         incarnation = self._incarnation
         if self._now() - self._reported_at > MAX_REPORT_AGE_SECONDS:
             self._reported.clear()
@@ -435,9 +447,17 @@
 
         An order whose run is to stop before it has been sent is not sent at all.
         """
-        entry = self.orders.get(task)
-        if entry is None or entry.run != order.run:
-            return
+        queued_at = self._now()
+        async with self._starts_in_flight:
+            entry = self.orders.get(task)
+            if entry is None or entry.run != order.run:
+                return
+            if self._now() - queued_at > MAX_START_QUEUE_SECONDS:
+                self._report_missing(task, entry, "waited for other orders; order not sent")
+                return
+            await self._start_task(task, entry, order)
+
+    async def _start_task(self, task: TaskName, entry: Order, order: StartOrder) -> None:
         if not entry.stopping and not await self._ensure_recent_report():
             self._report_missing(task, entry, "no recent report of the worker; order not sent")
             return
@@ -776,7 +796,11 @@
         self._owner.handle_report(self)
         if ended:
             await self._owner.flush()
-            self._acknowledged = max(self._acknowledged, ended[-1].number)
+            if self._owner.are_recorded([end.task for end in ended]):
+                self._acknowledged = max(self._acknowledged, ended[-1].number)
+            else:
+                # The worker lists the ends again at once.
+                await asyncio.sleep(RETRY_SECONDS)
 
     def _may_lease_late(self) -> bool:
         """Returns whether a renewal that timed out may still lease the worker's runs."""
--- a/packages/carawayd/src/carawayd/platform/common.py
+++ b/packages/carawayd/src/carawayd/platform/common.py
@@ -21,6 +21,8 @@
 
 # The only server error after which nothing was done.
 SERVICE_UNAVAILABLE = 503
+# Responses to a call that is malformed or too large.
+FINAL_STATUSES = frozenset({400, 413})
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 RETRY_AFTER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 MAX_RETRY_AFTER_SECONDS = 3_600.0
@@ -69,6 +71,11 @@
         self.document = document
         self.retry_after = retry_after
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the call itself is at fault, so that repeating it cannot succeed."""
+        return self.status in FINAL_STATUSES
+
     @property
     def reason(self) -> str:
         """Reason that the service gave, empty if it gave none."""
--- a/packages/carawayd/src/carawayd/platform/runs.py
+++ b/packages/carawayd/src/carawayd/platform/runs.py
@@ -35,7 +35,7 @@
 # Limit of the numbers in the name of a task.
 MAX_TASK_NUMBER = 10**9
 # Names of running tasks recur with each report of their worker.
-MAX_CACHED_TASKS = 4_096
+MAX_CACHED_TASKS = 16_384
 
 # Reasons of a refused order, by their names on the wire.
 REFUSAL_REASONS = {
--- a/packages/carawayd/src/carawayd/platform/store.py
+++ b/packages/carawayd/src/carawayd/platform/store.py
@@ -19,6 +19,10 @@
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import Count, MalformedDocument, decode_json, reject
 
+# Limit of the name of a record.
+MAX_KEY_BYTES = 255
+# Bytes that precede each record in an append.
+RECORD_HEADER_BYTES = 4
 # Stands for a value that is not base64. It is not empty, since that would delete the key, and no
 # reader accepts it.
 UNDECODABLE_VALUE = b"\xff"
@@ -72,7 +76,10 @@
 
 
 class LatestRecords(NamedTuple):
-    """Latest record of each key; ``end`` is the end offset before the first page was read."""
+    """Latest record of each key, in the order in which they were appended.
+
+    ``end`` is the end offset before the first page was read.
+    """
 
     records: list[KeyedRecord]
     end: int
@@ -85,6 +92,14 @@
 class _LatestItem(TypedDict):
     key: str
     value: NotRequired[str | None]
+    offset: NotRequired[Count | None]
+
+
+class _OrderedRecord(NamedTuple):
+    """Record and its offset, 0 if unknown."""
+
+    record: KeyedRecord
+    offset: int
 
 
 class _ItemKey(TypedDict):
@@ -128,6 +143,11 @@
     partitions: frozenset[tuple[str, int]]
 
 
+def measure_record(record: KeyedRecord) -> int:
+    """Returns the size of a record in bytes, as the store's limit on records counts it."""
+    return 1 + len(record.key.encode()) + len(record.value)
+
+
 def encode_records(records: list[KeyedRecord]) -> bytes:
     """Returns the body of an append to a keyed topic."""
     parts = []
@@ -160,23 +180,27 @@
     return records, count
 
 
-def _decode_items(items: list[msgspec.Raw], topic: str) -> list[KeyedRecord]:
+def _decode_items(items: list[msgspec.Raw], topic: str) -> list[_OrderedRecord]:
     """Returns the records of a page; an item without a key is noted and left out."""
     records = []
     for number, item in enumerate(items):
         try:
-            checked = decode_json(item, _LatestItem)
-            value = _decode_value(checked.get("value") or "")
+            records.append(_decode_item(decode_json(item, _LatestItem)))
         except MalformedDocument as error:
             try:
-                checked, value = decode_json(item, _ItemKey), UNDECODABLE_VALUE
+                key = decode_json(item, _ItemKey)["key"]
             except MalformedDocument:
                 unreadable_records.note(topic, f"item {number}", error)
                 continue
-        records.append(KeyedRecord(checked["key"], value))
+            records.append(_OrderedRecord(KeyedRecord(key, UNDECODABLE_VALUE), 0))
     return records
 
 
+def _decode_item(item: _LatestItem) -> _OrderedRecord:
+    value = _decode_value(item.get("value") or "")
+    return _OrderedRecord(KeyedRecord(item["key"], value), item.get("offset") or 0)
+
+
 def _decode_value(text: str) -> bytes:
     try:
         return base64.b64decode(text)
@@ -266,7 +290,7 @@
         A key that changes between two pages may be missed. Either nobody may write meanwhile, or
         the caller has to read on from ``end``, the end offset before the first page.
         """
-        records: list[KeyedRecord] = []
+        ordered: list[_OrderedRecord] = []
         after, end = "", None
         while True:
             query = {"topic": topic, "part": partition}
@@ -275,24 +299,22 @@
             path = f"/api/log-newest?{urlencode(query)}"
             response, data = await self.send_request("GET", path, timeout=PAGE_TIMEOUT_SECONDS)
             page, found = self._decode_page(response, data, topic)
-            records += found
+            ordered += found
             end = page["endOffset"] if end is None else end
             if not page.get("hasMore"):
-                return LatestRecords(records, end)
-            if not found or found[-1].key == after:
+                ordered.sort(key=lambda item: item.offset)
+                return LatestRecords([item.record for item in ordered], end)
+            if not found or found[-1].record.key == after:
                 raise PlatformError(f"page of {topic} after {after!r} does not tell where to go on")
-            after = found[-1].key
+            after = found[-1].record.key
 
     def _decode_page(
         self, response: Any, data: bytes, topic: str
-    ) -> tuple[_LatestPage | _LoosePage, list[KeyedRecord]]:
+    ) -> tuple[_LatestPage | _LoosePage, list[_OrderedRecord]]:
         """Returns a page and its records; a malformed item costs that item alone."""
         try:
             page = self._decode_response(response, data, _LatestPage)
-            return page, [
-                KeyedRecord(item["key"], _decode_value(item.get("value") or ""))
-                for item in page["items"]
-            ]
+            return page, [_decode_item(item) for item in page["items"]]
         except PlatformRefusal:
             raise
         except PlatformError:
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -33,6 +33,9 @@
 logger = logging.getLogger(__name__)
 
 GROUP = "owners"
+# Form of the records that a host reads and writes, as named by its members. Hosts that name none do
+# not read parts of steps.
+RECORD_FORM = 2
 # Membership lifetime without renewal. Together with the renewal interval, it limits the time until
 # another process takes over after a crash to about 2 s.
 MEMBERSHIP_TTL_MS = 1_500
@@ -120,7 +123,8 @@
         still runs would keep the name, and with it the epoch, of its predecessor.
         """
         cores = f"{self._settings.cores:.3f}"
-        return f"{self._settings.peer_address}#{cores}#{secrets.token_hex(6)}"
+        token = secrets.token_hex(6)
+        return f"{self._settings.peer_address}#{cores}#{token}#{RECORD_FORM}"
 
     @property
     def address(self) -> str:
@@ -137,6 +141,11 @@
     def _may_renew(self) -> bool:
         return self._renewed_within(timedelta(seconds=self._settings.abandon_seconds))
 
+    def has_former_members(self) -> bool:
+        """Returns whether a host of an earlier version owned a partition at the last read."""
+        members = self._members_by_partition.values()
+        return any(member and _read_form(member) < RECORD_FORM for member in members)
+
     def find_owner(self, partition: int) -> PartitionOwner | None:
         """Returns the local owner of a partition, None if this process does not own it."""
         owner = self.owners.get(partition)
@@ -248,6 +257,8 @@
         }
         wanted = {number for number in assigned if self._discovery.list_services(number)}
         self._discovery.needs_workers = bool(wanted)
+        if changed and wanted:
+            self._refresh_directory(DIRECTORY_REFRESH_INTERVAL)
         if self.fleet is not None:
             await self.fleet.set_holder((FLEET_TOPIC, 0) in membership.partitions, self._generation)
             if self.fleet.fenced:
@@ -321,6 +332,7 @@
             may_renew=self._may_renew,
             metrics=self._metrics,
             advice=self.advice,
+            has_former_hosts=self.has_former_members,
         )
         self.owners[partition] = owner
         self._metrics.ownership.labels("acquired").inc()
@@ -382,3 +394,9 @@
         return float(parts[1])
     except (IndexError, ValueError):
         return 0.0
+
+
+def _read_form(member: str) -> int:
+    """Returns the form of records that a member names, 1 if it names none."""
+    parts = member.split("#")
+    return int(parts[3]) if len(parts) > 3 and parts[3].isdecimal() else 1
--- a/packages/carawayd/src/carawayd/process/site.py
+++ b/packages/carawayd/src/carawayd/process/site.py
@@ -10,6 +10,9 @@
 from carawayshore.findings import Finding, FindingsError
 from carawayshore.options import Field, check_fields, fill_defaults
 
+# A record of one task needs this much.
+MIN_RECORD_BYTES = 16_384
+
 SITE_FIELDS = (
     Field("member", "name", "Name of this entry host.", required=True),
     Field("data_centre", "name", "Data centre of this entry host.", required=True),
@@ -36,6 +39,22 @@
     Field("machines", "text", "Address of the machines service, empty for none.", default=""),
     Field("advice", "text", "Address of the advice service, empty for none.", default=""),
     Field("partitions", "integer", "Partitions of a topic.", required=True, minimum=1),
+    Field(
+        "record_bytes",
+        "integer",
+        "Largest record that the store accepts, key included.",
+        "bytes",
+        262_144,
+        minimum=MIN_RECORD_BYTES,
+    ),
+    Field(
+        "request_bytes",
+        "integer",
+        "Largest total of the records of one append.",
+        "bytes",
+        2_097_152,
+        minimum=MIN_RECORD_BYTES,
+    ),
     Field("least_ttl_ms", "integer", "Minimum lifetime of a group membership.", "ms", 1000),
     Field("longest_lease_ms", "integer", "Maximum lease of a task.", "ms", 6000, minimum=1),
     Field("capacity_age_ms", "integer", "Maximum age of a capacity in use.", "ms", 3000, minimum=1),
@@ -73,6 +92,8 @@
     machines: str
     advice: str
     partitions: int
+    record_bytes: int
+    request_bytes: int
     least_ttl_ms: int
     longest_lease_ms: int
     capacity_age_ms: int
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -52,6 +52,9 @@
             "Unexpected errors after which a task was run again.",
             registry=self.registry,
         )
+        self.refused_records = self._add_counter(
+            "caraway_refused_records", "Records that the store cannot take.", "topic"
+        )
         self.unreadable_records = self._add_gauge(
             "caraway_unreadable_records",
             "Records of others that could not be read or applied, each time they were read.",
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -15,6 +15,7 @@
     ACCEPTED,
     FOUND,
     REJECTED,
+    TOO_LARGE,
     UNKNOWN_OUTCOME,
     UNREADY,
     Reply,
@@ -150,6 +151,8 @@
         reply = await self._call_owner(partition, SUBMIT, msgspec.to_builtins(workflow), timeout)
         if reply.outcome == ACCEPTED:
             return _build_response(200)
+        if reply.outcome == TOO_LARGE:
+            return _build_response(413, {"error": reply.detail})
         if reply.outcome == REJECTED:
             return _build_response(429, {"error": reply.detail}, reply.retry_after)
         return self._build_failure_response(reply, identifier)
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -1,13 +1,15 @@
 """State of the workflows of one partition, as persisted in the store.
 
-A workflow has one record with its specification and state, and one record for each step that has
-started. Records are compact JSON arrays, since the record of a step is written at each change of
-its tasks.
+A workflow has one record with its specification and state. A step that has started has one record
+of all its tasks, or one record for each part of them if it is wide, so that a change of one task
+writes no more than a part and no record grows with the width of its step. Records are compact JSON
+arrays.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated, Literal
+from functools import partial
+from typing import TYPE_CHECKING, Annotated, Literal, NamedTuple
 
 import msgspec
 
@@ -24,7 +26,7 @@
 from carawayshore.workflows.model import MAX_TASKS, StepSpec, TaskName, Workflow, check_steps
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
 # Status of a task, as persisted.
 WAITING, ORDERED, DONE = 0, 1, 2
@@ -42,6 +44,26 @@
 
 # The state of each task of each occurrence is kept in memory.
 MAX_OCCURRING_TASKS = 10 * MAX_TASKS
+# Limits of what is recorded with a task, besides the identifier of its worker: the encoded
+# checkpoint in bytes, and the number of losses, more than any decision asks for.
+MAX_CHECKPOINT_BYTES = 4_096
+MAX_RECORDED_LOSSES = 8
+# Upper bound of the record of a task: a checkpoint, and the identifiers of its worker and of those
+# of its losses with their numbers.
+MAX_TASK_BYTES = 8_192
+# A step with more tasks is recorded in parts of up to this size. Earlier versions read the records
+# of narrower steps only.
+MAX_PART_TASKS = 32
+
+
+def count_part_tasks(record_bytes: int) -> int:
+    """Returns the number of tasks in a part, such that no part exceeds ``record_bytes``."""
+    return max(1, min(MAX_PART_TASKS, record_bytes // MAX_TASK_BYTES))
+
+
+def fits_checkpoint(checkpoint: str) -> bool:
+    """Returns whether a checkpoint can be recorded with its task."""
+    return len(msgspec.json.encode(checkpoint)) <= MAX_CHECKPOINT_BYTES
 
 
 def count_occurring_tasks(repeats: int, steps: Iterable[StepSpec]) -> int:
@@ -101,7 +123,8 @@
         self.losses = tuple(WorkerLoss(*loss) for loss in losses)
 
     def to_row(self) -> list:
-        row = [self.status, self.run, self.failures, self.worker, self.checkpoint, self.losses]
+        losses = self.losses[-MAX_RECORDED_LOSSES:]
+        row = [self.status, self.run, self.failures, self.worker, self.checkpoint, losses]
         while row and not row[-1]:
             row.pop()
         if self.status == DONE:
@@ -129,18 +152,44 @@
         return self.done_count >= len(self.tasks)
 
     def encode(self) -> bytes:
+        """Returns the record of all tasks."""
         return msgspec.json.encode([task.to_row() for task in self.tasks])
 
+    def encode_part(self, first: int, size: int) -> bytes:
+        """Returns the record of up to ``size`` tasks from number ``first`` on."""
+        return msgspec.json.encode([task.to_row() for task in self.tasks[first : first + size]])
+
     def restore(self, value: bytes) -> None:
         """Applies the record of the step; raises MalformedDocument if it cannot be read."""
         rows = decode_json(value, list[_TaskRow])
         if len(rows) != self.spec.count:
             raise reject("", rows, f"{self.spec.count} tasks")
-        self.tasks = [
-            TaskState(row.status, row.run, row.failures, row.worker, row.checkpoint, row.losses)
-            for row in rows
-        ]
-        self.done_count = sum(task.status == DONE for task in self.tasks)
+        self.tasks = [_restore_task(row) for row in rows]
+        self.done_count = _count_done(self.tasks)
+
+    def restore_part(self, first: int, value: bytes) -> None:
+        """Applies the record of the tasks from number ``first`` on.
+
+        Raises
+        ------
+        MalformedDocument
+            If it cannot be read.
+        """
+        rows = decode_json(value, list[_TaskRow])
+        end = first + len(rows)
+        if not rows or end > len(self.tasks):
+            raise reject("", rows, f"tasks from number {first} on, of {len(self.tasks)}")
+        self.done_count -= _count_done(self.tasks[first:end])
+        self.tasks[first:end] = [_restore_task(row) for row in rows]
+        self.done_count += _count_done(self.tasks[first:end])
+
+
+def _count_done(tasks: list[TaskState]) -> int:
+    return sum(task.status == DONE for task in tasks)
+
+
+def _restore_task(row: _TaskRow) -> TaskState:
+    return TaskState(row.status, row.run, row.failures, row.worker, row.checkpoint, row.losses)
 
 
 class WorkflowState:
@@ -209,6 +258,26 @@
     def step_key(self, step: StepState) -> str:
         return f"{self.identifier}/{step.occurrence}/{step.number}"
 
+    def list_step_records(
+        self, step: StepState, indexes: Iterable[int], part_tasks: int
+    ) -> Iterator[tuple[str, Callable[[], bytes]]]:
+        """Yields the keys of the records of some tasks of a step, and what encodes their values.
+
+        Parameters
+        ----------
+        step : StepState
+        indexes : iterable of int
+            Numbers of the tasks.
+        part_tasks : int
+            Number of tasks in a part. A step of no more tasks has one record.
+        """
+        key = self.step_key(step)
+        if len(step.tasks) <= part_tasks:
+            yield key, step.encode
+            return
+        for first in sorted({index - index % part_tasks for index in indexes}):
+            yield f"{key}/{first}", partial(step.encode_part, first, part_tasks)
+
     def encode(self) -> bytes:
         """Returns the record of the workflow, without the specification once it is terminal."""
         spec = None if self.is_terminal else self.spec
@@ -255,31 +324,53 @@
         )
 
 
-def _parse_step_key(key: str) -> tuple[str, int, int]:
+def _parse_step_key(key: str) -> tuple[str, int, int, int | None]:
+    """Returns workflow, occurrence, step, and the first task of a part, None for a whole step."""
     identifier, *numbers = key.split("/")
-    if len(numbers) != 2:
-        raise reject("", key, "a key of the form ID/OCCURRENCE/STEP")
-    occurrence, number = (parse_count(text) for text in numbers)
-    return identifier, occurrence, number
+    if len(numbers) not in (2, 3):
+        raise reject("", key, "a key of the form ID/OCCURRENCE/STEP or ID/OCCURRENCE/STEP/FIRST")
+    occurrence, number, *first = (parse_count(text) for text in numbers)
+    return identifier, occurrence, number, first[0] if first else None
+
+
+class RestoredWorkflows(NamedTuple):
+    """Workflows decoded from records.
+
+    Parameters
+    ----------
+    workflows : dict of str to WorkflowState
+    unreadable : list of str
+        Keys of the records that could not be decoded.
+    closed_steps : list of (WorkflowState, StepState)
+        Steps of which a record could not be decoded.
+    leftovers : list of str
+        Keys of parts of steps whose workflow has ended or is not known. A later workflow of the
+        same identifier must not find them.
+    """
+
+    workflows: dict[str, WorkflowState]
+    unreadable: list[str]
+    closed_steps: list[tuple[WorkflowState, StepState]]
+    leftovers: list[str]
 
 
 def restore_workflows(
     records: list[tuple[str, bytes]], now: float, unix_ms: int
-) -> tuple[dict[str, WorkflowState], list[str]]:
-    """Returns the workflows decoded from records, and the keys of the undecodable records.
+) -> RestoredWorkflows:
+    """Decodes the records of a partition.
 
     Parameters
     ----------
     records : list of (key, value)
-        Latest record of each key; an empty value stands for a deleted key.
+        Latest record of each key, in the order in which they were written; an empty value stands
+        for a deleted key.
     now : float
         Seconds of the monotonic clock.
     unix_ms : int
         The same time in Unix milliseconds.
     """
-    workflows: dict[str, WorkflowState] = {}
+    restored = RestoredWorkflows({}, [], [], [])
     steps: list[tuple[str, bytes]] = []
-    unreadable: list[str] = []
     for key, value in records:
         if not value:
             continue
@@ -287,21 +378,38 @@
             steps.append((key, value))
             continue
         try:
-            workflows[key] = _restore_workflow(key, value, now, unix_ms)
+            restored.workflows[key] = _restore_workflow(key, value, now, unix_ms)
         except MalformedDocument:
-            unreadable.append(key)
+            restored.unreadable.append(key)
+    # An owner of an earlier version records a wide step as a whole, also after parts of it.
     for key, value in steps:
         try:
-            identifier, occurrence, number = _parse_step_key(key)
-            workflow = workflows.get(identifier)
-            step = workflow and workflow.steps.get((occurrence, number))
-            if not workflow or workflow.is_terminal or step is None:
-                continue
-            step.restore(value)
+            _restore_step(restored, key, value)
         except MalformedDocument:
-            unreadable.append(key)
-            continue
-        workflow.begun = workflow.begun or any(task.run for task in step.tasks)
-        if workflow.begun and workflow.state == QUEUED:
-            workflow.state = workflow.durable_state = RUNNING
-    return workflows, unreadable
+            restored.unreadable.append(key)
+    return restored
+
+
+def _restore_step(restored: RestoredWorkflows, key: str, value: bytes) -> None:
+    identifier, occurrence, number, first = _parse_step_key(key)
+    workflow = restored.workflows.get(identifier)
+    if workflow is None or workflow.is_terminal:
+        # The record of a workflow that cannot be read may be written again.
+        if first is not None and identifier not in restored.unreadable:
+            restored.leftovers.append(key)
+        return
+    step = workflow.steps.get((occurrence, number))
+    if step is None:
+        return
+    try:
+        if first is None:
+            step.restore(value)
+        else:
+            step.restore_part(first, value)
+    except MalformedDocument:
+        if (workflow, step) not in restored.closed_steps:
+            restored.closed_steps.append((workflow, step))
+        raise
+    workflow.begun = workflow.begun or any(task.run for task in step.tasks)
+    if workflow.begun and workflow.state == QUEUED:
+        workflow.state = workflow.durable_state = RUNNING
