Owner: do not acknowledge ends whose record is refused, and go on once it is written

What could follow: an end that the store refuses to record was acknowledged, and the task would run again after a takeover (TWICE); a step that waited for its record waited until the next owner. Cause: the check of what is left out was asked for no keys, which is always true; nothing looked for records that were written after all; and the interval after which they are tried again began anew with each change. Change: ends are acknowledged once all their records are durable, the worker is asked again meanwhile; steps are opened again when their records are written; refused records are tried again at fixed times.

--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -19,6 +19,7 @@
     disturb,
     measure_writes,
     queue_behind_wide_step,
+    refuse_for_a_while,
     refuse_key,
 )
 from worker_model import ModelStore
@@ -130,6 +131,21 @@
     assert 0 < context.refusals < count, context.refusals
 
 
+@given("a store that refuses the record of a step while its two tasks end")
+def play_refused_ends(context):
+    context.kept, context.left, context.running = _play(refuse_for_a_while())
+
+
+@then("their ends are not acknowledged")
+def expect_kept_ends(context):
+    assert context.kept == 2, context.kept
+
+
+@then("once the store takes the record, they are acknowledged and both tasks run again")
+def expect_resumed(context):
+    assert (context.left, context.running) == (0, 2), (context.left, context.running)
+
+
 @when("a job of 1 task is submitted while 3000 tasks start on workers that answer after 0.7 s")
 def play_queue(context):
     context.waited = _play(queue_behind_wide_step())
--- a/features/wide_step_builders.py
+++ b/features/wide_step_builders.py
@@ -176,6 +176,33 @@
         await world.close()
 
 
+async def refuse_for_a_while() -> tuple[int, int, int]:
+    """Has the store refuse the record of a step from the time at which its tasks run.
+
+    Returns how many ends of its tasks the workers keep after 3 s, and 8 s after the store takes the
+    record again, and how many tasks run then.
+    """
+    world = World(2, STOP_S)
+    try:
+        await world.take_over()
+        await asyncio.sleep(2.0)
+        job = await world.submit(1, 2, LONG_S, long_running=True)
+        await asyncio.sleep(2.0)
+        world.store.refused_keys = {f"{job}/0/0"}
+        [worker] = list_busy(world)
+        for task in list(worker.runs):
+            worker.end(task, "failed")
+        await asyncio.sleep(3.0)
+        kept = len(worker.ended)
+        world.store.refused_keys.clear()
+        await asyncio.sleep(8.0)
+        running = sum(len(item.runs) for item in world.workers.values())
+        assert not [item for item in world.violations if not item.startswith("LOST")]
+        return kept, len(worker.ended), running
+    finally:
+        await world.close()
+
+
 async def queue_behind_wide_step() -> float:
     """Returns the time from the submission of a small job to its start beside a wide step."""
     world = World(4, STOP_S)
--- a/features/wide_steps.feature
+++ b/features/wide_steps.feature
@@ -48,6 +48,12 @@
       | the record  | absent  |
       | the steps   | running |
 
+  Scenario: Ends whose record is refused are not acknowledged
+    # Guards against an end that nobody has recorded, after which the task runs again.
+    Given a store that refuses the record of a step while its two tasks end
+    Then their ends are not acknowledged
+    And once the store takes the record, they are acknowledged and both tasks run again
+
   Scenario: A record is refused once in the log, and written once the store takes it
     Given a ledger whose store refuses the key "b"
     When it writes "a", "b" and "c"
--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -49,7 +49,7 @@
 # Limit of the records of one append, if the store does not have a lower one.
 MAX_BATCH_BYTES = 500_000
 # Interval at which a record that the store has refused is tried again.
-REFUSED_RETRY_SECONDS = 5.0
+REFUSED_RETRY_INTERVAL = timedelta(seconds=5)
 
 
 class OwnershipLost(Exception):
@@ -95,6 +95,7 @@
         self._dirty: dict[str, Callable[[], bytes]] = {}
         # Records that are not written because the store cannot take them.
         self._refused: dict[str, Callable[[], bytes]] = {}
+        self._retry_refused_at = timedelta()
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
         self._append_started_at: timedelta | None = None
@@ -202,7 +203,12 @@
 
     def is_durable(self, keys: Iterable[str]) -> bool:
         """Returns whether no change of some keys that was flushed is left out."""
-        return not self._refused or self._refused.keys().isdisjoint(keys)
+        return self._refused.keys().isdisjoint(keys)
+
+    @property
+    def has_refused_records(self) -> bool:
+        """Whether any record is left out."""
+        return bool(self._refused)
 
     @supervised_task
     async def _write_batches(self) -> None:
@@ -244,14 +250,17 @@
         self._waiters = []
 
     async def _wait_for_changes(self) -> None:
+        """Waits for a change, or until refused records are to be tried again."""
         if not self._refused:
             await self._wake.wait()
             return
+        left = self._retry_refused_at - self._clock.elapsed()
         try:
-            async with asyncio.timeout(REFUSED_RETRY_SECONDS):
+            async with asyncio.timeout(max(0.0, left.total_seconds())):
                 await self._wake.wait()
         except TimeoutError:
             self._dirty = self._refused | self._dirty
+            self._retry_refused_at = self._clock.elapsed() + REFUSED_RETRY_INTERVAL
 
     async def _append_all(self, dirty: dict[str, Callable[[], bytes]]) -> None:
         batch: list[KeyedRecord] = []
@@ -299,6 +308,8 @@
                 },
             )
             self._metrics.refused_records.labels(self.topic).inc()
+        if not self._refused:
+            self._retry_refused_at = self._clock.elapsed() + REFUSED_RETRY_INTERVAL
         self._refused[key] = encode
 
     async def _append(
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -243,6 +243,8 @@
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
+        # Steps whose records the store has refused, each with the number of a task that waits.
+        self._suspended_steps: dict[tuple[str, int, int], tuple[WorkflowState, StepState, int]] = {}
         # Number of start orders that are being recorded or sent.
         self._pending_starts = 0
         self._wake = asyncio.Event()
@@ -298,6 +300,7 @@
             self._contact_loss.record_progress()
             self._expire_entries()
             self._open_closed_steps()
+            self._resume_steps()
             self._stray_orders.check(self._track_stray_order)
             self._follow_former_hosts()
             self._waits.check(self.fence)
@@ -873,6 +876,8 @@
 
     def _is_recorded(self, name: TaskName) -> bool:
         """Returns whether the flushed state of a task is durable."""
+        if not self.ledger.has_refused_records:
+            return True
         found = self._find_task(name)
         if found is None or found[0].is_terminal:
             return True
@@ -882,7 +887,7 @@
 
     def are_recorded(self, tasks: Iterable[TaskName]) -> bool:
         """Returns whether the flushed ends of runs are durable."""
-        return self.ledger.is_durable([]) or all(self._is_recorded(task) for task in tasks)
+        return all(self._is_recorded(task) for task in tasks)
 
     def _end_workflow(self, workflow: WorkflowState, state: str, why: str) -> None:
         """Records the end of a workflow and stops its running tasks."""
@@ -1290,12 +1295,22 @@
             self._wake.set()
 
     def _suspend_order(self, link: WorkerLink, name: TaskName) -> None:
-        """Drops an order that could not be recorded; its step starts no further tasks here."""
+        """Drops an order that could not be recorded; its step waits until its record is written."""
         workflow, step, task = self._find_task(name)
         link.capacity.release(name)
         link.orders.pop(name, None)
         task.status = WAITING
-        self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
+        key = (workflow.identifier, step.occurrence, step.number)
+        self._open_steps.pop(key, None)
+        self._suspended_steps[key] = (workflow, step, name.index)
+
+    def _resume_steps(self) -> None:
+        """Opens the steps whose records have been written after all."""
+        for key, (workflow, step, index) in list(self._suspended_steps.items()):
+            if self._is_recorded(TaskName(*key, index)):
+                del self._suspended_steps[key]
+                self._open_step(workflow, step)
+                self._wake.set()
 
     async def on_stop(self) -> None:
         self.lost = True
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -800,6 +800,7 @@
                 self._acknowledged = max(self._acknowledged, ended[-1].number)
             else:
                 # The worker lists the ends again at once.
+                self._has_further_ends = True
                 await asyncio.sleep(RETRY_SECONDS)
 
     def _may_lease_late(self) -> bool:
