Owner: remove both forms of the records of a job that ends

What could follow: a job that ended while hosts of the former version were there left the parts of its wide steps behind, and a later job of the same identifier could have read them. Found by reading. Cause: the keys to remove were those of the form in use at the end. Change: the whole record and the parts are removed, whichever form is in use. Evidence: a scenario of features/wide_steps.feature.

--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -442,6 +442,24 @@
     context.harness.run(context.harness.owner.hand_over())
 
 
+@when("hosts of the former version join, and another task is ordered")
+def order_beside_former(context):
+    context.harness.owner._has_former_hosts = lambda: True
+    order_task(context)
+
+
+@when("the job is cancelled")
+def cancel_job(context):
+    assert set(context.harness.read_written()) >= {f"{JOB}/0/0", f"{JOB}/0/0/0"}
+    context.harness.run(context.harness.owner.cancel(JOB))
+
+
+@then("no record of its steps is left")
+def expect_no_step_record(context):
+    records = context.harness.read_written()
+    assert not [key for key in records if key.startswith(f"{JOB}/")], set(records)
+
+
 @then("the former version reads its record")
 def expect_former_read(context):
     rows = _decode_former(context.harness.read_written()[f"{JOB}/0/0"])
--- a/features/wide_steps.feature
+++ b/features/wide_steps.feature
@@ -124,6 +124,13 @@
     And the owner hands over
     Then the former version reads its record
 
+  Scenario: A job that ends leaves no record of its steps, in either form
+    Given a job with a step of 100 tasks
+    When a task of it is ordered
+    And hosts of the former version join, and another task is ordered
+    And the job is cancelled
+    Then no record of its steps is left
+
   Scenario: Parts of a step of an earlier job of the same identifier are removed
     Given records of a part of a step whose job has ended
     When an owner takes over
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -902,8 +902,10 @@
             self._open_steps.pop((workflow.identifier, step.occurrence, step.number), None)
             started = [index for index, task in enumerate(step.tasks) if task.run]
             if started:
+                # A wide step may have been recorded as a whole as well as in parts.
                 self.ledger.mark_dirty(workflow.step_key(step), bytes)
-            for key, _ in self._list_step_records(workflow, step, started):
+            part_tasks = count_part_tasks(self.ledger.max_record_bytes)
+            for key, _ in workflow.list_step_records(step, started, part_tasks):
                 self.ledger.mark_dirty(key, bytes)
         start_in_background(self._publish_state(workflow, state))
         for name, task in list(workflow.iterate_ordered_tasks()):
