--- a/features/steps/cut_report_steps.py
+++ b/features/steps/cut_report_steps.py
@@ -2,17 +2,9 @@
 
 from __future__ import annotations
 
-import looptime
 from behave import given, then, when
 from cut_report_builders import cancel_before_takeover, end_runs
-
-
-def _play(play):
-    loop = looptime.new_event_loop(start=0, noop_cycles=2)
-    try:
-        return loop.run_until_complete(play)
-    finally:
-        loop.close()
+from virtual_time import play
 
 
 @given("a worker that lists at most 500 ends in a report")
@@ -22,17 +14,17 @@
 
 @when("{tasks:d} runs of it end while {disturbance}")
 def play_ends(context, tasks, disturbance):
-    context.outcome = _play(end_runs(disturbance, tasks))
+    context.outcome = play(end_runs(disturbance, tasks))
 
 
 @when("a gang of {tasks:d} runs of it ends while {disturbance}")
 def play_gang(context, tasks, disturbance):
-    context.outcome = _play(end_runs(disturbance, tasks, gang=True))
+    context.outcome = play(end_runs(disturbance, tasks, gang=True))
 
 
 @when("{tasks:d} runs of cancelled jobs have ended there before the next owner reaches it")
 def play_cancelled(context, tasks):
-    found, context.unacknowledged = _play(cancel_before_takeover(tasks))
+    found, context.unacknowledged = play(cancel_before_takeover(tasks))
     assert found == tasks, found
 
 
--- a/features/steps/rare_sequence_steps.py
+++ b/features/steps/rare_sequence_steps.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 
-import looptime
 from behave import given, then, when
 from owner_builders import ManualClock
 from rare_sequence_builders import (
@@ -17,18 +16,11 @@
     read_record,
     wait_beside_long_run,
 )
+from virtual_time import play
 
 from carawayd.process.logs import MAX_LINES_PER_SECOND, RateLimitFilter
 
 
-def _play(play):
-    loop = looptime.new_event_loop(start=0, noop_cycles=2)
-    try:
-        return loop.run_until_complete(play)
-    finally:
-        loop.close()
-
-
 @given("workers of 12 cores that have been up for 30 s")
 def note_workers(context):
     context.outcome = None
@@ -38,17 +30,17 @@
     "a start order is held up for 12 s, its worker restarts, falls silent, and the owner is killed"
 )
 def play_kill(context):
-    context.outcome = _play(hold_start(kill=True))
+    context.outcome = play(hold_start(kill=True))
 
 
 @when("a start order is held up for 12 s, its worker restarts, falls silent, and the owner goes on")
 def play_same(context):
-    context.outcome = _play(hold_start(kill=False))
+    context.outcome = play(hold_start(kill=False))
 
 
 @when("a renewal is held up for 12 s, its worker restarts, runs a task, and is cut off after it")
 def play_renewal(context):
-    context.outcome = _play(hold_renewal())
+    context.outcome = play(hold_renewal())
 
 
 @then("no owner started a task twice")
@@ -65,7 +57,7 @@
 
 @when("a long-running task of 12 cores waits beside small tasks at five times their capacity")
 def play_long_task(context):
-    context.waited = _play(wait_beside_long_run())
+    context.waited = play(wait_beside_long_run())
 
 
 @then("the long-running task runs within {seconds:g} s")
@@ -103,7 +95,7 @@
 
 @when("its owner is killed and the next one takes over")
 def play_later_record(context):
-    context.outcome = _play(read_record(add_field))
+    context.outcome = play(read_record(add_field))
 
 
 @given("a long-running job of 3 tasks, and the record of its step without its end")
@@ -113,7 +105,7 @@
 
 @when("its owner is killed and the next one reads the damaged record")
 def play_damaged_record(context):
-    context.outcome = _play(read_record(damage))
+    context.outcome = play(read_record(damage))
 
 
 @then("no task runs twice")
--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -14,6 +14,7 @@
 from owner_builders import OwnerHarness, build_settings
 from platform_builders import build_job, build_operator_configuration
 from virtual import LoopClock
+from virtual_time import play
 from wide_step_builders import (
     WIDTH,
     disturb,
@@ -49,14 +50,6 @@
 JOB = "a" * 16
 
 
-def _play(play):
-    loop = looptime.new_event_loop(start=0, noop_cycles=2)
-    try:
-        return loop.run_until_complete(play)
-    finally:
-        loop.close()
-
-
 # -- wide steps in virtual time --------------------------------------------------------------------
 
 
@@ -67,7 +60,7 @@
 
 @when("it runs beside a small job, and {disturbance}")
 def play_disturbance(context, disturbance):
-    context.outcome = _play(disturb(disturbance))
+    context.outcome = play(disturb(disturbance))
 
 
 @then("no promise was broken")
@@ -93,7 +86,7 @@
 
 @when("steps of {first:d}, {second:d} and {third:d} tasks start and one task of each ends")
 def measure_steps(context, first, second, third):
-    context.written = {width: _play(measure_writes(width)) for width in (first, second, third)}
+    context.written = {width: play(measure_writes(width)) for width in (first, second, third)}
 
 
 @then("the bytes written for the starts grow with the number of tasks")
@@ -112,7 +105,7 @@
 @given("three jobs, and a store that refuses {record} of the second one")
 def play_refusals(context, record):
     suffix = {"the record": "", "the steps": "/0/0"}[record]
-    context.states, context.refusals, violations = _play(refuse_key(suffix))
+    context.states, context.refusals, violations = play(refuse_key(suffix))
     assert not violations, violations
 
 
@@ -133,7 +126,7 @@
 
 @given("a store that refuses the record of a step while its two tasks end")
 def play_refused_ends(context):
-    context.kept, context.left, context.running = _play(refuse_for_a_while())
+    context.kept, context.left, context.running = play(refuse_for_a_while())
 
 
 @then("their ends are not acknowledged")
@@ -148,7 +141,7 @@
 
 @when("a job of 1 task is submitted while 3000 tasks start on workers that answer after 0.7 s")
 def play_queue(context):
-    context.waited = _play(queue_behind_wide_step())
+    context.waited = play(queue_behind_wide_step())
 
 
 @then("it starts within {seconds:g} s")
