--- a/features/wide_step_builders.py
+++ b/features/wide_step_builders.py
@@ -179,8 +179,9 @@
 async def refuse_for_a_while() -> tuple[int, int, int]:
     """Has the store refuse the record of a step from the time at which its tasks run.
 
-    Returns how many ends of its tasks the workers keep after 3 s, and 8 s after the store takes the
-    record again, and how many tasks run then.
+    Returns how many ends of its tasks the workers keep after more than one poll of a worker without
+    tasks (4 s); how many they keep one retry of the record (5 s) and two polls after the store
+    takes it again; and how many tasks run then.
     """
     world = World(2, STOP_S)
     try:
@@ -192,10 +193,10 @@
         [worker] = list_busy(world)
         for task in list(worker.runs):
             worker.end(task, "failed")
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(6.0)
         kept = len(worker.ended)
         world.store.refused_keys.clear()
-        await asyncio.sleep(8.0)
+        await asyncio.sleep(13.0)
         running = sum(len(item.runs) for item in world.workers.values())
         assert not [item for item in world.violations if not item.startswith("LOST")]
         return kept, len(worker.ended), running
