--- a/packages/carawayd/src/carawayd/partition/knownworkers.py
+++ b/packages/carawayd/src/carawayd/partition/knownworkers.py
@@ -64,8 +64,9 @@
         known = self._entries.get(entry.worker)
         if known is None or (known.address, known.born) != (entry.address, entry.born):
             self._entries[entry.worker] = entry
+            # Hosts of an earlier version read no record with the time left, which is not needed.
             self._ledger.mark_dirty(
-                WORKER_PREFIX + entry.worker, lambda: msgspec.json.encode(entry)
+                WORKER_PREFIX + entry.worker, lambda: msgspec.json.encode(entry[:-1])
             )
 
     def list_workers(self) -> list[str]:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -47,7 +47,7 @@
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
-from carawayshore.workflows.placement import compute_usage
+from carawayshore.workflows.placement import compute_usage, summarize_room
 from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
     CANCELLED,
@@ -97,6 +97,8 @@
 MAX_PENDING_STARTS = 256
 # Interval at which the list of workers is read.
 SCAN_INTERVAL = timedelta(milliseconds=100)
+# Delay of a scan that is logged: half of the time after which a call to a worker times out.
+DELAY_ALERT_SECONDS = 0.5
 # Time after a takeover within which the workers of a service are discovered.
 WORKER_DISCOVERY_SECONDS = 1.5
 # Maximum wait of a planned handover for the store.
@@ -295,7 +297,10 @@
             start_in_background(
                 self._announce(), lambda: self._mark_lost("its first record could not be written")
             )
+        scanned_at = self._now()
         while not self.should_stop and not self.lost:
+            self._log_delay(scanned_at)
+            scanned_at = self._now()
             self._scan_workers()
             self._contact_loss.record_progress()
             self._expire_entries()
@@ -309,6 +314,21 @@
                 return
             await self._clock.sleep(SCAN_INTERVAL)
 
+    def _log_delay(self, scanned_at: float) -> None:
+        """Logs that this process was held up, which makes all workers look silent."""
+        seconds = self._now() - scanned_at - SCAN_INTERVAL.total_seconds()
+        if seconds > DELAY_ALERT_SECONDS:
+            logger.warning(
+                "the owner was delayed",
+                extra={
+                    "fields": {
+                        "partition": self.partition,
+                        "epoch": self.fence,
+                        "seconds": round(seconds, 2),
+                    }
+                },
+            )
+
     def _follow_former_hosts(self) -> None:
         """Records wide steps as a whole when a host of an earlier version joins the group."""
         had_former_hosts, self._had_former_hosts = self._had_former_hosts, self._has_former_hosts()
@@ -580,7 +600,20 @@
             if not leaving and not self._may_stop(found[1], name):
                 continue
             self._log_task(
-                name, "stopping task on a departing worker", worker=link.worker, leaving=leaving
+                name,
+                "stopping task on a departing worker",
+                worker=link.worker,
+                leaving=leaving,
+                drain_seconds=link.entry.drain_seconds,
+                seconds_there=round(self._now() - order.ordered_at, 1),
+                room=summarize_room(
+                    [
+                        other.capacity
+                        for other in self.links.values()
+                        if other.entry.service == link.entry.service
+                    ],
+                    compute_usage(name, found[1].spec),
+                ),
             )
             link.stop_task(name)
 
--- a/packages/carawayd/src/carawayd/partition/waits.py
+++ b/packages/carawayd/src/carawayd/partition/waits.py
@@ -9,7 +9,7 @@
 from carawayd.partition.workerlink import STARTED
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.model import TaskName
-from carawayshore.workflows.placement import compute_usage, find_obstacle
+from carawayshore.workflows.placement import compute_usage, find_obstacle, summarize_room
 from carawayshore.workflows.state import ORDERED
 
 if TYPE_CHECKING:
@@ -147,10 +147,17 @@
                     "task": format_task(name),
                     "epoch": epoch,
                     "seconds": round(seconds, 1),
+                    "worker": self._find_worker(name),
                 }
             },
         )
 
+    def _find_worker(self, name: TaskName) -> str:
+        """Returns the worker that a task was ordered on last, empty if it is not known."""
+        workflow = self._workflows.get(name.workflow)
+        found = workflow and workflow.find_task(name)
+        return found[1].worker if found else ""
+
     def _log_wait(
         self,
         epoch: int,
@@ -197,12 +204,22 @@
     def _describe_choice(
         self, workflow: WorkflowState, step: StepState, name: TaskName
     ) -> dict[str, Any]:
-        """Describes why the last look for a worker found none."""
+        """Describes why the last look for a worker found none, and what room there will be.
+
+        Reports that are old at all workers tell of a delay of this process rather than of theirs.
+        """
         now = self._now()
         usage = compute_usage(name, step.spec)
+        links = [
+            link for link in self._links.values() if link.entry.service == workflow.spec.service
+        ]
         workers = Counter(
-            find_obstacle(link.capacity, step.spec, usage, now) or "free"
-            for link in self._links.values()
-            if link.entry.service == workflow.spec.service
+            find_obstacle(link.capacity, step.spec, usage, now) or "free" for link in links
         )
-        return {"workers": dict(workers), "isolation": self._isolation.describe(name, step.spec)}
+        silences = [round(link.silent_seconds, 1) for link in links]
+        return {
+            "workers": dict(workers),
+            "room": summarize_room([link.capacity for link in links], usage),
+            "report_age_seconds": [min(silences, default=0.0), max(silences, default=0.0)],
+            "isolation": self._isolation.describe(name, step.spec),
+        }
--- a/packages/carawayd/src/carawayd/platform/documents.py
+++ b/packages/carawayd/src/carawayd/platform/documents.py
@@ -129,6 +129,7 @@
     labels: NotRequired[list[str] | None]
     machine: NotRequired[str | None]
     born: NotRequired[UnixMilliseconds | None]
+    drainRemainingMs: NotRequired[Milliseconds | None]
 
 
 class _WaveDocument(TypedDict):
@@ -220,6 +221,7 @@
         labels=tuple(document.get("labels") or ()),
         machine=document.get("machine") or "",
         born=int(document.get("born") or 0),
+        drain_seconds=(document.get("drainRemainingMs") or 0) / 1000,
     )
 
 
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -142,7 +142,8 @@
 class WorkerEntry(NamedTuple):
     """A worker as it registered itself.
 
-    ``born`` is the start of its process in Unix milliseconds, 0 if unknown.
+    ``born`` is the start of its process in Unix milliseconds, 0 if unknown. ``drain_seconds`` is
+    the time that a draining worker had left at least when it wrote the entry, 0 if unknown.
     """
 
     worker: str
@@ -156,6 +157,7 @@
     labels: tuple[str, ...]
     machine: str
     born: int
+    drain_seconds: float = 0.0
 
     @property
     def rack(self) -> str:
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from carawayshore.workflows.model import TaskName
 
@@ -253,6 +253,26 @@
     return best
 
 
+def summarize_room(capacities: Iterable[WorkerCapacity], usage: Usage) -> dict[str, Any]:
+    """Returns what a task that waits for room has to wait for, for the log.
+
+    Counts the usable workers on which it fits now, and those on which it fits once their short runs
+    have ended; lists the workers that are kept for tasks, with their free processors.
+    """
+    usable = [capacity for capacity in capacities if capacity.usable]
+    return {
+        "fit_now": sum(capacity.fits(usage) for capacity in usable),
+        "fit_without_short_runs": sum(
+            capacity.fits_beside_long_running(usage) for capacity in usable
+        ),
+        "held": {
+            capacity.entry.worker: capacity.free_millicores
+            for capacity in usable
+            if capacity.held_for is not None
+        },
+    }
+
+
 def count_slots(capacity: WorkerCapacity, step: StepSpec, usage: Usage, now: float) -> int:
     """Returns how many tasks of a step can start on a worker now, by its processors and limits."""
     if find_obstacle(capacity, step, usage, now):
