--- a/features/steps/long_running_steps.py
+++ b/features/steps/long_running_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import displaced_task_scenarios  # noqa: F401  Registers its scenarios.
 import looptime
 from behave import given, then, when
 from restart_scenarios import SCENARIOS
@@ -61,3 +62,20 @@
 def expect_starts(context, count):
     found = {key: sent for key, sent in context.world.sent_starts.items() if sent > count}
     assert not found, found
+
+
+@then("no owner broke a promise while the tasks moved")
+def expect_promises(context):
+    assert not context.world.violations, context.world.violations
+
+
+@then("no long-running task is left on a cordoned worker")
+def expect_evacuated(context):
+    world = context.world
+    left = [
+        task
+        for name in world.cordoned
+        for task in world.workers[name].runs
+        if world.steps[task.workflow].long_running
+    ]
+    assert not left, left
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -104,6 +104,7 @@
         self.name = name
         self.labels = labels
         self.state = "ready"
+        self._leaves_at = 0.0
         self.cores = WORKER_CORES
         self.gone = False
         self.ended_at = -math.inf
@@ -134,6 +135,7 @@
             born=self.born,
             labels=self.labels,
             state=self.state,
+            drain_seconds=self._leaves_at - self.world.now() if self.state == "draining" else 0.0,
         )
 
     @property
@@ -169,10 +171,10 @@
 
     def drain(self) -> None:
         """Stops all runs in order and leaves, as on a planned shutdown or a move to a pool."""
-        self.state = "draining"
+        self.state, self._leaves_at = "draining", self.world.now() + DRAIN_S
         self.write_entry()
         loop = asyncio.get_running_loop()
-        for task, run in self.runs.items():
+        for task, run in [] if self.world.draining_go_on else self.runs.items():
             loop.call_later(self.world.stop_seconds, self._finish_stop, task, run.run, self.born)
         loop.call_later(DRAIN_S, self._finish_drain, self.born)
 
@@ -288,10 +290,15 @@
                 self.world.check_acknowledged(self, end.task)
         self.ended = [end for end in self.ended if end.number > acknowledged]
 
+    def _measure_percent(self, task: TaskName, run: Run) -> int:
+        """Returns the progress of a run; a long-running one reports 100 while it is at work."""
+        if self.world.steps[task.workflow].long_running:
+            return 100
+        return run.measure_percent(self.world.now())
+
     def report(self) -> WorkerReport:
-        now = self.world.now()
         running = [
-            RunningTask(task, run.run, "", run.measure_percent(now), 0.0)
+            RunningTask(task, run.run, "", self._measure_percent(task, run), 0.0)
             for task, run in self.runs.items()
         ]
         return WorkerReport(self.clock_ms, self.born, running, self.ended[:ENDS_PER_REPORT])
@@ -487,6 +494,8 @@
         self.acknowledged: set[TaskName] = set()
         # Time from the start of the first task of a workflow to the crash of its worker.
         self.crash_delays: dict[str, float] = {}
+        # Whether workers that drain go on with their runs until they leave.
+        self.draining_go_on = False
         self.crashed_return_as_new = True
         self.crash_downtime_s = CRASH_DOWNTIME_S
         self.crashes: Counter[TaskName] = Counter()
