Secure the next place of a long-running task before it is stopped, and make room for it in bounded time

Cause: a departing worker's tasks were stopped at the notice, without a place. Change: each displaced or waiting long-running task has a claim of its own, at once, on the worker where room is likely to be free first (partition/claims, workflows/room); other tasks and admission leave claimed room alone. A task on a departing worker is stopped once its place is free and reserved, or at the end of the notice (partition/departures); on a cordoned worker it works on until then. After 3 s without work short runs are stopped for it, those that lose the least (partition/preemption); tasks that waited at a takeover have 1 s, so that takeovers in series do not begin the wait anew. Tasks that are moved off a shrunk worker keep the place that was found for them. partition/holds is gone.

--- a/benchmarks/owner_plan.py
+++ b/benchmarks/owner_plan.py
@@ -15,6 +15,7 @@
 
 from benchmarks.report import Line, case
 from carawayd.partition.advisor import Advisor
+from carawayd.partition.claims import Claims
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.owner import MAX_PENDING_STARTS
@@ -96,15 +97,16 @@
     states.append(_build_workflow(WAITING_STEPS, large))
     workflows = {state.identifier: state for state in states}
     open_steps = {(state.identifier, 0, 0): state.steps[0, 0] for state in states}
-    deferrals = Deferrals(clock)
+    deferrals, runtimes = Deferrals(clock), RuntimeModel()
     planner = Planner(
         workflows,
         links,
         open_steps,
         {},
-        runtimes=RuntimeModel(),
+        runtimes=runtimes,
         isolation=Isolation(links, deferrals, clock),
         deferrals=deferrals,
+        claims=Claims(links, lambda _: None, runtimes, clock),
         advisor=Advisor(None, clock, lambda: None),
         clock=clock,
         time_of_day=SteadyTimeOfDay(clock),
--- a/features/steps/long_running_restart_steps.py
+++ b/features/steps/long_running_restart_steps.py
@@ -155,14 +155,12 @@
             links = world.current.owner.links
             while world.now() - began < 30.0 and context.waited is None:
                 await asyncio.sleep(CHECK_S)
-                held = sum(link.capacity.held_for is not None for link in links.values())
+                held = sum(bool(link.capacity.claims) for link in links.values())
                 context.most_held = max(context.most_held, held)
                 if _find_run(world, identifier):
                     context.waited = world.now() - began
             await asyncio.sleep(2.0)
-            context.held_afterwards = sum(
-                link.capacity.held_for is not None for link in links.values()
-            )
+            context.held_afterwards = sum(bool(link.capacity.claims) for link in links.values())
             context.violations = world.violations
         finally:
             if submitting is not None:
--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/claims.py
@@ -0,0 +1,188 @@
+"""Room that is kept on workers for the long-running tasks of a partition that have no place.
+
+Load pattern: workers leave or are taken out of service one after the other while short tasks take
+each room that comes free. Each displaced task has a claim of its own from the moment that its
+worker begins to leave, so that several of them do not wait for one room after the other.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from carawayshore.workflows.placement import choose_worker, compute_usage
+from carawayshore.workflows.room import ShortRun, choose_worker_to_claim
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from carawayd.partition.workerlink import WorkerLink
+    from carawayshore.clock import Clock
+    from carawayshore.workflows.model import StepSpec, TaskName
+    from carawayshore.workflows.placement import WorkerCapacity
+    from carawayshore.workflows.runtimes import RuntimeModel
+    from carawayshore.workflows.state import StepState, TaskState, WorkflowState
+
+# Time after which a claim whose room has not come free is tried on another worker.
+RECLAIM_SECONDS = 3.0
+# Time in which a run that is being stopped ends, with the report of it.
+STOP_SECONDS = 0.3
+
+SECURED, PENDING, IMPOSSIBLE = "secured", "pending", "impossible"
+
+
+class _Claim(NamedTuple):
+    """Worker on which room is claimed, and the time of the claim in seconds of the clock."""
+
+    capacity: WorkerCapacity
+    since: float
+
+
+class Claims:
+    """Claims of the long-running tasks of one partition.
+
+    Parameters
+    ----------
+    links : dict
+        Links of the partition owner, which updates them.
+    find_task : callable
+        Returns the workflow, the step and the state of a task, or None.
+    runtimes : RuntimeModel
+        Estimates when short runs end.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        links: dict[str, WorkerLink],
+        find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
+        runtimes: RuntimeModel,
+        clock: Clock,
+    ) -> None:
+        self._links = links
+        self._find_task = find_task
+        self._runtimes = runtimes
+        self._clock = clock
+        self._claims: dict[TaskName, _Claim] = {}
+
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._claims
+
+    def list_tasks(self) -> list[TaskName]:
+        return list(self._claims)
+
+    def find(self, name: TaskName) -> WorkerCapacity | None:
+        """Returns the worker on which room is claimed for a task."""
+        claim = self._claims.get(name)
+        return claim.capacity if claim is not None else None
+
+    def find_free(self, name: TaskName) -> WorkerCapacity | None:
+        """Returns the worker of a claim whose room is free, None if there is none."""
+        capacity = self.find(name)
+        if capacity is not None and capacity.has_claimed_room(name):
+            return capacity
+        return None
+
+    def set(self, name: TaskName, step: StepSpec, capacity: WorkerCapacity) -> None:
+        """Claims room for a task on a worker, instead of the claim that it has."""
+        self.end(name)
+        self._claims[name] = _Claim(capacity, self._now())
+        capacity.claim(name, compute_usage(name, step))
+
+    def end(self, name: TaskName) -> None:
+        """Ends the claim of a task."""
+        claim = self._claims.pop(name, None)
+        if claim is not None:
+            claim.capacity.release_claim(name)
+
+    def retain(self, is_needed: Callable[[TaskName], bool]) -> None:
+        """Ends the claims that are not needed, and those on workers that cannot be used."""
+        now = self._now()
+        for name, claim in list(self._claims.items()):
+            capacity = claim.capacity
+            if (
+                not is_needed(name)
+                or not capacity.usable
+                or capacity.suspect_until > now
+                or capacity.reserved_for not in ("", name.workflow)
+                or capacity.is_overcommitted
+            ):
+                self.end(name)
+
+    def keep(self, name: TaskName, step: StepSpec, capacities: Iterable[WorkerCapacity]) -> bool:
+        """Claims room where it is likely to be free first; returns whether there is a claim.
+
+        A claim whose room takes long to come free may move to another worker.
+        """
+        claim = self._claims.get(name)
+        if claim is not None and (
+            name in claim.capacity.secured or self._now() - claim.since < RECLAIM_SECONDS
+        ):
+            return True
+        self.end(name)
+        chosen = choose_worker_to_claim(
+            capacities, step, compute_usage(name, step), self._now(), self.list_short_runs
+        )
+        if chosen is not None:
+            self.set(name, step, chosen)
+        return chosen is not None
+
+    def secure(
+        self, name: TaskName, step: StepSpec, capacities: list[WorkerCapacity], *, wait: bool = True
+    ) -> str:
+        """Reserves room for a task that is still at work elsewhere, as soon as some is free.
+
+        Returns ``SECURED`` once the room is reserved, ``PENDING`` while it is claimed but not free,
+        and ``IMPOSSIBLE`` if no worker gets room for it. Unless ``wait`` is set, only room that is
+        free now is reserved.
+        """
+        capacity = self.find_free(name)
+        if capacity is None:
+            usage = compute_usage(name, step)
+            capacity = choose_worker(capacities, step, usage, self._now())
+            if capacity is not None:
+                self.set(name, step, capacity)
+        if capacity is not None:
+            capacity.secure_claim(name)
+            return SECURED
+        if wait and self.keep(name, step, capacities):
+            return PENDING
+        return IMPOSSIBLE
+
+    def list_short_runs(self, capacity: WorkerCapacity) -> list[ShortRun]:
+        """Returns the runs on a worker that end by themselves or are being stopped."""
+        link, now = self._links.get(capacity.entry.worker), self._now()
+        if link is None:
+            return []
+        runs = []
+        for name, usage in capacity.usages.items():
+            order = link.orders.get(name)
+            if order is None:
+                # Runs that the ledger does not know are being stopped.
+                if name in link.unordered_runs:
+                    runs.append(ShortRun(name, usage, STOP_SECONDS, 0.0, is_stopping=True))
+                continue
+            if usage.long_running and not order.stopping:
+                continue
+            found = self._find_task(name)
+            if found is None:
+                continue
+            workflow, step, _ = found
+            elapsed = now - order.ordered_at
+            percent = order.progress_percent
+            if order.stopping:
+                remaining = STOP_SECONDS
+            elif 0 < percent < 100:
+                remaining = elapsed * (100 - percent) / percent
+            else:
+                expected = self._runtimes.estimate_task_seconds(workflow.spec.queue, step.spec)
+                # A run that takes longer than expected is likely to go on for as long again.
+                remaining = expected - elapsed if elapsed < expected else elapsed
+            lost = elapsed * usage.millicores / 1000
+            if step.spec.gang:
+                # Its other members end with it.
+                lost *= len(step.tasks)
+            runs.append(ShortRun(name, usage, remaining, lost, is_stopping=order.stopping))
+        return runs
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -128,7 +128,8 @@
             usages = capacity.usages.values()
             long_running = sum(usage.millicores for usage in usages if usage.long_running)
             # A worker that has shrunk below its long-running tasks takes nothing from the others.
-            cores += max(0, capacity.entry.millicores - long_running)
+            # Claimed room is for long-running tasks, too.
+            cores += max(0, capacity.entry.millicores - long_running - capacity.claimed_millicores)
             running += sum(usage.millicores for usage in usages if not usage.long_running)
         waiting = self._measure_waiting_work(service, due)
         remaining = running / 1000 * waiting.longest_seconds * REMAINING_SHARE
--- a/packages/carawayd/src/carawayd/partition/isolation.py
+++ b/packages/carawayd/src/carawayd/partition/isolation.py
@@ -215,7 +215,7 @@
             capacity
             for capacity in capacities
             if not capacity.reserved_for
-            and capacity.held_for in (None, usage.group)
+            and not capacity.claims.keys() - {subject}
             and capacity.suspect_until <= self._now()
             and capacity.could_fit(step)
             and capacity.fits_beside_long_running(usage)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -18,15 +18,18 @@
 from mode import Service
 
 from carawayd.partition.advisor import Advisor
+from carawayd.partition.claims import Claims
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss, LeaseBounds
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.demand import Demand
+from carawayd.partition.departures import Departures
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.losses import Losses
 from carawayd.partition.planner import Planner
+from carawayd.partition.preemption import PreemptionControl
 from carawayd.partition.relief import Relief
 from carawayd.partition.strayorders import StrayOrders
 from carawayd.partition.waits import LongRunningWaits
@@ -47,7 +50,7 @@
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
-from carawayshore.workflows.placement import compute_usage, summarize_room
+from carawayshore.workflows.placement import compute_usage
 from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
     CANCELLED,
@@ -241,7 +244,8 @@
         self._losses = Losses(
             self._find_task, self._record_tasks, self._give_up, self._isolation, clock, metrics
         )
-        self._relief = Relief(self.links, self._find_task, self._may_stop, clock)
+        self._claims = Claims(self.links, self._find_task, self._runtimes, clock)
+        self._relief = Relief(self.links, self._find_task, self._may_stop, self._claims)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -259,6 +263,7 @@
             runtimes=self._runtimes,
             isolation=self._isolation,
             deferrals=self._deferrals,
+            claims=self._claims,
             advisor=self._advisor,
             clock=clock,
             time_of_day=time_of_day,
@@ -273,6 +278,17 @@
             clock=clock,
             metrics=metrics,
         )
+        self._departures = Departures(
+            self.links,
+            self._find_task,
+            self._may_stop,
+            self._planner.list_candidates,
+            self._claims,
+            clock,
+        )
+        self._preemption = PreemptionControl(
+            self.links, self._find_task, self._claims, self._waits.measure, clock, metrics
+        )
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -309,6 +325,7 @@
             self._stray_orders.check(self._track_stray_order)
             self._follow_former_hosts()
             self._waits.check(self.fence)
+            self._preemption.make_room(self.fence)
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
                 return
@@ -376,6 +393,7 @@
             for step in workflow.steps.values():
                 if (workflow, step) not in self._closed_steps:
                     self._open_step(workflow, step)
+                self._preemption.restore(_list_interrupted_tasks(workflow, step))
         for key in restored.leftovers:
             self.ledger.mark_dirty(key, bytes)
         for key in restored.unreadable:
@@ -505,10 +523,10 @@
             link.set_capacity_current(self._discovery.is_capacity_current(link.entry))
             if link.capacity.is_overcommitted:
                 self._relief.relieve(link, self.fence)
-            if link.cordoned or link.entry.state != "ready":
+            if link.is_departing:
                 if link.expire_cordon(self._now()):
                     self._cordons.end(link.worker)
-                self._evacuate(link)
+                self._departures.evacuate(link, self.fence)
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
@@ -586,37 +604,6 @@
             link.track_stray_run(stray.task, stray.run)
             link.capacity.reserve(stray.task, compute_usage(stray.task, step.spec))
 
-    def _evacuate(self, link: WorkerLink) -> None:
-        """Stops long-running tasks of a departing worker, so that they restart elsewhere.
-
-        A worker that is itself draining stops them anyway. On a cordoned one, no task is stopped
-        while as many tasks of its step are interrupted as the step allows.
-        """
-        leaving = link.entry.state != "ready"
-        for name, order in list(link.orders.items()):
-            found = self._find_task(name)
-            if found is None or not found[1].spec.long_running or order.stopping:
-                continue
-            if not leaving and not self._may_stop(found[1], name):
-                continue
-            self._log_task(
-                name,
-                "stopping task on a departing worker",
-                worker=link.worker,
-                leaving=leaving,
-                drain_seconds=link.entry.drain_seconds,
-                seconds_there=round(self._now() - order.ordered_at, 1),
-                room=summarize_room(
-                    [
-                        other.capacity
-                        for other in self.links.values()
-                        if other.entry.service == link.entry.service
-                    ],
-                    compute_usage(name, found[1].spec),
-                ),
-            )
-            link.stop_task(name)
-
     def _may_stop(self, step: StepState, name: TaskName) -> bool:
         """Returns whether fewer other tasks of the step are interrupted than the step allows."""
         interrupted = sum(
@@ -1180,7 +1167,7 @@
                 await self.ledger.flush()
             except OwnershipLost:
                 return Reply(UNREADY)
-        self._evacuate(link)
+        self._departures.evacuate(link, self.fence)
         return Reply(ACCEPTED, self._demand.describe_worker(link))
 
     async def uncordon(self, worker: str) -> Reply:
@@ -1361,6 +1348,17 @@
         link.abandon_sending(name, order.run)
 
 
+def _list_interrupted_tasks(workflow: WorkflowState, step: StepState) -> list[TaskName]:
+    """Returns the long-running tasks of a step that have run and wait to run again."""
+    if not step.spec.long_running:
+        return []
+    return [
+        TaskName(workflow.identifier, step.occurrence, step.number, index)
+        for index, task in enumerate(step.tasks)
+        if task.run and task.status == WAITING
+    ]
+
+
 def _fits_whole(step: StepState, limit: int) -> bool:
     """Returns whether all tasks of a step fit into one record."""
     return len(step.encode()) <= limit - MAX_KEY_BYTES
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -8,7 +8,6 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from carawayd.partition.holds import Holds
 from carawayd.partition.rejections import Rejections
 from carawayshore.workflows.crashes import needs_isolation
 from carawayshore.workflows.model import TaskName
@@ -24,6 +23,7 @@
     from collections.abc import Iterator
 
     from carawayd.partition.advisor import Advisor
+    from carawayd.partition.claims import Claims
     from carawayd.partition.deferrals import Deferrals, Subject
     from carawayd.partition.isolation import Isolation
     from carawayd.partition.workerlink import WorkerLink
@@ -90,6 +90,7 @@
     runtimes : RuntimeModel
     isolation : Isolation
     deferrals : Deferrals
+    claims : Claims
     advisor : Advisor
     clock : Clock
     time_of_day : SteadyTimeOfDay
@@ -106,6 +107,7 @@
         runtimes: RuntimeModel,
         isolation: Isolation,
         deferrals: Deferrals,
+        claims: Claims,
         advisor: Advisor,
         clock: Clock,
         time_of_day: SteadyTimeOfDay,
@@ -117,11 +119,11 @@
         self._runtimes = runtimes
         self._isolation = isolation
         self._deferrals = deferrals
+        self._claims = claims
         self._advisor = advisor
         self._clock = clock
         self._time_of_day = time_of_day
         self._rejections = Rejections(clock)
-        self._holds = Holds(clock)
         # Requirements for which the present plan has found no worker, and whether one would have
         # been found despite precautions. Room only shrinks while a plan is made.
         self._unplaceable: dict[_Requirement, bool] = {}
@@ -151,9 +153,7 @@
         self._deferrals.expire()
         if self._isolation:
             self._isolation.refresh()
-        for key in self._holds.list_steps():
-            if key not in self._open_steps:
-                self._holds.end(key)
+        self._claims.retain(self._needs_claim)
         ranked = []
         for key, step in self._open_steps.items():
             workflow = self._workflows[key[0]]
@@ -168,16 +168,47 @@
             service = workflow.spec.service
             capacities = capacities_by_service.get(service)
             if capacities is None:
-                capacities = capacities_by_service[service] = [
-                    link.capacity
-                    for link in self._links.values()
-                    if link.entry.service == service and link.capacity.usable
-                ]
+                capacities = capacities_by_service[service] = self._list_usable(service)
             placement = self._place_step(workflow, step, capacities, now, limit)
             if placement is not None:
                 limit -= len(placement.chosen)
                 yield placement
 
+    def _list_usable(self, service: str) -> list[WorkerCapacity]:
+        return [
+            link.capacity
+            for link in self._links.values()
+            if link.entry.service == service and link.capacity.usable
+        ]
+
+    def _needs_claim(self, name: TaskName) -> bool:
+        """Returns whether a task waits, or is on a worker that it has to leave."""
+        workflow = self._workflows.get(name.workflow)
+        found = workflow and workflow.find_task(name)
+        if not found or workflow.is_terminal:
+            return False
+        task = found[1]
+        link = self._links.get(task.worker)
+        order = link and link.orders.get(name)
+        return task.status == WAITING or bool(order and (order.stopping or link.is_departing))
+
+    def list_candidates(
+        self, workflow: WorkflowState, step: StepState, name: TaskName
+    ) -> list[WorkerCapacity]:
+        """Returns the workers to which a long-running task that is at work may move."""
+        capacities = self._list_usable(workflow.spec.service)
+        if workflow.spec.advice is not None:
+            tickets = self._advisor.find_tickets(name[:3])
+            self._request_advice(workflow, step, name, capacities, tickets, 1)
+            capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
+        capacities = _exclude(capacities, self._rejections.list_excluded(name))
+        if step.spec.same_rack:
+            usage = compute_usage(name, step.spec)
+            preferred = self._select_rack(step, capacities)
+            if any(capacity.fits(usage) for capacity in preferred):
+                return preferred
+        return capacities
+
     def _rank(self, workflow: WorkflowState, step: StepState, now: float) -> Rank:
         due = self._deadlines.get(workflow.identifier, now)
         due_ms = workflow.spec.due_ms(step.occurrence)
@@ -209,18 +240,23 @@
             return None
         spec = step.spec
         if spec.gang and len(waiting) < len(step.tasks):
+            # The members that have ended keep their room for the next run of all.
+            self._claim_room(key, step, waiting, capacities)
             return None
         if spec.gang:
             limit = len(waiting)
-        if not spec.best_effort and spec.millicores > max(
-            (capacity.free_millicores for capacity in capacities), default=0
+        if (
+            not spec.best_effort
+            and not spec.long_running
+            and spec.millicores
+            > max((capacity.free_millicores for capacity in capacities), default=0)
         ):
-            self._keep_room(key, step, waiting, capacities)
             return None
         tickets: dict[str, str] = {}
         if workflow.spec.advice is not None:
             tickets = self._advisor.find_tickets(key)
-            self._request_advice(workflow, key, capacities, tickets, waiting)
+            name = TaskName(*key, waiting[0])
+            self._request_advice(workflow, step, name, capacities, tickets, len(waiting))
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
         elif self._is_unplaceable(workflow, step):
             return None
@@ -231,13 +267,12 @@
             chosen = []
         if len(chosen) < min(limit, len(waiting)):
             placed = {name.index for _, name in chosen}
-            self._keep_room(key, step, [i for i in waiting if i not in placed], capacities)
-        elif len(chosen) == len(waiting):
-            self._holds.end(key)
+            self._claim_room(key, step, [i for i in waiting if i not in placed], capacities)
         if not chosen:
             return None
         run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
         for capacity, name in chosen:
+            self._claims.end(name)
             self._deferrals.place(name if spec.long_running else name.workflow)
             failures = step.tasks[name.index].failures
             self._rejections.record_placement(name, capacity.entry.worker, failures)
@@ -265,7 +300,7 @@
         has_precautions = len(fallback) > len(preferred) or any(
             capacity.suspect_until > now
             or capacity.reserved_for
-            or (spec.long_running and capacity.held_for)
+            or (spec.long_running and capacity.claims)
             for capacity in fallback
         )
         for index in waiting:
@@ -283,7 +318,11 @@
             isolated = self._find_isolated_subject(step, name)
             if isolated:
                 candidates = self._isolation.select(isolated, spec, usage, candidates)
-            capacity = choose_worker(candidates, spec, usage, now, avoided=avoided)
+            capacity = None
+            if not isolated or self._deferrals.is_over(name):
+                capacity = self._find_claimed(name, candidates)
+            if capacity is None:
+                capacity = choose_worker(candidates, spec, usage, now, avoided=avoided)
             if capacity is None and has_precautions:
                 capacity = self._choose_despite_precautions(spec, name, usage, others, now)
             if capacity is not None:
@@ -297,6 +336,13 @@
                 break
         return chosen
 
+    def _find_claimed(
+        self, name: TaskName, candidates: list[WorkerCapacity]
+    ) -> WorkerCapacity | None:
+        """Returns the worker on which the room that is claimed for a task is free."""
+        capacity = self._claims.find_free(name)
+        return capacity if capacity is not None and capacity in candidates else None
+
     def _find_requirement(self, step: StepState, workflow: str) -> _Requirement | None:
         """Returns what the outcome for one task of a step tells about other steps, or None."""
         state = self._workflows[workflow]
@@ -336,26 +382,29 @@
         self._deferrals.begin(subject)
         return None
 
-    def _keep_room(
+    def _claim_room(
         self,
         key: StepKey,
         step: StepState,
         waiting: list[int],
         capacities: list[WorkerCapacity],
     ) -> None:
-        """Keeps the room of one worker for long-running tasks that wait without room for too long.
+        """Claims room for the waiting tasks of a step, as far as workers can get room for them.
 
         Otherwise short tasks could take each room that comes free, as long as more of them arrive.
         """
-        if not step.spec.long_running or step.spec.best_effort or step.spec.gang:
+        if not step.spec.long_running or step.spec.best_effort:
             return
-        names = [TaskName(*key, index) for index in waiting]
-        for name in names:
-            self._deferrals.begin(name)
-        if not any(self._deferrals.is_over(name) for name in names):
-            return
-        usage = compute_usage(names[0], step.spec)
-        self._holds.keep(key, step.spec, usage, capacities)
+        preferred = self._select_rack(step, capacities) if step.spec.same_rack else capacities
+        for index in waiting:
+            name = TaskName(*key, index)
+            candidates = _exclude(capacities, self._rejections.list_excluded(name))
+            if not (
+                self._claims.keep(name, step.spec, preferred)
+                or self._claims.keep(name, step.spec, candidates)
+            ):
+                # The others need as much.
+                return
 
     def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
         """Returns for what a worker has to be reserved before a task starts, None for nothing.
@@ -371,21 +420,25 @@
     def _request_advice(
         self,
         workflow: WorkflowState,
-        key: StepKey,
+        step: StepState,
+        name: TaskName,
         capacities: list[WorkerCapacity],
         tickets: dict[str, str],
-        waiting: list[int],
+        waiting: int,
     ) -> None:
-        """Requests more tickets while the workers that have one cannot take all waiting tasks."""
-        spec, name, now = self._open_steps[key].spec, TaskName(*key, waiting[0]), self._now()
+        """Requests more tickets while the workers that have one cannot take all waiting tasks.
+
+        ``name`` is one of these tasks, ``waiting`` their number.
+        """
+        spec, now = step.spec, self._now()
         usage, avoided = compute_usage(name, spec), self._rejections.list_avoided(name)
         free = sum(
             count_slots(capacity, spec, usage, now)
             for capacity in capacities
             if capacity.entry.worker in tickets and capacity.entry.worker not in avoided
         )
-        if free < len(waiting):
-            self._advisor.ask(key, capacities, workflow.spec.advice)
+        if free < waiting:
+            self._advisor.ask(name[:3], capacities, workflow.spec.advice)
 
     def _select_rack(
         self, step: StepState, capacities: list[WorkerCapacity]
--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/preemption.py
@@ -0,0 +1,138 @@
+"""Stops short runs for long-running tasks that have waited for room for long enough.
+
+Load pattern: a worker with long-running tasks leaves while all others are full of short tasks, some
+of which run for ten seconds and more. Waiting for these to end would leave the time to the next run
+of a displaced task to the run times of others, which nothing bounds. A stopped short task runs
+again, without counting as failed.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from carawayd.platform.runs import format_task
+from carawayshore.workflows.placement import compute_usage
+from carawayshore.workflows.room import choose_preemption
+from carawayshore.workflows.state import WAITING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from carawayd.partition.claims import Claims
+    from carawayd.partition.workerlink import WorkerLink
+    from carawayd.process.workflowmetrics import WorkflowMetrics
+    from carawayshore.clock import Clock
+    from carawayshore.workflows.model import TaskName
+    from carawayshore.workflows.state import StepState, TaskState, WorkflowState
+
+logger = logging.getLogger(__name__)
+
+# Time without work after which short runs are stopped for a task: half of the 6 s within which a
+# long-running task runs again. The other half is for lost answers and refused orders.
+MAX_ROOM_WAIT_SECONDS = 3.0
+# The same for a task that waited already when the partition was taken over, for a time that is not
+# known. Long enough for the workers to report, so that free room is known.
+RESTORED_ROOM_WAIT_SECONDS = 1.0
+
+
+class PreemptionControl:
+    """Makes room for the waiting long-running tasks of one partition.
+
+    Parameters
+    ----------
+    links : dict
+        Links of the partition owner, which updates them.
+    find_task : callable
+        Returns the workflow, the step and the state of a task, or None.
+    claims : Claims
+    measure_absence : callable
+        Returns for how long a task has not been at work, in seconds.
+    clock : Clock
+    metrics : WorkflowMetrics
+    """
+
+    def __init__(
+        self,
+        links: dict[str, WorkerLink],
+        find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
+        claims: Claims,
+        measure_absence: Callable[[TaskName], float],
+        clock: Clock,
+        metrics: WorkflowMetrics,
+    ) -> None:
+        self._links = links
+        self._find_task = find_task
+        self._claims = claims
+        self._measure_absence = measure_absence
+        self._clock = clock
+        self._metrics = metrics
+        # Tasks that waited at the takeover, and from when on short runs are stopped for them.
+        self._restored: dict[TaskName, float] = {}
+
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def restore(self, names: Iterable[TaskName]) -> None:
+        """Notes tasks that waited when the partition was taken over."""
+        due = self._now() + RESTORED_ROOM_WAIT_SECONDS
+        self._restored |= dict.fromkeys(names, due)
+
+    def make_room(self, epoch: int) -> None:
+        """Stops short runs for the tasks that have waited for too long."""
+        for name in list(self._restored):
+            found = self._find_task(name)
+            if found is None or found[0].is_terminal or found[2].status != WAITING:
+                del self._restored[name]
+        for name in self._claims.list_tasks():
+            if self._claims.find_free(name) is None and self._is_due(name):
+                self._make_room_for(name, epoch)
+
+    def _is_due(self, name: TaskName) -> bool:
+        found = self._find_task(name)
+        if found is None or found[2].status != WAITING:
+            return False
+        return self._measure_absence(
+            name
+        ) > MAX_ROOM_WAIT_SECONDS or self._now() >= self._restored.get(name, float("inf"))
+
+    def _make_room_for(self, name: TaskName, epoch: int) -> None:
+        workflow, step, _ = self._find_task(name)
+        former = self._claims.find(name)
+        self._claims.end(name)
+        preemption = choose_preemption(
+            [
+                link.capacity
+                for link in self._links.values()
+                if link.entry.service == workflow.spec.service
+            ],
+            step.spec,
+            compute_usage(name, step.spec),
+            self._now(),
+            self._claims.list_short_runs,
+        )
+        if preemption is None:
+            self._claims.set(name, step.spec, former)
+            return
+        self._claims.set(name, step.spec, preemption.capacity)
+        if not preemption.runs:
+            return
+        worker = preemption.capacity.entry.worker
+        logger.info(
+            "stopping short runs for a long-running task without room",
+            extra={
+                "fields": {
+                    "task": format_task(name),
+                    "epoch": epoch,
+                    "worker": worker,
+                    "absent_seconds": round(self._measure_absence(name), 1),
+                    "runs": [format_task(run.name) for run in preemption.runs],
+                    "lost_core_seconds": round(
+                        sum(run.lost_core_seconds for run in preemption.runs), 1
+                    ),
+                }
+            },
+        )
+        self._metrics.preempted_runs.labels(workflow.spec.service).inc(len(preemption.runs))
+        for run in preemption.runs:
+            self._links[worker].stop_task(run.name)
--- a/packages/carawayd/src/carawayd/partition/relief.py
+++ b/packages/carawayd/src/carawayd/partition/relief.py
@@ -10,15 +10,16 @@
 import logging
 from typing import TYPE_CHECKING
 
+from carawayd.partition.claims import SECURED
 from carawayd.platform.runs import format_task
-from carawayshore.workflows.placement import choose_worker, compute_usage, rank_relief
+from carawayshore.workflows.placement import rank_relief
 from carawayshore.workflows.state import WAITING
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from carawayd.partition.claims import Claims
     from carawayd.partition.workerlink import WorkerLink
-    from carawayshore.clock import Clock
     from carawayshore.workflows.model import TaskName
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
@@ -36,7 +37,8 @@
         Returns the workflow, the step and the state of a task, or None.
     may_stop : callable
         Returns whether the limit of the step allows a further interrupted task.
-    clock : Clock
+    claims : Claims
+        Reserves the place of a task that is stopped.
     """
 
     def __init__(
@@ -44,12 +46,12 @@
         links: dict[str, WorkerLink],
         find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
         may_stop: Callable[[StepState, TaskName], bool],
-        clock: Clock,
+        claims: Claims,
     ) -> None:
         self._links = links
         self._find_task = find_task
         self._may_stop = may_stop
-        self._clock = clock
+        self._claims = claims
         # Task that was stopped last, by service.
         self._moved: dict[str, TaskName] = {}
 
@@ -62,7 +64,6 @@
         service = link.entry.service
         if self._is_moving(service) or any(order.stopping for order in link.orders.values()):
             return
-        now = self._clock.elapsed().total_seconds()
         others = [
             other.capacity
             for other in self._links.values()
@@ -72,8 +73,7 @@
             found = self._find_task(name)
             if found is None or name not in link.orders or not self._may_stop(found[1], name):
                 continue
-            step = found[1].spec
-            if choose_worker(others, step, compute_usage(name, step), now) is None:
+            if self._claims.secure(name, found[1].spec, others, wait=False) != SECURED:
                 continue
             logger.info(
                 "stopping task on a worker whose capacity has shrunk",
--- a/packages/carawayd/src/carawayd/partition/waits.py
+++ b/packages/carawayd/src/carawayd/partition/waits.py
@@ -104,6 +104,11 @@
             self._metrics.long_running_absent.labels(service).set(counts[service])
             self._metrics.long_running_longest_wait.labels(service).set(longest.get(service, 0.0))
 
+    def measure(self, name: TaskName) -> float:
+        """Returns for how long a task has not been at work in seconds, 0 if it is at work."""
+        since = self._since.get(name)
+        return 0.0 if since is None else self._now() - since
+
     def clear(self) -> None:
         """Resets the metrics, once the partition is no longer owned here."""
         for service in self._list_services():
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -259,6 +259,8 @@
         # Whether the entry is recent enough to place tasks by its capacity.
         self.is_capacity_current = True
         self.cordoned = False
+        # Time at which the worker may end, in seconds of the local clock, once it drains.
+        self.leaves_at = 0.0
         self._cordoned_until = 0.0
         self._owner = owner
         self._runs = runs
@@ -290,6 +292,7 @@
         self._failing_since = 0.0
         self._max_lease_expiry_ms = 0
         self.throttle_percent = 100
+        self._note_departure(entry)
         self._update_capacity()
 
     def _now(self) -> float:
@@ -322,11 +325,23 @@
         """Sets the worker's entry in the worker list; None if it is no longer listed."""
         self.listed = entry is not None
         if entry is not None:
+            self._note_departure(entry)
             self.entry = entry
             self.capacity.resize(entry)
         self._update_capacity()
         self._wake.set()
 
+    def _note_departure(self, entry: WorkerEntry) -> None:
+        if entry.state == "ready":
+            self.leaves_at = 0.0
+        elif self.entry.state == "ready" or not self.leaves_at:
+            self.leaves_at = self._now() + entry.drain_seconds
+
+    @property
+    def is_departing(self) -> bool:
+        """Whether the worker leaves, or is taken out of service."""
+        return self.cordoned or self.entry.state != "ready"
+
     def _update_capacity(self) -> None:
         self.capacity.expected = (
             self.listed
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -25,6 +25,9 @@
             "caraway_start_orders", "Start orders.", "service", "outcome"
         )
         self.ends = self._add_counter("caraway_run_ends", "Ends of runs.", "service", "kind")
+        self.preempted_runs = self._add_counter(
+            "caraway_preempted_runs", "Short runs stopped for long-running tasks.", "service"
+        )
         self.worker_losses = self._add_counter(
             "caraway_worker_losses", "Workers that were lost with runs.", "service", "how"
         )
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -3,9 +3,8 @@
 Load pattern: many small tasks beside a few wide steps of large tasks, on workers of which some fail
 every task, hang or disappear, in pools that shrink while their queue is quiet. Tasks are packed
 on the fullest workers, so that idle workers can leave the pool. A suspected worker gets no tasks
-for some time, and a task that failed is retried on another worker. A large long-running task that
-small ones would keep from starting for ever, since they take whatever becomes free, gets a worker
-on which no others start until it has room.
+for some time, and a task that failed is retried on another worker. Room that is claimed for a
+long-running task is not used by others (see ``room``).
 """
 
 from __future__ import annotations
@@ -76,8 +75,30 @@
     )
 
 
+class Amounts(NamedTuple):
+    """Processors in millicores, memory in MB, and accelerators."""
+
+    millicores: int
+    memory_mb: int
+    accelerators: int
+
+    def add(self, usage: Usage, sign: int = 1) -> Amounts:
+        """Returns the sum with the resources of a run, or the difference if ``sign`` is -1."""
+        return Amounts(
+            self.millicores + sign * usage.millicores,
+            self.memory_mb + sign * usage.memory_mb,
+            self.accelerators + sign * usage.accelerators,
+        )
+
+
+NOTHING = Amounts(0, 0, 0)
+
+
 class WorkerCapacity:
-    """Capacity of one worker, reserved by the runs that were ordered there and have not ended."""
+    """Capacity of one worker, reserved by the runs that were ordered there and have not ended.
+
+    Room that others use may be claimed, too, for tasks that are to start once it is free.
+    """
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
@@ -97,8 +118,11 @@
         self.suspect_until = 0.0
         # Workflow whose tasks alone may be placed on the worker, empty for any.
         self.reserved_for = ""
-        # Step of the task for which the worker's room is kept, None for none.
-        self.held_for: tuple[str, int, int] | None = None
+        # Room that is kept for long-running tasks that have not started here. That of secured tasks
+        # is free already, and is not used by other claims either.
+        self.claims: dict[TaskName, Usage] = {}
+        self.secured: set[TaskName] = set()
+        self._claimed = self._secured = self._long_running = NOTHING
         # Entry of this start of the worker that told the most processors.
         self._largest_entry = entry
 
@@ -124,10 +148,44 @@
             del self.groups[usage.group]
         self.serving += sign * usage.serving
         self.best_effort += sign * usage.best_effort
+        if usage.long_running:
+            self._long_running = self._long_running.add(usage, sign)
+
+    def claim(self, name: TaskName, usage: Usage) -> None:
+        """Keeps room for a task, also while others still use it."""
+        self.release_claim(name)
+        self.claims[name] = usage
+        self._claimed = self._claimed.add(usage)
+
+    def secure_claim(self, name: TaskName) -> None:
+        """Notes that claimed room is free, so that no other claim uses it."""
+        if name not in self.secured:
+            self.secured.add(name)
+            self._secured = self._secured.add(self.claims[name])
+
+    def release_claim(self, name: TaskName) -> None:
+        """Ends the claim of a task, if it has one."""
+        usage = self.claims.pop(name, None)
+        if usage is None:
+            return
+        self._claimed = self._claimed.add(usage, -1)
+        if name in self.secured:
+            self.secured.discard(name)
+            self._secured = self._secured.add(usage, -1)
+
+    def count_group(self, group: tuple[str, int, int]) -> int:
+        """Returns how many tasks of a step run here or are to start here."""
+        claimed = sum(usage.group == group for usage in self.claims.values())
+        return self.groups.get(group, 0) + claimed
 
     @property
     def free_millicores(self) -> int:
-        return self.entry.millicores - self.millicores
+        """Processors that are neither reserved nor claimed."""
+        return self.entry.millicores - self.millicores - self._claimed.millicores
+
+    @property
+    def claimed_millicores(self) -> int:
+        return self._claimed.millicores
 
     @property
     def is_overcommitted(self) -> bool:
@@ -139,21 +197,45 @@
         )
 
     def fits(self, usage: Usage) -> bool:
-        """Returns whether a run fits into the free capacity."""
+        """Returns whether a run fits into the capacity that is neither reserved nor claimed."""
+        return self._fits_beside(usage, self._claimed)
+
+    def fits_despite_claims(self, usage: Usage) -> bool:
+        """Returns whether a run fits if it may use claimed room that is not secured."""
+        return self._fits_beside(usage, self._secured)
+
+    def _fits_beside(self, usage: Usage, kept: Amounts) -> bool:
+        entry = self.entry
         return (
-            usage.millicores <= self.free_millicores
-            and usage.memory_mb <= self.entry.memory_mb - self.memory_mb
-            and usage.accelerators <= self.entry.accelerators - self.accelerators
+            usage.millicores + self.millicores + kept.millicores <= entry.millicores
+            and usage.memory_mb + self.memory_mb + kept.memory_mb <= entry.memory_mb
+            and usage.accelerators + self.accelerators + kept.accelerators <= entry.accelerators
+        )
+
+    def has_claimed_room(self, name: TaskName) -> bool:
+        """Returns whether the room that is claimed for a task is free."""
+        return name in self.secured or self.fits_despite_claims(self.claims[name])
+
+    def measure_shortage(self, usage: Usage) -> Amounts:
+        """Returns what has to be freed until a run fits beside the others and the claims.
+
+        Amounts of which enough is free are negative or 0.
+        """
+        entry, kept = self.entry, self._claimed
+        return Amounts(
+            usage.millicores + self.millicores + kept.millicores - entry.millicores,
+            usage.memory_mb + self.memory_mb + kept.memory_mb - entry.memory_mb,
+            usage.accelerators + self.accelerators + kept.accelerators - entry.accelerators,
         )
 
     def fits_beside_long_running(self, usage: Usage) -> bool:
-        """Returns whether a run fits once the short runs there have ended."""
-        others = [other for other in self.usages.values() if other.long_running]
+        """Returns whether a run fits beside the claims once the short runs there have ended."""
+        entry, others, claimed = self.entry, self._long_running, self._claimed
         return (
-            usage.millicores + sum(other.millicores for other in others) <= self.entry.millicores
-            and usage.memory_mb + sum(other.memory_mb for other in others) <= self.entry.memory_mb
-            and usage.accelerators + sum(other.accelerators for other in others)
-            <= self.entry.accelerators
+            usage.millicores + others.millicores + claimed.millicores <= entry.millicores
+            and usage.memory_mb + others.memory_mb + claimed.memory_mb <= entry.memory_mb
+            and usage.accelerators + others.accelerators + claimed.accelerators
+            <= entry.accelerators
         )
 
     def could_fit(self, step: StepSpec) -> bool:
@@ -192,13 +274,13 @@
     """
     if not capacity.usable:
         return UNUSABLE
-    if not capacity.fits(usage):
+    if not capacity.fits_despite_claims(usage):
         return NO_ROOM
     if step.label and step.label not in capacity.entry.labels:
         return NO_LABEL
-    if step.most_per_worker and capacity.groups.get(usage.group, 0) >= step.most_per_worker:
+    if step.most_per_worker and capacity.count_group(usage.group) >= step.most_per_worker:
         return STEP_LIMIT
-    if capacity.held_for not in (None, usage.group):
+    if not capacity.fits(usage):
         return HELD
     if capacity.suspect_until > now:
         return SUSPECTED
@@ -257,7 +339,7 @@
     """Returns what a task that waits for room has to wait for, for the log.
 
     Counts the usable workers on which it fits now, and those on which it fits once their short runs
-    have ended; lists the workers that are kept for tasks, with their free processors.
+    have ended; lists the workers with claims, with their number and the millicores that are left.
     """
     usable = [capacity for capacity in capacities if capacity.usable]
     return {
@@ -265,10 +347,10 @@
         "fit_without_short_runs": sum(
             capacity.fits_beside_long_running(usage) for capacity in usable
         ),
-        "held": {
-            capacity.entry.worker: capacity.free_millicores
+        "claimed": {
+            capacity.entry.worker: [len(capacity.claims), capacity.free_millicores]
             for capacity in usable
-            if capacity.held_for is not None
+            if capacity.claims
         },
     }
 
@@ -279,39 +361,10 @@
         return 0
     slots = capacity.free_millicores // max(1, usage.millicores)
     if step.most_per_worker:
-        slots = min(slots, step.most_per_worker - capacity.groups.get(usage.group, 0))
+        slots = min(slots, step.most_per_worker - capacity.count_group(usage.group))
     return slots
 
 
-def choose_worker_to_hold(
-    capacities: Iterable[WorkerCapacity], step: StepSpec, usage: Usage
-) -> WorkerCapacity | None:
-    """Returns the worker on which a long-running task gets room soonest, None if on none.
-
-    That is one where it fits beside the other long-running tasks, and where the least has to end.
-    """
-    candidates = [
-        capacity
-        for capacity in capacities
-        if capacity.usable
-        and capacity.held_for in (None, usage.group)
-        and not capacity.reserved_for
-        and (not step.label or step.label in capacity.entry.labels)
-        and not (
-            step.most_per_worker and capacity.groups.get(usage.group, 0) >= step.most_per_worker
-        )
-        and capacity.fits_beside_long_running(usage)
-    ]
-    return min(
-        candidates,
-        key=lambda capacity: (
-            capacity.held_for is None,
-            usage.millicores - capacity.free_millicores,
-        ),
-        default=None,
-    )
-
-
 def rank_relief(capacity: WorkerCapacity) -> list[TaskName]:
     """Returns the long-running tasks to move off a worker that has shrunk, in order.
 
