Room for displaced tasks: only where they may start, kept where it grows, and at a bounded cost

Change: claims and preemption use the workers on which the task may start (tickets, refusals, racks); a claim stays while its worker can get room; claims of a gang end together; claims of best-effort tasks cover memory only; nothing is stopped for a place while the store is stalled; short runs are also stopped for tasks that have never run or can't leave a cordoned worker within 6 s; runs are listed once for 50 ms, and 16 claims are made a plan. The plan benchmark has runs on its links.

--- a/benchmarks/owner_plan.py
+++ b/benchmarks/owner_plan.py
@@ -3,7 +3,7 @@
 Load pattern: a service of the deployment two years out (8,000 workers in 54 pools) is in its burst,
 so each plan looks at every waiting step and finds room for none. Some workers are suspected or
 reserved, which makes the planner ask a second time whether precautions alone keep a task waiting,
-and a large long-running task has a worker kept for it.
+and large long-running tasks have room claimed for them.
 """
 
 from __future__ import annotations
@@ -88,13 +88,21 @@
     links = {}
     for number in range(WORKERS):
         capacity = _build_capacity(number, number < excluded_share * WORKERS)
+        orders = dict.fromkeys(
+            capacity.usages, SimpleNamespace(ordered_at=0.0, progress_percent=0, stopping=False)
+        )
         links[capacity.entry.worker] = SimpleNamespace(
-            entry=capacity.entry, capacity=capacity, orders={}
+            worker=capacity.entry.worker,
+            entry=capacity.entry,
+            capacity=capacity,
+            orders=orders,
+            unordered_runs={},
         )
     short = StepSpec(count=TASKS_PER_STEP, millicores=2_000, memory_mb=100)
     large = StepSpec(count=2, millicores=16_000, memory_mb=100, long_running=True)
     states = [_build_workflow(number, short) for number in range(WAITING_STEPS)]
     states.append(_build_workflow(WAITING_STEPS, large))
+    running = (states[0], states[0].steps[0, 0], None)
     workflows = {state.identifier: state for state in states}
     open_steps = {(state.identifier, 0, 0): state.steps[0, 0] for state in states}
     deferrals, runtimes = Deferrals(clock), RuntimeModel()
@@ -106,7 +114,7 @@
         runtimes=runtimes,
         isolation=Isolation(links, deferrals, clock),
         deferrals=deferrals,
-        claims=Claims(links, lambda _: None, runtimes, clock),
+        claims=Claims(links, lambda _: running, runtimes, clock),
         advisor=Advisor(None, clock, lambda: None),
         clock=clock,
         time_of_day=SteadyTimeOfDay(clock),
--- a/packages/carawayd/src/carawayd/partition/claims.py
+++ b/packages/carawayd/src/carawayd/partition/claims.py
@@ -10,10 +10,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.placement import choose_worker, compute_usage
-from carawayshore.workflows.room import ShortRun, choose_worker_to_claim
+from carawayshore.workflows.room import ShortRun, choose_worker_to_claim, may_claim
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
@@ -22,8 +22,10 @@
     from carawayshore.workflows.runtimes import RuntimeModel
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
-# Time after which a claim whose room has not come free is tried on another worker.
-RECLAIM_SECONDS = 3.0
+# Maximum number of claims that one plan makes or moves: each looks at all workers of the service.
+MAX_NEW_CLAIMS_PER_PLAN = 16
+# Age up to which the estimates for the runs of a worker are used again.
+MAX_ESTIMATE_AGE_SECONDS = 0.05
 # Time in which a run that is being stopped ends, with the report of it.
 STOP_SECONDS = 0.3
 
@@ -31,12 +33,20 @@
 
 
 class _Claim(NamedTuple):
-    """Worker on which room is claimed, and the time of the claim in seconds of the clock."""
+    """Worker on which room is claimed, and the time since which the task has had a claim."""
 
     capacity: WorkerCapacity
     since: float
 
 
+class _Estimate(NamedTuple):
+    """Short runs of a worker, with the time and the version of its runs when they were listed."""
+
+    at: float
+    version: int
+    runs: list[ShortRun]
+
+
 class Claims:
     """Claims of the long-running tasks of one partition.
 
@@ -63,6 +73,8 @@
         self._runtimes = runtimes
         self._clock = clock
         self._claims: dict[TaskName, _Claim] = {}
+        self._new_claims_left = MAX_NEW_CLAIMS_PER_PLAN
+        self._estimates: dict[str, _Estimate] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -73,6 +85,11 @@
     def list_tasks(self) -> list[TaskName]:
         return list(self._claims)
 
+    @property
+    def is_limit_reached(self) -> bool:
+        """Whether no further claims are made until the next plan."""
+        return self._new_claims_left <= 0
+
     def find(self, name: TaskName) -> WorkerCapacity | None:
         """Returns the worker on which room is claimed for a task."""
         claim = self._claims.get(name)
@@ -85,12 +102,29 @@
             return capacity
         return None
 
+    def measure_age(self, name: TaskName) -> float:
+        """Returns for how long a task has had claims in seconds, 0 if it has none."""
+        claim = self._claims.get(name)
+        return 0.0 if claim is None else self._now() - claim.since
+
     def set(self, name: TaskName, step: StepSpec, capacity: WorkerCapacity) -> None:
         """Claims room for a task on a worker, instead of the claim that it has."""
+        former = self._claims.get(name)
         self.end(name)
-        self._claims[name] = _Claim(capacity, self._now())
+        self._claims[name] = _Claim(capacity, self._now() if former is None else former.since)
         capacity.claim(name, compute_usage(name, step))
 
+    def describe(self, key: tuple[str, int, int]) -> dict[TaskName, _Claim]:
+        """Returns the claims of a step's tasks, for :meth:`restore`."""
+        return {name: claim for name, claim in self._claims.items() if name[:3] == key}
+
+    def restore(self, step: StepSpec, claims: dict[TaskName, _Claim]) -> None:
+        """Makes claims again that were ended for placements which did not come about."""
+        for name, claim in claims.items():
+            if name not in self._claims:
+                self._claims[name] = claim
+                claim.capacity.claim(name, compute_usage(name, step))
+
     def end(self, name: TaskName) -> None:
         """Ends the claim of a task."""
         claim = self._claims.pop(name, None)
@@ -99,6 +133,9 @@
 
     def retain(self, is_needed: Callable[[TaskName], bool]) -> None:
         """Ends the claims that are not needed, and those on workers that cannot be used."""
+        self._new_claims_left = MAX_NEW_CLAIMS_PER_PLAN
+        for worker in self._estimates.keys() - self._links.keys():
+            del self._estimates[worker]
         now = self._now()
         for name, claim in list(self._claims.items()):
             capacity = claim.capacity
@@ -111,23 +148,49 @@
             ):
                 self.end(name)
 
-    def keep(self, name: TaskName, step: StepSpec, capacities: Iterable[WorkerCapacity]) -> bool:
+    def keep(
+        self,
+        name: TaskName,
+        step: StepSpec,
+        capacities: list[WorkerCapacity],
+        preferred: list[WorkerCapacity] | None = None,
+    ) -> bool:
         """Claims room where it is likely to be free first; returns whether there is a claim.
 
-        A claim whose room takes long to come free may move to another worker.
+        A claim stays as long as its worker can get room, since the room that has come free there
+        would be lost on another one.
+
+        Parameters
+        ----------
+        name, step
+            Task and its step.
+        capacities : list of WorkerCapacity
+            Workers on which the task may start.
+        preferred : list of WorkerCapacity, optional
+            Those of them that a new claim is tried on first.
         """
-        claim = self._claims.get(name)
-        if claim is not None and (
-            name in claim.capacity.secured or self._now() - claim.since < RECLAIM_SECONDS
-        ):
+        former = self._claims.get(name)
+        is_allowed = former is not None and former.capacity in capacities
+        if is_allowed and former.capacity.has_claimed_room(name):
             return True
+        if self.is_limit_reached:
+            return is_allowed
+        now, usage = self._now(), compute_usage(name, step)
+        if former is not None:
+            former.capacity.release_claim(name)
+        if is_allowed and may_claim(former.capacity, step, usage, now):
+            former.capacity.claim(name, usage)
+            return True
+        self._new_claims_left -= 1
+        for candidates in (preferred, capacities):
+            chosen = candidates and choose_worker_to_claim(
+                candidates, step, usage, now, self.list_short_runs
+            )
+            if chosen:
+                self.set(name, step, chosen)
+                return True
         self.end(name)
-        chosen = choose_worker_to_claim(
-            capacities, step, compute_usage(name, step), self._now(), self.list_short_runs
-        )
-        if chosen is not None:
-            self.set(name, step, chosen)
-        return chosen is not None
+        return False
 
     def secure(
         self, name: TaskName, step: StepSpec, capacities: list[WorkerCapacity], *, wait: bool = True
@@ -139,24 +202,35 @@
         free now is reserved.
         """
         capacity = self.find_free(name)
-        if capacity is None:
-            usage = compute_usage(name, step)
-            capacity = choose_worker(capacities, step, usage, self._now())
+        if capacity is None or capacity not in capacities:
+            capacity = choose_worker(capacities, step, compute_usage(name, step), self._now())
             if capacity is not None:
                 self.set(name, step, capacity)
         if capacity is not None:
             capacity.secure_claim(name)
             return SECURED
-        if wait and self.keep(name, step, capacities):
+        if wait and (self.keep(name, step, capacities) or self.is_limit_reached):
             return PENDING
         return IMPOSSIBLE
 
+    def forget_estimate(self, worker: str) -> None:
+        """Notes that runs on a worker are being stopped."""
+        self._estimates.pop(worker, None)
+
     def list_short_runs(self, capacity: WorkerCapacity) -> list[ShortRun]:
         """Returns the runs on a worker that end by themselves or are being stopped."""
         link, now = self._links.get(capacity.entry.worker), self._now()
         if link is None:
             return []
-        runs = []
+        known = self._estimates.get(link.worker)
+        if (
+            known is not None
+            and known.version == capacity.version
+            and now - known.at < MAX_ESTIMATE_AGE_SECONDS
+        ):
+            return known.runs
+        runs: list[ShortRun] = []
+        self._estimates[link.worker] = _Estimate(now, capacity.version, runs)
         for name, usage in capacity.usages.items():
             order = link.orders.get(name)
             if order is None:
--- a/packages/carawayd/src/carawayd/partition/departures.py
+++ b/packages/carawayd/src/carawayd/partition/departures.py
@@ -61,6 +61,8 @@
     list_candidates : callable
         Returns the workers on which a task of a step may be placed.
     claims : Claims
+    may_place : callable
+        Returns whether a task that is stopped could be started again at once.
     clock : Clock
     """
 
@@ -71,6 +73,7 @@
         may_stop: Callable[[StepState, TaskName], bool],
         list_candidates: Callable[[WorkflowState, StepState, TaskName], list[WorkerCapacity]],
         claims: Claims,
+        may_place: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._links = links
@@ -78,6 +81,7 @@
         self._may_stop = may_stop
         self._list_candidates = list_candidates
         self._claims = claims
+        self._may_place = may_place
         self._clock = clock
         self._placeless: dict[TaskName, _Placeless] = {}
 
@@ -99,14 +103,12 @@
             if not leaving and not step.spec.most_away:
                 continue
             candidates = self._list_candidates(workflow, step, name)
-            wait = not step.spec.best_effort
             if not leaving and not self._may_stop(step, name):
                 # Its room comes free while the tasks before it move.
-                if wait:
-                    self._claims.keep(name, step.spec, candidates)
+                self._claims.keep(name, step.spec, candidates)
                 continue
-            outcome = self._claims.secure(name, step.spec, candidates, wait=wait)
-            if outcome == SECURED or self._is_overdue(link, name, outcome):
+            outcome = self._claims.secure(name, step.spec, candidates)
+            if (outcome == SECURED and self._may_place()) or self._is_overdue(link, name, outcome):
                 self._stop(link, name, order, step, outcome, epoch)
 
     def _is_overdue(self, link: WorkerLink, name: TaskName, outcome: str) -> bool:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -245,7 +245,6 @@
             self._find_task, self._record_tasks, self._give_up, self._isolation, clock, metrics
         )
         self._claims = Claims(self.links, self._find_task, self._runtimes, clock)
-        self._relief = Relief(self.links, self._find_task, self._may_stop, self._claims)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
@@ -278,16 +277,30 @@
             clock=clock,
             metrics=metrics,
         )
+        self._relief = Relief(
+            self.links,
+            self._find_task,
+            self._may_stop,
+            self._planner.list_candidates,
+            self._claims,
+        )
         self._departures = Departures(
             self.links,
             self._find_task,
             self._may_stop,
             self._planner.list_candidates,
             self._claims,
+            self._may_place,
             clock,
         )
         self._preemption = PreemptionControl(
-            self.links, self._find_task, self._claims, self._waits.measure, clock, metrics
+            self.links,
+            self._find_task,
+            self._planner.list_candidates,
+            self._claims,
+            self._waits.measure,
+            clock,
+            metrics,
         )
 
     def _now(self) -> float:
@@ -325,12 +338,17 @@
             self._stray_orders.check(self._track_stray_order)
             self._follow_former_hosts()
             self._waits.check(self.fence)
-            self._preemption.make_room(self.fence)
+            if self._may_place():
+                self._preemption.make_room(self.fence)
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
                 return
             await self._clock.sleep(SCAN_INTERVAL)
 
+    def _may_place(self) -> bool:
+        """Returns whether a stopped task could be started again at once."""
+        return self.loaded and not self.ledger.is_stalled and self.may_renew()
+
     def _log_delay(self, scanned_at: float) -> None:
         """Logs that this process was held up, which makes all workers look silent."""
         seconds = self._now() - scanned_at - SCAN_INTERVAL.total_seconds()
@@ -519,6 +537,7 @@
         for worker in self._ended_workers.keys() - entries.keys():
             del self._ended_workers[worker]
         self._open_links_of_unlisted_workers()
+        self._planner.end_needless_claims()
         for link in self.links.values():
             link.set_capacity_current(self._discovery.is_capacity_current(link.entry))
             if link.capacity.is_overcommitted:
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -153,7 +153,7 @@
         self._deferrals.expire()
         if self._isolation:
             self._isolation.refresh()
-        self._claims.retain(self._needs_claim)
+        self.end_needless_claims()
         ranked = []
         for key, step in self._open_steps.items():
             workflow = self._workflows[key[0]]
@@ -174,6 +174,10 @@
                 limit -= len(placement.chosen)
                 yield placement
 
+    def end_needless_claims(self) -> None:
+        """Ends the claims of tasks that need none, and those on workers that cannot be used."""
+        self._claims.retain(self._needs_claim)
+
     def _list_usable(self, service: str) -> list[WorkerCapacity]:
         return [
             link.capacity
@@ -201,7 +205,9 @@
             tickets = self._advisor.find_tickets(name[:3])
             self._request_advice(workflow, step, name, capacities, tickets, 1)
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
-        capacities = _exclude(capacities, self._rejections.list_excluded(name))
+        capacities = _exclude(capacities, self._rejections.list_avoided(name)) or _exclude(
+            capacities, self._rejections.list_excluded(name)
+        )
         if step.spec.same_rack:
             usage = compute_usage(name, step.spec)
             preferred = self._select_rack(step, capacities)
@@ -260,10 +266,12 @@
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
         elif self._is_unplaceable(workflow, step):
             return None
+        claims = self._claims.describe(key) if spec.gang else {}
         chosen = self._choose_workers(step, key, waiting, capacities, now, limit)
         if spec.gang and len(chosen) < len(waiting):
             for capacity, name in chosen:
                 capacity.release(name)
+            self._claims.restore(spec, claims)
             chosen = []
         if len(chosen) < min(limit, len(waiting)):
             placed = {name.index for _, name in chosen}
@@ -272,7 +280,6 @@
             return None
         run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
         for capacity, name in chosen:
-            self._claims.end(name)
             self._deferrals.place(name if spec.long_running else name.workflow)
             failures = step.tasks[name.index].failures
             self._rejections.record_placement(name, capacity.entry.worker, failures)
@@ -303,7 +310,7 @@
             or (spec.long_running and capacity.claims)
             for capacity in fallback
         )
-        for index in waiting:
+        for index in self._order_waiting(step, key, waiting):
             if len(chosen) >= limit:
                 break
             task, name = step.tasks[index], TaskName(*key, index)
@@ -320,28 +327,49 @@
                 candidates = self._isolation.select(isolated, spec, usage, candidates)
             capacity = None
             if not isolated or self._deferrals.is_over(name):
-                capacity = self._find_claimed(name, candidates)
+                capacity = self._find_claimed(spec, name, others)
             if capacity is None:
                 capacity = choose_worker(candidates, spec, usage, now, avoided=avoided)
+            is_kept = False
             if capacity is None and has_precautions:
-                capacity = self._choose_despite_precautions(spec, name, usage, others, now)
+                capacity, is_kept = self._choose_despite_precautions(spec, name, usage, others, now)
             if capacity is not None:
+                # Its room would count twice for the tasks after it.
+                self._claims.end(name)
                 capacity.reserve(name, usage)
                 chosen.append((capacity, name))
-            elif not (isolated or excluded or spec.long_running):
-                if requirement is not None and not avoided:
+            elif not (isolated or excluded):
+                if spec.long_running:
+                    if is_kept or name in self._claims:
+                        continue
+                elif requirement is not None and not avoided:
                     self._unplaceable[requirement] = has_precautions and self._deferrals.is_waiting(
                         name.workflow
                     )
                 break
         return chosen
 
+    def _order_waiting(self, step: StepState, key: StepKey, waiting: list[int]) -> list[int]:
+        """Returns the waiting tasks of a step, those with a claim first.
+
+        If none of the others finds a worker, the rest of a wide step need not be looked at.
+        """
+        if not step.spec.long_running:
+            return waiting
+        claimed = {name.index for name in self._claims.list_tasks() if name[:3] == key}
+        return sorted(waiting, key=lambda index: index not in claimed) if claimed else waiting
+
     def _find_claimed(
-        self, name: TaskName, candidates: list[WorkerCapacity]
+        self, spec: StepSpec, name: TaskName, candidates: list[WorkerCapacity]
     ) -> WorkerCapacity | None:
         """Returns the worker on which the room that is claimed for a task is free."""
         capacity = self._claims.find_free(name)
-        return capacity if capacity is not None and capacity in candidates else None
+        if capacity is None or capacity not in candidates:
+            return None
+        # The count includes the claim itself.
+        is_over = spec.most_per_worker and capacity.count_group(name[:3]) > spec.most_per_worker
+        has_label = not spec.label or spec.label in capacity.entry.labels
+        return capacity if has_label and not is_over else None
 
     def _find_requirement(self, step: StepState, workflow: str) -> _Requirement | None:
         """Returns what the outcome for one task of a step tells about other steps, or None."""
@@ -373,14 +401,17 @@
         usage: Usage,
         capacities: list[WorkerCapacity],
         now: float,
-    ) -> WorkerCapacity | None:
-        """Returns a worker for a task that precautions have kept from starting for too long."""
+    ) -> tuple[WorkerCapacity | None, bool]:
+        """Returns a worker for a task that precautions have kept from starting for too long.
+
+        Also returns whether precautions keep it from a worker on which it could start.
+        """
         subject: Subject = name if spec.long_running else name.workflow
         capacity = choose_worker(capacities, spec, usage, now, despite_precautions=True)
         if capacity is None or self._deferrals.is_over(subject):
-            return capacity
+            return capacity, False
         self._deferrals.begin(subject)
-        return None
+        return None, True
 
     def _claim_room(
         self,
@@ -393,18 +424,24 @@
 
         Otherwise short tasks could take each room that comes free, as long as more of them arrive.
         """
-        if not step.spec.long_running or step.spec.best_effort:
+        if not step.spec.long_running:
             return
         preferred = self._select_rack(step, capacities) if step.spec.same_rack else capacities
-        for index in waiting:
-            name = TaskName(*key, index)
+        names = [TaskName(*key, index) for index in self._order_waiting(step, key, waiting)]
+        for name in names:
+            self._deferrals.begin(name)
+            avoided = self._rejections.list_avoided(name)
             candidates = _exclude(capacities, self._rejections.list_excluded(name))
-            if not (
-                self._claims.keep(name, step.spec, preferred)
-                or self._claims.keep(name, step.spec, candidates)
-            ):
-                # The others need as much.
+            if self._claims.keep(name, step.spec, candidates, _exclude(preferred, avoided)):
+                continue
+            if self._claims.is_limit_reached:
                 return
+            if step.spec.gang:
+                # Room for some of its members is of no use.
+                for member in names:
+                    self._claims.end(member)
+            # The others need as much.
+            return
 
     def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
         """Returns for what a worker has to be reserved before a task starts, None for nothing.
--- a/packages/carawayd/src/carawayd/partition/preemption.py
+++ b/packages/carawayd/src/carawayd/partition/preemption.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from carawayd.platform.runs import format_task
@@ -24,6 +25,7 @@
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import TaskName
+    from carawayshore.workflows.placement import WorkerCapacity
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
 logger = logging.getLogger(__name__)
@@ -34,6 +36,10 @@
 # The same for a task that waited already when the partition was taken over, for a time that is not
 # known. Long enough for the workers to report, so that free room is known.
 RESTORED_ROOM_WAIT_SECONDS = 1.0
+# The same for a task that has never run, or is still at work on a worker that it has to leave.
+MAX_MOVE_WAIT_SECONDS = 6.0
+# Maximum number of tasks for which one check makes room: each looks at all workers of the service.
+MAX_TASKS_PER_CHECK = 16
 
 
 class PreemptionControl:
@@ -45,6 +51,8 @@
         Links of the partition owner, which updates them.
     find_task : callable
         Returns the workflow, the step and the state of a task, or None.
+    list_candidates : callable
+        Returns the workers on which a task of a step may be placed.
     claims : Claims
     measure_absence : callable
         Returns for how long a task has not been at work, in seconds.
@@ -56,6 +64,7 @@
         self,
         links: dict[str, WorkerLink],
         find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
+        list_candidates: Callable[[WorkflowState, StepState, TaskName], list[WorkerCapacity]],
         claims: Claims,
         measure_absence: Callable[[TaskName], float],
         clock: Clock,
@@ -63,6 +72,7 @@
     ) -> None:
         self._links = links
         self._find_task = find_task
+        self._list_candidates = list_candidates
         self._claims = claims
         self._measure_absence = measure_absence
         self._clock = clock
@@ -84,28 +94,47 @@
             found = self._find_task(name)
             if found is None or found[0].is_terminal or found[2].status != WAITING:
                 del self._restored[name]
+        count = 0
         for name in self._claims.list_tasks():
-            if self._claims.find_free(name) is None and self._is_due(name):
+            if count >= MAX_TASKS_PER_CHECK:
+                return
+            if (
+                self._claims.find_free(name) is None
+                and self._is_due(name)
+                and not self._is_making_room(name)
+            ):
+                count += 1
                 self._make_room_for(name, epoch)
 
     def _is_due(self, name: TaskName) -> bool:
         found = self._find_task(name)
-        if found is None or found[2].status != WAITING:
+        if found is None:
             return False
-        return self._measure_absence(
-            name
-        ) > MAX_ROOM_WAIT_SECONDS or self._now() >= self._restored.get(name, float("inf"))
+        task = found[2]
+        if task.status != WAITING:
+            return self._claims.measure_age(name) > MAX_MOVE_WAIT_SECONDS
+        absence = self._measure_absence(name)
+        if not task.run:
+            return absence > MAX_MOVE_WAIT_SECONDS
+        return absence > MAX_ROOM_WAIT_SECONDS or self._now() >= self._restored.get(name, math.inf)
+
+    def _is_making_room(self, name: TaskName) -> bool:
+        """Returns whether the runs that are being stopped leave the claimed room for a task."""
+        capacity = self._claims.find(name)
+        usage = capacity.claims[name]
+        # The claim itself counts among those on the worker.
+        shortage = capacity.measure_shortage(usage).add(usage, -1)
+        for run in self._claims.list_short_runs(capacity):
+            if run.is_stopping:
+                shortage = shortage.add(run.usage, -1)
+        return max(shortage) <= 0
 
     def _make_room_for(self, name: TaskName, epoch: int) -> None:
         workflow, step, _ = self._find_task(name)
         former = self._claims.find(name)
-        self._claims.end(name)
+        former.release_claim(name)
         preemption = choose_preemption(
-            [
-                link.capacity
-                for link in self._links.values()
-                if link.entry.service == workflow.spec.service
-            ],
+            self._list_candidates(workflow, step, name),
             step.spec,
             compute_usage(name, step.spec),
             self._now(),
@@ -136,3 +165,4 @@
         self._metrics.preempted_runs.labels(workflow.spec.service).inc(len(preemption.runs))
         for run in preemption.runs:
             self._links[worker].stop_task(run.name)
+        self._claims.forget_estimate(worker)
--- a/packages/carawayd/src/carawayd/partition/relief.py
+++ b/packages/carawayd/src/carawayd/partition/relief.py
@@ -21,6 +21,7 @@
     from carawayd.partition.claims import Claims
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.workflows.model import TaskName
+    from carawayshore.workflows.placement import WorkerCapacity
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
 logger = logging.getLogger(__name__)
@@ -37,6 +38,8 @@
         Returns the workflow, the step and the state of a task, or None.
     may_stop : callable
         Returns whether the limit of the step allows a further interrupted task.
+    list_candidates : callable
+        Returns the workers on which a task of a step may be placed.
     claims : Claims
         Reserves the place of a task that is stopped.
     """
@@ -46,11 +49,13 @@
         links: dict[str, WorkerLink],
         find_task: Callable[[TaskName], tuple[WorkflowState, StepState, TaskState] | None],
         may_stop: Callable[[StepState, TaskName], bool],
+        list_candidates: Callable[[WorkflowState, StepState, TaskName], list[WorkerCapacity]],
         claims: Claims,
     ) -> None:
         self._links = links
         self._find_task = find_task
         self._may_stop = may_stop
+        self._list_candidates = list_candidates
         self._claims = claims
         # Task that was stopped last, by service.
         self._moved: dict[str, TaskName] = {}
@@ -64,16 +69,17 @@
         service = link.entry.service
         if self._is_moving(service) or any(order.stopping for order in link.orders.values()):
             return
-        others = [
-            other.capacity
-            for other in self._links.values()
-            if other is not link and other.entry.service == service
-        ]
         for name in rank_relief(link.capacity):
             found = self._find_task(name)
             if found is None or name not in link.orders or not self._may_stop(found[1], name):
                 continue
-            if self._claims.secure(name, found[1].spec, others, wait=False) != SECURED:
+            workflow, step, _ = found
+            others = [
+                capacity
+                for capacity in self._list_candidates(workflow, step, name)
+                if capacity is not link.capacity
+            ]
+            if self._claims.secure(name, step.spec, others, wait=False) != SECURED:
                 continue
             logger.info(
                 "stopping task on a worker whose capacity has shrunk",
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from mode import Service
@@ -31,6 +32,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Age that the entry of a draining worker may have when a new owner reads it; workers write theirs
+# about every 1.5 s.
+MAX_FIRST_ENTRY_AGE_SECONDS = 2.0
 # Longer than a handover of the partition to another owner, which takes about two seconds.
 LEASE_MS = 4_000
 # Time after which a worker no longer executes a start order.
@@ -259,8 +263,9 @@
         # Whether the entry is recent enough to place tasks by its capacity.
         self.is_capacity_current = True
         self.cordoned = False
-        # Time at which the worker may end, in seconds of the local clock, once it drains.
-        self.leaves_at = 0.0
+        # Time from which the worker may end, in seconds of the local clock; endless unless it
+        # drains.
+        self.leaves_at = math.inf
         self._cordoned_until = 0.0
         self._owner = owner
         self._runs = runs
@@ -332,10 +337,14 @@
         self._wake.set()
 
     def _note_departure(self, entry: WorkerEntry) -> None:
+        leaves_at = self._now() + entry.drain_seconds
         if entry.state == "ready":
-            self.leaves_at = 0.0
-        elif self.entry.state == "ready" or not self.leaves_at:
-            self.leaves_at = self._now() + entry.drain_seconds
+            self.leaves_at = math.inf
+        elif self.entry is entry:
+            # The entry was written before this process began to follow it.
+            self.leaves_at = leaves_at - MAX_FIRST_ENTRY_AGE_SECONDS
+        else:
+            self.leaves_at = min(self.leaves_at, leaves_at)
 
     @property
     def is_departing(self) -> bool:
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -94,6 +94,17 @@
 NOTHING = Amounts(0, 0, 0)
 
 
+def _select_needed(kept: Amounts, usage: Usage) -> Amounts:
+    """Returns the kept amounts of those resources that a run needs itself."""
+    if usage.millicores and usage.memory_mb and not kept.accelerators:
+        return kept
+    return Amounts(
+        kept.millicores if usage.millicores else 0,
+        kept.memory_mb if usage.memory_mb else 0,
+        kept.accelerators if usage.accelerators else 0,
+    )
+
+
 class WorkerCapacity:
     """Capacity of one worker, reserved by the runs that were ordered there and have not ended.
 
@@ -114,6 +125,8 @@
         self.groups: dict[tuple[str, int, int], int] = {}
         self.serving = 0
         self.best_effort = 0
+        # Changes with the runs that are reserved.
+        self.version = 0
         self.consecutive_failures = 0
         self.suspect_until = 0.0
         # Workflow whose tasks alone may be placed on the worker, empty for any.
@@ -146,6 +159,7 @@
         self.groups[usage.group] = self.groups.get(usage.group, 0) + sign
         if not self.groups[usage.group]:
             del self.groups[usage.group]
+        self.version += 1
         self.serving += sign * usage.serving
         self.best_effort += sign * usage.best_effort
         if usage.long_running:
@@ -205,7 +219,7 @@
         return self._fits_beside(usage, self._secured)
 
     def _fits_beside(self, usage: Usage, kept: Amounts) -> bool:
-        entry = self.entry
+        entry, kept = self.entry, _select_needed(kept, usage)
         return (
             usage.millicores + self.millicores + kept.millicores <= entry.millicores
             and usage.memory_mb + self.memory_mb + kept.memory_mb <= entry.memory_mb
@@ -214,14 +228,18 @@
 
     def has_claimed_room(self, name: TaskName) -> bool:
         """Returns whether the room that is claimed for a task is free."""
-        return name in self.secured or self.fits_despite_claims(self.claims[name])
+        usage = self.claims[name]
+        if name in self.secured:
+            # The worker may have shrunk, or be found to run more than was known.
+            return self._fits_beside(usage, self._secured.add(usage, -1))
+        return self.fits_despite_claims(usage)
 
     def measure_shortage(self, usage: Usage) -> Amounts:
         """Returns what has to be freed until a run fits beside the others and the claims.
 
         Amounts of which enough is free are negative or 0.
         """
-        entry, kept = self.entry, self._claimed
+        entry, kept = self.entry, _select_needed(self._claimed, usage)
         return Amounts(
             usage.millicores + self.millicores + kept.millicores - entry.millicores,
             usage.memory_mb + self.memory_mb + kept.memory_mb - entry.memory_mb,
@@ -230,7 +248,8 @@
 
     def fits_beside_long_running(self, usage: Usage) -> bool:
         """Returns whether a run fits beside the claims once the short runs there have ended."""
-        entry, others, claimed = self.entry, self._long_running, self._claimed
+        entry, others = self.entry, self._long_running
+        claimed = _select_needed(self._claimed, usage)
         return (
             usage.millicores + others.millicores + claimed.millicores <= entry.millicores
             and usage.memory_mb + others.memory_mb + claimed.memory_mb <= entry.memory_mb
