Unit scenarios on claims and on the choice of runs to stop for room

Cause: workflows/room.py and the claims of WorkerCapacity were played only as a whole, by the scenarios on displaced tasks in virtual time.

--- a/features/workflow_builders.py
+++ b/features/workflow_builders.py
@@ -16,6 +16,7 @@
 )
 from carawayshore.workflows.placement import WorkerCapacity, compute_usage
 from carawayshore.workflows.pools import PoolNeed, PoolView
+from carawayshore.workflows.room import ShortRun
 from carawayshore.workflows.upkeep import UpkeepView
 
 IDENTIFIER = "5c0e7a21d94b36f8"
@@ -72,6 +73,18 @@
     capacity.reserve(name, compute_usage(name, StepSpec(millicores=millicores)))
 
 
+def add_run(capacity: WorkerCapacity, name: TaskName, step: StepSpec) -> None:
+    """Reserves the room of a run on a worker."""
+    capacity.reserve(name, compute_usage(name, step))
+
+
+def build_short_run(
+    name: TaskName, step: StepSpec, *, ends_in: float, lost: float, is_stopping: bool = False
+) -> ShortRun:
+    """Returns a run that ends by itself after some seconds, or is being stopped."""
+    return ShortRun(name, compute_usage(name, step), ends_in, lost, is_stopping)
+
+
 def build_machines(**pools: int) -> list[Machine]:
     """Returns machines of 16 cores that are up, with one worker each."""
     return [
