--- a/features/room_decisions.feature
+++ b/features/room_decisions.feature
@@ -61,6 +61,7 @@
     But a short task of 5 cores does not, since room is held
     When the claim ends
     Then a short task of 12 cores fits on w0
+    But a short task of 13 cores does not, since no room
 
   Scenario: Claims on one worker add up to its capacity and not more
     # Guards against tasks that queue for one worker one after the other, and against two that are
