--- a/packages/carawayd/src/carawayd/partition/preemption.py
+++ b/packages/carawayd/src/carawayd/partition/preemption.py
@@ -36,7 +36,7 @@
 # The same for a task that waited already when the partition was taken over, for a time that is not
 # known. Long enough for the workers to report, so that free room is known.
 RESTORED_ROOM_WAIT_SECONDS = 1.0
-# The same for a task that has never run, or is still at work on a worker that it has to leave.
+# The same for a task that is still at work on a worker that it has to leave.
 MAX_MOVE_WAIT_SECONDS = 6.0
 # Maximum number of tasks for which one check makes room: each looks at all workers of the service.
 MAX_TASKS_PER_CHECK = 16
@@ -110,13 +110,11 @@
         found = self._find_task(name)
         if found is None:
             return False
-        task = found[2]
-        if task.status != WAITING:
+        if found[2].status != WAITING:
             return self._claims.measure_age(name) > MAX_MOVE_WAIT_SECONDS
-        absence = self._measure_absence(name)
-        if not task.run:
-            return absence > MAX_MOVE_WAIT_SECONDS
-        return absence > MAX_ROOM_WAIT_SECONDS or self._now() >= self._restored.get(name, math.inf)
+        return self._measure_absence(
+            name
+        ) > MAX_ROOM_WAIT_SECONDS or self._now() >= self._restored.get(name, math.inf)
 
     def _is_making_room(self, name: TaskName) -> bool:
         """Returns whether the runs that are being stopped leave the claimed room for a task."""
