Claim room for a gang only if all its members can get some

Cause: a gang with more members than one plan makes claims for got some, lost them in a later plan and began again, and short runs could be stopped for members of a gang that never fits (by reading, after the review showed it for small gangs). Change: the members that could be placed are counted first. No scenario for a gang this wide yet.

--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -17,6 +17,7 @@
     compute_usage,
     count_slots,
 )
+from carawayshore.workflows.room import count_claimable
 from carawayshore.workflows.state import ORDERED, WAITING
 
 if TYPE_CHECKING:
@@ -428,21 +429,27 @@
             return
         preferred = self._select_rack(step, capacities) if step.spec.same_rack else capacities
         names = [TaskName(*key, index) for index in self._order_waiting(step, key, waiting)]
+        if step.spec.gang and not self._can_claim_all(step, names, capacities):
+            # Room for some of its members is of no use.
+            for name in names:
+                self._claims.end(name)
+            return
         for name in names:
             self._deferrals.begin(name)
             avoided = self._rejections.list_avoided(name)
             candidates = _exclude(capacities, self._rejections.list_excluded(name))
             if self._claims.keep(name, step.spec, candidates, _exclude(preferred, avoided)):
                 continue
-            if self._claims.is_limit_reached:
-                return
-            if step.spec.gang:
-                # Room for some of its members is of no use.
-                for member in names:
-                    self._claims.end(member)
-            # The others need as much.
+            # The others need as much, or the next plan makes the next claims.
             return
 
+    def _can_claim_all(
+        self, step: StepState, names: list[TaskName], capacities: list[WorkerCapacity]
+    ) -> bool:
+        missing = sum(name not in self._claims for name in names)
+        usage = compute_usage(names[0], step.spec)
+        return missing <= count_claimable(capacities, step.spec, usage, self._now())
+
     def _find_isolated_subject(self, step: StepState, name: TaskName) -> Subject | None:
         """Returns for what a worker has to be reserved before a task starts, None for nothing.
 
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -257,6 +257,20 @@
             <= entry.accelerators
         )
 
+    def count_beside_long_running(self, usage: Usage) -> int:
+        """Returns how many runs fit beside the claims once the short runs have ended."""
+        entry, others, claimed = self.entry, self._long_running, self._claimed
+        counts = [
+            (available - used - kept) // amount
+            for amount, available, used, kept in (
+                (usage.millicores, entry.millicores, others.millicores, claimed.millicores),
+                (usage.memory_mb, entry.memory_mb, others.memory_mb, claimed.memory_mb),
+                (usage.accelerators, entry.accelerators, others.accelerators, claimed.accelerators),
+            )
+            if amount
+        ]
+        return max(0, min(counts, default=0))
+
     def could_fit(self, step: StepSpec) -> bool:
         """Returns whether a task of the step would fit on the worker if it were empty."""
         return _is_large_enough(self.entry, step)
--- a/packages/carawayshore/src/carawayshore/workflows/room.py
+++ b/packages/carawayshore/src/carawayshore/workflows/room.py
@@ -63,6 +63,20 @@
     )
 
 
+def count_claimable(
+    capacities: Iterable[WorkerCapacity], step: StepSpec, usage: Usage, now: float
+) -> int:
+    """Returns how many further tasks of a step get room once the short runs have ended."""
+    total = 0
+    for capacity in capacities:
+        if may_claim(capacity, step, usage, now):
+            count = capacity.count_beside_long_running(usage)
+            if step.most_per_worker:
+                count = min(count, step.most_per_worker - capacity.count_group(usage.group))
+            total += count
+    return total
+
+
 def choose_worker_to_claim(
     capacities: Iterable[WorkerCapacity],
     step: StepSpec,
