Failing scenarios on claims that cannot be used and on secured room of gangs

Cause: a claim whose room is free, but on whose worker a stray run of the same step uses up the limit of tasks per worker, is kept: no room is made elsewhere. A plan that cannot start a whole gang restores its claims without noting that their room was secured, so another task takes it.

Change: one scenario each.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -55,6 +55,16 @@
     Then each task has had a claim for 1.9 s, on one worker
     And all its tasks start within 6 s after their end
 
+  Scenario: The secured room of a gang's member stays secured over plans that cannot start all
+    # Guards against another displaced task that takes the place for which the gang was stopped.
+    Given a pool with 3 workers of 4 cores
+    And short tasks of 1 core fill w1 and w2
+    And a gang of 2 tasks of 4 cores has secured room for task 0 on w0
+    When the gang is displaced
+    And another job of 1 task of 4 cores is displaced
+    Then all its tasks start within 6 s after their end
+    And task 0 starts on w0 within 6 s after its end
+
   Scenario: Secured room that a worker has lost by shrinking is not used, but found elsewhere
     # Guards against more runs than a worker has room for, and against a task that waits for it.
     Given a pool with 2 workers of 12 cores
@@ -66,6 +76,15 @@
     Then task 0 starts within 6 s after its end
     And no worker has more runs than it has room for
 
+  Scenario: A claim does not exceed the limit of tasks per worker
+    # Guards against a claim that is older than a stray run of the same step on its worker.
+    Given a pool with 2 workers of 12 cores
+    And short tasks of 1 core fill w1
+    And a job of 2 tasks of 2 cores, at most 1 per worker, has claimed room for task 0 on w0
+    When a stray run of task 1 is found on w0
+    And task 0 is displaced
+    Then task 0 starts on w1 within 6 s after its end
+
   Scenario: A claim on a worker whose link was replaced is made again on the new one
     # Guards against a claim on a capacity that no placement looks at any more, also of a task whose
     # step is not planned for now.
