Benchmark of claims and preemption with many waiting long-running tasks

Cause: claims and the choice of short runs to stop look at all workers, at a cost that no benchmark measured.

Change: the case capacity-claims measures plans and one PreemptionControl.make_room with 150 workers of 16 short runs and 10, 100 and 500 waiting long-running tasks.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,6 +7,7 @@
 
 from benchmarks import (
     capacity,
+    claims_cost,
     forwarding,
     goodput,
     lending,
@@ -22,6 +23,7 @@
 
 MODULES = (
     capacity,
+    claims_cost,
     forwarding,
     goodput,
     lending,
