Give up claims that a task may not use, and keep the places of gang members secured

Cause: a claim was kept as long as its room was free, although a stray run of the same step used up the limit of tasks per worker, or the worker had lost the label. The planner did not use such a claim and no room was made elsewhere. Claims.restore did not secure the room of a gang's members again.

Change: Claims.keep and Claims.secure check with may_use_claim what the planner checks; restored claims keep their secured room.

--- a/packages/carawayd/src/carawayd/partition/claims.py
+++ b/packages/carawayd/src/carawayd/partition/claims.py
@@ -10,7 +10,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.placement import choose_worker, compute_usage
-from carawayshore.workflows.room import ShortRun, choose_worker_to_claim, may_claim
+from carawayshore.workflows.room import (
+    ShortRun,
+    choose_worker_to_claim,
+    may_claim,
+    may_use_claim,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +42,7 @@
 
     capacity: WorkerCapacity
     since: float
+    is_secured: bool = False
 
 
 class _Estimate(NamedTuple):
@@ -116,7 +122,11 @@
 
     def describe(self, key: tuple[str, int, int]) -> dict[TaskName, _Claim]:
         """Returns the claims of a step's tasks, for :meth:`restore`."""
-        return {name: claim for name, claim in self._claims.items() if name[:3] == key}
+        return {
+            name: claim._replace(is_secured=name in claim.capacity.secured)
+            for name, claim in self._claims.items()
+            if name[:3] == key
+        }
 
     def restore(self, step: StepSpec, claims: dict[TaskName, _Claim]) -> None:
         """Makes claims again that were ended for placements which did not come about."""
@@ -124,6 +134,8 @@
             if name not in self._claims:
                 self._claims[name] = claim
                 claim.capacity.claim(name, compute_usage(name, step))
+                if claim.is_secured:
+                    claim.capacity.secure_claim(name)
 
     def end(self, name: TaskName) -> None:
         """Ends the claim of a task."""
@@ -171,11 +183,15 @@
         """
         former = self._claims.get(name)
         is_allowed = former is not None and former.capacity in capacities
-        if is_allowed and former.capacity.has_claimed_room(name):
+        now, usage = self._now(), compute_usage(name, step)
+        if (
+            is_allowed
+            and former.capacity.has_claimed_room(name)
+            and may_use_claim(former.capacity, step, usage)
+        ):
             return True
         if self.is_limit_reached:
             return is_allowed
-        now, usage = self._now(), compute_usage(name, step)
         if former is not None:
             former.capacity.release_claim(name)
         if is_allowed and may_claim(former.capacity, step, usage, now):
@@ -201,9 +217,14 @@
         and ``IMPOSSIBLE`` if no worker gets room for it. Unless ``wait`` is set, only room that is
         free now is reserved.
         """
+        usage = compute_usage(name, step)
         capacity = self.find_free(name)
-        if capacity is None or capacity not in capacities:
-            capacity = choose_worker(capacities, step, compute_usage(name, step), self._now())
+        if (
+            capacity is None
+            or capacity not in capacities
+            or not may_use_claim(capacity, step, usage)
+        ):
+            capacity = choose_worker(capacities, step, usage, self._now())
             if capacity is not None:
                 self.set(name, step, capacity)
         if capacity is not None:
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -17,6 +17,7 @@
     compute_usage,
     count_slots,
 )
+from carawayshore.workflows.room import may_use_claim
 from carawayshore.workflows.state import ORDERED, WAITING
 
 if TYPE_CHECKING:
@@ -366,10 +367,7 @@
         capacity = self._claims.find_free(name)
         if capacity is None or capacity not in candidates:
             return None
-        # The count includes the claim itself.
-        is_over = spec.most_per_worker and capacity.count_group(name[:3]) > spec.most_per_worker
-        has_label = not spec.label or spec.label in capacity.entry.labels
-        return capacity if has_label and not is_over else None
+        return capacity if may_use_claim(capacity, spec, compute_usage(name, spec)) else None
 
     def _find_requirement(self, step: StepState, workflow: str) -> _Requirement | None:
         """Returns what the outcome for one task of a step tells about other steps, or None."""
--- a/packages/carawayshore/src/carawayshore/workflows/room.py
+++ b/packages/carawayshore/src/carawayshore/workflows/room.py
@@ -63,6 +63,16 @@
     )
 
 
+def may_use_claim(capacity: WorkerCapacity, step: StepSpec, usage: Usage) -> bool:
+    """Returns whether a task may start in the room that it has claimed, once that is free.
+
+    A worker may have lost a label since, or run more tasks of the step than was known.
+    """
+    # The count includes the claim itself.
+    is_over = step.most_per_worker and capacity.count_group(usage.group) > step.most_per_worker
+    return not is_over and (not step.label or step.label in capacity.entry.labels)
+
+
 def choose_worker_to_claim(
     capacities: Iterable[WorkerCapacity],
     step: StepSpec,
