--- a/packages/carawayd/src/carawayd/partition/deferrals.py
+++ b/packages/carawayd/src/carawayd/partition/deferrals.py
@@ -18,8 +18,7 @@
 
 # Longest time for which precautions keep a task from a worker on which it could start: the
 # isolation of a suspected task, the suspicion of a worker, its reservation for another workflow,
-# and the preference for one rack. A long-running task without room waits as long before room is
-# kept for it.
+# and the preference for one rack.
 MAX_DEFERRAL_SECONDS = 2.0
 
 # What waits: the short tasks of a workflow together, or one long-running task.
--- a/packages/carawayd/src/carawayd/partition/departures.py
+++ b/packages/carawayd/src/carawayd/partition/departures.py
@@ -34,13 +34,11 @@
 # Time after which the tasks of a cordoned worker are stopped although no other worker gets room
 # for them: the room of the service would otherwise keep its upkeep from ever beginning.
 MAX_CORDON_WAIT_SECONDS = 3.0
-
-
 # Time after which a task that was not looked at again is no longer on a cordoned worker.
 RECHECK_SECONDS = 1.0
 
 
-class _Placeless(NamedTuple):
+class _Shortage(NamedTuple):
     """Time since which no worker gets room for a task on a cordoned worker, and the last look."""
 
     since: float
@@ -83,7 +81,7 @@
         self._claims = claims
         self._may_place = may_place
         self._clock = clock
-        self._placeless: dict[TaskName, _Placeless] = {}
+        self._shortages: dict[TaskName, _Shortage] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -116,14 +114,14 @@
         now = self._now()
         if link.entry.state != "ready":
             return now >= link.leaves_at - NOTICE_MARGIN_SECONDS
-        for other, item in list(self._placeless.items()):
+        for other, item in list(self._shortages.items()):
             if now - item.checked_at > RECHECK_SECONDS:
-                del self._placeless[other]
-        former = self._placeless.pop(name, _Placeless(now, now))
+                del self._shortages[other]
+        shortage = self._shortages.pop(name, _Shortage(now, now))
         if outcome != IMPOSSIBLE:
             return False
-        self._placeless[name] = former._replace(checked_at=now)
-        return now - former.since > MAX_CORDON_WAIT_SECONDS
+        self._shortages[name] = shortage._replace(checked_at=now)
+        return now - shortage.since > MAX_CORDON_WAIT_SECONDS
 
     def _stop(
         self,
@@ -134,7 +132,7 @@
         outcome: str,
         epoch: int,
     ) -> None:
-        self._placeless.pop(name, None)
+        self._shortages.pop(name, None)
         capacities = [
             other.capacity
             for other in self._links.values()
