--- a/features/displaced_task_scenarios.py
+++ b/features/displaced_task_scenarios.py
@@ -13,6 +13,8 @@
 
     from worker_model import ModelWorker, World
 
+    from carawayshore.workflows.model import TaskName
+
 # Longest work of a short task in the users' deployments.
 SHORT_S = 12.0
 SHORT_CORES = 2
@@ -20,6 +22,9 @@
 JOBS, TASKS, CORES = 3, 4, 4
 # Time in which short tasks have filled all workers.
 FILL_S = 3.0
+# Time after the notice at which its tasks have not been stopped yet.
+BEFORE_STOP_S = 0.8
+SUSPICION_CHECK_S = 0.1
 
 
 def list_hosts_of_long(world: World) -> list[ModelWorker]:
@@ -41,6 +46,17 @@
         yield list_hosts_of_long(world)
 
 
+def list_suspected(world: World) -> list[TaskName]:
+    """Returns the long-running tasks under which the current owner has recorded a crash."""
+    return [
+        name
+        for workflow in world.current.owner.workflows.values()
+        if workflow.is_long_running
+        for name, task in workflow.iterate_ordered_tasks()
+        if task.losses
+    ]
+
+
 def register(text: str, displace: Callable, **step) -> None:
     @scenario(text)
     async def play(world: World) -> None:
@@ -101,3 +117,14 @@
         await asyncio.sleep(FILL_S)
         await submit_long(world, CORES, TASKS)
         await asyncio.sleep(PLAY_S)
+
+
+@scenario("four workers drain at once and the owner is killed before it stops their tasks")
+async def play_lost_owner(world: World) -> None:
+    async with fill_workers(world) as workers:
+        await drain_all(world, workers)
+        await asyncio.sleep(BEFORE_STOP_S)
+        await world.kill_owner()
+        for _ in range(int(PLAY_S / SUSPICION_CHECK_S)):
+            world.suspected.update(list_suspected(world))
+            await asyncio.sleep(SUSPICION_CHECK_S)
--- a/features/displaced_tasks.feature
+++ b/features/displaced_tasks.feature
@@ -22,6 +22,7 @@
       | reason                                                         |
       | four workers drain at once and the owner hands over every 2 s  |
       | four workers drain at once and the owner is killed 1.5 s later |
+      | four workers drain at once and the owner is killed before it stops their tasks |
 
     Examples: Starts
       | reason                                                              |
@@ -39,3 +40,10 @@
       | reason                                                        |
       | four workers are cordoned, and one task of each job may be away |
       | four workers are cordoned, and four tasks of each job may be away |
+
+  # Guards against 2 s of waiting for a worker of its own, after the leases of the former one.
+  Scenario: A departure that a killed owner had seen is not taken for a crash
+    Given 10 workers of 12 cores with long-running tasks
+    When for 30 s or more four workers drain at once and the owner is killed before it stops their tasks
+    Then no long-running task is suspected of a crash
+    And no owner broke a promise while the tasks moved
--- a/features/steps/long_running_steps.py
+++ b/features/steps/long_running_steps.py
@@ -69,6 +69,11 @@
     assert not context.world.violations, context.world.violations
 
 
+@then("no long-running task is suspected of a crash")
+def expect_no_suspicion(context):
+    assert not context.world.suspected, context.world.suspected
+
+
 @then("no long-running task is left on a cordoned worker")
 def expect_evacuated(context):
     world = context.world
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -501,6 +501,8 @@
         self.crashes: Counter[TaskName] = Counter()
         # Number of workers that ended, for whatever cause, while they ran a task.
         self.losses: Counter[TaskName] = Counter()
+        # Tasks that an owner was seen to suspect of a crash.
+        self.suspected: set[TaskName] = set()
         self.has_crashed = asyncio.Event()
         # Runs of other tasks that were lost in these crashes.
         self.lost_runs = 0
