--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -212,12 +212,23 @@
 
     def fits(self, usage: Usage) -> bool:
         """Returns whether a run fits into the capacity that is neither reserved nor claimed."""
+        if not self.claims:
+            return self._fits_beside_runs(usage)
         return self._fits_beside(usage, self._claimed)
 
     def fits_despite_claims(self, usage: Usage) -> bool:
         """Returns whether a run fits if it may use claimed room that is not secured."""
+        if not self.secured:
+            return self._fits_beside_runs(usage)
         return self._fits_beside(usage, self._secured)
 
+    def _fits_beside_runs(self, usage: Usage) -> bool:
+        return (
+            usage.millicores <= self.entry.millicores - self.millicores
+            and usage.memory_mb <= self.entry.memory_mb - self.memory_mb
+            and usage.accelerators <= self.entry.accelerators - self.accelerators
+        )
+
     def _fits_beside(self, usage: Usage, kept: Amounts) -> bool:
         entry, kept = self.entry, _select_needed(kept, usage)
         return (
@@ -313,7 +324,7 @@
         return NO_LABEL
     if step.most_per_worker and capacity.count_group(usage.group) >= step.most_per_worker:
         return STEP_LIMIT
-    if not capacity.fits(usage):
+    if capacity.claims and not capacity.fits(usage):
         return HELD
     if capacity.suspect_until > now:
         return SUSPECTED
