--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -200,7 +200,7 @@
     def list_candidates(
         self, workflow: WorkflowState, step: StepState, name: TaskName
     ) -> list[WorkerCapacity]:
-        """Returns the workers to which a long-running task that is at work may move."""
+        """Returns the workers on which a long-running task may be placed next."""
         capacities = self._list_usable(workflow.spec.service)
         if workflow.spec.advice is not None:
             tickets = self._advisor.find_tickets(name[:3])
