Log and count short tasks that are due and not at work, and workers that stay unused

Change: behaviour unchanged. Each short task that has not been at work for 2 s although a worker has room for it, or although it is ordered, gets a line with the obstacle of each worker, its order, and what the planner and the ledger know of its step; at most 5 lines a look, again when the wait has doubled. Workers that are listed as ready and unusable for 3 s get a line with the reasons. Three metrics. The description of what a task waits for moves from waits.py to waitreasons.py.

--- a/packages/carawayd/src/carawayd/partition/advisor.py
+++ b/packages/carawayd/src/carawayd/partition/advisor.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from carawayd.platform.common import PlatformError
 from carawayd.supervision import start_in_background
@@ -113,6 +113,14 @@
         )
         self._wake()
 
+    def describe(self, key: StepKey) -> dict[str, Any]:
+        """Describes for the log what is known of the workers that a step may use."""
+        return {
+            "tickets": len(self.find_tickets(key)),
+            "denied": len(self._denied.get(key, ())),
+            "asked": key in self._in_progress,
+        }
+
     def forget_ticket(self, key: StepKey, worker: str) -> None:
         """Removes a ticket that a worker has refused."""
         self._tickets.get(key, {}).pop(worker, None)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -31,7 +31,10 @@
 from carawayd.partition.planner import Planner
 from carawayd.partition.preemption import PreemptionControl
 from carawayd.partition.relief import Relief
+from carawayd.partition.shortwaits import ShortTaskWaits
 from carawayd.partition.strayorders import StrayOrders
+from carawayd.partition.unusedworkers import UnusedWorkers
+from carawayd.partition.waitreasons import WaitReasons
 from carawayd.partition.waits import LongRunningWaits
 from carawayd.partition.workerlink import (
     SENDING,
@@ -268,15 +271,27 @@
             time_of_day=time_of_day,
         )
         self._stray_orders = StrayOrders(self.workflows, self.links, self._orphans, clock)
+        reasons = WaitReasons(self.links, self._isolation, self._describe_step, clock)
         self._waits = LongRunningWaits(
             self.workflows,
             self.links,
-            self._isolation,
+            reasons,
             list_services=self._list_services,
             is_due=self._planner.is_due,
             clock=clock,
             metrics=metrics,
         )
+        self._short_waits = ShortTaskWaits(
+            self.workflows,
+            self.links,
+            self._orphans,
+            reasons,
+            list_services=self._list_services,
+            is_due=self._planner.is_due,
+            clock=clock,
+            metrics=metrics,
+        )
+        self._unused_workers = UnusedWorkers(self.links, self._list_services, clock, metrics)
         self._relief = Relief(
             self.links,
             self._find_task,
@@ -338,6 +353,8 @@
             self._stray_orders.check(self._track_stray_order)
             self._follow_former_hosts()
             self._waits.check(self.fence)
+            self._short_waits.check(self.fence)
+            self._unused_workers.check(self.fence)
             if self._may_place():
                 self._preemption.make_room(self.fence)
             if self.ledger.lost:
@@ -881,6 +898,21 @@
         found = workflow and workflow.find_task(name)
         return (workflow, *found) if found else None
 
+    def _describe_step(self, name: TaskName) -> dict[str, Any]:
+        """Describes for the log what keeps the step of a waiting task from being placed."""
+        key = name[:3]
+        state = {
+            "open": key in self._open_steps,
+            "suspended": key in self._suspended_steps,
+            "excluded": self._planner.list_excluded(name),
+            "pending_starts": self._pending_starts,
+            "store_stalled": self.ledger.is_stalled,
+        }
+        workflow = self.workflows.get(name.workflow)
+        if workflow is not None and workflow.spec.advice is not None:
+            state |= self._advisor.describe(key)
+        return state
+
     def _log_task(self, name: TaskName, message: str, **fields: Any) -> None:
         task = f"{name.workflow}.{name.occurrence}.{name.step}.{name.index}"
         logger.info(message, extra={"fields": {"task": task, "epoch": self.fence} | fields})
@@ -1356,6 +1388,8 @@
     async def on_stop(self) -> None:
         self.lost = True
         self._waits.clear()
+        self._short_waits.clear()
+        self._unused_workers.clear()
         self._wake.set()
         for link in self.links.values():
             link.closed = True
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -179,6 +179,10 @@
         """Ends the claims of tasks that need none, and those on workers that cannot be used."""
         self._claims.retain(self._needs_claim)
 
+    def list_excluded(self, name: TaskName) -> list[str]:
+        """Returns the workers that have rejected a task a moment ago."""
+        return self._rejections.list_excluded(name)
+
     def _list_usable(self, service: str) -> list[WorkerCapacity]:
         return [
             link.capacity
--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -0,0 +1,214 @@
+"""Short tasks whose turn has come and that are not at work: since when, and what they wait for.
+
+Under load most of them wait for room, which is no news. Logged are those that wait for something
+else: although a worker has room for them, or although they have been ordered.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from carawayd.partition.workerlink import STARTED
+from carawayd.platform.runs import format_task
+from carawayshore.workflows.model import TaskName
+from carawayshore.workflows.placement import UNUSABLE
+from carawayshore.workflows.state import ORDERED, WAITING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from carawayd.partition.waitreasons import WaitReasons
+    from carawayd.partition.workerlink import WorkerLink
+    from carawayd.process.workflowmetrics import WorkflowMetrics
+    from carawayshore.clock import Clock
+    from carawayshore.workflows.state import StepState, TaskState, WorkflowState
+
+logger = logging.getLogger(__name__)
+
+CHECK_INTERVAL_SECONDS = 0.5
+# Time without work after which a task is looked at. It is logged again whenever the time has
+# doubled.
+ALERT_SECONDS = 2.0
+# Waiting steps whose workers one look goes through, those that wait longest first.
+MAX_STEPS_PER_CHECK = 8
+# Maximum number of tasks that one look logs.
+MAX_LINES_PER_CHECK = 5
+
+
+class _Absence(NamedTuple):
+    """Short task that is not at work, and the time since which it is not."""
+
+    workflow: WorkflowState
+    step: StepState
+    name: TaskName
+    task: TaskState
+    since: float
+
+
+class ShortTaskWaits:
+    """Watches the short tasks of one partition and reports those that wait without a shortage.
+
+    Parameters
+    ----------
+    workflows, links, orphans
+        Tables of the partition owner, which updates them.
+    reasons : WaitReasons
+    list_services : callable
+        Returns the services of the partition.
+    is_due : callable
+        Returns whether the start time of a step has come.
+    clock : Clock
+    metrics : WorkflowMetrics
+    """
+
+    def __init__(
+        self,
+        workflows: dict[str, WorkflowState],
+        links: dict[str, WorkerLink],
+        orphans: dict[TaskName, str],
+        reasons: WaitReasons,
+        *,
+        list_services: Callable[[], set[str]],
+        is_due: Callable[[WorkflowState, StepState], bool],
+        clock: Clock,
+        metrics: WorkflowMetrics,
+    ) -> None:
+        self._workflows = workflows
+        self._links = links
+        self._orphans = orphans
+        self._reasons = reasons
+        self._list_services = list_services
+        self._is_due = is_due
+        self._clock = clock
+        self._metrics = metrics
+        self._checked_at = -CHECK_INTERVAL_SECONDS
+        # Time since which each task has not been at work, and the age at which it is logged next.
+        self._since: dict[TaskName, float] = {}
+        self._log_at: dict[TaskName, float] = {}
+
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def check(self, epoch: int) -> None:
+        """Updates the waits of all tasks, and logs those that no shortage explains."""
+        now = self._now()
+        if now - self._checked_at < CHECK_INTERVAL_SECONDS:
+            return
+        self._checked_at = now
+        absences = [
+            _Absence(workflow, step, name, task, self._since.get(name, now))
+            for workflow, step, name, task in self._iterate_absent_tasks()
+        ]
+        self._since = {absence.name: absence.since for absence in absences}
+        for name in self._log_at.keys() - self._since.keys():
+            del self._log_at[name]
+            self._log_end(epoch, name)
+        absences.sort(key=lambda absence: absence.since)
+        self._publish("short_task_longest_wait", absences[:1], now)
+        late = [absence for absence in absences if now - absence.since >= ALERT_SECONDS]
+        unexplained = list(self._select_unexplained(late))
+        self._publish("short_task_longest_unexplained_wait", [item[0] for item in unexplained], now)
+        lines = 0
+        for absence, detail in unexplained:
+            seconds = now - absence.since
+            if seconds >= self._log_at.get(absence.name, 0.0) and lines < MAX_LINES_PER_CHECK:
+                lines += 1
+                self._log_at[absence.name] = 2 * seconds
+                self._log_wait(epoch, absence, seconds, detail)
+
+    def _publish(self, metric: str, absences: list[_Absence], now: float) -> None:
+        longest = dict.fromkeys(self._list_services(), 0.0)
+        for absence in absences:
+            service = absence.workflow.spec.service
+            longest[service] = max(longest.get(service, 0.0), now - absence.since)
+        for service, seconds in longest.items():
+            getattr(self._metrics, metric).labels(service).set(seconds)
+
+    def clear(self) -> None:
+        """Resets the metrics, once the partition is no longer owned here."""
+        self._publish("short_task_longest_wait", [], 0.0)
+        self._publish("short_task_longest_unexplained_wait", [], 0.0)
+
+    def _iterate_absent_tasks(
+        self,
+    ) -> Iterator[tuple[WorkflowState, StepState, TaskName, TaskState]]:
+        for workflow in self._workflows.values():
+            if workflow.is_terminal:
+                continue
+            for step in workflow.steps.values():
+                if step.is_done or step.spec.long_running or not workflow.is_ready(step):
+                    continue
+                if not self._is_due(workflow, step):
+                    continue
+                key = (workflow.identifier, step.occurrence, step.number)
+                for index, task in enumerate(step.tasks):
+                    is_ordered = task.status == ORDERED
+                    if task.status == WAITING or (
+                        is_ordered and not self._is_at_work(key, index, task)
+                    ):
+                        yield workflow, step, TaskName(*key, index), task
+
+    def _is_at_work(self, key: tuple[str, int, int], index: int, task: TaskState) -> bool:
+        link = self._links.get(task.worker)
+        order = link and link.orders.get(TaskName(*key, index))
+        return (
+            bool(order)
+            and order.run == task.run
+            and order.state == STARTED
+            and not link.is_unresponsive
+        )
+
+    def _select_unexplained(
+        self, absences: list[_Absence]
+    ) -> Iterator[tuple[_Absence, dict[str, Any]]]:
+        """Yields the tasks that wait for something else than room, with what it is."""
+        examined: set[tuple[str, int, int]] = set()
+        for absence in absences:
+            if absence.task.status == ORDERED:
+                detail = self._reasons.describe_run(absence.name, absence.task)
+                yield absence, detail | {"orphaned": absence.name in self._orphans}
+                continue
+            key = absence.name[:3]
+            if key in examined or len(examined) >= MAX_STEPS_PER_CHECK:
+                continue
+            examined.add(key)
+            choice = self._reasons.describe_choice(absence.workflow, absence.step, absence.name)
+            if choice.has_room or choice.obstacles.keys() <= {UNUSABLE}:
+                yield absence, choice.detail
+
+    def _log_wait(
+        self, epoch: int, absence: _Absence, seconds: float, detail: dict[str, Any]
+    ) -> None:
+        task = absence.task
+        logger.warning(
+            "short task is not at work",
+            extra={
+                "fields": {
+                    "task": format_task(absence.name),
+                    "epoch": epoch,
+                    "seconds": round(seconds, 1),
+                    "state": "ordered" if task.status == ORDERED else "waiting",
+                    "run": task.run,
+                    "worker": task.worker,
+                    "losses": len(task.losses),
+                    "tasks": len(absence.step.tasks),
+                    "needs": [absence.step.spec.millicores, absence.step.spec.memory_mb],
+                }
+                | detail
+            },
+        )
+
+    def _log_end(self, epoch: int, name: TaskName) -> None:
+        workflow = self._workflows.get(name.workflow)
+        found = workflow and workflow.find_task(name)
+        logger.info(
+            "short task waits no more: at work, or it has ended",
+            extra={
+                "fields": {
+                    "task": format_task(name),
+                    "epoch": epoch,
+                    "worker": found[1].worker if found else "",
+                }
+            },
+        )
--- a/packages/carawayd/src/carawayd/partition/waits.py
+++ b/packages/carawayd/src/carawayd/partition/waits.py
@@ -4,18 +4,17 @@
 
 import logging
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from carawayd.partition.workerlink import STARTED
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.model import TaskName
-from carawayshore.workflows.placement import compute_usage, find_obstacle, summarize_room
 from carawayshore.workflows.state import ORDERED
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from carawayd.partition.isolation import Isolation
+    from carawayd.partition.waitreasons import WaitReasons
     from carawayd.partition.workerlink import WorkerLink
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
@@ -39,7 +38,7 @@
     ----------
     workflows, links
         Tables of the partition owner, which updates them.
-    isolation : Isolation
+    reasons : WaitReasons
     list_services : callable
         Returns the services of the partition.
     is_due : callable
@@ -52,7 +51,7 @@
         self,
         workflows: dict[str, WorkflowState],
         links: dict[str, WorkerLink],
-        isolation: Isolation,
+        reasons: WaitReasons,
         *,
         list_services: Callable[[], set[str]],
         is_due: Callable[[WorkflowState, StepState], bool],
@@ -61,7 +60,7 @@
     ) -> None:
         self._workflows = workflows
         self._links = links
-        self._isolation = isolation
+        self._reasons = reasons
         self._list_services = list_services
         self._is_due = is_due
         self._clock = clock
@@ -174,9 +173,9 @@
     ) -> None:
         ordered = task.status == ORDERED
         detail = (
-            self._describe_run(name, task)
+            self._reasons.describe_run(name, task)
             if ordered
-            else self._describe_choice(workflow, step, name)
+            else self._reasons.describe_choice(workflow, step, name).detail
         )
         logger.warning(
             "long-running task is not at work",
@@ -193,38 +192,3 @@
                 | detail
             },
         )
-
-    def _describe_run(self, name: TaskName, task: TaskState) -> dict[str, Any]:
-        """Describes what is known of a run that was ordered."""
-        link = self._links.get(task.worker)
-        if link is None:
-            return {"link": "none"}
-        order = link.orders.get(name)
-        return {
-            "link": "closed" if link.closed else "unresponsive" if link.is_unresponsive else "open",
-            "silent_seconds": round(link.silent_seconds, 1),
-            "order": order and [order.run, order.state, order.listed, order.stopping],
-        }
-
-    def _describe_choice(
-        self, workflow: WorkflowState, step: StepState, name: TaskName
-    ) -> dict[str, Any]:
-        """Describes why the last look for a worker found none, and what room there will be.
-
-        Reports that are old at all workers tell of a delay of this process rather than of theirs.
-        """
-        now = self._now()
-        usage = compute_usage(name, step.spec)
-        links = [
-            link for link in self._links.values() if link.entry.service == workflow.spec.service
-        ]
-        workers = Counter(
-            find_obstacle(link.capacity, step.spec, usage, now) or "free" for link in links
-        )
-        silences = [round(link.silent_seconds, 1) for link in links]
-        return {
-            "workers": dict(workers),
-            "room": summarize_room([link.capacity for link in links], usage),
-            "report_age_seconds": [min(silences, default=0.0), max(silences, default=0.0)],
-            "isolation": self._isolation.describe(name, step.spec),
-        }
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -351,25 +351,38 @@
         """Whether the worker leaves, or is taken out of service."""
         return self.cordoned or self.entry.state != "ready"
 
-    def _update_capacity(self) -> None:
-        self.capacity.expected = (
-            self.listed
-            and not self.closed
-            and not self.cordoned
-            and self.entry.state == "ready"
-            and not self._failures
-        )
+    def _list_exclusions(self) -> list[str]:
+        """Returns why no task is to be placed on the worker, whatever it reports."""
+        reasons = {
+            "not listed": not self.listed,
+            "closed": self.closed,
+            "cordoned": self.cordoned,
+            "draining": self.entry.state != "ready",
+            "unresponsive": self._failures > 0,
+        }
+        return [reason for reason, applies in reasons.items() if applies]
+
+    def _list_unknowns(self) -> list[str]:
+        """Returns why it is not known how much room the worker has."""
         # A restarted worker may have another size, which only an entry of the same start tells.
         described = self.entry.born in (0, self._incarnation) or not self._incarnation
         # Runs without known usage may fill the whole worker.
         unknown = any(key not in self.capacity.usages for key in self.unordered_runs)
-        self.capacity.usable = (
-            self.capacity.expected
-            and self.is_capacity_current
-            and self._is_reconciled
-            and described
-            and not unknown
-        )
+        reasons = {
+            "old entry": not self.is_capacity_current,
+            "no report": not self._is_reconciled,
+            "entry of another start": not described,
+            "runs of unknown size": unknown,
+        }
+        return [reason for reason, applies in reasons.items() if applies]
+
+    def list_unusable_reasons(self) -> list[str]:
+        """Returns why no task can be placed on the worker now, empty if one can."""
+        return self._list_exclusions() + self._list_unknowns()
+
+    def _update_capacity(self) -> None:
+        self.capacity.expected = not self._list_exclusions()
+        self.capacity.usable = self.capacity.expected and not self._list_unknowns()
 
     def set_capacity_current(self, is_current: bool) -> None:
         """Sets whether the entry is recent enough to place tasks by its capacity."""
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -73,6 +73,21 @@
             "Longest of the times for which they have not been at work.",
             "service",
         )
+        self.short_task_longest_wait = self._add_gauge(
+            "caraway_short_task_longest_wait_seconds",
+            "Longest of the times for which a short task that is due has not been at work.",
+            "service",
+        )
+        self.short_task_longest_unexplained_wait = self._add_gauge(
+            "caraway_short_task_longest_unexplained_wait_seconds",
+            "Longest of these times among tasks that do not wait for room.",
+            "service",
+        )
+        self.unused_workers = self._add_gauge(
+            "caraway_unused_workers",
+            "Workers that are listed as ready and have not been usable for some seconds.",
+            "service",
+        )
         self.version = Gauge(
             "caraway_configuration_version", "Version in force.", registry=self.registry
         )
