Revoke start orders that a restarted worker might still get, instead of waiting 13 s for them

Cause: a start order that got no answer from a worker that then restarted under its identifier may reach the new start, whose clock begins anew and does not know it as late. The owner waited until no order could arrive any more. Nothing measured that wait, and it was longer than every other one. Change: the owner sends the new start a stop order for the run. The worker refuses the run from then on, so the next report that does not list it makes its absence certain. The wait of 13 s remains as the bound if the stop order gets no answer; it is repeated every 0.5 s. While it is not known whether a run has started, reports are asked for every 0.1 s, not up to 1 s later. The answer to a start order that arrives after the restart no longer counts as the start of a run: its clock value would have kept the run taken for at work until the new clock had passed it.

--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -57,8 +57,8 @@
     async def start(self, address: str, worker: str, task: TaskName, run: int, **_: Any) -> int:
         return await self._call("start", task, run)
 
-    async def stop(self, address: str, worker: str, task: TaskName, run: int, **_: Any) -> None:
-        await self._call("stop", task, run)
+    async def stop(self, address: str, worker: str, task: TaskName, run: int, **_: Any) -> int:
+        return await self._call("stop", task, run)
 
     async def renew(self, address: str, worker: str, **_: Any) -> Any:
         await self._call("renew")
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -269,13 +269,14 @@
             loop.call_later(delay, self._crash_under, task, run, self.born)
         return self.clock_ms
 
-    def stop(self, task: TaskName, run: int, fence: int) -> None:
+    def stop(self, task: TaskName, run: int, fence: int) -> int:
         self._check_fence(fence)
         if task in self.runs and self.runs[task].run == run:
             loop = asyncio.get_running_loop()
             loop.call_later(self.world.stop_seconds, self._finish_stop, task, run, self.born)
         else:
             self.highest_ended[task] = max(run, self.highest_ended.get(task, 0))
+        return self.clock_ms
 
     def _finish_stop(self, task: TaskName, run: int, born: int) -> None:
         if self.born == born and task in self.runs and self.runs[task].run == run:
@@ -359,7 +360,7 @@
         return clock_ms
 
     async def stop(self, _address, worker, task, run, *, fence, may_send):
-        await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
+        return await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
 
     async def throttle(self, _address, worker, task, run, *, percent, fence, may_send):
         await self._call(worker, may_send, lambda model: model._check_fence(fence))
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -54,6 +54,8 @@
 SHARED_REPORT_WAIT_SECONDS = 0.5
 # Long-poll wait for a report of a worker that is reserved for a suspected workflow.
 ISOLATED_REPORT_WAIT_SECONDS = 0.2
+# Long-poll wait for a report while it is not known whether a run has started.
+UNSETTLED_REPORT_WAIT_SECONDS = 0.1
 # Interval at which a worker without tasks is polled.
 IDLE_POLL_SECONDS = 4.0
 # Delay after a failed poll.
@@ -121,6 +123,8 @@
         Whether a stop order has been issued.
     stop_sent : float
         Time at which the stop order was last sent, in seconds of the local clock.
+    may_arrive_late : bool
+        Whether the start order may still reach an incarnation of the worker that followed.
     """
 
     __slots__ = (
@@ -129,6 +133,7 @@
         "figure",
         "last_progress_at",
         "listed",
+        "may_arrive_late",
         "ordered_at",
         "progress_percent",
         "run",
@@ -150,6 +155,7 @@
         self.listed = False
         self.stopping = False
         self.stop_sent = -STOP_REPEAT_SECONDS
+        self.may_arrive_late = False
 
     @property
     def may_have_started(self) -> bool:
@@ -508,6 +514,7 @@
             return
         entry.sent_at = self._now()
         entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
+        incarnation = self._incarnation
         # The expiry of a start order also renews the lease of everything on the worker.
         self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, entry.absence_certain_after_ms)
         fence = self._owner.fence
@@ -563,7 +570,11 @@
                 self._wake.set()
             return
         if self.orders.get(task) is entry:
-            entry.state, entry.absence_certain_after_ms = STARTED, clock_ms
+            if self._incarnation == incarnation:
+                entry.state, entry.absence_certain_after_ms = STARTED, clock_ms
+            else:
+                # The answer may be that of the former incarnation, whose clock tells nothing now.
+                entry.state = UNKNOWN
             self._wake.set()
 
     def _report_missing(self, task: TaskName, order: Order, why: str) -> None:
@@ -584,11 +595,23 @@
                 order.stop_sent = self._now()
                 start_in_background(self._send_stop(task, order.run))
 
-    async def _send_stop(self, task: TaskName, run: int) -> None:
+    async def _revoke_start(self, task: TaskName, order: Order) -> None:
+        """Has the worker refuse a start order that may have been sent to a former incarnation.
+
+        Its clock cannot tell that the order is late. Once the worker has refused it in advance, a
+        report that does not list the run shows that it never will be there.
+        """
+        incarnation = self._incarnation
+        clock_ms = await self._send_stop(task, order.run)
+        if clock_ms is not None and self._incarnation == incarnation:
+            order.absence_certain_after_ms = min(order.absence_certain_after_ms, clock_ms)
+
+    async def _send_stop(self, task: TaskName, run: int) -> int | None:
+        """Sends a stop order; returns the worker's clock in ms, None if there was no answer."""
         self._stops.record_sending((task, run), self._now())
-        error_text = ""
+        error_text, clock_ms = "", None
         try:
-            await self._runs.stop(
+            clock_ms = await self._runs.stop(
                 self.entry.address,
                 self.worker,
                 task,
@@ -610,6 +633,7 @@
             )
         self._stops.record_outcome((task, run), error_text)
         self._wake.set()
+        return clock_ms
 
     async def throttle_task(self, task: TaskName, percent: int) -> None:
         """Limits a run to a percentage of its processor time; a failed call is only logged."""
@@ -703,10 +727,11 @@
             wait = SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
             if self.capacity.reserved_for:
                 wait = ISOLATED_REPORT_WAIT_SECONDS
+            states = {order.state for order in self.orders.values()}
             if self._waiting_for_report:
                 wait = 0.0
-            elif not any(order.state == STARTED for order in self.orders.values()):
-                wait = 0.1
+            elif UNKNOWN in states or STARTED not in states:
+                wait = UNSETTLED_REPORT_WAIT_SECONDS
         self._requested_fence = self._owner.fence
         return await self._runs.renew(
             self.entry.address,
@@ -804,6 +829,7 @@
                     order.absence_certain_after_ms = report.clock_ms + self._measure_late_wait_ms(
                         order.sent_at
                     )
+                    order.may_arrive_late = True
         self._incarnation = report.born
         self.is_awaited = False
         first = self._worker_clock_ms is None
@@ -865,13 +891,14 @@
             row = listed.get((task, order.run))
             if row is not None:
                 self._update_order(task, order, row, now)
-            elif (
+            elif order.state == SENDING or not report.lists_all_ends:
                 # The end of the run may be among those that the report could not list.
-                report.lists_all_ends
-                and order.state != SENDING
-                and report.clock_ms > order.absence_certain_after_ms
-            ):
+                continue
+            elif report.clock_ms > order.absence_certain_after_ms:
                 self._report_missing(task, order, "not listed by the worker")
+            elif order.may_arrive_late and now - order.stop_sent > STOP_REPEAT_SECONDS:
+                order.stop_sent = now
+                start_in_background(self._revoke_start(task, order))
         for task, run in listed:
             order = self.orders.get(task)
             if order is None or order.run != run:
--- a/packages/carawayd/src/carawayd/platform/runs.py
+++ b/packages/carawayd/src/carawayd/platform/runs.py
@@ -274,10 +274,23 @@
         *,
         fence: int,
         may_send: Callable[[], bool],
-    ) -> None:
-        """Orders a run to stop; the end is reported like any other."""
+    ) -> int:
+        """Orders a run to stop and returns the worker's clock in ms.
+
+        The end is reported like any other. A start order for the run that arrives later is refused
+        by this incarnation of the worker.
+        """
         body = {"task": format_task(task), "run": run, "fencingToken": fence}
-        await self._order(address, worker, "/api/run-stop", body, ORDER_TIMEOUT_SECONDS, may_send)
+        response = await self._order(
+            address,
+            worker,
+            "/api/run-stop",
+            body,
+            ORDER_TIMEOUT_SECONDS,
+            may_send,
+            _OrderResponse,
+        )
+        return int(response["clockMs"])
 
     async def throttle(
         self,
