Summarize unused workers and tasks that wait for room in one line each

Change: unused workers are logged every 3 s in one line with the reasons of all; short tasks that wait for room get a summary every 2 s; workers that are only cordoned are told apart from those without room.

--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -1,7 +1,8 @@
 """Short tasks whose turn has come and that are not at work: since when, and what they wait for.
 
-Under load most of them wait for room, which is no news. Logged are those that wait for something
-else: although a worker has room for them, or although they have been ordered.
+Under load most of them wait for room, which is no news: these are only counted. Each of those that
+wait for something else is logged: although a worker has room for them, or although they have been
+ordered.
 """
 
 from __future__ import annotations
@@ -12,7 +13,6 @@
 from carawayd.partition.workerlink import STARTED
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.model import TaskName
-from carawayshore.workflows.placement import UNUSABLE
 from carawayshore.workflows.state import ORDERED, WAITING
 
 if TYPE_CHECKING:
@@ -34,6 +34,9 @@
 MAX_STEPS_PER_CHECK = 8
 # Maximum number of tasks that one look logs.
 MAX_LINES_PER_CHECK = 5
+# Interval at which the tasks that wait for room are summarized, and the wait from which they are.
+SUMMARY_INTERVAL_SECONDS = 2.0
+SUMMARY_SECONDS = 3.0
 
 
 class _Absence(NamedTuple):
@@ -86,6 +89,7 @@
         # Time since which each task has not been at work, and the age at which it is logged next.
         self._since: dict[TaskName, float] = {}
         self._log_at: dict[TaskName, float] = {}
+        self._summarized_at = -SUMMARY_INTERVAL_SECONDS
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -116,6 +120,35 @@
                 lines += 1
                 self._log_at[absence.name] = 2 * seconds
                 self._log_wait(epoch, absence, seconds, detail)
+        if late and now - self._summarized_at >= SUMMARY_INTERVAL_SECONDS:
+            self._summarized_at = now
+            self._log_summary(epoch, late, now)
+
+    def _log_summary(self, epoch: int, late: list[_Absence], now: float) -> None:
+        """Logs how many tasks wait for long, and what the workers offer to the first of them."""
+        waiting = [
+            absence
+            for absence in late
+            if absence.task.status == WAITING and now - absence.since >= SUMMARY_SECONDS
+        ]
+        if not waiting:
+            return
+        first = waiting[0]
+        choice = self._reasons.describe_choice(first.workflow, first.step, first.name)
+        logger.info(
+            "short tasks wait",
+            extra={
+                "fields": {
+                    "epoch": epoch,
+                    "tasks": len(waiting),
+                    "workflows": len({absence.name.workflow for absence in waiting}),
+                    "longest_seconds": round(now - first.since, 1),
+                    "first": format_task(first.name),
+                    "needs": [first.step.spec.millicores, first.step.spec.memory_mb],
+                    "workers": dict(choice.obstacles),
+                }
+            },
+        )
 
     def _publish(self, metric: str, absences: list[_Absence], now: float) -> None:
         longest = dict.fromkeys(self._list_services(), 0.0)
@@ -174,7 +207,7 @@
                 continue
             examined.add(key)
             choice = self._reasons.describe_choice(absence.workflow, absence.step, absence.name)
-            if choice.has_room or choice.obstacles.keys() <= {UNUSABLE}:
+            if choice.has_room or not choice.has_usable_worker:
                 yield absence, choice.detail
 
     def _log_wait(
--- a/packages/carawayd/src/carawayd/partition/unusedworkers.py
+++ b/packages/carawayd/src/carawayd/partition/unusedworkers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,9 +15,12 @@
 
 logger = logging.getLogger(__name__)
 
-# Time after which a worker is logged. It is logged again whenever the time has doubled.
+CHECK_INTERVAL_SECONDS = 0.5
+# Time after which a worker counts as unused.
 ALERT_SECONDS = 3.0
-MAX_LINES_PER_CHECK = 5
+# Interval at which the unused workers are logged, and the number of them that the line names.
+LOG_INTERVAL_SECONDS = 3.0
+MAX_NAMED_WORKERS = 5
 
 
 class UnusedWorkers:
@@ -43,44 +47,51 @@
         self._list_services = list_services
         self._clock = clock
         self._metrics = metrics
-        # Time since which each worker has not been usable, and the age at which it is logged next.
+        # Time since which each worker has not been usable.
         self._since: dict[str, float] = {}
-        self._log_at: dict[str, float] = {}
+        self._checked_at = -CHECK_INTERVAL_SECONDS
+        self._logged_at = -LOG_INTERVAL_SECONDS
 
     def check(self, epoch: int) -> None:
         """Logs and counts the workers that are listed as ready and have not been usable."""
         now = self._clock.elapsed().total_seconds()
-        unused = {
+        if now - self._checked_at < CHECK_INTERVAL_SECONDS:
+            return
+        self._checked_at = now
+        self._since = {
             worker: self._since.get(worker, now)
             for worker, link in self._links.items()
             if link.listed and link.entry.state == "ready" and not link.capacity.usable
         }
-        self._since = unused
-        self._log_at = {worker: at for worker, at in self._log_at.items() if worker in unused}
-        counts = dict.fromkeys(self._list_services(), 0)
-        lines = 0
-        for worker, since in unused.items():
-            seconds, link = now - since, self._links[worker]
-            if seconds < ALERT_SECONDS:
-                continue
-            counts[link.entry.service] = counts.get(link.entry.service, 0) + 1
-            if seconds >= self._log_at.get(worker, 0.0) and lines < MAX_LINES_PER_CHECK:
-                lines += 1
-                self._log_at[worker] = 2 * seconds
-                logger.info(
-                    "worker is listed as ready and not usable",
-                    extra={
-                        "fields": {
-                            "worker": worker,
-                            "epoch": epoch,
-                            "seconds": round(seconds, 1),
-                            "reasons": link.list_unusable_reasons(),
-                            "silent_seconds": round(link.silent_seconds, 1),
-                        }
-                    },
-                )
-        for service, count in counts.items():
-            self._metrics.unused_workers.labels(service).set(count)
+        unused = {
+            worker: now - since
+            for worker, since in self._since.items()
+            if now - since >= ALERT_SECONDS
+        }
+        counts = Counter(self._links[worker].entry.service for worker in unused)
+        for service in self._list_services():
+            self._metrics.unused_workers.labels(service).set(counts[service])
+        if unused and now - self._logged_at >= LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            self._log(epoch, unused)
+
+    def _log(self, epoch: int, unused: dict[str, float]) -> None:
+        reasons = {worker: self._links[worker].list_unusable_reasons() for worker in unused}
+        longest = sorted(unused, key=lambda worker: -unused[worker])[:MAX_NAMED_WORKERS]
+        logger.info(
+            "workers are listed as ready and not usable",
+            extra={
+                "fields": {
+                    "epoch": epoch,
+                    "workers": len(unused),
+                    "of": len(self._links),
+                    "reasons": dict(Counter(", ".join(names) for names in reasons.values())),
+                    "longest": [
+                        [worker, round(unused[worker], 1), reasons[worker]] for worker in longest
+                    ],
+                }
+            },
+        )
 
     def clear(self) -> None:
         """Resets the metric, once the partition is no longer owned here."""
--- a/packages/carawayd/src/carawayd/partition/waitreasons.py
+++ b/packages/carawayd/src/carawayd/partition/waitreasons.py
@@ -21,11 +21,14 @@
     from carawayd.partition.isolation import Isolation
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
-    from carawayshore.workflows.model import TaskName
+    from carawayshore.workflows.model import StepSpec, TaskName
+    from carawayshore.workflows.placement import Usage
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
 # Obstacles of workers that cannot take a task, whatever the owner decides.
 SHORTAGES = frozenset({UNUSABLE, NO_ROOM, NO_LABEL, STEP_LIMIT})
+# A worker that could take a task, but is cordoned for upkeep or a move to another pool.
+CORDONED = "cordoned"
 
 
 class Choice(NamedTuple):
@@ -47,6 +50,11 @@
         """Whether the task fits on a worker, so that only the owner's decision keeps it waiting."""
         return any(obstacle not in SHORTAGES for obstacle in self.obstacles)
 
+    @property
+    def has_usable_worker(self) -> bool:
+        """Whether the room of any worker is known."""
+        return any(obstacle != UNUSABLE for obstacle in self.obstacles)
+
 
 class WaitReasons:
     """Describes what the tasks of one partition wait for.
@@ -96,9 +104,7 @@
         links = [
             link for link in self._links.values() if link.entry.service == workflow.spec.service
         ]
-        obstacles = Counter(
-            find_obstacle(link.capacity, step.spec, usage, now) or "free" for link in links
-        )
+        obstacles = Counter(_find_obstacle(link, step.spec, usage, now) for link in links)
         silences = [round(link.silent_seconds, 1) for link in links]
         detail = {
             "workers": dict(obstacles),
@@ -107,3 +113,9 @@
             "isolation": self._isolation.describe(name, step.spec),
         }
         return Choice(obstacles, detail | self._describe_step(name))
+
+
+def _find_obstacle(link: WorkerLink, step: StepSpec, usage: Usage, now: float) -> str:
+    if link.list_unusable_reasons() == [CORDONED] and link.capacity.fits(usage):
+        return CORDONED
+    return find_obstacle(link.capacity, step, usage, now) or "free"
