Keep suspecting a task whose worker was lost at a takeover

Cause: when a worker has gone with runs that an earlier owner ordered, their age was counted from the takeover, mostly some milliseconds. The next run of the task had outlived twice that age at its first report, so the task was no longer suspected and its crashes were forgotten. A fact that only the former owner knew is replaced by the safe bound.

--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -19,6 +19,7 @@
 )
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
 from carawayd.supervision import start_in_background, supervised_task
+from carawayshore.workflows.crashes import MAX_ISOLATION_SECONDS
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
@@ -73,6 +74,9 @@
 STOP_REPEAT_SECONDS = 0.5
 # A task that makes no progress for this long is considered stuck.
 STUCK_TASK_SECONDS = 1.5
+# Least age of a run of an earlier owner when its worker is lost, since its true age is not known. With
+# a lower one, the next run would seem to have outlived the crash at once.
+MIN_ADOPTED_AGE_SECONDS = MAX_ISOLATION_SECONDS
 # ``Order.absence_certain_after_ms`` of a run that an earlier owner ordered. Any report shows
 # whether it exists: the worker refuses orders of that owner once it has seen a call of this one.
 ADOPTED = -1
@@ -125,12 +129,15 @@
         Time at which the stop order was last sent, in seconds of the local clock.
     may_arrive_late : bool
         Whether the start order may still reach an incarnation of the worker that followed.
+    is_adopted : bool
+        Whether the run was ordered before it was tracked here, so that its age is not known.
     """
 
     __slots__ = (
         "absence_certain_after_ms",
         "checkpoint",
         "figure",
+        "is_adopted",
         "last_progress_at",
         "listed",
         "may_arrive_late",
@@ -156,6 +163,7 @@
         self.stopping = False
         self.stop_sent = -STOP_REPEAT_SECONDS
         self.may_arrive_late = False
+        self.is_adopted = False
 
     @property
     def may_have_started(self) -> bool:
@@ -184,7 +192,7 @@
     listed : bool
         Whether a report had listed the run.
     seconds : float
-        Time from the sending of the order to the loss of contact.
+        Time from the sending of the order to the loss of contact; a lower bound for adopted runs.
     """
 
     task: TaskName
@@ -411,7 +419,8 @@
 
     def adopt(self, task: TaskName, run: int) -> None:
         """Tracks a run that an earlier owner ordered; the first report shows whether it exists."""
-        self.orders[task] = Order(run, UNKNOWN, ADOPTED, self._now())
+        order = self.orders[task] = Order(run, UNKNOWN, ADOPTED, self._now())
+        order.is_adopted = True
 
     def track_stray_run(self, task: TaskName, run: int) -> None:
         """Tracks a run that may have been ordered a moment ago.
@@ -420,6 +429,7 @@
         """
         order = self.orders[task] = Order(run, UNKNOWN, 0, self._now())
         order.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
+        order.is_adopted = True
         self._wake.set()
 
     @property
@@ -768,11 +778,13 @@
     def _list_runs(self) -> list[LostRun]:
         """Returns the runs that are or may be on the worker."""
         until = self._failing_since if self._failures else self._now()
-        return [
-            LostRun(task, order.run, order.state, order.listed, max(0.0, until - order.sent_at))
-            for task, order in self.orders.items()
-            if order.may_have_started
-        ]
+        runs = []
+        for task, order in self.orders.items():
+            if order.may_have_started:
+                least = MIN_ADOPTED_AGE_SECONDS if order.is_adopted else 0.0
+                seconds = max(least, until - order.sent_at)
+                runs.append(LostRun(task, order.run, order.state, order.listed, seconds))
+        return runs
 
     def _close(self, why: str, *, restarted: bool) -> None:
         """Closes the link and reports all its runs as missing, since none is left on the worker.
@@ -956,7 +968,7 @@
         """Adopts a listed run that has no order here if the ledger knows it, else stops it."""
         if task not in self.orders and self._owner.adopt_if_ordered(task, run, self.worker):
             order = self.orders[task] = Order(run, STARTED, 0, now)
-            order.listed = True
+            order.listed = order.is_adopted = True
             return
         key = (task, run)
         if key not in self.unordered_runs:
