--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -74,8 +74,8 @@
 STOP_REPEAT_SECONDS = 0.5
 # A task that makes no progress for this long is considered stuck.
 STUCK_TASK_SECONDS = 1.5
-# Least age of a run of an earlier owner when its worker is lost, since its true age is not known. With
-# a lower one, the next run would seem to have outlived the crash at once.
+# Least age of a run of an earlier owner when its worker is lost, since its true age is not known.
+# With a lower one, the next run would seem to have outlived the crash at once.
 MIN_ADOPTED_AGE_SECONDS = MAX_ISOLATION_SECONDS
 # ``Order.absence_certain_after_ms`` of a run that an earlier owner ordered. Any report shows
 # whether it exists: the worker refuses orders of that owner once it has seen a call of this one.
