--- a/features/steps/long_running_waits_steps.py
+++ b/features/steps/long_running_waits_steps.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 
-import looptime
 from behave import given, then, when
+from log_lines import collect_lines
+from virtual_time import play
 from worker_model import SERVICE, World
 
 STOP_S = 0.05
@@ -14,26 +14,13 @@
 TASK_CORES = 6
 
 
-class LineCollector(logging.Handler):
-    """Keeps the lines of one logger with their fields."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.lines: list[tuple[str, dict]] = []
-
-    def emit(self, record: logging.LogRecord) -> None:
-        self.lines.append((record.getMessage(), getattr(record, "fields", {})))
-
-
 @given("{count:d} workers of 12 cores that are full of long-running tasks")
 def set_workers(context, count):
     context.worker_count = count
 
 
 def _run(context, scenario) -> None:
-    collector = LineCollector()
-
-    async def play() -> None:
+    async def run() -> None:
         world = World(context.worker_count, STOP_S)
         try:
             await world.take_over()
@@ -47,44 +34,38 @@
         finally:
             await world.close()
 
-    loop = looptime.new_event_loop(start=0, noop_cycles=2)
-    logger = logging.getLogger("carawayd.partition.waits")
-    logger.addHandler(collector)
-    try:
-        loop.run_until_complete(play())
-    finally:
-        logger.removeHandler(collector)
-        loop.close()
+    with collect_lines("carawayd.partition.waits") as collector:
+        play(run())
     context.lines = collector.lines
 
 
 @when("a long-running task of 6 cores is submitted and {seconds:g} s pass")
 def submit_further(context, seconds):
-    async def play(world) -> None:
+    async def act(world) -> None:
         context.waiting = await world.submit(TASK_CORES, 1, LONG_S, long_running=True)
         await asyncio.sleep(seconds)
 
-    _run(context, play)
+    _run(context, act)
 
 
 @when("the first worker refuses connections for {seconds:g} s")
 def refuse_connections(context, seconds):
-    async def play(world) -> None:
+    async def act(world) -> None:
         world.links["w0"] = "refused"
         await asyncio.sleep(seconds)
 
-    _run(context, play)
+    _run(context, act)
 
 
 @when("a long-running task of 6 cores waits for {seconds:g} s until one of the others is cancelled")
 def cancel_others(context, seconds):
-    async def play(world) -> None:
+    async def act(world) -> None:
         context.waiting = await world.submit(TASK_CORES, 1, LONG_S, long_running=True)
         await asyncio.sleep(seconds)
         await world.cancel(0)
         await asyncio.sleep(3.0)
 
-    _run(context, play)
+    _run(context, act)
 
 
 @then(
