--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -13,7 +13,7 @@
 from carawayd.partition.workerlink import STARTED
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.model import TaskName
-from carawayshore.workflows.state import ORDERED, WAITING
+from carawayshore.workflows.state import DONE, ORDERED, WAITING
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -26,7 +26,7 @@
 
 logger = logging.getLogger(__name__)
 
-CHECK_INTERVAL_SECONDS = 0.5
+CHECK_INTERVAL_SECONDS = 1.0
 # Time without work after which a task is looked at. It is logged again whenever the time has
 # doubled.
 ALERT_SECONDS = 2.0
@@ -176,15 +176,15 @@
                     continue
                 key = (workflow.identifier, step.occurrence, step.number)
                 for index, task in enumerate(step.tasks):
-                    is_ordered = task.status == ORDERED
-                    if task.status == WAITING or (
-                        is_ordered and not self._is_at_work(key, index, task)
-                    ):
-                        yield workflow, step, TaskName(*key, index), task
+                    if task.status == DONE:
+                        continue
+                    name = TaskName(*key, index)
+                    if task.status == WAITING or not self._is_at_work(name, task):
+                        yield workflow, step, name, task
 
-    def _is_at_work(self, key: tuple[str, int, int], index: int, task: TaskState) -> bool:
+    def _is_at_work(self, name: TaskName, task: TaskState) -> bool:
         link = self._links.get(task.worker)
-        order = link and link.orders.get(TaskName(*key, index))
+        order = link and link.orders.get(name)
         return (
             bool(order)
             and order.run == task.run
--- a/packages/carawayd/src/carawayd/partition/waitreasons.py
+++ b/packages/carawayd/src/carawayd/partition/waitreasons.py
@@ -116,6 +116,7 @@
 
 
 def _find_obstacle(link: WorkerLink, step: StepSpec, usage: Usage, now: float) -> str:
-    if link.list_unusable_reasons() == [CORDONED] and link.capacity.fits(usage):
-        return CORDONED
-    return find_obstacle(link.capacity, step, usage, now) or "free"
+    obstacle = find_obstacle(link.capacity, step, usage, now)
+    if obstacle == UNUSABLE and link.cordoned and link.capacity.fits(usage):
+        return CORDONED if link.list_unusable_reasons() == [CORDONED] else UNUSABLE
+    return obstacle or "free"
