--- a/packages/carawayd/src/carawayd/partition/waitreasons.py
+++ b/packages/carawayd/src/carawayd/partition/waitreasons.py
@@ -110,7 +110,9 @@
             "workers": dict(obstacles),
             "room": summarize_room([link.capacity for link in links], usage),
             "report_age_seconds": [min(silences, default=0.0), max(silences, default=0.0)],
-            "isolation": self._isolation.describe(name, step.spec),
+            "isolation": self._isolation.describe(
+                name if step.spec.long_running else name.workflow, step.spec
+            ),
         }
         return Choice(obstacles, detail | self._describe_step(name))
 
