Count pending moves once, so that a pool is not emptied while its moves are held up

Cause: until a moved machine is listed in its new pool it counted for the old one, so each look, 150 ms later, found the same surplus and chose two more idle machines, and the same shortage at the other end and chose as many machines again. In calm an order takes 0.1 s, but it is held up for 3.2 s after a change of the holder, and for as long as the store or an owner does not answer; by then all idle workers of a pool could be cordoned. Evidence: three scenarios of workflow_decisions.feature; with the former count they fail (2 more moves from booking to spare, 2 from booking to office).

--- a/features/steps/workflow_decision_steps.py
+++ b/features/steps/workflow_decision_steps.py
@@ -28,6 +28,7 @@
 from carawayshore.workflows.pools import (
     PoolHistory,
     PoolNeed,
+    choose_cancelled_moves,
     choose_moves,
     estimate_short_task_cores,
 )
@@ -187,10 +188,23 @@
 @given("pools booking with {booking:d}, office with {office:d} and spare with {spare:d} machines")
 def build_pools(context, booking, office, spare):
     context.machines = build_machines(booking=booking, office=office, spare=spare)
+    context.pending_moves = {}
+
+
+@given("{count:d} moves from {source:w} to {target:w} that are not yet carried out")
+def add_pending_moves(context, count, source, target):
+    names = [item.machine for item in context.machines if item.pool == source]
+    context.pending_moves |= dict.fromkeys(names[-count:], target)
 
 
 def _choose_moves(context, booking: PoolNeed, office: PoolNeed) -> None:
-    view = build_pool_view(context.machines, {"booking": booking, "office": office}, busy=1)
+    view = build_pool_view(
+        context.machines,
+        {"booking": booking, "office": office},
+        busy=1,
+        pending_moves=context.pending_moves,
+    )
+    context.cancelled = choose_cancelled_moves(view, frozenset(context.pending_moves))
     context.moves = Counter((move.machine.pool, move.pool) for move in choose_moves(view))
 
 
@@ -204,6 +218,11 @@
     _choose_moves(context, PoolNeed(booking, booking), PoolNeed(office, kept))
 
 
+@when("booking needs {booking:d} and keeps {kept:d} and office needs {office:d}")
+def need_and_keep_booking(context, booking, kept, office):
+    _choose_moves(context, PoolNeed(booking, kept), PoolNeed(office, office))
+
+
 @then("the moves are {moves}")
 def expect_moves(context, moves):
     expected = Counter()
@@ -217,6 +236,16 @@
     assert not expected_to_standby or to_standby == expected_to_standby, context.moves
 
 
+@then("no machine is moved")
+def expect_no_moves(context):
+    assert not context.moves, context.moves
+
+
+@then("{count:d} of the moves are cancelled")
+def expect_cancelled(context, count):
+    assert len(context.cancelled) == count, context.cancelled
+
+
 @given("a pool that needed {cores:g} cores")
 def build_history(context, cores):
     context.history = PoolHistory()
--- a/features/workflow_builders.py
+++ b/features/workflow_builders.py
@@ -108,11 +108,18 @@
 
 
 def build_pool_view(
-    machines: list[Machine], needs: dict[str, PoolNeed], *, busy: int = 0
+    machines: list[Machine],
+    needs: dict[str, PoolNeed],
+    *,
+    busy: int = 0,
+    pending_moves: dict[str, str] | None = None,
 ) -> PoolView:
     """Returns the input of the decision on moves, with ``spare`` as the standby pool."""
     services = {name: build_load(name, machines, busy=busy) for name in needs}
-    return PoolView(services, machines, frozenset({"spare"}), frozenset(), needs)
+    pending_moves = pending_moves or {}
+    return PoolView(
+        services, machines, frozenset({"spare"}), frozenset(pending_moves), needs, pending_moves
+    )
 
 
 def build_upkeep_view(machines: list[Machine], max_down: int, **changes: Any) -> UpkeepView:
--- a/features/workflow_decisions.feature
+++ b/features/workflow_decisions.feature
@@ -104,6 +104,31 @@
     When booking needs 2 and office needs 2
     Then the moves are 2 from booking to spare
 
+  Scenario: A pool returns no more machines while the moves of its surplus are pending
+    # Guards against a pool that is emptied while moves are held up: each look counted the same
+    # surplus anew and cordoned two more idle workers for it.
+    Given pools booking with 8, office with 2 and spare with 0 machines
+    And 4 moves from booking to spare that are not yet carried out
+    When booking needs 4 and office needs 2
+    Then no machine is moved
+    And 0 of the moves are cancelled
+
+  Scenario: A pool asks for no more machines while those that it lacks are on their way
+    # Guards against other pools that give a machine at each look for one that is short by two.
+    Given pools booking with 8, office with 2 and spare with 0 machines
+    And 2 moves from booking to office that are not yet carried out
+    When booking needs 4 and keeps 6 and office needs 4
+    Then no machine is moved
+    And 0 of the moves are cancelled
+
+  Scenario: A pool that needs a machine again keeps it, if its move is not yet carried out
+    # Guards against tasks that are due and wait while the workers with room are cordoned for a move.
+    Given pools booking with 8, office with 2 and spare with 0 machines
+    And 6 moves from booking to spare that are not yet carried out
+    When booking needs 5 and office needs 2
+    Then no machine is moved
+    And 3 of the moves are cancelled
+
   Scenario: Demand that rises is met before it is a backlog
     Given a pool that needed 16 cores
     When within 1 s 48 cores are offered of which 28 run and nothing waits yet
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -289,6 +289,7 @@
                 self._orders.list_unanswered(),
             ),
             {},
+            self._pending_moves,
         )
         needs = self._pool_sizes.update(self._clock.elapsed().total_seconds(), view)
         for move in choose_moves(view._replace(needs=needs)):
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import Counter, deque
 from typing import NamedTuple
 
 from carawayshore.workflows.model import Machine, ServiceLoad
@@ -64,6 +64,9 @@
     busy : frozenset of str
         Machines that are being moved or taken out of service for upkeep.
     needs : dict of str to PoolNeed
+    pending_moves : dict of str to str
+        Destination pool of each machine whose move has been chosen. Until it is listed there, the
+        machine counts for the destination.
     """
 
     services: dict[str, ServiceLoad]
@@ -71,6 +74,7 @@
     standby: frozenset[str]
     busy: frozenset[str]
     needs: dict[str, PoolNeed]
+    pending_moves: dict[str, str]
 
 
 class PoolHistory:
@@ -179,11 +183,7 @@
         by_pool.setdefault(machine.pool, []).append(machine)
     loads = {load.worker: load for item in view.services.values() for load in item.workers}
     idle = {pool: _list_idle(view, items, loads) for pool, items in by_pool.items()}
-    counts = {
-        name: sum(machine.state in ("up", "moving") for machine in by_pool.get(name, ()))
-        for name in view.services
-    }
-    shortages = {name: view.needs[name].needed - counts[name] for name in view.services}
+    shortages = _compute_shortages(view)
     moves = _fill_pools(view, shortages, idle)
     if not view.standby:
         return moves
@@ -197,6 +197,38 @@
     return moves
 
 
+def choose_cancelled_moves(view: PoolView, cancellable: frozenset[str]) -> list[str]:
+    """Returns the machines whose pending move is to be cancelled, since their pool needs them.
+
+    A cancelled move costs nothing and takes no time, unlike a move back.
+
+    Parameters
+    ----------
+    view : PoolView
+    cancellable : frozenset of str
+        Machines whose move has not been ordered yet.
+    """
+    sources = {item.machine: item.pool for item in view.machines if item.state == "up"}
+    shortages = _compute_shortages(view)
+    cancelled = []
+    for name in sorted(cancellable & view.pending_moves.keys()):
+        source = sources.get(name)
+        if source in shortages and shortages[source] > 0:
+            shortages[source] -= 1
+            cancelled.append(name)
+    return cancelled
+
+
+def _compute_shortages(view: PoolView) -> dict[str, int]:
+    """Returns the number of machines that each pool lacks, negative for a surplus."""
+    counts = Counter(
+        view.pending_moves.get(machine.machine, machine.pool)
+        for machine in view.machines
+        if machine.state in ("up", "moving")
+    )
+    return {name: view.needs[name].needed - counts[name] for name in view.services}
+
+
 def _fill_pools(
     view: PoolView, shortages: dict[str, int], idle: dict[str, list[Machine]]
 ) -> list[Move]:
