Give up a pool move whose machine its pool needs again, and end its cordon for certain

Cause: a move that had been chosen was given up only if tasks ran on its machine. While its order was held up, each look renewed the cordon for 6 s, whatever the pool needed by then. When it was given up, the cordon was ended by one call, and by none if the order was refused; if that call was lost, the worker stayed unused for 6 s. A worker out of reach kept its move pending without end. Change: moves for which no order has been sent are cancelled when the pool becomes short, when the owner does not reach the worker, or when the order is refused; their cordons are ended again at each look until the owner confirms it. A cancelled move costs nothing. While an order without a response may still be carried out, the cordon stays even if tasks run there, which was not so before.

--- /dev/null
+++ b/features/pool_move_builders.py
@@ -0,0 +1,177 @@
+"""A fleet manager with modelled pools, whose owners and orders a scenario delays or breaks.
+
+It runs on the stand-in of the store and on the clock of the fleet harness, which the scenario
+advances.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from fleet_manager_builders import FleetHarness, RecordingMachines
+from workflow_builders import build_load, build_machines
+
+from carawayd.partition.owner import ABSENT, ACCEPTED, FOUND, UNREADY, Reply
+from carawayd.platform.common import PermissionEnded, PlatformError
+from carawayd.platform.machines import MachineList
+from carawayd.process.fleetmanager import CONTROL_INTERVAL
+from carawayd.process.ownercalls import CORDON, REPORT_LOAD, UNCORDON
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawayshore.workflows.model import Machine, WorkerLoad
+
+SERVICE, STANDBY = "booking", "spare"
+# Time after which a call to the store or to a machine is carried out.
+CALL_TIME = timedelta(milliseconds=5)
+
+
+class PoolMachines(RecordingMachines):
+    """Machines of two pools, which move as ordered.
+
+    Attributes
+    ----------
+    before_sending : callable
+        Called before the permission to send is asked for.
+    """
+
+    def __init__(self, machines: list[Machine]) -> None:
+        super().__init__()
+        self.machines = {item.machine: item for item in machines}
+        self.before_sending: Callable[[], None] = lambda: None
+
+    async def list_machines(self) -> MachineList:
+        return MachineList(list(self.machines.values()), True)
+
+    async def move(
+        self, machine: str, pool: str, *, holder: str, fence: int, may_send: Callable[[], bool]
+    ) -> None:
+        self.before_sending()
+        if not may_send():
+            raise PermissionEnded("the permission to send ended")
+        self.orders.append((machine, pool, fence))
+        if self.loses_responses:
+            raise PlatformError("no response")
+        self.machines[machine] = self.machines[machine]._replace(pool=pool)
+
+
+class PoolOwner:
+    """Owner of the only service: cordons its workers and reports their load.
+
+    Attributes
+    ----------
+    load : dict
+        Cores and core-seconds that the service reports, by field of ``ServiceLoad``.
+    tasks : dict of str to int
+        Number of tasks on each worker.
+    cordons : set of str
+    answers_cordons : bool
+        Whether cordons get a reply; without one they take effect all the same.
+    lost_uncordons : int
+        Number of calls to come that end a cordon and do not reach the owner.
+    unresponsive : set of str
+        Workers that the owner does not reach.
+    """
+
+    def __init__(self, machines: PoolMachines) -> None:
+        self._machines = machines
+        self.load: dict[str, float] = {}
+        self.tasks: dict[str, int] = {}
+        self.cordons: set[str] = set()
+        self.answers_cordons = True
+        self.lost_uncordons = 0
+        self.unresponsive: set[str] = set()
+
+    def _describe(self) -> Any:
+        load = build_load(SERVICE, list(self._machines.machines.values()), **self.load)
+        return load._replace(workers=tuple(self._describe_worker(item) for item in load.workers))
+
+    def _describe_worker(self, load: WorkerLoad) -> WorkerLoad:
+        return load._replace(
+            tasks=self.tasks.get(load.worker, 0),
+            cordoned=load.worker in self.cordons,
+            heard=load.worker not in self.unresponsive,
+        )
+
+    async def call_once(
+        self, partition: int, operation: str, argument: Any, timeout: float
+    ) -> tuple[Reply, bool]:
+        if operation == REPORT_LOAD:
+            return Reply(FOUND, msgspec.to_builtins([self._describe()])), False
+        worker = argument[0] if operation == CORDON else argument
+        if operation == UNCORDON:
+            if self.lost_uncordons:
+                self.lost_uncordons -= 1
+                return Reply(UNREADY), True
+            self.cordons.discard(worker)
+            return Reply(ACCEPTED), False
+        if worker in self.unresponsive:
+            return Reply(ABSENT), False
+        self.cordons.add(worker)
+        if not self.answers_cordons:
+            return Reply(UNREADY), True
+        load = next(item for item in self._describe().workers if item.worker == worker)
+        return Reply(ACCEPTED, msgspec.to_builtins(load)), False
+
+
+class PoolBench:
+    """A fleet manager that manages one service and a standby pool.
+
+    Parameters
+    ----------
+    in_service, on_standby : int
+        Number of machines of 16 cores.
+    """
+
+    def __init__(self, in_service: int, on_standby: int) -> None:
+        self.fleet = FleetHarness()
+        self.machines = PoolMachines(build_machines(booking=in_service, spare=on_standby))
+        self.owner = PoolOwner(self.machines)
+        self.fleet.machines = self.machines
+        self.manager = self.fleet.run(self.fleet.start_holder(1))
+        self._prepare(self.manager)
+
+    def _prepare(self, manager: Any) -> None:
+        services = {
+            SERVICE: SimpleNamespace(name=SERVICE, standby=False),
+            STANDBY: SimpleNamespace(name=STANDBY, standby=True),
+        }
+        manager._discovery = SimpleNamespace(
+            deployment=SimpleNamespace(services=services),
+            waves={},
+            find_partition=lambda name: 0 if name == SERVICE else None,
+        )
+        manager._owner_calls = self.owner
+
+    async def order_all_machines(self) -> None:
+        """Records an answered order for each machine."""
+        for name in self.machines.machines:
+            assert await self.fleet.may_order(self.manager, name)
+            self.manager._orders.record_answer(name)
+        await self.manager._ledger.flush()
+
+    def take_over(self) -> None:
+        """Makes another holder manage the fleet."""
+        self.manager = self.fleet.run(self.fleet.start_holder(2))
+        self._prepare(self.manager)
+
+    def manage(self, seconds: float) -> None:
+        """Plays the control loop of the fleet manager for some seconds of its clock."""
+        for _ in range(max(1, round(seconds / CONTROL_INTERVAL.total_seconds()))):
+            self.fleet.run(self._manage_once())
+            self.fleet.clock.advance += CONTROL_INTERVAL
+
+    async def _manage_once(self) -> None:
+        await self.manager._control()
+        while self.manager._order_tasks:
+            await self.fleet.clock.sleep(CALL_TIME)
+
+    def count_machines(self, pool: str) -> int:
+        return sum(item.pool == pool for item in self.machines.machines.values())
+
+    def close(self) -> None:
+        self.fleet.close()
--- /dev/null
+++ b/features/pool_moves.feature
@@ -0,0 +1,32 @@
+Feature: Moves of machines between pools keep no task waiting
+
+  Scenario: Workers with held-up moves are used again once their pool needs them
+    # Guards against tasks that are due while the workers with room stay cordoned for moves: a move
+    # that had been chosen was never given up.
+    Given a pool of 8 machines without demand, whose owner confirms no cordon
+    When the fleet is managed for 3 s
+    Then some of its workers are cordoned
+    When the pool gets work for all its machines and the fleet is managed for 0.4 s
+    Then none of its workers is cordoned
+    And no move is pending
+
+  Scenario: A cordon ends although the first call to end it is lost
+    # Guards against a worker with room that stays cordoned for 6 s because of one lost call.
+    Given a pool of 8 machines without demand, whose owner confirms no cordon
+    When the fleet is managed for 3 s
+    And the next 9 calls to end a cordon are lost
+    And the pool gets work for all its machines and the fleet is managed for 0.8 s
+    Then none of its workers is cordoned
+
+  Scenario: Moves that are held up do not empty their pool
+    # Guards against two more cordoned workers at each look, until none is left.
+    Given a pool of 12 machines with demand for 5, whose owner confirms no cordon
+    When the fleet is managed for 4 s
+    Then at least 5 of its workers are not cordoned
+
+  Scenario: The move of a machine whose worker cannot be cordoned is given up
+    # Guards against a pool that waits for a machine which does not come.
+    Given a pool of 8 machines without demand, whose owner confirms no cordon
+    When the fleet is managed for 3 s
+    And the owner does not reach the workers and the fleet is managed for 0.4 s
+    Then no move is pending
--- /dev/null
+++ b/features/steps/pool_move_steps.py
@@ -0,0 +1,107 @@
+"""Steps on a fleet manager that moves machines between pools."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from behave import given, then, when
+from pool_move_builders import SERVICE, STANDBY, PoolBench
+
+
+def _build_bench(context, count: int) -> None:
+    context.bench = PoolBench(count, 0)
+    context.add_cleanup(context.bench.close)
+
+
+def _list_workers(context) -> set[str]:
+    machines = context.bench.machines.machines.values()
+    return {item.worker for item in machines if item.pool == SERVICE}
+
+
+@given("a pool of {count:d} machines without demand, whose owner confirms no cordon")
+def build_pool_without_confirmation(context, count):
+    _build_bench(context, count)
+    context.bench.owner.answers_cordons = False
+
+
+@given("a pool of {count:d} machines with demand for {needed:d}, whose owner confirms no cordon")
+def build_pool_with_demand(context, count, needed):
+    build_pool_without_confirmation(context, count)
+    # One machine is provided beyond those for the cores.
+    context.bench.owner.load = {"running_cores": 16.0 * (needed - 1)}
+
+
+@given(
+    "a pool of {count:d} machines without demand, whose orders wait for {seconds:d} s before they "
+    "are sent"
+)
+def build_pool_with_held_orders(context, count, seconds):
+    _build_bench(context, count)
+
+    def hold_up() -> None:
+        context.bench.fleet.clock.advance += timedelta(seconds=seconds)
+
+    context.bench.machines.before_sending = hold_up
+
+
+@given(
+    "a pool of {count:d} machines without demand, whose machines the former holder has just ordered"
+)
+def build_pool_of_ordered_machines(context, count):
+    _build_bench(context, count)
+    context.bench.fleet.run(context.bench.order_all_machines())
+    context.bench.take_over()
+
+
+@when("the fleet is managed for {seconds:g} s")
+def pass_time(context, seconds):
+    context.bench.manage(seconds)
+
+
+@when("the pool gets work for all its machines and the fleet is managed for {seconds:g} s")
+def raise_demand(context, seconds):
+    machines = context.bench.count_machines(SERVICE)
+    context.bench.owner.load = {"waiting_core_seconds": 16.0 * 2 * machines}
+    context.bench.manage(seconds)
+
+
+@when("the next {count:d} calls to end a cordon are lost")
+def lose_uncordons(context, count):
+    context.bench.owner.lost_uncordons = count
+
+
+@when("the owner does not reach the workers and the fleet is managed for {seconds:g} s")
+def cut_workers(context, seconds):
+    context.bench.owner.unresponsive = _list_workers(context)
+    context.bench.manage(seconds)
+
+
+@then("some of its workers are cordoned")
+def expect_cordons(context):
+    assert context.bench.owner.cordons
+
+
+@then("none of its workers is cordoned")
+def expect_no_cordon(context):
+    assert not context.bench.owner.cordons, context.bench.owner.cordons
+
+
+@then("at least {count:d} of its workers are not cordoned")
+def expect_uncordoned(context, count):
+    free = _list_workers(context) - context.bench.owner.cordons
+    assert len(free) >= count, free
+
+
+@then("no move is pending")
+def expect_no_pending_move(context):
+    assert not context.bench.manager._pending_moves, context.bench.manager._pending_moves
+
+
+@then("no machine has moved")
+def expect_no_moves(context):
+    assert not context.bench.machines.orders, context.bench.machines.orders
+
+
+@then("{count:d} machines or more have moved")
+def expect_moves(context, count):
+    assert context.bench.count_machines(STANDBY) >= count, context.bench.machines.orders
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -11,7 +11,7 @@
 from mode import Service
 
 from carawayd.partition.ledger import FLEET_TOPIC, Ledger, OwnershipLost
-from carawayd.partition.owner import ACCEPTED, FOUND
+from carawayd.partition.owner import ABSENT, ACCEPTED, FOUND, UNREADY
 from carawayd.platform.common import PlatformError, PlatformUnreached
 from carawayd.platform.documents import WAVE_PREFIX, encode_wave_state
 from carawayd.platform.machines import MachineRefused
@@ -24,7 +24,12 @@
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument, convert
 from carawayshore.workflows.model import ServiceLoad, WorkerLoad
-from carawayshore.workflows.pools import PoolSizer, PoolView, choose_moves
+from carawayshore.workflows.pools import (
+    PoolSizer,
+    PoolView,
+    choose_cancelled_moves,
+    choose_moves,
+)
 from carawayshore.workflows.upkeep import (
     UpkeepView,
     choose_upkeep_machines,
@@ -121,6 +126,10 @@
         self._order_tasks: dict[str, asyncio.Task[None]] = {}
         # Machine to destination pool.
         self._pending_moves: dict[str, str] = {}
+        # Machines with a pending move for which an order may have been sent.
+        self._ordered_moves: set[str] = set()
+        # Machine of a cancelled move to the time by which its cordon has expired in any case.
+        self._cordon_ends: dict[str, timedelta] = {}
         # Machine to the time at which its cordon for an unanswered order is to be renewed.
         self._cordon_due_at: dict[str, timedelta] = {}
         self._pool_sizes = PoolSizer()
@@ -147,6 +156,7 @@
         if is_holder:
             self._fence = generation
             self._pending_upkeep, self._down_until, self._pending_moves = {}, {}, {}
+            self._ordered_moves, self._cordon_ends = set(), {}
             self.loaded.clear()
             self._ledger = Ledger(
                 self._store, FLEET_TOPIC, 0, self._settings, self._clock, self._metrics
@@ -220,11 +230,7 @@
         while not self.should_stop:
             if self._may_order():
                 try:
-                    self._orders.remove_settled()
-                    await self._read_fleet()
-                    await self._cordon_machines_with_unanswered_orders()
-                    await self._manage_waves()
-                    await self._manage_pools()
+                    await self._control()
                 except (PlatformError, OwnershipLost) as error:
                     logger.info(
                         "fleet management failed; retrying at the next interval",
@@ -232,6 +238,14 @@
                     )
             await self._clock.sleep(CONTROL_INTERVAL)
 
+    async def _control(self) -> None:
+        """Advances all upkeep and all moves by a step."""
+        self._orders.remove_settled()
+        await self._read_fleet()
+        await self._cordon_machines_with_unanswered_orders()
+        await self._manage_waves()
+        await self._manage_pools()
+
     async def _read_fleet(self) -> None:
         """Reads the list of machines and the load of all services."""
         listing = await self._machines_client.list_machines()
@@ -292,7 +306,14 @@
             self._pending_moves,
         )
         needs = self._pool_sizes.update(self._clock.elapsed().total_seconds(), view)
-        for move in choose_moves(view._replace(needs=needs)):
+        view = view._replace(needs=needs)
+        self._ordered_moves &= self._pending_moves.keys()
+        cancellable = frozenset(
+            self._pending_moves.keys() - self._ordered_moves - self._order_tasks.keys()
+        )
+        for name in choose_cancelled_moves(view, cancellable):
+            self._cancel_move(name, "its pool needs the machine")
+        for move in choose_moves(view):
             self._pending_moves[move.machine.machine] = move.pool
             logger.info(
                 "move chosen",
@@ -313,6 +334,35 @@
                 for name, pool in list(self._pending_moves.items())
             )
         )
+        await self._end_cordons_of_cancelled_moves(standby)
+
+    def _cancel_move(self, name: str, why: str) -> None:
+        """Gives up a move that no order will carry out, and lets its cordon be ended."""
+        pool = self._pending_moves.pop(name)
+        lifetime = timedelta(seconds=CORDON_LIFETIME_SECONDS)
+        self._cordon_ends[name] = self._clock.elapsed() + lifetime
+        logger.info("move cancelled", extra={"fields": {"machine": name, "to": pool, "why": why}})
+
+    async def _end_cordons_of_cancelled_moves(self, standby: frozenset[str]) -> None:
+        """Ends the cordons, again until the owner confirms it, unless they are needed anew."""
+        now = self._clock.elapsed()
+        needed = (
+            self._pending_moves.keys()
+            | self._pending_upkeep.keys()
+            | self._down_until.keys()
+            | self._orders.list_unanswered()
+        )
+        machines = []
+        for name, until in list(self._cordon_ends.items()):
+            machine = self._machines.get(name)
+            if machine is None or machine.pool in standby or name in needed or now >= until:
+                del self._cordon_ends[name]
+            else:
+                machines.append(machine)
+        confirmed = await asyncio.gather(*(self._uncordon(machine) for machine in machines))
+        for machine, is_confirmed in zip(machines, confirmed, strict=True):
+            if is_confirmed:
+                self._cordon_ends.pop(machine.machine, None)
 
     async def _cordon_machines_with_unanswered_orders(self) -> None:
         """Keeps tasks off machines for which an order may yet be executed.
@@ -343,13 +393,16 @@
         if name in self._order_tasks or machine.state != "up":
             return
         if machine.pool not in standby:
-            load = await self._cordon(machine)
+            outcome, load = await self._request_cordon(machine)
+            is_ordered = name in self._ordered_moves
+            if outcome == ABSENT and not is_ordered:
+                self._cancel_move(name, "its worker cannot be cordoned")
             if load is None:
                 return
             if load.tasks:
-                # Tasks started before the cordon, so the machine is needed in its current pool.
-                self._pending_moves.pop(name, None)
-                await self._uncordon(machine)
+                # An order without a response may still end the tasks, so its cordon stays.
+                if name not in self._orders.list_unanswered():
+                    self._cancel_move(name, "tasks started before the cordon")
                 return
         self._start_order(name, self._move(name, pool))
 
@@ -361,6 +414,7 @@
         except OwnershipLost:
             return
         outcome: Any = "moved"
+        self._ordered_moves.add(name)
         try:
             await self._machines_client.move(
                 name,
@@ -372,12 +426,16 @@
         except MachineRefused as refusal:
             outcome = refusal.reason
             self._orders.record_answer(name)
-            self._pending_moves.pop(name, None)
             if refusal.reason == "fence":
+                self._pending_moves.pop(name, None)
                 self._is_token_rejected = True
+            elif name in self._pending_moves:
+                self._cancel_move(name, f"the order was refused: {refusal.reason}")
         except PlatformUnreached as error:
             outcome = str(error)
             self._orders.record_answer(name)
+            if name not in self._orders.list_unanswered():
+                self._ordered_moves.discard(name)
         except PlatformError as error:
             outcome = str(error)
             self._orders.note_missing_answer(name)
@@ -483,13 +541,17 @@
         return {service.name for service in services if service.standby}
 
     async def _cordon(self, machine: Machine) -> WorkerLoad | None:
-        """Keeps new tasks off a machine and returns its load, None if the load is unknown.
+        """Keeps new tasks off a machine and returns its load, None if the load is unknown."""
+        return (await self._request_cordon(machine))[1]
+
+    async def _request_cordon(self, machine: Machine) -> tuple[str, WorkerLoad | None]:
+        """Asks the owner for a cordon; returns the outcome, and the load if it is known.
 
         The owner records the cordon before it replies, so that later owners also apply it.
         """
         partition = self._discovery.find_partition(machine.pool)
         if partition is None or not machine.worker:
-            return None
+            return UNREADY, None
         unanswered = machine.machine in self._orders.list_unanswered()
         argument = [
             machine.worker,
@@ -499,15 +561,18 @@
             partition, CORDON, argument, OWNER_CALL_TIMEOUT_SECONDS
         )
         if reply.outcome != ACCEPTED:
-            return None
-        return _convert_reply(reply.detail, WorkerLoad, CORDON)
+            return reply.outcome, None
+        return ACCEPTED, _convert_reply(reply.detail, WorkerLoad, CORDON)
 
-    async def _uncordon(self, machine: Machine) -> None:
+    async def _uncordon(self, machine: Machine) -> bool:
+        """Ends the cordon of a machine; returns whether the owner has confirmed it."""
         partition = self._discovery.find_partition(machine.pool)
-        if partition is not None and machine.worker:
-            await self._owner_calls.call_once(
-                partition, UNCORDON, machine.worker, OWNER_CALL_TIMEOUT_SECONDS
-            )
+        if partition is None or not machine.worker:
+            return False
+        reply, _ = await self._owner_calls.call_once(
+            partition, UNCORDON, machine.worker, OWNER_CALL_TIMEOUT_SECONDS
+        )
+        return reply.outcome == ACCEPTED
 
     async def _start_upkeep(self, wave: Wave, name: str) -> None:
         """Orders the upkeep of one machine and records that it has begun."""
--- a/packages/carawayd/src/carawayd/process/machineorders.py
+++ b/packages/carawayd/src/carawayd/process/machineorders.py
@@ -72,6 +72,10 @@
         """Returns whether an order of a predecessor still excludes one of this holder."""
         return self._clock.elapsed() < self._inherited_until.get(machine, timedelta())
 
+    def list_blocked(self) -> set[str]:
+        """Returns the machines that this holder may not order yet."""
+        return {machine for machine in self._inherited_until if self.is_blocked(machine)}
+
     def record_sending(self, machine: str) -> None:
         """Queues the record of an order; the order may be sent once the record is durable."""
         self._record(machine, SENT, MAX_ORDER_DELAY)
