Send no order to a machine whose cordon may have expired meanwhile

Cause: a cordon lasts 6 s and is not renewed while its order waits for the store or for a connection. The permission that is checked right before an order is sent covered the holder and its token, not the cordon. Change: the permission ends 1 s before the last confirmed cordon does; the next look cordons the worker anew, and gives the move up if tasks run there.

--- a/features/pool_moves.feature
+++ b/features/pool_moves.feature
@@ -30,3 +30,10 @@
     When the fleet is managed for 3 s
     And the owner does not reach the workers and the fleet is managed for 0.4 s
     Then no move is pending
+
+  Scenario: A move is not ordered once its cordon may have expired
+    # Guards against a move that ends tasks: its order waited for the store while the cordon, which
+    # nobody renewed meanwhile, ended after 6 s, and the worker got tasks.
+    Given a pool of 8 machines without demand, whose orders wait for 7 s before they are sent
+    When the fleet is managed for 3 s
+    Then no machine has moved
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -56,6 +56,8 @@
 OWNER_CALL_TIMEOUT_SECONDS = 0.5
 # Cordons expire unless renewed, so that a crashed fleet manager does not block workers.
 CORDON_LIFETIME_SECONDS = 6.0
+# No order is sent in the last part of a cordon, since it arrives only some time later.
+CORDON_MARGIN = timedelta(seconds=1)
 # Interval at which the cordon of a machine is renewed for an unanswered order alone.
 CORDON_RENEWAL_INTERVAL = timedelta(seconds=3)
 # Lifetime of the cordon of a machine whose last order got no response.
@@ -128,6 +130,8 @@
         self._pending_moves: dict[str, str] = {}
         # Machines with a pending move for which an order may have been sent.
         self._ordered_moves: set[str] = set()
+        # Machine to the time until which its cordon holds for certain.
+        self._cordoned_until: dict[str, timedelta] = {}
         # Machine of a cancelled move to the time by which its cordon has expired in any case.
         self._cordon_ends: dict[str, timedelta] = {}
         # Machine to the time at which its cordon for an unanswered order is to be renewed.
@@ -156,7 +160,7 @@
         if is_holder:
             self._fence = generation
             self._pending_upkeep, self._down_until, self._pending_moves = {}, {}, {}
-            self._ordered_moves, self._cordon_ends = set(), {}
+            self._ordered_moves, self._cordon_ends, self._cordoned_until = set(), {}, {}
             self.loaded.clear()
             self._ledger = Ledger(
                 self._store, FLEET_TOPIC, 0, self._settings, self._clock, self._metrics
@@ -218,12 +222,18 @@
         self._order_tasks[name] = task
         task.add_done_callback(lambda _: self._order_tasks.pop(name, None))
 
-    def _permit(self, fence: int) -> Callable[[], bool]:
-        """Returns whether orders under a token may be sent, as a function to call before sending.
+    def _permit(self, fence: int, name: str) -> Callable[[], bool]:
+        """Returns whether a machine may be ordered under a token, as a function to call then.
 
-        The process may have lost the partition and got it back since the order was recorded.
+        The process may have lost the partition and got it back since the order was recorded, and
+        the cordon may have expired, so that tasks have been started on the machine.
         """
-        return lambda: fence == self._fence and self._may_order()
+        return lambda: fence == self._fence and self._may_order() and self._is_cordoned(name)
+
+    def _is_cordoned(self, name: str) -> bool:
+        """Returns whether a machine is cordoned for certain, or was in no pool that has tasks."""
+        until = self._cordoned_until.get(name)
+        return until is None or self._clock.elapsed() < until - CORDON_MARGIN
 
     @supervised_task
     async def _manage(self) -> None:
@@ -404,6 +414,8 @@
                 if name not in self._orders.list_unanswered():
                     self._cancel_move(name, "tasks started before the cordon")
                 return
+        else:
+            self._cordoned_until.pop(name, None)
         self._start_order(name, self._move(name, pool))
 
     async def _move(self, name: str, pool: str) -> None:
@@ -421,7 +433,7 @@
                 pool,
                 holder=self._ownership.member,
                 fence=self._fence,
-                may_send=self._permit(self._fence),
+                may_send=self._permit(self._fence, name),
             )
         except MachineRefused as refusal:
             outcome = refusal.reason
@@ -532,6 +544,8 @@
             load = await self._cordon(machine)
             if load is None:
                 return
+        else:
+            self._cordoned_until.pop(name, None)
         if may_start_upkeep(view, load):
             self._down_until[name] = timedelta.max
             self._start_order(name, self._start_upkeep(view.wave, name))
@@ -553,15 +567,16 @@
         if partition is None or not machine.worker:
             return UNREADY, None
         unanswered = machine.machine in self._orders.list_unanswered()
-        argument = [
-            machine.worker,
-            UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS if unanswered else CORDON_LIFETIME_SECONDS,
-        ]
+        lifetime = (
+            UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS if unanswered else CORDON_LIFETIME_SECONDS
+        )
+        called_at = self._clock.elapsed()
         reply, _ = await self._owner_calls.call_once(
-            partition, CORDON, argument, OWNER_CALL_TIMEOUT_SECONDS
+            partition, CORDON, [machine.worker, lifetime], OWNER_CALL_TIMEOUT_SECONDS
         )
         if reply.outcome != ACCEPTED:
             return reply.outcome, None
+        self._cordoned_until[machine.machine] = called_at + timedelta(seconds=lifetime)
         return ACCEPTED, _convert_reply(reply.detail, WorkerLoad, CORDON)
 
     async def _uncordon(self, machine: Machine) -> bool:
@@ -590,7 +605,7 @@
                 wave.number,
                 holder=self._ownership.member,
                 fence=self._fence,
-                may_send=self._permit(self._fence),
+                may_send=self._permit(self._fence, name),
             )
         except MachineRefused as refusal:
             outcome = refusal.reason
