Cordon no machine for a move that may not be ordered yet

Cause: a new holder leaves machines alone that its predecessor ordered lately, but chose moves of them all the same and cordoned their workers until it might order them. Evidence: pool_moves.feature; 6 of 8 workers were cordoned for 2.5 s. Change: such machines count as busy, so other machines are chosen, or these once they may be ordered. Measured: pool_moves (6 scenarios) and fleet_manager (16) pass.

--- a/features/pool_moves.feature
+++ b/features/pool_moves.feature
@@ -37,3 +37,12 @@
     Given a pool of 8 machines without demand, whose orders wait for 7 s before they are sent
     When the fleet is managed for 3 s
     Then no machine has moved
+
+  Scenario: A machine that may not be ordered yet is not cordoned for a move
+    # Guards against a worker that stays cordoned for the 3.2 s in which a new holder leaves a machine
+    # alone that its predecessor ordered.
+    Given a pool of 8 machines without demand, whose machines the former holder has just ordered
+    When the fleet is managed for 2.5 s
+    Then none of its workers is cordoned
+    When the fleet is managed for 2 s
+    Then 2 machines or more have moved
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -311,6 +311,7 @@
                 self._pending_moves,
                 self._down_until,
                 self._orders.list_unanswered(),
+                self._orders.list_blocked(),
             ),
             {},
             self._pending_moves,
