Place the other steps although one step raises an unexpected error in each plan

Cause: an error for one step ended the whole plan, and the next one, 0.5 s later, met it again. What had been placed before it was abandoned as orders that may have been sent. Change: the planner catches the error of a step, releases the room that it had reserved for it, logs and counts the error, and leaves the step out for 1 s.

--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayd.partition.rejections import Rejections
+from carawayd.supervision import unexpected_errors
 from carawayshore.workflows.crashes import needs_isolation
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
@@ -35,6 +37,11 @@
     from carawayshore.workflows.runtimes import RuntimeModel
     from carawayshore.workflows.state import StepState, WorkflowState
 
+logger = logging.getLogger(__name__)
+
+# Time for which a step is left out of the plans after an unexpected error while it was placed.
+ERROR_DELAY_SECONDS = 1.0
+
 StepKey = tuple[str, int, int]
 
 
@@ -128,6 +135,10 @@
         # Requirements for which the present plan has found no worker, and whether one would have
         # been found despite precautions. Room only shrinks while a plan is made.
         self._unplaceable: dict[_Requirement, bool] = {}
+        # Room that has been reserved for the step that is being placed.
+        self._reserved: list[tuple[WorkerCapacity, TaskName]] = []
+        # Time from which each step that caused an unexpected error is looked at again.
+        self._failed_until: dict[StepKey, float] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -155,12 +166,7 @@
         if self._isolation:
             self._isolation.refresh()
         self.end_needless_claims()
-        ranked = []
-        for key, step in self._open_steps.items():
-            workflow = self._workflows[key[0]]
-            if self.is_due(workflow, step):
-                ranked.append((self._rank(workflow, step, now), key))
-        ranked.sort()
+        ranked = self._rank_due_steps(now)
         capacities_by_service: dict[str, list[WorkerCapacity]] = {}
         for _, key in ranked:
             if limit <= 0:
@@ -170,11 +176,44 @@
             capacities = capacities_by_service.get(service)
             if capacities is None:
                 capacities = capacities_by_service[service] = self._list_usable(service)
-            placement = self._place_step(workflow, step, capacities, now, limit)
+            self._reserved.clear()
+            try:
+                placement = self._place_step(workflow, step, capacities, now, limit)
+            except Exception:
+                for capacity, name in self._reserved:
+                    capacity.release(name)
+                self._set_aside(key, now)
+                continue
             if placement is not None:
                 limit -= len(placement.chosen)
                 yield placement
 
+    def _rank_due_steps(self, now: float) -> list[tuple[Rank, StepKey]]:
+        """Returns the open steps whose time has come, the most urgent first."""
+        ranked = []
+        for key, step in self._open_steps.items():
+            if now < self._failed_until.get(key, now):
+                continue
+            try:
+                workflow = self._workflows[key[0]]
+                if self.is_due(workflow, step):
+                    ranked.append((self._rank(workflow, step, now), key))
+            except Exception:
+                self._set_aside(key, now)
+        ranked.sort()
+        return ranked
+
+    def _set_aside(self, key: StepKey, now: float) -> None:
+        """Logs the error of a step, which must not keep all other steps from being placed."""
+        for other in [other for other, until in self._failed_until.items() if now >= until]:
+            del self._failed_until[other]
+        self._failed_until[key] = now + ERROR_DELAY_SECONDS
+        unexpected_errors.count += 1
+        logger.exception(
+            "unexpected error while a step was placed; trying again later",
+            extra={"fields": {"step": f"{key[0]}.{key[1]}.{key[2]}"}},
+        )
+
     def end_needless_claims(self) -> None:
         """Ends the claims of tasks that need none, and those on workers that cannot be used."""
         self._claims.retain(self._needs_claim)
@@ -343,6 +382,7 @@
             if capacity is not None:
                 # Its room would count twice for the tasks after it.
                 self._claims.end(name)
+                self._reserved.append((capacity, name))
                 capacity.reserve(name, usage)
                 chosen.append((capacity, name))
             elif not (isolated or excluded):
