--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -349,7 +349,7 @@
 
     def _cancel_move(self, name: str, why: str) -> None:
         """Gives up a move that no order will carry out, and lets its cordon be ended."""
-        pool = self._pending_moves.pop(name)
+        pool = self._pending_moves.pop(name, "")
         lifetime = timedelta(seconds=CORDON_LIFETIME_SECONDS)
         self._cordon_ends[name] = self._clock.elapsed() + lifetime
         logger.info("move cancelled", extra={"fields": {"machine": name, "to": pool, "why": why}})
