--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -105,9 +105,11 @@
             for workflow, step, name, task in self._iterate_absent_tasks()
         ]
         self._since = {absence.name: absence.since for absence in absences}
-        for name in self._log_at.keys() - self._since.keys():
-            del self._log_at[name]
+        ended = self._log_at.keys() - self._since.keys()
+        for name in sorted(ended)[:MAX_LINES_PER_CHECK]:
             self._log_end(epoch, name)
+        for name in ended:
+            del self._log_at[name]
         absences.sort(key=lambda absence: absence.since)
         self._publish("short_task_longest_wait", absences[:1], now)
         late = [absence for absence in absences if now - absence.since >= ALERT_SECONDS]
