Check in the soak that short jobs are at work or done in calm

Its workers also ended whatever run of a task a stop order named, and carried out a start order for a run that had been stopped before, which the platform's workers refuse. Change: edition 5 has jobs of up to three steps and ten workers, so that less than half of the service is in use. While it runs and at its end, each accepted short job has to have something at work within 3 s once it is calm (7.4 s after the last fault, 12.4 s after a change of owner) and there is room for it twice over, and has to end within 20 s of calm. The generation of the group tells that owners change. The longest times without a run are in the result. Editions 1 to 4 draw as before. The stand-in refuses runs up to the one that was stopped or has ended, until it restarts.

--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -21,6 +21,7 @@
 )
 from soak_faults import FaultProxy, get_faults
 from soak_lasting import LongRunningWatch, SoakWorker
+from soak_short import COMPLETION_LIMIT_S, ShortJobWatch
 from soak_store import CheckedStore
 
 from carawayshore_standins.ports import PortReserver
@@ -48,6 +49,10 @@
 ENTRY_LIFETIME_S = 4.5
 # Numbers of tasks of the long-running jobs, since edition 4. The first one fills two workers.
 LONG_RUNNING_TASKS = (13, 2)
+# Numbers of steps that callers choose from, since edition 5.
+STEP_COUNTS = (1, 1, 2, 3)
+# Workers that are added since edition 5, so that short jobs use less than half of the service.
+FURTHER_WORKERS = 5
 # Faults of this duration are followed by a calm time, since edition 4.
 SERIES_S = 10.0
 # Time from a series of faults to the loss of a worker that follows it.
@@ -63,6 +68,7 @@
     Workers start whatever they are told, so that only the owner keeps their capacity. Since edition
     3, the configuration says so, their capacity changes, and some tasks crash them. Since edition
     4, there are long-running jobs, workers leave for good, and a calm time follows each series.
+    Since edition 5, jobs have up to three steps, and there are twice as many workers.
     """
 
     seed: int
@@ -70,12 +76,16 @@
     hosts: int = 4
     workers: int = 5
     callers: int = 6
-    edition: int = 4
+    edition: int = 5
 
     @property
     def worker_cores(self) -> int:
         return {1: 16, 2: 3, 3: 3}.get(self.edition, 6)
 
+    @property
+    def worker_count(self) -> int:
+        return self.workers + (FURTHER_WORKERS if self.edition >= 5 else 0)
+
     @property
     def total_seconds(self) -> float:
         """Duration of all series, with the times after them."""
@@ -90,11 +100,15 @@
 
 
 class Job:
-    """State of one job as its caller knows it; times are those of the event loop."""
+    """State of one job as its caller knows it; times are those of the event loop.
 
-    def __init__(self, identifier: str, tasks: int) -> None:
+    Each of its ``steps`` has ``tasks`` tasks and waits for the step before it.
+    """
+
+    def __init__(self, identifier: str, tasks: int, steps: int = 1) -> None:
         self.identifier = identifier
         self.tasks = tasks
+        self.steps = steps
         self.accepted_at: float | None = None
         self.cancelled_at: float | None = None
         self.outcome_unknown = False
@@ -103,6 +117,10 @@
         self.is_crashing = False
         self.is_long_running = False
 
+    @property
+    def task_count(self) -> int:
+        return self.tasks * self.steps
+
 
 class SoakDeployment:
     """A store, workers behind proxies, and entry hosts as processes."""
@@ -129,7 +147,7 @@
         store = self._ports.reserve()
         await self.store.start(store)
         self.publish_configuration()
-        for _ in range(self.plan.workers):
+        for _ in range(self.plan.worker_count):
             await self.add_worker()
         if self.plan.edition >= 3:
             self._beating = asyncio.ensure_future(self._write_entries())
@@ -265,6 +283,12 @@
         self.watch = LongRunningWatch(
             self.long_running_jobs, self.deployment.workers, self._measure_calm_seconds
         )
+        self.short_watch = ShortJobWatch(
+            self.jobs,
+            self.deployment.workers,
+            self._measure_calm_seconds,
+            self.deployment.store.get_generation,
+        )
         self._random = Random(plan.seed)
         # Time since which no fault has been injected, None outside of calm times.
         self._calm_since: float | None = None
@@ -284,6 +308,7 @@
                 async with asyncio.timeout(COMPLETION_TIMEOUT_S):
                     await self._submit_long_running_jobs()
             watching = asyncio.ensure_future(self.watch.watch())
+            watching_short = asyncio.ensure_future(self.short_watch.watch())
             ends_at = self._now() + self.plan.total_seconds
             seeds = [self._random.getrandbits(32) for _ in range(self.plan.callers + 2)]
             callers = [
@@ -293,6 +318,7 @@
             await asyncio.gather(*callers, self._inject_series([Random(s) for s in seeds[:2]]))
             watching.cancel()
             await self._await_completion()
+            watching_short.cancel()
         await self.deployment.stop()
         self._check_runs()
 
@@ -361,6 +387,8 @@
         while self._now() < ends_at:
             count += 1
             job = Job(build_identifier((caller + 1) * 100_000 + count), random.randint(1, 4))
+            if self.plan.edition >= 5:
+                job.steps = random.choice(STEP_COUNTS)
             self.jobs.append(job)
             is_crashing = self.plan.edition >= 3 and random.random() < CRASHING_SHARE
             if is_crashing and self._calm_since is None:
@@ -384,6 +412,8 @@
             else {"estimateMs": int(TASK_DURATION_S * 1000)}
         )
         document = build_job(job.tasks, **options)
+        (step,) = document["steps"]
+        document["steps"] += [step | {"after": [number]} for number in range(job.steps - 1)]
         for _ in range(MAX_ATTEMPTS):
             status, _, headers = await self._call(
                 "POST", job.identifier, self._choose_host(random), document
@@ -428,6 +458,7 @@
         """Restarts the entry hosts and polls all accepted jobs until they are completed."""
         for name in self.deployment.hosts:
             await self.deployment.start_host(name)
+        self._calm_since = self._now()
         deadline = self._now() + COMPLETION_TIMEOUT_S
         random = Random(self.plan.seed)
 
@@ -478,7 +509,7 @@
         return max(crashes.values(), default=0) >= GIVE_UP_CRASHES
 
     def _check_completed(self, job: Job) -> None:
-        if len(self._count_completions(job.identifier)) < job.tasks:
+        if len(self._count_completions(job.identifier)) < job.task_count:
             self.findings.append(f"MIXED: {job.identifier} is completed before all its tasks")
 
     def _check_runs(self) -> None:
@@ -508,6 +539,7 @@
         self._check_starts(runs)
         self._check_batches()
         self._check_long_running_tasks()
+        self._check_short_jobs()
         self._check_capacity()
         self._check_crashes()
 
@@ -527,6 +559,14 @@
             if task.partition(".")[0] not in given_up
         ]
 
+    def _check_short_jobs(self) -> None:
+        """Checks that no short job stood still in calm with room, and that all ended in time."""
+        self.findings += [f"LOST: {text}" for text in self.short_watch.overdue.values()]
+        self.findings += [
+            f"LOST: {identifier} had not ended after {COMPLETION_LIMIT_S:.0f} s of calm"
+            for identifier in sorted(self.short_watch.unfinished)
+        ]
+
     def _check_crashes(self) -> None:
         """Checks that no task went on crashing its workers."""
         crashing = {f"{job.identifier}.0.0.0" for job in self.jobs if job.is_crashing}
@@ -585,6 +625,9 @@
             "answers": dict(self.response_counts),
             "faults": len(self.faults),
             "restarts": self.watch.restart_count,
+            "steps": dict(Counter(job.steps for job in self.jobs if job.accepted_at is not None)),
+            "longest_idle_s": round(max(self.short_watch.longest.values(), default=0.0), 2),
+            "longest_idle_in_calm_s": round(self.short_watch.longest_in_calm_s, 2),
             "findings": self.findings,
         }
 
--- a/features/soak_store.py
+++ b/features/soak_store.py
@@ -27,6 +27,11 @@
         self.reused_numbers: list[str] = []
         self._batches: dict[str, bytes] = {}
 
+    def get_generation(self) -> int:
+        """Returns the generation of the owners' group, 0 before its first member."""
+        group = self._groups.get("owners")
+        return group.generation if group is not None else 0
+
     async def _append(self, request: web.Request) -> web.Response:
         batch = await request.read()
         query = request.query
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -86,6 +86,8 @@
         self._running: dict[str, dict[str, Any]] = {}
         self._finished: list[list[Any]] = []
         self._end_count = 0
+        # Highest run of each task that has ended or was stopped; later orders for it are refused.
+        self._highest_ended: dict[str, int] = {}
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
         self._lease_watcher: asyncio.Task[None] | None = None
@@ -158,6 +160,7 @@
         for task, entry in self._running.items():
             self.ends.append((task, entry["run"], "crashed", self._now()))
         self._running, self._finished, self._end_count = {}, [], 0
+        self._highest_ended.clear()
         self.fence, self.lease_expiry_ms = 0, 0.0
         self.incarnation += 1
         self._clock_origin = self._now()
@@ -200,12 +203,16 @@
         if entry is None:
             return
         entry["timer"].cancel()
+        self._refuse_run(task, entry["run"])
         self._end_count += 1
         self._finished.append([self._end_count, task, entry["run"], outcome, ""])
         self.ends.append((task, entry["run"], outcome, self._now()))
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _refuse_run(self, task: str, run: int) -> None:
+        self._highest_ended[task] = max(run, self._highest_ended.get(task, 0))
+
     def _measure_percent(self, started_at: float) -> int:
         return min(100, int(100 * (self._now() - started_at) / self.run_seconds))
 
@@ -217,6 +224,8 @@
             return self._respond(409, reason="fence")
         if body["deadlineMs"] < self.clock_ms:
             return self._respond(409, reason="late")
+        if body["run"] <= self._highest_ended.get(body["task"], 0):
+            return self._respond(409, reason="old")
         if self.refuses_starts:
             return self._respond(409, reason="room")
         if self.required_ticket and body.get("ticket") != self.required_ticket:
@@ -246,7 +255,11 @@
         body = await request.json()
         if not self._accept_fencing_token(body):
             return self._respond(409, reason="fence")
-        self._end(body["task"], "stopped")
+        task, run = body["task"], body["run"]
+        if task in self._running and self._running[task]["run"] == run:
+            self._end(task, "stopped")
+        else:
+            self._refuse_run(task, run)
         return self._respond()
 
     async def _pace(self, request: web.Request) -> web.Response:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of random seeds")
     parser.add_argument("--seconds", type=float, default=15.0, help="duration of the faults, in s")
     parser.add_argument("--hosts", type=int, default=4, help="number of entry hosts")
-    parser.add_argument("--edition", type=int, default=4, help="set of faults; default: 4")
+    parser.add_argument("--edition", type=int, default=5, help="set of faults; default: 5")
     parser.add_argument("--jobs", type=int, default=2, help="seeds run in parallel")
     parser.add_argument("--logs", type=Path, help="folder for the logs of the entry hosts")
     return parser
