Reproduce late start orders that run a task twice after a further restart (failing)

Cause: a start order without an answer may reach the next start of its worker, which does not know it as late. Once a run is known to be absent, by the expiry of its order or by a revocation, nothing refuses the order at a later start. Change: the model delays start orders until whatever start of the worker is up, and loses answers to stop orders. The soak tells in how many seconds the rule on short jobs was judged.

--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -626,6 +626,7 @@
             "faults": len(self.faults),
             "restarts": self.watch.restart_count,
             "steps": dict(Counter(job.steps for job in self.jobs if job.accepted_at is not None)),
+            "judged_s": round(self.short_watch.calm_seconds, 1),
             "longest_idle_s": round(max(self.short_watch.longest.values(), default=0.0), 2),
             "longest_idle_in_calm_s": round(self.short_watch.longest_in_calm_s, 2),
             "findings": self.findings,
--- a/features/soak_short.py
+++ b/features/soak_short.py
@@ -43,6 +43,8 @@
     ----------
     longest : dict of str to float
         Longest time without a run of each job in seconds, whatever its cause.
+    calm_seconds : float
+        Time in which the rule was judged.
     longest_in_calm_s : float
         Longest time without a run of any job with room for it, of that in calm.
     overdue : dict of str to str
@@ -67,6 +69,7 @@
         self._idle_since: dict[str, float] = {}
         self._room_since: dict[str, float] = {}
         self.longest: dict[str, float] = {}
+        self.calm_seconds = 0.0
         self.longest_in_calm_s = 0.0
         self.overdue: dict[str, str] = {}
         self.unfinished: set[str] = set()
@@ -82,6 +85,7 @@
             self._generation, self._changed_owner_at = self._get_generation(), now
         calm_seconds = self._measure_calm_seconds()
         is_calm = calm_seconds > CALM_S and now - self._changed_owner_at > CALM_AFTER_TAKEOVER_S
+        self.calm_seconds += SAMPLE_S * is_calm
         open_jobs = [job for job in self._jobs if _is_open(job)]
         if calm_seconds > COMPLETION_LIMIT_S:
             self.unfinished |= {
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -352,15 +352,37 @@
         carries_out = self._world.undecodable.get(worker)
         if carries_out is False:
             raise RecursionError("the answer to a start order is nested too deeply")
-        clock_ms = await self._call(
-            worker, may_send, lambda model: model.start(task, run, expires_ms, fence)
-        )
+
+        def carry_out(model: ModelWorker) -> int:
+            return model.start(task, run, expires_ms, fence)
+
+        if worker in self._world.late_starts:
+            await self._send_late(worker, may_send, carry_out)
+        clock_ms = await self._call(worker, may_send, carry_out)
         if carries_out:
             raise RecursionError("the answer to a start order is nested too deeply")
         return clock_ms
 
+    async def _send_late(self, worker: str, may_send, carry_out) -> None:
+        """Delays an order on its way, so that it reaches whatever start of the worker is up."""
+        await asyncio.sleep(0.002)
+        if not may_send():
+            raise PermissionEnded("the permission to send ended")
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self._world.late_starts[worker], self._world.carry_out_anywhere, worker, carry_out
+        )
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise PlatformTimedOut("no response")
+
     async def stop(self, _address, worker, task, run, *, fence, may_send):
-        return await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
+        clock_ms = await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
+        if self._world.lost_stop_answers[worker]:
+            self._world.lost_stop_answers[worker] -= 1
+            self._world.note_disturbance()
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise PlatformTimedOut("no response")
+        return clock_ms
 
     async def throttle(self, _address, worker, task, run, *, percent, fence, may_send):
         await self._call(worker, may_send, lambda model: model._check_fence(fence))
@@ -527,6 +549,11 @@
         self.undecodable: dict[str, bool] = {}
         # Number of starts of each task that reached each worker and were not already running there.
         self.sent_starts: Counter[tuple[str, TaskName]] = Counter()
+        # Delay of start orders to each worker, and number of its answers to stops that are lost.
+        self.late_starts: dict[str, float] = {}
+        self.lost_stop_answers: Counter[str] = Counter()
+        # Number of delayed orders that a worker has carried out.
+        self.late_arrivals = 0
         # Workers for which the placement policy service gives no ticket.
         self.denied: set[str] = set()
         # Time of the last disturbance that is over.
@@ -721,6 +748,16 @@
 
         asyncio.get_running_loop().call_later(self.late_seconds, act)
 
+    def carry_out_anywhere(self, name: str, carry_out) -> None:
+        """Carries out an order at whichever start of a worker is up, if there is one."""
+        worker = self.workers[name]
+        if not worker.gone:
+            try:
+                carry_out(worker)
+            except OrderRefused:
+                return
+            self.late_arrivals += 1
+
     def check_start(self, worker: ModelWorker, task: TaskName, run: int) -> None:
         """Records the promises that a start breaks."""
         cores, _ = self.jobs[task.workflow]
