Revoke late start orders at each further start of their worker

Cause: that an order got no answer was forgotten once its run was known to be absent, by the expiry of the order or by a revocation. Both hold for one start of the worker only; a later one does not know the order as late. The fact was kept by the order, which ends with the run. Change: partition/latestarts remembers such orders for 13 s from their sending, also if the link to the worker is closed meanwhile. Each new start of the worker is told at its first report to refuse them, again until it has answered. An order that the worker lists has been carried out and is forgotten. What remains: an order that arrives between the start of the worker and that first report.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -77,6 +77,7 @@
     from collections.abc import Callable, Iterable, Sequence
     from random import Random
 
+    from carawayd.partition.latestarts import LateStarts
     from carawayd.partition.planner import StepPlacement
     from carawayd.partition.strayorders import StrayOrder
     from carawayd.partition.workerlink import LostRun
@@ -234,6 +235,8 @@
         # Steps whose records could not be read.
         self._closed_steps: list[tuple[WorkflowState, StepState]] = []
         self._known_workers = KnownWorkers(self.ledger)
+        # Start orders that may still be carried out, of workers without a link.
+        self._late_starts: dict[str, LateStarts] = {}
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
         self._first_attempts: dict[str, float] = {}
@@ -568,10 +571,16 @@
                 link.update(None)
             if not link.is_needed:
                 del self.links[worker]
+                if link.late_starts:
+                    self._late_starts[worker] = link.late_starts
                 self._cordons.end(worker)
                 self._contact_loss.end(worker)
                 self._known_workers.forget(worker)
                 start_in_background(link.stop())
+        for worker, late_starts in list(self._late_starts.items()):
+            late_starts.expire(self._now())
+            if not late_starts:
+                del self._late_starts[worker]
         self._release_orphans()
 
     def _open_links_of_unlisted_workers(self) -> None:
@@ -593,6 +602,7 @@
 
     def _open_link(self, entry) -> None:
         link = WorkerLink(entry, self, self._runs, self._settings, self._clock)
+        link.late_starts = self._late_starts.pop(entry.worker, link.late_starts)
         for name, worker in list(self._orphans.items()):
             if worker == entry.worker:
                 del self._orphans[name]
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from carawayd.partition.latestarts import MAX_DELAY_SECONDS, LateStarts
 from carawayd.partition.ledger import OwnershipLost
 from carawayd.partition.stops import Stops
 from carawayd.platform.common import (
@@ -40,9 +41,9 @@
 LEASE_MS = 4_000
 # Time after which a worker no longer executes a start order.
 ORDER_VALIDITY_MS = 1_500
-# Wait for an unanswered start order after the worker has restarted. The order may reach the new
-# incarnation, whose clock starts anew, so that the expiry in the order does not apply there.
-LATE_ORDER_WAIT_MS = 13_000
+# Wait for an unanswered start order after the worker has restarted, unless it can be revoked. The
+# order may reach the new incarnation, whose clock starts anew, so that its expiry does not apply.
+LATE_ORDER_WAIT_MS = int(MAX_DELAY_SECONDS * 1000)
 # Start orders to one worker that are sent at a time. Each one has a connection, and must reach the
 # worker within its validity.
 MAX_STARTS_IN_FLIGHT = 16
@@ -127,8 +128,6 @@
         Whether a stop order has been issued.
     stop_sent : float
         Time at which the stop order was last sent, in seconds of the local clock.
-    may_arrive_late : bool
-        Whether the start order may still reach an incarnation of the worker that followed.
     is_adopted : bool
         Whether the run was ordered before it was tracked here, so that its age is not known.
     """
@@ -140,7 +139,6 @@
         "is_adopted",
         "last_progress_at",
         "listed",
-        "may_arrive_late",
         "ordered_at",
         "progress_percent",
         "run",
@@ -162,7 +160,6 @@
         self.listed = False
         self.stopping = False
         self.stop_sent = -STOP_REPEAT_SECONDS
-        self.may_arrive_late = False
         self.is_adopted = False
 
     @property
@@ -306,6 +303,8 @@
         self._waiting_for_report = 0
         self._starts_in_flight = asyncio.Semaphore(MAX_STARTS_IN_FLIGHT)
         self._stops = Stops()
+        # Survives the link, if the owner passes it on to the next link to the worker.
+        self.late_starts = LateStarts()
         self._failures = 0
         # Time of the first of the consecutive failures.
         self._failing_since = 0.0
@@ -492,6 +491,8 @@
         """
         order = self.orders.get(task)
         if order is not None and order.run == run and order.state == SENDING:
+            if order.may_have_started:
+                self.late_starts.record((task, run), order.sent_at, self._incarnation)
             order.state = UNKNOWN
             self._wake.set()
 
@@ -575,6 +576,7 @@
             )
             # A worker that does not answer orders is avoided like one whose tasks fail.
             self.capacity.record_failure(self._now())
+            self.late_starts.record((task, entry.run), entry.sent_at, incarnation)
             if self.orders.get(task) is entry:
                 entry.state = UNKNOWN
                 self._wake.set()
@@ -605,15 +607,18 @@
                 order.stop_sent = self._now()
                 start_in_background(self._send_stop(task, order.run))
 
-    async def _revoke_start(self, task: TaskName, order: Order) -> None:
-        """Has the worker refuse a start order that may have been sent to a former incarnation.
+    async def _revoke_start(self, task: TaskName, run: int) -> None:
+        """Has the worker refuse a start order that was sent to a former incarnation.
 
-        Its clock cannot tell that the order is late. Once the worker has refused it in advance, a
-        report that does not list the run shows that it never will be there.
+        Once it does, a report that does not list the run shows that it never will be there.
         """
         incarnation = self._incarnation
-        clock_ms = await self._send_stop(task, order.run)
-        if clock_ms is not None and self._incarnation == incarnation:
+        clock_ms = await self._send_stop(task, run)
+        if clock_ms is None or self._incarnation != incarnation:
+            return
+        self.late_starts.note_revoked((task, run), incarnation)
+        order = self.orders.get(task)
+        if order is not None and order.run == run and order.state == UNKNOWN:
             order.absence_certain_after_ms = min(order.absence_certain_after_ms, clock_ms)
 
     async def _send_stop(self, task: TaskName, run: int) -> int | None:
@@ -712,6 +717,7 @@
         return (
             not self.run_count
             and not self._has_further_ends
+            and not self.late_starts
             and self._worker_clock_ms is not None
             and not self._failures
         )
@@ -740,7 +746,7 @@
             states = {order.state for order in self.orders.values()}
             if self._waiting_for_report:
                 wait = 0.0
-            elif UNKNOWN in states or STARTED not in states:
+            elif self.run_count and (UNKNOWN in states or STARTED not in states):
                 wait = UNSETTLED_REPORT_WAIT_SECONDS
         self._requested_fence = self._owner.fence
         return await self._runs.renew(
@@ -841,7 +847,6 @@
                     order.absence_certain_after_ms = report.clock_ms + self._measure_late_wait_ms(
                         order.sent_at
                     )
-                    order.may_arrive_late = True
         self._incarnation = report.born
         self.is_awaited = False
         first = self._worker_clock_ms is None
@@ -908,15 +913,16 @@
                 continue
             elif report.clock_ms > order.absence_certain_after_ms:
                 self._report_missing(task, order, "not listed by the worker")
-            elif order.may_arrive_late and now - order.stop_sent > STOP_REPEAT_SECONDS:
-                order.stop_sent = now
-                start_in_background(self._revoke_start(task, order))
         for task, run in listed:
             order = self.orders.get(task)
             if order is None or order.run != run:
                 self._handle_unordered_run(task, run, now)
         self._stops.retain(listed)
         self._log_overdue_stops(now)
+        self.late_starts.settle(listed)
+        self.late_starts.expire(now)
+        for task, run in self.late_starts.take_due(now, self._incarnation):
+            start_in_background(self._revoke_start(task, run))
 
     def _log_overdue_stops(self, now: float) -> None:
         """Reports runs that go on although they are stopped; their lease is renewed with others."""
