--- a/features/short_task_play.py
+++ b/features/short_task_play.py
@@ -8,7 +8,7 @@
 
 from restart_scenarios import LONG_S
 from virtual_time import play
-from worker_model import World
+from worker_model import WORKER_CORES, World
 
 from carawayshore.workflows.model import AdviceConfig
 
@@ -28,15 +28,23 @@
 ADVICE = AdviceConfig(300, 5, 60_000)
 CORDON_S = 4.0
 
+# Tasks of a step that has several records.
+WIDE_STEP = 40
+RESIZED_CORES = (4, 8, 12, 16)
+JUMP_S = (-40.0, 5.0, 40.0)
+MAX_FAILURES = 4
+
+# Actions of all plays, and those of the plays of further kinds only.
 ACTIONS: dict[str, Callable] = {}
+FURTHER_ACTIONS: dict[str, Callable] = {}
 
 
-def action(*, weight: int = 1) -> Callable:
+def action(*, weight: int = 1, registry: dict[str, Callable] = ACTIONS) -> Callable:
     """Registers an action of the plays."""
 
     def register(function: Callable) -> Callable:
         for number in range(weight):
-            ACTIONS[f"{function.__name__}-{number}"] = function
+            registry[f"{function.__name__}-{number}"] = function
         return function
 
     return register
@@ -156,11 +164,103 @@
     world.denied.add(_pick(world, rng))
 
 
+@action(weight=3, registry=FURTHER_ACTIONS)
+async def submit_uneven(world: World, rng: Random) -> None:
+    """Submits a job whose steps have different numbers of tasks."""
+    widths = [rng.choice([1, 2, 5]) for _ in range(rng.randint(2, 3))]
+    await world.submit(
+        rng.choice([1, 4]),
+        0,
+        rng.choice(SECONDS),
+        widths=widths,
+        max_failures=MAX_FAILURES,
+        **_draw_step(rng),
+    )
+
+
+@action(weight=2, registry=FURTHER_ACTIONS)
+async def submit_wide(world: World, rng: Random) -> None:
+    widths = rng.choice([(WIDE_STEP,), (1, WIDE_STEP), (WIDE_STEP, 2)])
+    await world.submit(1, 0, rng.choice(SECONDS), widths=widths, max_failures=MAX_FAILURES)
+
+
+@action(weight=2, registry=FURTHER_ACTIONS)
+async def submit_gang(world: World, rng: Random) -> None:
+    await world.submit(
+        rng.choice([1, 4]), rng.randint(2, 4), rng.choice(SECONDS), gang=True, chain=2
+    )
+
+
+@action(registry=FURTHER_ACTIONS)
+async def jump_time_of_day(world: World, rng: Random) -> None:
+    world.current.clock.jump_seconds += rng.choice(JUMP_S)
+
+
+@action(weight=2, registry=FURTHER_ACTIONS)
+async def resize(world: World, rng: Random) -> None:
+    world.workers[_pick(world, rng)].resize(rng.choice(RESIZED_CORES))
+
+
+@action(registry=FURTHER_ACTIONS)
+async def lose_answers_of_store(world: World, rng: Random) -> None:
+    world.store.loses_answers = True
+
+
+@action(registry=FURTHER_ACTIONS)
+async def restore_answers_of_store(world: World, rng: Random) -> None:
+    world.store.loses_answers = False
+
+
+@action(registry=FURTHER_ACTIONS)
+async def refuse_records(world: World, rng: Random) -> None:
+    """Has the store refuse the records of some steps of an accepted job."""
+    if world.accepted:
+        identifier = rng.choice(world.accepted)
+        keys = [f"{identifier}/0/{number}" for number in range(3)]
+        keys += [f"{key}/{first}" for key in keys for first in range(0, WIDE_STEP, 32)]
+        world.store.refused_keys.update(rng.sample(keys, 3))
+
+
+@action(registry=FURTHER_ACTIONS)
+async def accept_records(world: World, rng: Random) -> None:
+    world.store.refused_keys.clear()
+
+
+@action(weight=2, registry=FURTHER_ACTIONS)
+async def fail_runs(world: World, rng: Random) -> None:
+    """Has all runs on a worker fail, so that the owner suspects it."""
+    world.failing.add(_pick(world, rng))
+
+
+@action(registry=FURTHER_ACTIONS)
+async def stop_failing(world: World, rng: Random) -> None:
+    world.failing.clear()
+
+
+@action(registry=FURTHER_ACTIONS)
+async def unlist(world: World, rng: Random) -> None:
+    world.unlisted.add(_pick(world, rng))
+
+
+@action(registry=FURTHER_ACTIONS)
+async def silence_entry(world: World, rng: Random) -> None:
+    """Keeps a worker from writing its entry, which becomes too old to be used."""
+    world.unheard.add(_pick(world, rng))
+
+
 def _end_disturbances(world: World) -> None:
     world.links = dict.fromkeys(world.links, "")
     world.store.append_seconds = 0.0
+    world.store.loses_answers = False
+    world.store.refused_keys.clear()
     world.refusals.clear()
     world.denied.clear()
+    world.failing.clear()
+    world.unheard.clear()
+    for name, worker in world.workers.items():
+        worker.resize(WORKER_CORES)
+        if not worker.gone:
+            world.unlisted.discard(name)
     for number in range(LATE_WORKERS):
         world.add_worker(f"late{number}")
     world.note_disturbance()
@@ -170,13 +270,14 @@
     found = []
     for identifier in set(world.accepted) - world.cancelled - world.crash_delays.keys():
         state = (await world.current.owner.read_state(identifier)).detail
-        is_over = state == "completed" or (state == "failed" and world.has_losses(identifier))
+        may_fail = world.has_losses(identifier) or world.has_failures(identifier)
+        is_over = state == "completed" or (state == "failed" and may_fail)
         if not world.steps[identifier].long_running and not is_over:
             found.append(f"LOST: {identifier} is shown as {state} after {CALM_SECONDS:g} s of calm")
     return found
 
 
-async def _play(seed: int) -> list[str]:
+async def _play(seed: int, actions: dict[str, Callable]) -> list[str]:
     rng = Random(seed)
     world = World(WORKER_COUNT, STOP_SECONDS)
     world.crashed_return_as_new = rng.random() < 0.3
@@ -185,7 +286,7 @@
         await world.take_over()
         await asyncio.sleep(1.0)
         for _ in range(ACTIONS_PER_PLAY):
-            await ACTIONS[rng.choice(sorted(ACTIONS))](world, rng)
+            await actions[rng.choice(sorted(actions))](world, rng)
             await asyncio.sleep(rng.choice(WAITS))
         _end_disturbances(world)
         await asyncio.sleep(CALM_SECONDS)
@@ -194,6 +295,13 @@
         await world.close()
 
 
-def run_play(seed: int) -> list[str]:
-    """Returns the promises that are broken in the play of a seed."""
-    return play(_play(seed))
+def run_play(seed: int, *, has_further_kinds: bool = False) -> list[str]:
+    """Returns the promises that are broken in the play of a seed.
+
+    Parameters
+    ----------
+    seed : int
+    has_further_kinds : bool
+        Whether ``FURTHER_ACTIONS`` are played as well.
+    """
+    return play(_play(seed, ACTIONS | FURTHER_ACTIONS if has_further_kinds else ACTIONS))
