A run has to outlive all losses of its task before the task is cleared

Callers saw: a task that crashes its workers at the age of 0.5 s takes down six to ten of them (rule BUDGET). Cause: a run cleared its task at twice the age of the earliest loss. A loss with another cause (a worker that was restarted 0.15 s after the start, or an age that a takeover had shortened to milliseconds) let each later run live long enough to be cleared just before its crash, so that the count began anew. Change: the run has to be twice as old as those at all losses, or 3 s, the longest isolation, and twice as old as the earliest one. Why it works: a task that crashes at one age does so before twice that age, whatever other losses it has.

--- a/features/worker_crashes.feature
+++ b/features/worker_crashes.feature
@@ -153,3 +153,17 @@
       | 30   | 70       | cleared      |
       | 1500 | 2900     | suspected    |
       | 1500 | 3100     | cleared      |
+
+  Scenario Outline: An early loss that has another cause does not clear the task
+    # Guards against a task that crashed nine workers at the age of 0.5 s (rule BUDGET, plays of short
+    # jobs): one worker was restarted 0.15 s after its start, and each run that lived for 0.3 s was cleared.
+    Given a task that lost workers in these ways: <losses>
+    Then a run of <survived> ms is <state>
+
+    Examples:
+      | losses                                  | survived | state     |
+      | suspected 510, alone 515, alone 148     | 310      | suspected |
+      | suspected 510, alone 515, alone 148     | 1000     | suspected |
+      | suspected 510, alone 515, alone 148     | 1100     | cleared   |
+      | suspected 30, alone 9000                | 2900     | suspected |
+      | suspected 30, alone 9000                | 3100     | cleared   |
--- a/packages/carawayshore/src/carawayshore/workflows/crashes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/crashes.py
@@ -15,7 +15,7 @@
     from collections.abc import Sequence
 
 # Runs of up to this multiple of the age of the youngest run on a crashed worker are suspected, and
-# a run that lives for this multiple of its earliest crash has outlived it.
+# a run that lives for this multiple of the age at a crash has outlived that crash.
 AGE_FACTOR = 2.0
 # Ages of runs that differ by no more than this at two crashes are taken to be alike.
 AGE_TOLERANCE_MS = 250
@@ -143,9 +143,14 @@
 
 
 def has_outlived(losses: Sequence[WorkerLoss], age_seconds: float) -> bool:
-    """Returns whether a run is older than one that crashes its worker would have become."""
-    earliest = min((loss.age_ms for loss in losses), default=0) / 1000
-    return age_seconds > AGE_FACTOR * earliest
+    """Returns whether a run is older than one that crashes its worker would have become.
+
+    One of the losses may have had another cause and come early, so the run has to outlive all of
+    them, or ``MAX_ISOLATION_SECONDS`` and the earliest one.
+    """
+    ages = [loss.age_ms / 1000 for loss in losses] or [0.0]
+    longest = min(AGE_FACTOR * max(ages), MAX_ISOLATION_SECONDS)
+    return age_seconds > max(AGE_FACTOR * min(ages), longest)
 
 
 def needs_reservation(losses: Sequence[WorkerLoss], age_seconds: float) -> bool:
