--- a/features/short_task_play.py
+++ b/features/short_task_play.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from restart_scenarios import LONG_S
+from short_watch import WATCH_INTERVAL_S
 from virtual_time import play
 from worker_model import WORKER_CORES, World
 
@@ -277,11 +278,20 @@
     return found
 
 
+async def _note_impairments(world: World) -> None:
+    """Notes as disturbances what the watches of the world do not look at."""
+    while True:
+        if world.is_impaired:
+            world.note_disturbance()
+        await asyncio.sleep(WATCH_INTERVAL_S)
+
+
 async def _play(seed: int, actions: dict[str, Callable]) -> list[str]:
     rng = Random(seed)
     world = World(WORKER_COUNT, STOP_SECONDS)
     world.crashed_return_as_new = rng.random() < 0.3
     world.crash_downtime_s = rng.choice([0.8, 1.5, 3.0, 6.0])
+    noting = asyncio.ensure_future(_note_impairments(world))
     try:
         await world.take_over()
         await asyncio.sleep(1.0)
@@ -292,6 +302,7 @@
         await asyncio.sleep(CALM_SECONDS)
         return world.violations + await _list_unfinished(world)
     finally:
+        noting.cancel()
         await world.close()
 
 
