End a cordon with the time in which an unanswered order may be carried out

Cause: such a machine is cordoned as long as the order may be carried out, 13 s, by cordons of 14 s that are renewed each 3 s. Nobody ended the last one, so it went on for up to 14 s more. A change of the holder, as at the cut of a data centre, leaves such orders behind. Change: the cordon lasts as long as the order may be carried out, and 1 s more.

--- a/features/pool_move_builders.py
+++ b/features/pool_move_builders.py
@@ -68,7 +68,6 @@
         Cores and core-seconds that the service reports, by field of ``ServiceLoad``.
     tasks : dict of str to int
         Number of tasks on each worker.
-    cordons : set of str
     answers_cordons : bool
         Whether cordons get a reply; without one they take effect all the same.
     lost_uncordons : int
@@ -77,15 +76,23 @@
         Workers that the owner does not reach.
     """
 
-    def __init__(self, machines: PoolMachines) -> None:
+    def __init__(self, machines: PoolMachines, clock: Any) -> None:
         self._machines = machines
+        self._clock = clock
         self.load: dict[str, float] = {}
         self.tasks: dict[str, int] = {}
-        self.cordons: set[str] = set()
+        # Worker to the time at which its cordon expires.
+        self._cordon_ends: dict[str, timedelta] = {}
         self.answers_cordons = True
         self.lost_uncordons = 0
         self.unresponsive: set[str] = set()
 
+    @property
+    def cordons(self) -> set[str]:
+        """Workers that are cordoned now."""
+        now = self._clock.elapsed()
+        return {worker for worker, until in self._cordon_ends.items() if now <= until}
+
     def _describe(self) -> Any:
         load = build_load(SERVICE, list(self._machines.machines.values()), **self.load)
         return load._replace(workers=tuple(self._describe_worker(item) for item in load.workers))
@@ -107,11 +114,11 @@
             if self.lost_uncordons:
                 self.lost_uncordons -= 1
                 return Reply(UNREADY), True
-            self.cordons.discard(worker)
+            self._cordon_ends.pop(worker, None)
             return Reply(ACCEPTED), False
         if worker in self.unresponsive:
             return Reply(ABSENT), False
-        self.cordons.add(worker)
+        self._cordon_ends[worker] = self._clock.elapsed() + timedelta(seconds=argument[1])
         if not self.answers_cordons:
             return Reply(UNREADY), True
         load = next(item for item in self._describe().workers if item.worker == worker)
@@ -130,7 +137,7 @@
     def __init__(self, in_service: int, on_standby: int) -> None:
         self.fleet = FleetHarness()
         self.machines = PoolMachines(build_machines(booking=in_service, spare=on_standby))
-        self.owner = PoolOwner(self.machines)
+        self.owner = PoolOwner(self.machines, self.fleet.clock)
         self.fleet.machines = self.machines
         self.manager = self.fleet.run(self.fleet.start_holder(1))
         self._prepare(self.manager)
@@ -147,11 +154,12 @@
         )
         manager._owner_calls = self.owner
 
-    async def order_all_machines(self) -> None:
-        """Records an answered order for each machine."""
+    async def order_all_machines(self, *, answered: bool) -> None:
+        """Records an order for each machine."""
         for name in self.machines.machines:
             assert await self.fleet.may_order(self.manager, name)
-            self.manager._orders.record_answer(name)
+            if answered:
+                self.manager._orders.record_answer(name)
         await self.manager._ledger.flush()
 
     def take_over(self) -> None:
--- a/features/pool_moves.feature
+++ b/features/pool_moves.feature
@@ -46,3 +46,12 @@
     Then none of its workers is cordoned
     When the fleet is managed for 2 s
     Then 2 machines or more have moved
+
+  Scenario: A worker is used again once an unanswered order to its machine cannot be carried out
+    # Guards against workers with room that stay cordoned for up to 27 s: the cordon was renewed for 14 s
+    # as long as the order might be carried out, which is for 13 s, and nobody ended it.
+    Given a pool of 8 machines with demand for all, whose former holder got no answer to its orders
+    When the fleet is managed for 12 s
+    Then all of its workers are cordoned
+    When the fleet is managed for 2.5 s
+    Then none of its workers is cordoned
--- a/features/steps/pool_move_steps.py
+++ b/features/steps/pool_move_steps.py
@@ -49,7 +49,19 @@
 )
 def build_pool_of_ordered_machines(context, count):
     _build_bench(context, count)
-    context.bench.fleet.run(context.bench.order_all_machines())
+    context.bench.fleet.run(context.bench.order_all_machines(answered=True))
+    context.bench.take_over()
+
+
+@given(
+    "a pool of {count:d} machines with demand for all, whose former holder got no answer to its "
+    "orders"
+)
+def build_pool_of_unanswered_orders(context, count):
+    _build_bench(context, count)
+    # One machine is provided beyond those for the cores.
+    context.bench.owner.load = {"running_cores": 16.0 * (count - 1)}
+    context.bench.fleet.run(context.bench.order_all_machines(answered=False))
     context.bench.take_over()
 
 
@@ -81,6 +93,11 @@
     assert context.bench.owner.cordons
 
 
+@then("all of its workers are cordoned")
+def expect_all_cordoned(context):
+    assert context.bench.owner.cordons == _list_workers(context), context.bench.owner.cordons
+
+
 @then("none of its workers is cordoned")
 def expect_no_cordon(context):
     assert not context.bench.owner.cordons, context.bench.owner.cordons
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -17,7 +17,7 @@
 from carawayd.platform.machines import MachineRefused
 from carawayd.platform.store import STATUS_TOPIC, KeyedRecord, encode_records
 from carawayd.process.machineinventory import MachineInventory
-from carawayd.process.machineorders import MAX_ORDER_DELAY, ORDER_PREFIX, MachineOrders
+from carawayd.process.machineorders import ORDER_PREFIX, MachineOrders
 from carawayd.process.ownercalls import CORDON, REPORT_LOAD, UNCORDON
 from carawayd.process.upkeeprecords import UpkeepRecords
 from carawayd.supervision import start_in_background, supervised_task
@@ -60,8 +60,8 @@
 CORDON_MARGIN = timedelta(seconds=1)
 # Interval at which the cordon of a machine is renewed for an unanswered order alone.
 CORDON_RENEWAL_INTERVAL = timedelta(seconds=3)
-# Lifetime of the cordon of a machine whose last order got no response.
-UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS = MAX_ORDER_DELAY.total_seconds() + 1.0
+# Added to the time for which an order without a response may still be carried out.
+UNANSWERED_ORDER_MARGIN = timedelta(seconds=1)
 
 
 class FleetManager(Service):
@@ -567,19 +567,30 @@
         partition = self._discovery.find_partition(machine.pool)
         if partition is None or not machine.worker:
             return UNREADY, None
-        unanswered = machine.machine in self._orders.list_unanswered()
-        lifetime = (
-            UNANSWERED_ORDER_CORDON_LIFETIME_SECONDS if unanswered else CORDON_LIFETIME_SECONDS
-        )
-        called_at = self._clock.elapsed()
+        lifetime, called_at = self._choose_cordon_lifetime(machine.machine), self._clock.elapsed()
+        argument = [machine.worker, lifetime.total_seconds()]
         reply, _ = await self._owner_calls.call_once(
-            partition, CORDON, [machine.worker, lifetime], OWNER_CALL_TIMEOUT_SECONDS
+            partition, CORDON, argument, OWNER_CALL_TIMEOUT_SECONDS
         )
         if reply.outcome != ACCEPTED:
             return reply.outcome, None
-        self._cordoned_until[machine.machine] = called_at + timedelta(seconds=lifetime)
+        self._cordoned_until[machine.machine] = called_at + lifetime
         return ACCEPTED, _convert_reply(reply.detail, WorkerLoad, CORDON)
 
+    def _choose_cordon_lifetime(self, name: str) -> timedelta:
+        """Returns for how long to cordon a machine.
+
+        A cordon that is needed for an unanswered order alone ends with the time in which the order
+        may be carried out, since nobody ends it before.
+        """
+        lifetime = timedelta(seconds=CORDON_LIFETIME_SECONDS)
+        unanswered = self._orders.measure_unanswered(name)
+        if not unanswered:
+            return lifetime
+        unanswered += UNANSWERED_ORDER_MARGIN
+        is_selected = name in self._pending_moves or name in self._pending_upkeep
+        return max(lifetime, unanswered) if is_selected else unanswered
+
     async def _uncordon(self, machine: Machine) -> bool:
         """Ends the cordon of a machine; returns whether the owner has confirmed it."""
         partition = self._discovery.find_partition(machine.pool)
--- a/packages/carawayd/src/carawayd/process/machineorders.py
+++ b/packages/carawayd/src/carawayd/process/machineorders.py
@@ -97,7 +97,12 @@
         self._ledger.mark_dirty(ORDER_PREFIX + machine, lambda: state)
 
     def _is_unanswered(self, machine: str) -> bool:
-        return self._clock.elapsed() < self._unanswered_until.get(machine, timedelta())
+        return self.measure_unanswered(machine) > timedelta()
+
+    def measure_unanswered(self, machine: str) -> timedelta:
+        """Returns for how long an order without a response may still be executed, 0 if for none."""
+        left = self._unanswered_until.get(machine, timedelta()) - self._clock.elapsed()
+        return max(timedelta(), left)
 
     def list_unanswered(self) -> set[str]:
         """Returns the machines for which an order without a response may still be executed."""
