Take a start order that nobody sends as unanswered after 10 s; each state of a short task with its driver lost

Callers would see: a short job that never goes on, with room free (rule LOST), if the call that sends its start orders were lost. Cause: partition/strayorders looked only at orders that had been sent. Change: an order that is unsent after 10 s counts as unanswered, so the next report settles it. 10 s are two appends of 5 s, after which an owner without contact to the store sends nothing anyway. Why it is safe: the link sends no order that it has reported as missing.

--- a/packages/carawayd/src/carawayd/partition/strayorders.py
+++ b/packages/carawayd/src/carawayd/partition/strayorders.py
@@ -1,8 +1,8 @@
 """Tasks that are recorded as ordered although nothing tracks their runs any more.
 
 Each ordered task has an order at the link to its worker, or waits for the leases of a worker
-without a link; one of the two ends its run. A task that has lost both, through an error, would
-never be started again.
+without a link; one of the two ends its run. A task that has lost both, or whose start order nobody
+sends any more, would never be started again.
 """
 
 from __future__ import annotations
@@ -24,6 +24,9 @@
 # Time after which a run that nothing tracks is tracked again, and a start order that was sent
 # counts as unanswered. Longer than a call to a worker may take.
 STRAY_SECONDS = 3.0
+# Time after which a start order that was not sent counts as unanswered. It waits for two appends at
+# most, and an owner without an answer of the store for 5 s sends none.
+UNSENT_SECONDS = 10.0
 
 
 class StrayOrder(NamedTuple):
@@ -97,6 +100,10 @@
 
 
 def _is_unanswered(order: Order, now: float) -> bool:
-    """Returns whether a start order was sent, and its call has ended without an outcome."""
-    is_sent = order.state == SENDING and order.may_have_started
-    return is_sent and now - order.sent_at >= STRAY_SECONDS
+    """Returns whether the sending of a start order has ended without an outcome."""
+    if order.state != SENDING:
+        return False
+    if order.may_have_started:
+        return now - order.sent_at >= STRAY_SECONDS
+    # The link sends no order that it has reported as missing, so one that is late does no harm.
+    return now - order.ordered_at >= UNSENT_SECONDS
