--- a/features/steps/task_state_steps.py
+++ b/features/steps/task_state_steps.py
@@ -25,8 +25,8 @@
 # Time from the loss of a driver to the end of the disturbance.
 LOSS_S = 1.0
 BOUNCE_S = 0.3
-# Time in which the lease of a worker lapses and its tasks are ordered again.
-LAPSE_S = 7.0
+# Time of an append to a slow store, in which a worker is heard of again.
+APPEND_S = 3.0
 
 # Functions that bring a job into a state and return its identifier.
 STATES: dict[str, Callable[[World], Awaitable[str]]] = {}
@@ -276,7 +276,33 @@
     assert context.waited <= seconds, context.waited
 
 
-async def _lose_success(reach: Callable, *, refuses_records: bool) -> tuple[list[str], str]:
+def _find_last_run(world: World, job: str) -> int:
+    """Returns the highest number of a run that the owner has ordered for a job."""
+    steps = world.current.owner.workflows[job].steps.values()
+    return max(task.run for step in steps for task in step.tasks)
+
+
+async def _refuse_records(world: World, job: str) -> None:
+    world.store.refused_keys.add(f"{job}/0/0")
+
+
+async def _refuse_orders(world: World, job: str) -> None:
+    world.refusals.update(dict.fromkeys(world.workers, "full"))
+
+
+async def _delay_records(world: World, job: str) -> None:
+    world.store.append_seconds = APPEND_S
+
+
+# What keeps a later order from being carried out.
+OBSTACLES = {
+    "the store refuses": _refuse_records,
+    "the workers refuse": _refuse_orders,
+    "the store delays": _delay_records,
+}
+
+
+async def _lose_success(reach: Callable, obstruct: Callable) -> tuple[list[str], str]:
     world = World(4, STOP_SECONDS)
     try:
         await world.take_over()
@@ -284,11 +310,11 @@
         job = await reach(world)
         [worker] = _find_workers(world, job)
         world.links[worker] = "cut"
-        if refuses_records:
-            world.store.refused_keys.add(f"{job}/0/0")
-        else:
-            world.refusals.update(dict.fromkeys(world.workers, "full"))
-        await asyncio.sleep(LAPSE_S)
+        await obstruct(world, job)
+        for _ in range(int(LONGEST_WAIT_S / CHECK_S)):
+            if _find_last_run(world, job) > 1:
+                break
+            await asyncio.sleep(CHECK_S)
         world.links[worker] = ""
         await asyncio.sleep(LOSS_S)
         _restore(world)
@@ -300,9 +326,7 @@
 
 @when("their worker is cut off until its lease has lapsed, and {cause} a later order")
 def lose_success(context, cause):
-    context.violations, context.job_state = play(
-        _lose_success(context.reach, refuses_records=cause == "the store refuses")
-    )
+    context.violations, context.job_state = play(_lose_success(context.reach, OBSTACLES[cause]))
 
 
 @then("no task begins after its end, and the job is shown as completed")
--- a/features/task_states.feature
+++ b/features/task_states.feature
@@ -76,3 +76,4 @@
       | cause                |
       | the store refuses    |
       | the workers refuse   |
+      | the store delays     |
