--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -60,6 +60,12 @@
       | long-running | 4    | 2.5  | a handover | 3     |
       | long-running | 4    | 2.5  | a bounce   | 3     |
 
+    # Guards against an unexpected error that ends the link, or the wait of the task without a bound.
+    Examples: answers to the revocation cause an unexpected error
+      | kind         | late | ends | change                      | limit |
+      | short        | 3    | 0.3  | answers that cannot be read | 15    |
+      | long-running | 12   | 0.3  | answers that cannot be read | 15    |
+
   # Guards against a revocation that its worker forgets: the next start does not refuse the order.
   Scenario Outline: A late start order of a <kind> job at a worker that restarts twice
     When start orders of a <kind> job arrive <late> s late and their worker restarts, and once more <again> s later, <change>
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -47,16 +47,21 @@
     world.lost_stop_answers[worker] = count
 
 
+async def _garble_answers(world: World, worker: str) -> None:
+    world.undecodable_stops.add(worker)
+
+
 CHANGES: dict[str, Callable[[World, str], Awaitable[None]]] = {
     "nothing": lambda world, worker: _lose_answers(world, worker, 0),
     "the first answer lost": lambda world, worker: _lose_answers(world, worker, TASK_COUNT),
     "every answer lost": lambda world, worker: _lose_answers(world, worker, 10_000),
+    "answers that cannot be read": _garble_answers,
     "a handover": lambda world, worker: world.hand_over(),
     "a takeover": lambda world, worker: world.take_over(),
     "a bounce": lambda world, worker: world.bounce(0.3),
 }
 # Changes that have to be in effect before the worker is back.
-EARLY_CHANGES = ("the first answer lost", "every answer lost")
+EARLY_CHANGES = ("the first answer lost", "every answer lost", "answers that cannot be read")
 
 
 def _find_ordered_worker(world: World, job: str) -> str:
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -377,6 +377,9 @@
 
     async def stop(self, _address, worker, task, run, *, fence, may_send):
         clock_ms = await self._call(worker, may_send, lambda model: model.stop(task, run, fence))
+        if worker in self._world.undecodable_stops:
+            self._world.note_disturbance()
+            raise RecursionError("the answer to a stop order is nested too deeply")
         if self._world.lost_stop_answers[worker]:
             self._world.lost_stop_answers[worker] -= 1
             self._world.note_disturbance()
@@ -552,6 +555,8 @@
         # Delay of start orders to each worker, and number of its answers to stops that are lost.
         self.late_starts: dict[str, float] = {}
         self.lost_stop_answers: Counter[str] = Counter()
+        # Workers whose answers to stops cause an unexpected error.
+        self.undecodable_stops: set[str] = set()
         # Time from the start of a worker from which delayed orders reach it.
         self.late_orders_need_age_s = 0.0
         # Number of delayed orders that a worker has carried out.
