Take the success of an earlier run of a task

A task ran again after a run of it had succeeded and this success had been acknowledged. Cause: handle_end took only the end of the last run that was ordered. A run that succeeded on a worker out of reach, whose task had been ordered elsewhere since, or whose record could not be read, was acknowledged without being taken, and the worker forgot it. Change: the success of any run ends the task. A later run of it is stopped, and its start order is dropped if it has not been sent. Long-running tasks are left out, since they never succeed.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -831,6 +831,8 @@
             return
         workflow, step, task = found
         if task.run != end.run or task.worker != link.worker:
+            if end.kind == "done":
+                self._accept_other_success(workflow, step, end)
             return
         # A run whose worker was taken to be lost may have succeeded all the same.
         if task.status != ORDERED and not (task.status == WAITING and end.kind == "done"):
@@ -851,6 +853,26 @@
         else:
             self._reset_task(workflow, step, task, end.task, end.kind)
 
+    def _accept_other_success(
+        self, workflow: WorkflowState, step: StepState, end: EndedRun
+    ) -> None:
+        """Takes a run that succeeded although another one has been ordered, or is recorded, since.
+
+        Its worker may have been taken to be lost, or its record may have been unreadable. The other
+        run is stopped, and not begun if its order has not been sent.
+        """
+        task = step.tasks[end.task.index]
+        if workflow.is_terminal or step.spec.long_running or task.status == DONE:
+            return
+        self._log_task(end.task, "an earlier run has succeeded", run=end.run, last_run=task.run)
+        indexes = range(len(step.tasks)) if step.spec.gang else [end.task.index]
+        for index in indexes:
+            link = self.links.get(step.tasks[index].worker)
+            if step.tasks[index].status == ORDERED and link is not None:
+                link.stop_task(end.task._replace(index=index))
+        task.run = max(task.run, end.run)
+        self._finish_task(workflow, step, end.task)
+
     def _keep_checkpoint(self, end: EndedRun, task: TaskState) -> None:
         """Keeps the checkpoint of a run, or the one before it if it is too large to be recorded."""
         if fits_checkpoint(end.checkpoint):
