Revoke each unanswered start order at a restarted worker, and drop those not sent

Cause: only orders whose call had failed were remembered for a revocation. Those that were in flight when the restart was noticed, or that strayorders had taken as unanswered, were not; and an order that had not been sent at all was treated as one that might arrive. Change: at a restart all orders that were sent and have no answer are remembered, and those that were not sent are dropped, so that their tasks are placed anew. Two scenarios of long_running_restart.feature relied on a worker whose stop orders have no effect; they now say that these get no answer, for which the wait of 13 s still holds. A third one has the answer.

--- a/features/long_running_restart.feature
+++ b/features/long_running_restart.feature
@@ -42,11 +42,16 @@
 
   Scenario: A worker that restarts again and again does not prolong the wait for an unanswered start
     # Each restart began the 13 s anew within which the order may still be carried out.
-    Given an owner whose start order to a worker got no answer
+    Given an owner whose start order to a worker got no answer, as its stop orders get none
     When the worker restarts 4, 8 and 12 s after the order, and reports 14 s after it
     Then the task is waiting for another worker
 
   Scenario: An unanswered start is waited for until it can no longer be carried out
-    Given an owner whose start order to a worker got no answer
+    Given an owner whose start order to a worker got no answer, as its stop orders get none
     When the worker restarts 4, 8 and 12 s after the order, and reports 12.5 s after it
     Then the task is still taken to be on its worker
+
+  Scenario: An unanswered start is not waited for once the restarted worker has refused it
+    Given an owner whose start order to a worker got no answer
+    When the worker restarts 4, 8 and 12 s after the order, and reports 12.5 s after it
+    Then the task is waiting for another worker
--- a/features/steps/long_running_restart_steps.py
+++ b/features/steps/long_running_restart_steps.py
@@ -10,6 +10,7 @@
 from worker_model import World
 
 from carawayd.partition.workerlink import UNKNOWN
+from carawayd.platform.common import PlatformTimedOut
 from carawayshore.workflows.state import ORDERED, WAITING
 
 STOP_S = 0.05
@@ -198,6 +199,12 @@
     harness.order(context.task, 1, state=UNKNOWN, absence_certain_after_ms=51_500)
 
 
+@given("an owner whose start order to a worker got no answer, as its stop orders get none")
+def lose_all_answers(context):
+    lose_answer(context)
+    context.harness.runs.error = PlatformTimedOut("no response")
+
+
 @when("the worker restarts 4, 8 and 12 s after the order, and reports {seconds:g} s after it")
 def restart_repeatedly(context, seconds):
     harness = context.harness
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -827,11 +827,12 @@
             self._acknowledged, self._is_reconciled = 0, False
             # Calls that are still on their way carry times of the previous incarnation's clock, so
             # that only the worker's maximum limits the lease that they give.
-            late_ms = [
-                self._measure_late_wait_ms(order.sent_at)
-                for order in self.orders.values()
-                if order.state != STARTED
-            ]
+            unanswered = {
+                (task, order.run): order
+                for task, order in self.orders.items()
+                if order.state != STARTED and order.may_have_started
+            }
+            late_ms = [self._measure_late_wait_ms(order.sent_at) for order in unanswered.values()]
             if self._may_lease_late():
                 late_ms.append(self._measure_late_wait_ms(self._late_renewal_at))
             self._max_lease_expiry_ms = (
@@ -843,10 +844,14 @@
                     # The new incarnation may have executed the order before it was known here; if
                     # so, this report or the next one lists the run.
                     order.state, order.absence_certain_after_ms = UNKNOWN, report.clock_ms
-                else:
-                    order.absence_certain_after_ms = report.clock_ms + self._measure_late_wait_ms(
-                        order.sent_at
-                    )
+            for task, order in list(self.orders.items()):
+                if not order.may_have_started:
+                    # The room of the new incarnation may be another one.
+                    self._report_missing(task, order, "the worker has restarted; order not sent")
+            for run, order in unanswered.items():
+                late_wait_ms = self._measure_late_wait_ms(order.sent_at)
+                order.absence_certain_after_ms = report.clock_ms + late_wait_ms
+                self.late_starts.record(run, order.sent_at, self._incarnation)
         self._incarnation = report.born
         self.is_awaited = False
         first = self._worker_clock_ms is None
