Reproduce tasks of cancelled jobs that a late start order begins (failing)

Callers saw: nothing yet; found by plays in virtual time. Cause: as for late start orders that run a task twice. The model did not check that no task of a job starts later than 3 s after its cancellation was acknowledged.

--- a/features/late_start_play.py
+++ b/features/late_start_play.py
@@ -35,7 +35,7 @@
 WAITS = (0.0, 0.02, 0.1, 0.3, 0.5, 1.0, 2.0)
 LATE_S = (0.2, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0, 12.0)
 # Promises that late orders may break; waits in calm are judged by other plays.
-PROMISES = ("TWICE", "LIMIT")
+PROMISES = ("TWICE", "LIMIT", "UNASKED")
 
 
 async def submit_long(world: World, rng: Random) -> None:
--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -7,7 +7,7 @@
   # before the end of the worker, before its revocation, and after it.
   Scenario Outline: A late start order of a <kind> job at a worker that restarts once
     When start orders of a <kind> job arrive <late> s late and their worker ends <ends> s after their sending, <change>
-    Then no task of the late orders runs twice, and all are at work or done within <limit> s of the worker's return
+    Then the late orders break no promise, and all tasks are at work or done within <limit> s of the worker's return
 
     Examples: no change of owner
       | kind         | late | ends | change  | limit |
@@ -69,7 +69,7 @@
   # Guards against a revocation that its worker forgets: the next start does not refuse the order.
   Scenario Outline: A late start order of a <kind> job at a worker that restarts twice
     When start orders of a <kind> job arrive <late> s late and their worker restarts, and once more <again> s later, <change>
-    Then no task of the late orders runs twice
+    Then the late orders break no promise
 
     Examples: the order arrives after the second restart
       | kind         | late | again | change                |
@@ -84,6 +84,15 @@
       | long-running | 5    | 3     | a takeover            |
       | long-running | 5    | 3     | a bounce              |
 
+    # Guards against a start of a job whose cancellation was acknowledged over 3 s before.
+    Examples: the job is cancelled
+      | kind         | late | again | change         |
+      | short        | 5    | 3     | a cancellation |
+      | long-running | 5    | 3     | a cancellation |
+      | gang         | 5    | 3     | a cancellation |
+      | short        | 5    | 15    | a cancellation |
+      | long-running | 5    | 15    | a cancellation |
+
   # Guards against a second run by any sequence of late orders, restarts, lost answers and owners.
   # An order that arrives within 1.2 s of the start of its worker is left to the worker
   # (docs/platform.md). More seeds: LATE_START_PLAYS=1000 LATE_START_SEED=5000
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -56,6 +56,7 @@
     "the first answer lost": lambda world, worker: _lose_answers(world, worker, TASK_COUNT),
     "every answer lost": lambda world, worker: _lose_answers(world, worker, 10_000),
     "answers that cannot be read": _garble_answers,
+    "a cancellation": lambda world, worker: world.cancel(0),
     "a handover": lambda world, worker: world.hand_over(),
     "a takeover": lambda world, worker: world.take_over(),
     "a bounce": lambda world, worker: world.bounce(0.3),
@@ -138,13 +139,13 @@
     context.outcome = play(_play(kind, late, ENDS_S, change, again))
 
 
-@then("no task of the late orders runs twice")
-def expect_no_second_run(context):
+@then("the late orders break no promise")
+def expect_no_violation(context):
     assert not context.outcome.violations, context.outcome
 
 
 @then(
-    "no task of the late orders runs twice, and all are at work or done within {limit:g} s of the"
+    "the late orders break no promise, and all tasks are at work or done within {limit:g} s of the"
     " worker's return"
 )
 def expect_in_time(context, limit):
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -75,6 +75,8 @@
 # A job may be given up once a task of it has lost this many workers.
 LOSSES_ALLOWED = 2
 CANCEL_ATTEMPTS = 100
+# Time until a cancelled job starts no more tasks, as bounded in docs/platform.md.
+CANCELLATION_DELAY_S = 3.0
 CANCEL_INTERVAL_S = 0.005
 # Time from the moment at which a worker begins to drain to the end of its process, and from there
 # to the removal of its entry.
@@ -518,6 +520,8 @@
         self.steps: dict[str, StepSpec] = {}
         self.accepted: list[str] = []
         self.cancelled: set[str] = set()
+        # Time at which the cancellation of each workflow was acknowledged.
+        self.cancelled_at: dict[str, float] = {}
         self.acknowledged: set[TaskName] = set()
         # Time from the start of the first task of a workflow to the crash of its worker.
         self.crash_delays: dict[str, float] = {}
@@ -712,6 +716,7 @@
         self.cancelled.add(identifier)
         for _ in range(CANCEL_ATTEMPTS):
             if (await self.current.owner.cancel(identifier)).outcome == ACCEPTED:
+                self.cancelled_at.setdefault(identifier, self.now())
                 return True
             await asyncio.sleep(CANCEL_INTERVAL_S)
         return False
@@ -786,6 +791,11 @@
             self._starts_after_crashes[task] += 1
             if self._starts_after_crashes[task] > MAX_FURTHER_STARTS:
                 self.violations.append(f"BUDGET at {self.now():.3f}: {task} run {run}")
+        cancelled_at = self.cancelled_at.get(task.workflow, math.inf)
+        if self.now() - cancelled_at > CANCELLATION_DELAY_S:
+            self.violations.append(
+                f"UNASKED at {self.now():.3f}: {task} run {run} on {worker.name}"
+            )
         if task in self.acknowledged:
             self.violations.append(f"TWICE at {self.now():.3f}: {task} began after its end")
 
