--- a/features/pool_moves.feature
+++ b/features/pool_moves.feature
@@ -55,3 +55,11 @@
     Then all of its workers are cordoned
     When the fleet is managed for 2.5 s
     Then none of its workers is cordoned
+
+  Scenario: A machine whose move is refused takes tasks again and is not ordered at once again
+    # Guards against a worker that stays cordoned for 6 s after a refused order, and against an order
+    # every 150 ms, each of which costs a call and two records.
+    Given a pool of 8 machines without demand, whose moves are refused
+    When the fleet is managed for 3 s
+    Then none of its workers is cordoned
+    And no machine has been ordered twice, but some once
