Order the other placements of a plan although one raises an error; give up lost records first

Cause: an unexpected error for one step abandoned all orders of its plan. And a check that raises an error at each look came before the one for lost records, so the owner never gave the partition up. Change: each placement is ordered by itself, and the orders before an error are sent. The check of the ledger comes first in each look.

--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -47,7 +47,7 @@
 )
 from carawayd.platform.runs import format_task
 from carawayd.platform.store import MAX_KEY_BYTES
-from carawayd.supervision import start_in_background, supervised_task
+from carawayd.supervision import start_in_background, supervised_task, unexpected_errors
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument
 from carawayshore.workflows.admission import Request, decide_admission
@@ -346,6 +346,10 @@
             )
         scanned_at = self._now()
         while not self.should_stop and not self.lost:
+            # First, so that an error in what follows does not keep the partition without an owner.
+            if self.ledger.lost:
+                self._mark_lost("a later owner has written to the partition")
+                return
             self._log_delay(scanned_at)
             scanned_at = self._now()
             self._scan_workers()
@@ -360,9 +364,6 @@
             self._unused_workers.check(self.fence)
             if self._may_place():
                 self._preemption.make_room(self.fence)
-            if self.ledger.lost:
-                self._mark_lost("a later owner has written to the partition")
-                return
             await self._clock.sleep(SCAN_INTERVAL)
 
     def _may_place(self) -> bool:
@@ -1293,25 +1294,43 @@
         orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
         try:
             for placement in self._planner.place_tasks(MAX_PENDING_STARTS - self._pending_starts):
-                workflow, step = placement.workflow, placement.step
-                for capacity, name in placement.chosen:
-                    ticket = placement.tickets.get(capacity.entry.worker, "")
-                    orders.append(
-                        self._create_order(
-                            workflow, step, capacity, name, placement.gang_run, ticket
-                        )
-                    )
-                self._log_orders(placement)
-                if not workflow.begun:
-                    waited = timedelta(seconds=self._now() - workflow.submitted)
-                    self._metrics.first_start.observe(workflow.spec.service, waited)
-                workflow.begun = True
-                self._record_tasks(workflow, step, [name.index for _, name in placement.chosen])
+                orders += self._order_placement(placement)
+        finally:
+            # An error that ends the plan leaves the orders before it valid and recorded.
+            if orders:
+                self._start_sending(orders)
+
+    def _order_placement(
+        self, placement: StepPlacement
+    ) -> list[tuple[WorkerLink, TaskName, StartOrder]]:
+        """Creates and records the start orders of one step; none if an unexpected error occurs."""
+        workflow, step = placement.workflow, placement.step
+        orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
+        try:
+            for capacity, name in placement.chosen:
+                ticket = placement.tickets.get(capacity.entry.worker, "")
+                orders.append(
+                    self._create_order(workflow, step, capacity, name, placement.gang_run, ticket)
+                )
+            self._record_tasks(workflow, step, [name.index for _, name in placement.chosen])
+            self._log_orders(placement)
+            if not workflow.begun:
+                waited = timedelta(seconds=self._now() - workflow.submitted)
+                self._metrics.first_start.observe(workflow.spec.service, waited)
+            workflow.begun = True
         except Exception:
+            unexpected_errors.count += 1
+            logger.exception(
+                "unexpected error while the tasks of a step were ordered",
+                extra={"fields": {"workflow": workflow.identifier, "step": step.number}},
+            )
             _abandon_orders(orders)
-            raise
-        if orders:
-            self._start_sending(orders)
+            ordered = {name for _, name, _ in orders}
+            for capacity, name in placement.chosen:
+                if name not in ordered:
+                    capacity.release(name)
+            return []
+        return orders
 
     def _start_sending(self, orders: list[tuple[WorkerLink, TaskName, StartOrder]]) -> None:
         self._pending_starts += len(orders)
