--- a/features/soak.feature
+++ b/features/soak.feature
@@ -29,3 +29,7 @@
     Examples: with long-running tasks, and a worker that leaves for good under them
       | seed | seconds | edition |
       | 36   | 10      | 4       |
+
+    Examples: with jobs of up to three steps, and more room than they need
+      | seed | seconds | edition |
+      | 43   | 10      | 5       |
