--- a/features/review_43.feature
+++ b/features/forgotten_calls.feature
@@ -1,4 +1,4 @@
-Feature: Facts that a link, an owner or a fleet manager forgets (review of issue 43)
+Feature: Calls of a former time that a link, an owner or a fleet manager forgets
 
   # Guards against a task that waits 13 s for an order which has been answered: the answer of the
   # former start of a worker arrives once the next start is known, and nothing revokes the order.
@@ -12,7 +12,7 @@
     When a start order is 10 s late, its owner is followed by <change>, and its worker restarts <gap> s before it arrives
     Then no task has run twice
 
-    Examples:
+    Examples: the owner changes
       | change     | gap |
       | a takeover | 0.6 |
       | a handover | 0.6 |
--- a/features/rare_sequence_builders.py
+++ b/features/rare_sequence_builders.py
@@ -62,6 +62,16 @@
         raise PlatformTimedOut("no response")
 
 
+def lose_stop_orders(world: World) -> None:
+    """Loses the stop orders that would make a worker refuse a late start order."""
+
+    async def lose(*_, **__) -> int:
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise PlatformTimedOut("no response")
+
+    world.current.owner._runs.stop = lose
+
+
 async def build_world(workers: int) -> World:
     world = World(workers, STOP_S)
     await world.take_over()
@@ -74,6 +84,7 @@
     world = await build_world(3)
     try:
         held = HeldCall(world, "start")
+        lose_stop_orders(world)
         await world.submit(2, 1, LONG_S, long_running=True)
         await held.is_sent.wait()
         worker = world.workers[held.worker]
--- a/features/rare_sequences.feature
+++ b/features/rare_sequences.feature
@@ -7,12 +7,12 @@
     # Guards against two runs of one task: the record of the silence tells the next owner to wait for
     # one lease, although the owner that wrote it would have waited for the late order.
     Given workers of 12 cores that have been up for 30 s
-    When a start order is held up for 12 s, its worker restarts, falls silent, and the owner is killed
+    When a start order is held up for 12 s, its worker restarts, gets no stop order, falls silent, and the owner is killed
     Then no owner started a task twice
 
   Scenario: The same owner waits for the late order if it goes on
     Given workers of 12 cores that have been up for 30 s
-    When a start order is held up for 12 s, its worker restarts, falls silent, and the owner goes on
+    When a start order is held up for 12 s, its worker restarts, gets no stop order, falls silent, and the owner goes on
     Then no owner started a task twice
 
   Scenario: A renewal that was sent before the restart extends the lease of the next incarnation
--- a/features/steps/rare_sequence_steps.py
+++ b/features/steps/rare_sequence_steps.py
@@ -27,13 +27,17 @@
 
 
 @when(
-    "a start order is held up for 12 s, its worker restarts, falls silent, and the owner is killed"
+    "a start order is held up for 12 s, its worker restarts, gets no stop order, falls silent, and"
+    " the owner is killed"
 )
 def play_kill(context):
     context.outcome = play(hold_start(kill=True))
 
 
-@when("a start order is held up for 12 s, its worker restarts, falls silent, and the owner goes on")
+@when(
+    "a start order is held up for 12 s, its worker restarts, gets no stop order, falls silent, and"
+    " the owner goes on"
+)
 def play_same(context):
     context.outcome = play(hold_start(kill=False))
 
--- a/packages/carawayd/src/carawayd/partition/latestarts.py
+++ b/packages/carawayd/src/carawayd/partition/latestarts.py
@@ -1,8 +1,8 @@
 """Start orders to one worker that got no answer and may still be carried out.
 
-Load pattern: orders that are carried out seconds after they were sent, while their worker ends and
-starts again under its identifier, perhaps more than once. The incarnation to which an order was
-sent knows by its clock that the order has expired; the next ones do not, since theirs begins anew.
+An order may be carried out seconds after it was sent, while its worker ends and starts again under
+its identifier, perhaps more than once. The incarnation to which an order was sent knows by its
+clock that the order has expired; the next ones do not, since theirs begins anew.
 """
 
 from __future__ import annotations
@@ -19,21 +19,21 @@
 # Time after its sending in which an order may be carried out.
 MAX_DELAY_SECONDS = 13.0
 # Interval at which a revocation is repeated until it has an answer.
-REPEAT_SECONDS = 0.5
+REPEAT_SECONDS = 1.0
 
 
 class _LateStart:
     """Order that was sent at ``sent_at``, in seconds of the local clock.
 
-    ``harmless_at`` is the incarnation that refuses it: the one to which it was sent, since it knows
+    ``refused_by`` is the incarnation that refuses it: the one to which it was sent, since it knows
     the expiry, or the last one at which it was revoked.
     """
 
-    __slots__ = ("harmless_at", "sent_at", "tried_at")
+    __slots__ = ("refused_by", "sent_at", "tried_at")
 
     def __init__(self, sent_at: float, incarnation: int) -> None:
         self.sent_at = sent_at
-        self.harmless_at = incarnation
+        self.refused_by = incarnation
         self.tried_at = -REPEAT_SECONDS
 
 
@@ -47,7 +47,7 @@
         """Notes that an order to an incarnation of the worker got no answer."""
         self._starts[run] = _LateStart(sent_at, incarnation)
 
-    def settle(self, listed: Collection[RunKey]) -> None:
+    def remove_carried_out(self, listed: Collection[RunKey]) -> None:
         """Forgets the orders of runs that the worker lists: they have been carried out."""
         for run in self._starts.keys() & set(listed):
             del self._starts[run]
@@ -61,12 +61,16 @@
     def __bool__(self) -> bool:
         return bool(self._starts)
 
-    def take_due(self, now: float, incarnation: int) -> list[RunKey]:
-        """Returns the runs to revoke now at the present incarnation of the worker."""
+    def list_sent_times(self) -> list[float]:
+        """Returns when the orders were sent, in seconds of the local clock."""
+        return [start.sent_at for start in self._starts.values()]
+
+    def list_due(self, now: float, incarnation: int) -> list[RunKey]:
+        """Returns the runs to revoke now at the present incarnation, and notes the attempt."""
         due = [
             run
             for run, start in self._starts.items()
-            if start.harmless_at != incarnation and now - start.tried_at >= REPEAT_SECONDS
+            if start.refused_by != incarnation and now - start.tried_at >= REPEAT_SECONDS
         ]
         for run in due:
             self._starts[run].tried_at = now
@@ -75,4 +79,4 @@
     def note_revoked(self, run: RunKey, incarnation: int) -> None:
         """Notes that an incarnation of the worker refuses a run from now on."""
         if run in self._starts:
-            self._starts[run].harmless_at = incarnation
+            self._starts[run].refused_by = incarnation
--- a/packages/carawayd/src/carawayd/partition/losses.py
+++ b/packages/carawayd/src/carawayd/partition/losses.py
@@ -126,6 +126,7 @@
                     run.listed or run.state == STARTED,
                     run.listed,
                     reserved_for == run.task.workflow,
+                    run.is_adopted,
                 )
                 for run in runs
             ],
@@ -156,7 +157,7 @@
             losses = tuple(
                 (
                     loss._replace(confirmed=True)
-                    if loss.worker == worker and loss.born < before
+                    if loss.worker == worker and (before == math.inf or 0 < loss.born < before)
                     else loss
                 )
                 for loss in task.losses
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -39,7 +39,6 @@
 from carawayd.partition.workerlink import (
     SENDING,
     TICKET_REFUSED,
-    UNKNOWN,
     Order,
     StartOrder,
     WorkerLink,
@@ -645,7 +644,7 @@
         if link is None or link.closed:
             self._orphans[stray.task] = stray.worker
         elif stray.is_unanswered:
-            link.orders[stray.task].state = UNKNOWN
+            link.abandon_sending(stray.task, stray.run)
         else:
             _, step, _ = self._find_task(stray.task)
             link.track_stray_run(stray.task, stray.run)
@@ -1382,7 +1381,7 @@
         try:
             await self.ledger.flush()
             for link, name, order in orders:
-                if self._may_start(link, name):
+                if self._may_start(link, name, order.run):
                     start_in_background(
                         self._send_order(link, name, order),
                         partial(link.abandon_sending, name, order.run),
@@ -1393,13 +1392,16 @@
         finally:
             self._settle_starts(len(orders) - sending)
 
-    def _may_start(self, link: WorkerLink, name: TaskName) -> bool:
+    def _may_start(self, link: WorkerLink, name: TaskName, run: int) -> bool:
         """Returns whether a recorded start order is to be sent; otherwise it is dropped."""
         found = self._find_task(name)
         if found is None or found[0].is_terminal or self.lost:
             link.capacity.release(name)
             link.orders.pop(name, None)
             return False
+        if (found[2].run, found[2].worker) != (run, link.worker):
+            # The link was closed meanwhile, and the task has been ordered elsewhere.
+            return False
         if not self._is_recorded(name):
             self._suspend_order(link, name)
             return False
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -20,7 +20,6 @@
 )
 from carawayd.platform.runs import OrderRefused, OtherIncarnation, format_task
 from carawayd.supervision import start_in_background, supervised_task
-from carawayshore.workflows.crashes import MAX_ISOLATION_SECONDS
 from carawayshore.workflows.placement import WorkerCapacity
 
 if TYPE_CHECKING:
@@ -75,9 +74,6 @@
 STOP_REPEAT_SECONDS = 0.5
 # A task that makes no progress for this long is considered stuck.
 STUCK_TASK_SECONDS = 1.5
-# Least age of a run of an earlier owner when its worker is lost, since its true age is not known.
-# With a lower one, the next run would seem to have outlived the crash at once.
-MIN_ADOPTED_AGE_SECONDS = MAX_ISOLATION_SECONDS
 # ``Order.absence_certain_after_ms`` of a run that an earlier owner ordered. Any report shows
 # whether it exists: the worker refuses orders of that owner once it has seen a call of this one.
 ADOPTED = -1
@@ -189,7 +185,9 @@
     listed : bool
         Whether a report had listed the run.
     seconds : float
-        Time from the sending of the order to the loss of contact; a lower bound for adopted runs.
+        Time from the sending of the order, or from its adoption, to the loss of contact.
+    is_adopted : bool
+        Whether the run was ordered before it was tracked, so that it is older than that.
     """
 
     task: TaskName
@@ -197,6 +195,7 @@
     state: str
     listed: bool
     seconds: float
+    is_adopted: bool = False
 
 
 class LinkOwner(Protocol):
@@ -586,6 +585,7 @@
                 entry.state, entry.absence_certain_after_ms = STARTED, clock_ms
             else:
                 # The answer may be that of the former incarnation, whose clock tells nothing now.
+                self.late_starts.record((task, entry.run), entry.sent_at, incarnation)
                 entry.state = UNKNOWN
             self._wake.set()
 
@@ -637,7 +637,7 @@
         except PlatformError as error:
             error_text = str(error)
             logger.info(
-                "stop order failed; resending it while the worker lists the run",
+                "stop order failed; it is sent again while it is needed",
                 extra={
                     "fields": {
                         "task": format_task(task),
@@ -784,13 +784,18 @@
     def _list_runs(self) -> list[LostRun]:
         """Returns the runs that are or may be on the worker."""
         until = self._failing_since if self._failures else self._now()
-        runs = []
-        for task, order in self.orders.items():
-            if order.may_have_started:
-                least = MIN_ADOPTED_AGE_SECONDS if order.is_adopted else 0.0
-                seconds = max(least, until - order.sent_at)
-                runs.append(LostRun(task, order.run, order.state, order.listed, seconds))
-        return runs
+        return [
+            LostRun(
+                task,
+                order.run,
+                order.state,
+                order.listed,
+                max(0.0, until - order.sent_at),
+                order.is_adopted,
+            )
+            for task, order in self.orders.items()
+            if order.may_have_started
+        ]
 
     def _close(self, why: str, *, restarted: bool) -> None:
         """Closes the link and reports all its runs as missing, since none is left on the worker.
@@ -799,6 +804,9 @@
         """
         self.closed = True
         runs = self._list_runs()
+        for task, order in self.orders.items():
+            if order.state != STARTED and order.may_have_started:
+                self.late_starts.record((task, order.run), order.sent_at, self._incarnation)
         self._update_capacity()
         logger.info(
             "link to worker closed; its runs are treated as missing",
@@ -832,11 +840,8 @@
                 for task, order in self.orders.items()
                 if order.state != STARTED and order.may_have_started
             }
-            late_ms = [self._measure_late_wait_ms(order.sent_at) for order in unanswered.values()]
-            if self._may_lease_late():
-                late_ms.append(self._measure_late_wait_ms(self._late_renewal_at))
-            self._max_lease_expiry_ms = (
-                report.clock_ms + max(late_ms) + self._settings.longest_lease_ms if late_ms else 0
+            self._max_lease_expiry_ms = self._compute_late_lease_ms(
+                report.clock_ms, [order.sent_at for order in unanswered.values()]
             )
             for order in self.orders.values():
                 order.listed = False
@@ -859,7 +864,9 @@
         self._reported_fence = self._requested_fence
         if first:
             # An earlier owner may have renewed the lease until just before this report.
-            self._max_lease_expiry_ms = report.clock_ms + self._lease_ms
+            self._max_lease_expiry_ms = max(
+                report.clock_ms + self._lease_ms, self._compute_late_lease_ms(report.clock_ms, [])
+            )
         if self._failures or first:
             await self._owner.handle_recovery(self)
         if self._failures:
@@ -895,6 +902,19 @@
         elapsed_ms = (self._now() - self._late_renewal_at) * 1000
         return elapsed_ms < LATE_ORDER_WAIT_MS + self._settings.longest_lease_ms
 
+    def _compute_late_lease_ms(self, clock_ms: int, sent_times: list[float]) -> int:
+        """Returns the longest lease that calls to former incarnations may still give, 0 for none.
+
+        Also a start order that is refused prolongs the lease, up to the worker's maximum.
+        """
+        sent_times = [*sent_times, *self.late_starts.list_sent_times()]
+        if self._may_lease_late():
+            sent_times.append(self._late_renewal_at)
+        if not sent_times:
+            return 0
+        late_ms = max(self._measure_late_wait_ms(sent_at) for sent_at in sent_times)
+        return clock_ms + late_ms + self._settings.longest_lease_ms
+
     def _measure_late_wait_ms(self, sent_at: float) -> int:
         """Returns for how long a call without an answer may reach a later incarnation.
 
@@ -924,9 +944,9 @@
                 self._handle_unordered_run(task, run, now)
         self._stops.retain(listed)
         self._log_overdue_stops(now)
-        self.late_starts.settle(listed)
+        self.late_starts.remove_carried_out(listed)
         self.late_starts.expire(now)
-        for task, run in self.late_starts.take_due(now, self._incarnation):
+        for task, run in self.late_starts.list_due(now, self._incarnation):
             start_in_background(self._revoke_start(task, run))
 
     def _log_overdue_stops(self, now: float) -> None:
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -132,6 +132,8 @@
         self._pending_moves: dict[str, str] = {}
         # Machines with a pending move for which an order may have been sent.
         self._ordered_moves: set[str] = set()
+        # Those of them whose last order got no response.
+        self._unanswered_moves: set[str] = set()
         # Machine to the time until which it is not chosen for a move, since it has refused one.
         self._refused_until: dict[str, timedelta] = {}
         # Machine to the time until which its cordon holds for certain.
@@ -165,6 +167,7 @@
             self._fence = generation
             self._pending_upkeep, self._down_until, self._pending_moves = {}, {}, {}
             self._ordered_moves, self._cordon_ends, self._cordoned_until = set(), {}, {}
+            self._unanswered_moves = set()
             self._refused_until = {}
             self.loaded.clear()
             self._ledger = Ledger(
@@ -329,6 +332,7 @@
         )
         needs = self._pool_sizes.update(now.total_seconds(), view)
         view = view._replace(needs=needs)
+        self._forget_lost_orders()
         self._ordered_moves &= self._pending_moves.keys()
         cancellable = frozenset(
             self._pending_moves.keys() - self._ordered_moves - self._order_tasks.keys()
@@ -358,6 +362,12 @@
         )
         await self._end_cordons_of_cancelled_moves(standby)
 
+    def _forget_lost_orders(self) -> None:
+        """Notes that orders without a response can no longer be carried out."""
+        lost = self._unanswered_moves - self._orders.list_unanswered()
+        self._unanswered_moves -= lost
+        self._ordered_moves -= lost
+
     def _cancel_move(self, name: str, why: str) -> None:
         """Gives up a move that no order will carry out, and lets its cordon be ended."""
         pool = self._pending_moves.pop(name, "")
@@ -471,8 +481,10 @@
         except PlatformError as error:
             outcome = str(error)
             self._orders.note_missing_answer(name)
+            self._unanswered_moves.add(name)
         else:
             self._orders.record_answer(name)
+            self._unanswered_moves.discard(name)
         self._metrics.machine_orders.labels("move", str(outcome)[:40]).inc()
         logger.info(
             "move order attempted",
--- a/packages/carawayshore/src/carawayshore/workflows/crashes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/crashes.py
@@ -83,6 +83,8 @@
         Whether a report of the worker had listed the run.
     reserved : bool
         Whether the worker was reserved for the workflow.
+    is_adopted : bool
+        Whether an earlier owner ordered the run, so that it is older than ``age_seconds``.
     """
 
     workflow: str
@@ -90,6 +92,13 @@
     started: bool
     listed: bool
     reserved: bool
+    is_adopted: bool = False
+
+    @property
+    def recorded_age_seconds(self) -> float:
+        """Age for the record; with a lower one, the next run would seem to have outlived it."""
+        least = MAX_ISOLATION_SECONDS if self.is_adopted else 0.0
+        return max(least, self.age_seconds)
 
 
 def assess_loss(
@@ -102,7 +111,7 @@
         WorkerLoss(
             worker,
             born,
-            int(run.age_seconds * 1000),
+            int(run.recorded_age_seconds * 1000),
             confirmed,
             isolated or run.reserved or not run.listed or run.age_seconds <= AGE_FACTOR * youngest,
             isolated,
