Poll an idle worker more often, and not longer, while late starts are remembered

Cause: found in the read-through. With late starts a worker without runs was polled without a pause, and each poll of an idle worker could wait for 1 s, so that a first start order to it could be given up after 1 s without a recent report.

--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -59,6 +59,8 @@
 UNSETTLED_REPORT_WAIT_SECONDS = 0.1
 # Interval at which a worker without tasks is polled.
 IDLE_POLL_SECONDS = 4.0
+# The same while a start order may be carried out at a later start of the worker.
+LATE_START_POLL_SECONDS = 0.25
 # Delay after a failed poll.
 RETRY_SECONDS = 0.25
 # A worker whose last report is older is asked again before it is sent a start order: it may have
@@ -717,15 +719,15 @@
         return (
             not self.run_count
             and not self._has_further_ends
-            and not self.late_starts
             and self._worker_clock_ms is not None
             and not self._failures
         )
 
     async def _wait_while_idle(self) -> None:
         self._wake.clear()
+        interval = LATE_START_POLL_SECONDS if self.late_starts else IDLE_POLL_SECONDS
         try:
-            async with asyncio.timeout(IDLE_POLL_SECONDS):
+            async with asyncio.timeout(interval):
                 await self._wake.wait()
         except TimeoutError:
             pass
@@ -746,7 +748,7 @@
             states = {order.state for order in self.orders.values()}
             if self._waiting_for_report:
                 wait = 0.0
-            elif self.run_count and (UNKNOWN in states or STARTED not in states):
+            elif UNKNOWN in states or STARTED not in states:
                 wait = UNSETTLED_REPORT_WAIT_SECONDS
         self._requested_fence = self._owner.fence
         return await self._runs.renew(
