Wording of a log line, a metric and a method; an order that is remembered keeps what refuses it

The read-through found that the end of a link noted an unanswered order anew, as refused by the present start of the worker, although it may have been sent to a former one.

--- a/features/steps/short_task_waits_steps.py
+++ b/features/steps/short_task_waits_steps.py
@@ -158,7 +158,7 @@
 
 @then("the log tells that the task waits no more")
 def expect_end_of_wait(context):
-    found = context.log.find("short task waits no more: at work, or it has ended")
+    found = context.log.find("short task no longer waits: at work, or it has ended")
     assert [fields["task"] for fields in found] == [f"{context.job}.0.0.0"], context.log.lines
 
 
--- a/packages/carawayd/src/carawayd/partition/latestarts.py
+++ b/packages/carawayd/src/carawayd/partition/latestarts.py
@@ -44,8 +44,11 @@
         self._starts: dict[RunKey, _LateStart] = {}
 
     def record(self, run: RunKey, sent_at: float, incarnation: int) -> None:
-        """Notes that an order to an incarnation of the worker got no answer."""
-        self._starts[run] = _LateStart(sent_at, incarnation)
+        """Notes that an order to an incarnation of the worker got no answer.
+
+        An order that is known already keeps the incarnation that refuses it.
+        """
+        self._starts.setdefault(run, _LateStart(sent_at, incarnation))
 
     def remove_carried_out(self, listed: Collection[RunKey]) -> None:
         """Forgets the orders of runs that the worker lists: they have been carried out."""
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -184,7 +184,7 @@
             except Exception:
                 for capacity, name in self._reserved:
                     capacity.release(name)
-                self._set_aside(key, now)
+                self._delay_step(key, now)
                 continue
             if placement is not None:
                 limit -= len(placement.chosen)
@@ -201,11 +201,11 @@
                 if self.is_due(workflow, step):
                     ranked.append((self._rank(workflow, step, now), key))
             except Exception:
-                self._set_aside(key, now)
+                self._delay_step(key, now)
         ranked.sort()
         return ranked
 
-    def _set_aside(self, key: StepKey, now: float) -> None:
+    def _delay_step(self, key: StepKey, now: float) -> None:
         """Logs the error of a step, which must not keep all other steps from being placed."""
         for other in [other for other, until in self._failed_until.items() if now >= until]:
             del self._failed_until[other]
--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -238,7 +238,7 @@
         workflow = self._workflows.get(name.workflow)
         found = workflow and workflow.find_task(name)
         logger.info(
-            "short task waits no more: at work, or it has ended",
+            "short task no longer waits: at work, or it has ended",
             extra={
                 "fields": {
                     "task": format_task(name),
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -80,7 +80,7 @@
         )
         self.short_task_longest_unexplained_wait = self._add_gauge(
             "caraway_short_task_longest_unexplained_wait_seconds",
-            "Longest of these times among tasks that do not wait for room.",
+            "Longest of these times among tasks that are ordered, or for which a worker has room.",
             "service",
         )
         self.unused_workers = self._add_gauge(
