Reserve no workers for suspected runs of an earlier owner

Cause: the worker of a suspected run is reserved until the run has outlived the loss, now 3 s or more. Each owner counts the age of a run that it adopts from its takeover, so with an owner each 0.4 s it never did.

--- a/packages/carawayd/src/carawayd/partition/isolation.py
+++ b/packages/carawayd/src/carawayd/partition/isolation.py
@@ -119,13 +119,18 @@
                 self._reserve(subject, link.capacity)
 
     def _iterate_unproved_runs(self) -> Iterator[tuple[Subject, WorkerLink]]:
-        """Yields the links to the workers of suspected runs that have not proved harmless yet."""
+        """Yields the links to the workers of suspected runs that have not proved harmless yet.
+
+        Runs of an earlier owner are left out: how old they are is not known, and owners that follow
+        each other would reserve their workers without end.
+        """
         for workflow in self._suspects.values():
             for name, task in workflow.iterate_ordered_tasks():
                 link = self._links.get(task.worker)
                 order = link and link.orders.get(name)
                 if (
                     order
+                    and not order.is_adopted
                     and needs_isolation(task.losses)
                     and needs_reservation(task.losses, self._now() - order.sent_at)
                 ):
