Settle a revoked start order whose call has not ended yet

Cause: the run was revoked while its call was still in flight, which settled nothing; when the answer of the former start arrived, the order was known as revoked, so it was not revoked again. Change: a revocation makes the absence of the run certain also while its call is in flight; the next report after the call settles it.

--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -620,7 +620,8 @@
             return
         self.late_starts.note_revoked((task, run), incarnation)
         order = self.orders.get(task)
-        if order is not None and order.run == run and order.state == UNKNOWN:
+        if order is not None and order.run == run:
+            # Also of an order whose call has not ended yet: it is settled once that has.
             order.absence_certain_after_ms = min(order.absence_certain_after_ms, clock_ms)
 
     async def _send_stop(self, task: TaskName, run: int) -> int | None:
