--- a/review/harness2/small_platform.py
+++ b/review/harness2/small_platform.py
@@ -309,6 +309,7 @@
             entry["timer"].cancel()
             entry["row"][5:] = [time.monotonic(), "crashed"]
         self._running = {}
+        self._changed.set()
         await self._runner.cleanup()
 
     def describe(self) -> dict:
@@ -352,7 +353,12 @@
     async def _check(self, request: web.Request, handler) -> web.Response:
         if request.headers.get("Expect-Instance") not in (None, self.name):
             return web.json_response({}, status=421)
-        return await handler(request)
+        born = self.born
+        response = await handler(request)
+        if not self.up or self.born != born:
+            # The process ended before it answered.
+            request.transport.abort()
+        return response
 
     def _answer(self, status: int = 200, **fields) -> web.Response:
         document = {"clockMs": self.clock_ms, "born": self.born} | fields
