--- a/review/harness2/small_platform.py
+++ b/review/harness2/small_platform.py
@@ -26,6 +26,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "jobs.example"
+GANG_TIMEOUT_S = 3.0
 
 
 class Record:
@@ -259,6 +260,46 @@
         return web.json_response({"owners": rows})
 
 
+class Gangs:
+    """Runs of gangs on all workers.
+
+    The members of one run work from the moment when all of them are present with the same
+    checkpoint, and end together. ``sizes`` gives the number of members by the task's name without
+    its index.
+    """
+
+    def __init__(self) -> None:
+        self.sizes: dict[str, int] = {}
+        self.members: dict[tuple[str, int], dict[str, Worker]] = {}
+
+    def add(self, worker: Worker, task: str, run: int) -> None:
+        key = (task.rpartition(".")[0], run)
+        self.members.setdefault(key, {})[task] = worker
+        self._work(key)
+
+    def _list_present(self, key: tuple[str, int]) -> list[tuple[str, Worker]]:
+        return [
+            (task, worker)
+            for task, worker in self.members.get(key, {}).items()
+            if worker.up and worker.get_run(task) == key[1]
+        ]
+
+    def _work(self, key: tuple[str, int]) -> None:
+        present = self._list_present(key)
+        checkpoints = {worker.get_checkpoint(task) for task, worker in present}
+        if len(present) == self.sizes[key[0]] and len(checkpoints) == 1:
+            for task, worker in present:
+                worker.work(task)
+
+    def end(self, task: str, run: int, how: str) -> None:
+        """Ends the other members of a run, one of which has ended."""
+        if how == "alone":
+            return
+        for other, worker in self._list_present((task.rpartition(".")[0], run)):
+            if other != task:
+                worker.end(other, "done" if how == "done" else "broken")
+
+
 class Worker:
     """One worker, which may crash and start again under its id and address."""
 
@@ -273,6 +314,8 @@
         # [task, run, worker, born, started, ended or None, how]
         self.runs: list[list] = []
         self.fails = lambda task, run: False
+        self.gangs = Gangs()
+        self.has_checkpoints = False
         self._tasks: list[asyncio.Task] = []
         self._runner: web.AppRunner | None = None
         self.up = False
@@ -305,10 +348,12 @@
         self.up = False
         for task in self._tasks:
             task.cancel()
-        for entry in self._running.values():
+        ended, self._running = self._running, {}
+        for task, entry in ended.items():
             entry["timer"].cancel()
-            entry["row"][5:] = [time.monotonic(), "crashed"]
-        self._running = {}
+            entry["row"][5:7] = [time.monotonic(), "crashed"]
+            if self._is_gang(task):
+                self.gangs.end(task, entry["run"], "crashed")
         self._changed.set()
         await self._runner.cleanup()
 
@@ -339,7 +384,7 @@
             await asyncio.sleep(0.02)
             if self._running and self.clock_ms > self._lease:
                 for task in list(self._running):
-                    self._end(task, "lapsed")
+                    self.end(task, "lapsed")
 
     @property
     def running(self) -> list[str]:
@@ -374,15 +419,40 @@
         limit = self.clock_ms + 6000
         self._lease = max(self._lease, min(limit, body.get("deadlineMs", 0)))
 
-    def _end(self, task: str, how: str) -> None:
+    def _is_gang(self, task: str) -> bool:
+        return task.rpartition(".")[0] in self.gangs.sizes
+
+    def get_run(self, task: str) -> int | None:
+        entry = self._running.get(task)
+        return entry["run"] if entry else None
+
+    def get_checkpoint(self, task: str) -> str:
+        return self._running[task]["checkpoint"]
+
+    def work(self, task: str) -> None:
+        """Lets a member of a gang work, since all of them are present."""
+        entry = self._running[task]
+        entry["timer"].cancel()
+        entry["works"] = True
+        entry["timer"] = asyncio.get_running_loop().call_later(
+            self.run_seconds, self.end, task, "done"
+        )
+
+    def end(self, task: str, how: str) -> None:
         entry = self._running.pop(task, None)
         if entry is None:
             return
         entry["timer"].cancel()
+        if self._is_gang(task):
+            asyncio.get_running_loop().call_soon(self.gangs.end, task, entry["run"], how)
         self._highest[task] = max(entry["run"], self._highest.get(task, 0))
         self._count += 1
-        self._finished.append([self._count, task, entry["run"], how, ""])
-        entry["row"][5:] = [time.monotonic(), how]
+        saved = entry["checkpoint"]
+        if self.has_checkpoints and entry["works"] and how in ("stopped", "broken"):
+            # The same for all members of a gang that work together.
+            saved = f"{entry['run']:016x}"
+        self._finished.append([self._count, task, entry["run"], how, saved])
+        entry["row"][5:7] = [time.monotonic(), how]
         self.record.write(f"worker {self.name}: {task} run {entry['run']} ends {how}")
         self._changed.set()
         self._changed = asyncio.Event()
@@ -400,17 +470,28 @@
             return self._answer()
         if running or run <= self._highest.get(task, 0):
             return self._answer(409, reason="old")
-        row = [task, run, self.name, self.born, time.monotonic(), None, ""]
+        checkpoint = body.get("checkpoint", "")
+        row = [task, run, self.name, self.born, time.monotonic(), None, "", checkpoint]
         self.runs.append(row)
         loop = asyncio.get_running_loop()
         how = "failed" if self.fails(task, run) else "done"
         seconds = 3600 if self.lasts and how == "done" else self.run_seconds
-        timer = loop.call_later(seconds, self._end, task, how)
-        self._running[task] = {"run": run, "row": row, "timer": timer}
+        is_gang = self._is_gang(task)
+        if is_gang:
+            seconds, how = GANG_TIMEOUT_S, "alone"
+        self._running[task] = {
+            "run": run,
+            "row": row,
+            "checkpoint": checkpoint,
+            "works": not is_gang,
+            "timer": loop.call_later(seconds, self.end, task, how),
+        }
         self.record.write(
             f"worker {self.name} ({self.service}): starts {task} run {run}"
-            f" token {body.get('fencingToken', 0)}"
+            f" token {body.get('fencingToken', 0)}" + f" checkpoint {checkpoint!r}" * bool(is_gang)
         )
+        if is_gang:
+            self.gangs.add(self, task, run)
         return self._answer()
 
     async def _stop(self, request: web.Request) -> web.Response:
@@ -419,7 +500,7 @@
             return self._answer(409, reason="fence")
         task, run = body["task"], body["run"]
         if task in self._running and self._running[task]["run"] <= run:
-            self._end(task, "stopped")
+            self.end(task, "stopped")
         self._highest[task] = max(run, self._highest.get(task, 0))
         return self._answer()
 
