--- a/review/harness2/small_platform.py
+++ b/review/harness2/small_platform.py
@@ -316,6 +316,8 @@
         self.fails = lambda task, run: False
         self.gangs = Gangs()
         self.has_checkpoints = False
+        # Returns whether a start of a step carries a valid ticket.
+        self.accepts_ticket = lambda step, ticket: True
         self._tasks: list[asyncio.Task] = []
         self._runner: web.AppRunner | None = None
         self.up = False
@@ -470,6 +472,8 @@
             return self._answer()
         if running or run <= self._highest.get(task, 0):
             return self._answer(409, reason="old")
+        if not self.accepts_ticket(task.rpartition(".")[0], body.get("ticket", "")):
+            return self._answer(409, reason="ticket")
         checkpoint = body.get("checkpoint", "")
         row = [task, run, self.name, self.born, time.monotonic(), None, "", checkpoint]
         self.runs.append(row)
@@ -570,6 +574,47 @@
         return web.json_response({"reason": "busy"}, status=409)
 
 
+class Advice:
+    """The service that knows which workers may run a step; here, all that it is asked about.
+
+    It answers after ``decision_ms`` and ``per_worker_ms`` for each worker, one call at a time, and
+    a ticket is valid for ``valid_ms`` from its answer on.
+    """
+
+    def __init__(self, address: str, record: Record, decision_ms: int, per_worker_ms: int,
+                 valid_ms: int) -> None:  # fmt: skip
+        self.address, self.record = address, record
+        self.terms = {
+            "decisionMs": decision_ms, "perWorkerMs": per_worker_ms, "validMs": valid_ms
+        }  # fmt: skip
+        self._issued: dict[tuple[str, str], float] = {}
+        self._lock = asyncio.Lock()
+        self.calls = 0
+
+    async def start(self) -> None:
+        self._runner = await serve(self.address, [web.post("/api/advise", self._advise)])
+
+    async def _advise(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        async with self._lock:
+            seconds = self.terms["decisionMs"] + self.terms["perWorkerMs"] * len(body["workers"])
+            await asyncio.sleep(seconds / 1000)
+        self.calls += 1
+        rows = []
+        for worker in body["workers"]:
+            ticket = f"t{self.calls}-{worker}"
+            self._issued[body["step"], ticket] = time.monotonic()
+            rows.append([worker, ticket])
+        self.record.write(
+            f"advice on {body['step']} for {len(rows)} workers, after {seconds / 1000:.2f} s"
+        )
+        return web.json_response({"allowed": rows, "validMs": self.terms["validMs"]})
+
+    def is_valid(self, step: str, ticket: str) -> bool:
+        issued = self._issued.get((step, ticket))
+        return issued is not None and time.monotonic() - issued <= self.terms["validMs"] / 1000
+
+
 class Proxy:
     """Forwards connections; while ``cut``, nothing passes in either direction, silently."""
 
