--- a/review/harness2/small_platform.py
+++ b/review/harness2/small_platform.py
@@ -241,8 +241,11 @@
             member = group.members.get(holder)
             if member is None or member[2] >= group.generation:
                 group.holder[part] = group.target[part]
-        rows = [[*part, 0] for part in parts if group.holder.get(part) == name
-                and group.target.get(part) == name]
+        rows = [
+            [*part, 0]
+            for part in parts
+            if group.holder.get(part) == name and group.target.get(part) == name
+        ]
         return web.json_response(
             {"generation": group.generation, "ttlMs": body["ttlMs"], "parts": rows}
         )
@@ -318,6 +321,10 @@
         self.has_checkpoints = False
         # Returns whether a start of a step carries a valid ticket.
         self.accepts_ticket = lambda step, ticket: True
+        # Returns after how many seconds a start order is carried out, without an answer; 0 at once.
+        self.find_delay = lambda worker, task, run: 0.0
+        # Time from a start of the process to its first entry in the store.
+        self.first_beat_s = 0.0
         self._tasks: list[asyncio.Task] = []
         self._runner: web.AppRunner | None = None
         self.up = False
@@ -377,6 +384,7 @@
         }
 
     async def _beat(self) -> None:
+        await asyncio.sleep(self.first_beat_s)
         while True:
             self.store.put("keyed.servers", self.name, self.describe())
             await asyncio.sleep(1.5)
@@ -461,6 +469,23 @@
 
     async def _start(self, request: web.Request) -> web.Response:
         body = await request.json()
+        delay = self.find_delay(self, body["task"], body["run"])
+        if delay:
+            self.record.write(
+                f"worker {self.name}: start order of {body['task']} run {body['run']} gets no answer"
+                f" and is carried out {delay:.1f} s later"
+            )
+            asyncio.ensure_future(self._carry_out(body, delay))
+            await asyncio.sleep(30.0)
+        return self._begin(body)
+
+    async def _carry_out(self, body: dict, delay: float) -> None:
+        await asyncio.sleep(delay)
+        if self.up:
+            answer = self._begin(body)
+            self.record.write(f"worker {self.name}: late order: {answer.status} {answer.text}")
+
+    def _begin(self, body: dict) -> web.Response:
         task, run = body["task"], body["run"]
         if not self._accepts(body):
             return self._answer(409, reason="fence")
@@ -528,9 +553,11 @@
                 task,
                 entry["run"],
                 "",
-                100
-                if self.lasts and now - entry["row"][4] > 0.3
-                else min(99, int(100 * (now - entry["row"][4]) / self.run_seconds)),
+                (
+                    100
+                    if self.lasts and now - entry["row"][4] > 0.3
+                    else min(99, int(100 * (now - entry["row"][4]) / self.run_seconds))
+                ),
                 1,
             ]
             for task, entry in self._running.items()
@@ -663,7 +690,9 @@
 class EntryHost:
     """One process of the role ``entry``, with the command of the deploy file."""
 
-    def __init__(self, name: str, ports: Ports, store: str, machines: str, parts: int, folder: Path):
+    def __init__(
+        self, name: str, ports: Ports, store: str, machines: str, parts: int, folder: Path
+    ):
         self.name, self.folder = name, folder
         self.caller, self.ready = ports.reserve(), ports.reserve()
         peer, metrics = ports.reserve(), ports.reserve()
@@ -752,7 +781,9 @@
 class Deployment:
     """A small deployment: store, machines, workers and entry hosts."""
 
-    def __init__(self, folder: Path, *, hosts: int, workers: dict[str, int], parts: int = 4) -> None:
+    def __init__(
+        self, folder: Path, *, hosts: int, workers: dict[str, int], parts: int = 4
+    ) -> None:
         self.record = Record(folder / "record.txt")
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self.ports = Ports()
@@ -869,11 +900,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        # Ends the processes of the case, also if the case itself is ended.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         system = deployment(Path(folder))
         try:
             await system.start()
             broken = await asyncio.wait_for(play(system, trouble), 100)
-        except Exception as error:  # noqa: BLE001
+        except (Exception, asyncio.CancelledError) as error:
             system.record.write(f"the case could not run: {error!r}")
             return 2
         finally:
