--- a/review/harness2/small_platform.py
+++ b/review/harness2/small_platform.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 
 import aiohttp
@@ -27,6 +28,12 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "jobs.example"
 GANG_TIMEOUT_S = 3.0
+CHECKPOINT_INTERVAL_S = 2.0
+
+
+def read_progress(checkpoint: str) -> float:
+    """Returns the seconds of work that a checkpoint saves."""
+    return int(checkpoint or "0", 16) / 1000
 
 
 class Record:
@@ -319,8 +326,10 @@
         self.fails = lambda task, run: False
         self.gangs = Gangs()
         self.has_checkpoints = False
-        # Returns whether a start of a step carries a valid ticket.
-        self.accepts_ticket = lambda step, ticket: True
+        # Returns whether a start of a step carries a valid ticket of this life of the worker.
+        self.accepts_ticket = lambda worker, step, ticket: True
+        # Millicores of a task by its name without the index; the same table for all workers.
+        self.sizes: dict[str, int] = {}
         # Returns after how many seconds a start order is carried out, without an answer; 0 at once.
         self.find_delay = lambda worker, task, run: 0.0
         # Time from a start of the process to its first entry in the store.
@@ -396,6 +405,13 @@
                 for task in list(self._running):
                     self.end(task, "lapsed")
 
+    def _find_size(self, task: str) -> int:
+        return self.sizes.get(task.rpartition(".")[0], 0)
+
+    def measure_use(self) -> int:
+        """Returns the millicores of what runs."""
+        return sum(self._find_size(task) for task in self._running)
+
     @property
     def running(self) -> list[str]:
         return sorted(self._running)
@@ -429,6 +445,20 @@
         limit = self.clock_ms + 6000
         self._lease = max(self._lease, min(limit, body.get("deadlineMs", 0)))
 
+    def _find_checkpoint(self, entry: dict, *, at_stop: bool = False) -> str:
+        """Returns the last checkpoint: a new one each ``checkpointIntervalS`` of work, and at a stop.
+
+        It tells the progress in ms, so members that began together have the same one.
+        """
+        if not (self.has_checkpoints and entry["works"]):
+            return entry["checkpoint"]
+        worked = time.monotonic() - entry["since"]
+        if not at_stop:
+            worked -= worked % CHECKPOINT_INTERVAL_S
+        if not worked:
+            return entry["checkpoint"]
+        return f"{int(1000 * (read_progress(entry['checkpoint']) + worked)):016x}"
+
     def _is_gang(self, task: str) -> bool:
         return task.rpartition(".")[0] in self.gangs.sizes
 
@@ -443,9 +473,9 @@
         """Lets a member of a gang work, since all of them are present."""
         entry = self._running[task]
         entry["timer"].cancel()
-        entry["works"] = True
+        entry["works"], entry["since"] = True, time.monotonic()
         entry["timer"] = asyncio.get_running_loop().call_later(
-            self.run_seconds, self.end, task, "done"
+            max(0.0, self.run_seconds - read_progress(entry["checkpoint"])), self.end, task, "done"
         )
 
     def end(self, task: str, how: str) -> None:
@@ -457,10 +487,7 @@
             asyncio.get_running_loop().call_soon(self.gangs.end, task, entry["run"], how)
         self._highest[task] = max(entry["run"], self._highest.get(task, 0))
         self._count += 1
-        saved = entry["checkpoint"]
-        if self.has_checkpoints and entry["works"] and how in ("stopped", "broken"):
-            # The same for all members of a gang that work together.
-            saved = f"{entry['run']:016x}"
+        saved = self._find_checkpoint(entry, at_stop=how == "stopped")
         self._finished.append([self._count, task, entry["run"], how, saved])
         entry["row"][5:7] = [time.monotonic(), how]
         self.record.write(f"worker {self.name}: {task} run {entry['run']} ends {how}")
@@ -497,7 +524,9 @@
             return self._answer()
         if running or run <= self._highest.get(task, 0):
             return self._answer(409, reason="old")
-        if not self.accepts_ticket(task.rpartition(".")[0], body.get("ticket", "")):
+        if self.measure_use() + self._find_size(task) > self.millicores:
+            return self._answer(409, reason="room")
+        if not self.accepts_ticket(self, task.rpartition(".")[0], body.get("ticket", "")):
             return self._answer(409, reason="ticket")
         checkpoint = body.get("checkpoint", "")
         row = [task, run, self.name, self.born, time.monotonic(), None, "", checkpoint]
@@ -513,6 +542,7 @@
             "row": row,
             "checkpoint": checkpoint,
             "works": not is_gang,
+            "since": time.monotonic(),
             "timer": loop.call_later(seconds, self.end, task, how),
         }
         self.record.write(
@@ -537,6 +567,15 @@
         body = await request.json()
         return self._answer() if self._accepts(body) else self._answer(409, reason="fence")
 
+    def _measure_percent(self, entry: dict) -> int:
+        if not entry["works"]:
+            return 0
+        worked = time.monotonic() - entry["since"]
+        if self.lasts:
+            return 100 if worked > 0.3 else 0
+        done = read_progress(entry["checkpoint"]) + worked
+        return min(99, int(100 * done / self.run_seconds))
+
     async def _hold(self, request: web.Request) -> web.Response:
         body = await request.json()
         if not self._accepts(body):
@@ -547,29 +586,19 @@
         if not self._finished and body.get("waitMs"):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), body["waitMs"] / 1000)
-        now = time.monotonic()
         running = [
-            [
-                task,
-                entry["run"],
-                "",
-                (
-                    100
-                    if self.lasts and now - entry["row"][4] > 0.3
-                    else min(99, int(100 * (now - entry["row"][4]) / self.run_seconds))
-                ),
-                1,
-            ]
+            [task, entry["run"], self._find_checkpoint(entry), self._measure_percent(entry), 1]
             for task, entry in self._running.items()
         ]
         return self._answer(running=running, finished=self._finished[:500])
 
 
 class Machines:
-    """Lists one machine for each worker; the cases need no orders to machines."""
+    """Lists one machine for each worker. A case in which a machine is ordered does not count."""
 
     def __init__(self, address: str, workers: list[Worker]) -> None:
         self.address, self.workers = address, workers
+        self.orders = 0
 
     async def start(self) -> None:
         routes = [
@@ -598,48 +627,60 @@
         return web.json_response({"machines": machines, "nextPageToken": None})
 
     async def _refuse(self, request: web.Request) -> web.Response:
-        return web.json_response({"reason": "busy"}, status=409)
+        self.orders += 1
+        return web.Response(status=503)
 
 
 class Advice:
     """The service that knows which workers may run a step; here, all that it is asked about.
 
-    It answers after ``decision_ms`` and ``per_worker_ms`` for each worker, one call at a time, and
-    a ticket is valid for ``valid_ms`` from its answer on.
+    It answers after ``decision_ms`` and ``per_worker_ms`` for each worker, one call at a time for
+    each entry host, which has an address of its own here. A ticket is valid for ``valid_ms`` from
+    the answer on, for one step during one life of its worker.
     """
 
-    def __init__(self, address: str, record: Record, decision_ms: int, per_worker_ms: int,
-                 valid_ms: int) -> None:  # fmt: skip
-        self.address, self.record = address, record
+    def __init__(self, record: Record, decision_ms: int, per_worker_ms: int, valid_ms: int) -> None:
+        self.record = record
         self.terms = {
-            "decisionMs": decision_ms, "perWorkerMs": per_worker_ms, "validMs": valid_ms
-        }  # fmt: skip
-        self._issued: dict[tuple[str, str], float] = {}
-        self._lock = asyncio.Lock()
+            "decisionMs": decision_ms,
+            "perWorkerMs": per_worker_ms,
+            "validMs": valid_ms,
+        }
+        self.workers: list[Worker] = []
+        self._issued: dict[tuple[str, str, str], tuple[float, int]] = {}
         self.calls = 0
 
-    async def start(self) -> None:
-        self._runner = await serve(self.address, [web.post("/api/advise", self._advise)])
+    async def start(self, address: str) -> None:
+        lock, waiting = asyncio.Lock(), []
 
-    async def _advise(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        async with self._lock:
-            seconds = self.terms["decisionMs"] + self.terms["perWorkerMs"] * len(body["workers"])
-            await asyncio.sleep(seconds / 1000)
+        async def advise(request: web.Request) -> web.Response:
+            body = await request.json()
+            if len(waiting) >= 32:
+                return web.json_response({}, status=429)
+            waiting.append(body)
+            try:
+                async with lock:
+                    return await self._advise(body)
+            finally:
+                waiting.remove(body)
+
+        await serve(address, [web.post("/api/advise", advise)])
+
+    async def _advise(self, body: dict) -> web.Response:
+        names = body["workers"][:100]
+        seconds = (self.terms["decisionMs"] + self.terms["perWorkerMs"] * len(names)) / 1000
+        await asyncio.sleep(seconds)
         self.calls += 1
-        rows = []
-        for worker in body["workers"]:
-            ticket = f"t{self.calls}-{worker}"
-            self._issued[body["step"], ticket] = time.monotonic()
-            rows.append([worker, ticket])
-        self.record.write(
-            f"advice on {body['step']} for {len(rows)} workers, after {seconds / 1000:.2f} s"
-        )
+        lives = {worker.name: worker.born for worker in self.workers}
+        rows = [[name, f"t{self.calls}-{name}"] for name in names if name in lives]
+        for name, ticket in rows:
+            self._issued[body["step"], name, ticket] = (time.monotonic(), lives[name])
+        self.record.write(f"advice on {body['step']}: {len(rows)} tickets, after {seconds:.2f} s")
         return web.json_response({"allowed": rows, "validMs": self.terms["validMs"]})
 
-    def is_valid(self, step: str, ticket: str) -> bool:
-        issued = self._issued.get((step, ticket))
-        return issued is not None and time.monotonic() - issued <= self.terms["validMs"] / 1000
+    def is_valid(self, worker: Worker, step: str, ticket: str) -> bool:
+        issued, born = self._issued.get((step, worker.name, ticket), (0.0, 0))
+        return born == worker.born and time.monotonic() - issued <= self.terms["validMs"] / 1000
 
 
 class Proxy:
@@ -687,6 +728,12 @@
             writer.close()
 
 
+def read_command() -> list[str]:
+    """Returns the command of the role, as in the deploy file."""
+    document = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    return document["roles"]["entry"]["run"].split()
+
+
 class EntryHost:
     """One process of the role ``entry``, with the command of the deploy file."""
 
@@ -735,7 +782,7 @@
         }
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "carawayd", "--platform",
+                *read_command(),
                 cwd=ROOT, env=environment, stdout=log, stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
             )  # fmt: skip
@@ -749,6 +796,15 @@
             self.process.kill()
             await self.process.wait()
 
+    async def restart_as_planned(self) -> None:
+        """Sends SIGTERM, SIGKILL after ``graceS``, and starts the process again after its end."""
+        self.signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.process.wait(), 6.0)
+        await self.stop()
+        await asyncio.sleep(0.5)
+        await self.start()
+
 
 def configuration(version: int, routes: dict[str, str], services: list[str], **fields) -> dict:
     """Returns a configuration; ``routes`` gives the service of each path prefix."""
@@ -793,6 +849,9 @@
             for service, count in workers.items()
             for number in range(count)
         ]
+        self.sizes: dict[str, int] = {}
+        for worker in self.workers:
+            worker.sizes = self.sizes
         self.machines = Machines(self.ports.reserve(), self.workers)
         self.proxies = [Proxy(self.ports.reserve(), self.store.address) for _ in range(hosts)]
         self.hosts = [
@@ -844,6 +903,8 @@
         url = f"http://{host.caller}{path}"
         headers = {"Host": HOST, "Timeout-Ms": "3000"}
         started = time.monotonic()
+        if method == "POST":
+            self.note_sizes(path, body)
         self.record.write(f"client: {method} {path} to {host.name}")
         try:
             async with (session or self.session).request(
@@ -858,6 +919,26 @@
         )
         return status, document
 
+    async def add_worker(self, worker: Worker) -> None:
+        worker.sizes = self.sizes
+        await worker.start()
+        self.workers.append(worker)
+
+    def note_sizes(self, path: str, body: dict) -> None:
+        """Tells the workers how large the tasks of a job are."""
+        for number, step in enumerate(body["steps"]):
+            self.sizes[f"{path.rpartition('/')[2]}.0.{number}"] = step["cpu"]
+
+    def has_spare_capacity(self, step: dict, workers: list[Worker]) -> bool:
+        """Returns whether there is capacity for a step twice over on the workers that may run it.
+
+        Also, under half of the capacity of the service has to be in use, as in the rule.
+        """
+        used = sum(worker.measure_use() for worker in self.workers)
+        free = sum(worker.millicores - worker.measure_use() for worker in workers)
+        total = sum(worker.millicores for worker in self.workers)
+        return free >= 2 * step["count"] * step["cpu"] and used < total / 2
+
     async def submit(self, host: EntryHost, path: str, body: dict, attempts: int = 20) -> int:
         """Hands a job in, again after 0, 502, 503, 504 and 429; returns the last status."""
         status = 0
@@ -913,6 +994,9 @@
             return 2
         finally:
             await system.stop()
+        if system.machines.orders:
+            system.record.write("a machine was ordered, which the stand-in does not carry out")
+            return 2
         system.record.write(f"rule broken: {broken or 'no'}")
         return 1 if broken else 0
 
