A former owner of a moved queue accepts nothing after it has answered that it knows no such job

Cause: a submission is checked at the former owners and accepted by the present one, and nothing binds the two. The former owner's answer "absent" was taken to hold, but it kept nothing of having been asked, and accepted by whatever version another host knew. Ruled out as a fix by itself: a check of the owner's own configuration. Change: to ask is to close. The question carries the version by which the host knows the move; the owner records it before it answers, and refuses submissions by earlier versions, as do its successors. Submissions carry their version. An owner that knows a later version refuses by it, too. A host that is refused so answers 503 until it has read the newest version.

--- a/features/moved_queue_builders.py
+++ b/features/moved_queue_builders.py
@@ -18,7 +18,7 @@
 from carawayd.platform.documents import CONFIGURATION_KEY
 from carawayd.platform.store import OPERATOR_TOPIC
 from carawayd.process.discovery import Discovery
-from carawayd.process.ownercalls import CANCEL, COUNT_PENDING, GET_STATE
+from carawayd.process.ownercalls import CANCEL, CONFIRM_ABSENCE, COUNT_PENDING, GET_STATE
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayd.request.workflows import WorkflowHandler
 
@@ -52,6 +52,8 @@
         if partition in self.unreached:
             return Reply(UNREADY)
         jobs = self.jobs[partition]
+        if operation == CONFIRM_ABSENCE:
+            operation, subject = GET_STATE, subject[0]
         if operation == GET_STATE:
             return Reply(FOUND, "running") if subject in jobs else Reply(ABSENT)
         if operation == CANCEL:
@@ -60,7 +62,8 @@
             return Reply(ACCEPTED if subject in jobs else ABSENT)
         if operation == COUNT_PENDING:
             return Reply(FOUND, sum(queue == subject for queue in jobs.values()))
-        jobs[subject[0]] = subject[2]
+        workflow, _ = subject
+        jobs[workflow[0]] = workflow[2]
         return Reply(ACCEPTED)
 
     def count_runs(self, job: str) -> int:
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -632,7 +632,7 @@
     deployment = discovery_module.decode_configuration(
         json.dumps(build_operator_configuration(1)).encode()
     )
-    return asyncio.run(handler._submit(deployment.queues[0], build_identifier(1), body, 1.0))
+    return asyncio.run(handler._submit(deployment.queues[0], 1, build_identifier(1), body, 1.0))
 
 
 @when("{count:d} random malformed submissions arrive")
@@ -730,6 +730,9 @@
         [1, "look", [0, "x"], ["p"]], [1, "look", [0, "x"], 7], [-1, "look", [0, "x"], None],
         [1, "cordon", [0, ["w0", NOT_A_NUMBER]], None], [1, "cordon", [0, ["w0", -1.0]], None],
         [1, "survey", [0, {"booking": NOT_A_NUMBER}], None], [1, "submit", [0, []], None],
+        [1, "submit-version", [0, []], None], [1, "submit-version", [0, [[], []]], None],
+        [1, "confirm-absence", [0, "x"], None], [1, "confirm-absence", [0, ["x", []]], None],
+        [1, "confirm-absence", [0, ["x", ["h", "/", "2"]]], None],
         [1, "unknown", [0, "x"], None],
     )),
 )  # fmt: skip
@@ -744,7 +747,14 @@
     clock = SimpleNamespace(elapsed=LoopClock().elapsed)
     rpc = PeerRpc(build_settings(), clock)
     ran: list[Any] = []
-    operations = ("submit", "read_state", "cancel", "count_pending", "report_load")
+    operations = (
+        "submit",
+        "confirm_absence",
+        "read_state",
+        "cancel",
+        "count_pending",
+        "report_load",
+    )
     owner = SimpleNamespace(**dict.fromkeys((*operations, "cordon", "uncordon"), _record(ran)))
     ownership = SimpleNamespace(find_owner=lambda partition: owner, is_current=lambda: True)
     OwnerCalls(ownership, rpc, clock)
@@ -854,7 +864,10 @@
             return "10.1.1.1:1"
 
         ownership = SimpleNamespace(
-            find_owner=lambda partition: None, find_address=find_address, address="10.1.1.2:1"
+            find_owner=lambda partition: None,
+            find_address=find_address,
+            address="10.1.1.2:1",
+            reads_queue_versions=lambda partition: True,
         )
         calls = OwnerCalls(ownership, SimpleNamespace(call=call), clock)
         reply, may_have_effect = asyncio.run(calls.call_once(0, SUBMIT, [], 1.0))
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -28,6 +28,7 @@
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.losses import Losses
+from carawayd.partition.movedqueues import MOVED_PREFIX, MovedQueues
 from carawayd.partition.planner import Planner
 from carawayd.partition.preemption import PreemptionControl
 from carawayd.partition.relief import Relief
@@ -88,7 +89,7 @@
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock, SteadyTimeOfDay
     from carawayshore.workflows.crashes import WorkerLoss
-    from carawayshore.workflows.model import WorkerEntry, Workflow
+    from carawayshore.workflows.model import AbsenceQuery, QueueVersion, WorkerEntry, Workflow
     from carawayshore.workflows.placement import Usage, WorkerCapacity
 
 logger = logging.getLogger(__name__)
@@ -139,7 +140,7 @@
     retry_after: float = 0.0
 
 
-ACCEPTED, REJECTED, TOO_LARGE, UNREADY, UNKNOWN_OUTCOME, FOUND, ABSENT = (
+ACCEPTED, REJECTED, TOO_LARGE, UNREADY, UNKNOWN_OUTCOME, FOUND, ABSENT, MOVED = (
     "accepted",
     "rejected",
     "too-large",
@@ -147,6 +148,7 @@
     "unknown",
     "found",
     "absent",
+    "moved",
 )
 
 
@@ -234,6 +236,7 @@
         # Steps whose records could not be read.
         self._closed_steps: list[tuple[WorkflowState, StepState]] = []
         self._known_workers = KnownWorkers(self.ledger)
+        self._moved_queues = MovedQueues(self.ledger)
         # Start orders that may still be carried out, of workers without a link.
         self._late_starts: dict[str, LateStarts] = {}
         # Entries of incarnations that have certainly ended but are still listed.
@@ -415,6 +418,8 @@
                 self._contact_loss.restore(key.removeprefix(UNRESPONSIVE_PREFIX), value)
             elif key.startswith(WORKER_PREFIX):
                 self._known_workers.restore(key.removeprefix(WORKER_PREFIX), value)
+            elif key.startswith(MOVED_PREFIX):
+                self._moved_queues.restore(key, value)
             else:
                 records.append((key, value))
         restored = restore_workflows(records, now, self._unix_ms())
@@ -1055,12 +1060,17 @@
 
     # -- callers ---------------------------------------------------------------------------------
 
-    async def submit(self, spec: Workflow) -> Reply:
-        """Accepts a workflow, answering once it is recorded, or rejects it at once."""
+    async def submit(self, spec: Workflow, queue: QueueVersion | None = None) -> Reply:
+        """Accepts a workflow, answering once it is recorded, or rejects it at once.
+
+        ``queue`` is the queue as the entry host knows it, None from a host of an earlier version.
+        """
         if not self.loaded or self.lost:
             return Reply(UNREADY)
         known = self.workflows.get(spec.identifier)
         if known is None:
+            if queue is not None and self._has_moved(spec, queue):
+                return Reply(MOVED)
             limit = self.ledger.max_record_bytes - MAX_KEY_BYTES
             if len(WorkflowState(spec, 0.0, self._unix_ms()).encode()) > limit:
                 return Reply(TOO_LARGE, f"its record exceeds {limit} bytes")
@@ -1098,6 +1108,48 @@
                 return Reply(TOO_LARGE, "the store refuses its record")
         return Reply(ACCEPTED)
 
+    def _has_moved(self, spec: Workflow, queue: QueueVersion) -> bool:
+        """Returns whether a queue has moved away since the version by which it was submitted to.
+
+        Either an entry host that knows the move has asked for a workflow here, or this process
+        knows it.
+        """
+        moved_by = self._moved_queues.find_version(queue)
+        present = self._discovery.find_route(queue)
+        is_elsewhere = present is not None and present.service != spec.service
+        if queue.version >= moved_by and not is_elsewhere:
+            return False
+        self._metrics.submissions.labels(spec.service, "moved").inc()
+        logger.info(
+            "submission refused: its queue has moved to another service",
+            extra={
+                "fields": {
+                    "workflow": spec.identifier,
+                    "service": spec.service,
+                    "version": queue.version,
+                    "moved_by": moved_by,
+                    "present_version": present.version if present is not None else None,
+                    "epoch": self.fence,
+                }
+            },
+        )
+        return True
+
+    async def confirm_absence(self, query: AbsenceQuery) -> Reply:
+        """Answers whether a workflow is known; if not, it is not accepted by earlier versions.
+
+        The answer that it is not known is given once that is durable.
+        """
+        reply = await self.read_state(query.workflow)
+        if reply.outcome != ABSENT:
+            return reply
+        key = self._moved_queues.record(query.queue)
+        try:
+            await self.ledger.flush()
+        except OwnershipLost:
+            return Reply(UNREADY)
+        return reply if self.ledger.is_durable([key]) else Reply(UNREADY)
+
     def _withdraw(self, workflow: WorkflowState) -> Reply:
         """Rejects a workflow that the store refused to record, although it is not too large."""
         del self.workflows[workflow.identifier]
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -34,7 +34,13 @@
     from carawayd.platform.store import StoreClient
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
-    from carawayshore.workflows.model import Deployment, QueueConfig, Wave, WorkerEntry
+    from carawayshore.workflows.model import (
+        Deployment,
+        QueueConfig,
+        QueueVersion,
+        Wave,
+        WorkerEntry,
+    )
 
 logger = logging.getLogger(__name__)
 
@@ -63,6 +69,13 @@
     since: timedelta
 
 
+class PresentRoute(NamedTuple):
+    """Service to which a version of the configuration sends a queue, empty if it has no queue."""
+
+    version: int
+    service: str
+
+
 class Tailer(Service):
     """Follows partition 0 of a keyed topic: reads its latest records, then every change.
 
@@ -239,6 +252,18 @@
             self._is_recording_layout = True
             start_in_background(self._record_layout())
 
+    def find_route(self, queue: QueueVersion) -> PresentRoute | None:
+        """Returns where the configuration in force sends a queue, None if it is not a later one."""
+        deployment = self.deployment
+        if deployment is None or deployment.version <= queue.version:
+            return None
+        services = [
+            item.service
+            for item in deployment.queues
+            if (item.host, item.prefix) == (queue.host, queue.prefix)
+        ]
+        return PresentRoute(deployment.version, services[0] if services else "")
+
     def _apply_wave(self, value: bytes) -> None:
         wave = decode_wave(value)
         if wave.number not in self.waves:
--- a/packages/carawayd/src/carawayd/process/ownercalls.py
+++ b/packages/carawayd/src/carawayd/process/ownercalls.py
@@ -8,6 +8,7 @@
 
 from carawayd.partition.owner import (
     ABSENT,
+    MOVED,
     REJECTED,
     UNKNOWN_OUTCOME,
     UNREADY,
@@ -17,7 +18,7 @@
 from carawayd.process.exchange import PeerUnreachable
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import Count, MalformedDocument, Quantity, Seconds, convert
-from carawayshore.workflows.model import Workflow
+from carawayshore.workflows.model import AbsenceQuery, Submission, Workflow
 
 if TYPE_CHECKING:
     from carawayd.process.exchange import PeerRpc
@@ -39,12 +40,19 @@
 # sender has given up, and the caller may have a response saying that the workflow never runs.
 MAX_SUBMISSION_AGE_SECONDS = 2.0
 
-SUBMIT, GET_STATE, CANCEL, COUNT_PENDING = "submit", "look", "cancel", "count"
+SUBMIT, CONFIRM_ABSENCE = "submit-version", "confirm-absence"
+GET_STATE, CANCEL, COUNT_PENDING = "look", "cancel", "count"
 REPORT_LOAD, CORDON, UNCORDON = "survey", "cordon", "uncordon"
-MUTATING_OPERATIONS = frozenset({SUBMIT, CANCEL})
+# Submission to, or by, an entry host of an earlier version, without the version of the queue.
+SUBMIT_WORKFLOW = "submit"
+FORMER_OPERATIONS = {SUBMIT: SUBMIT_WORKFLOW, CONFIRM_ABSENCE: GET_STATE}
+SUBMISSIONS = frozenset({SUBMIT, SUBMIT_WORKFLOW})
+MUTATING_OPERATIONS = SUBMISSIONS | {CANCEL}
 # Type of the argument of each operation.
 ARGUMENT_TYPES = {
-    SUBMIT: Workflow,
+    SUBMIT: Submission,
+    SUBMIT_WORKFLOW: Workflow,
+    CONFIRM_ABSENCE: AbsenceQuery,
     GET_STATE: str,
     CANCEL: str,
     COUNT_PENDING: str,
@@ -104,8 +112,8 @@
             reply, sent = await self.call_once(
                 partition, operation, argument, timeout, refresh=refresh
             )
-            if reply.outcome == REJECTED and unknown:
-                # An earlier attempt may still be accepted, so the rejection is not final.
+            if reply.outcome in (REJECTED, MOVED) and unknown:
+                # An earlier attempt may have been accepted, so the rejection is not final.
                 return Reply(UNKNOWN_OUTCOME)
             if reply.outcome not in (UNREADY, UNKNOWN_OUTCOME):
                 return reply
@@ -137,6 +145,8 @@
         address = await self._ownership.find_address(partition, refresh=refresh)
         if address is None or address == self._ownership.address:
             return Reply(UNREADY), False
+        if operation in FORMER_OPERATIONS and not self._ownership.reads_queue_versions(partition):
+            operation, argument = FORMER_OPERATIONS[operation], argument[0]
         try:
             answer = await self._peer_rpc.call(
                 address,
@@ -144,7 +154,7 @@
                 partition,
                 argument,
                 timeout=timeout,
-                max_age=MAX_SUBMISSION_AGE_SECONDS if operation == SUBMIT else None,
+                max_age=MAX_SUBMISSION_AGE_SECONDS if operation in SUBMISSIONS else None,
             )
             reply = convert(answer, Reply)
         except PeerUnreachable as error:
@@ -167,8 +177,11 @@
     ) -> Reply:
         argument = convert(argument, ARGUMENT_TYPES[operation])
         if operation == SUBMIT:
+            return await owner.submit(argument.workflow, argument.queue)
+        if operation == SUBMIT_WORKFLOW:
             return await owner.submit(argument)
         handlers = {
+            CONFIRM_ABSENCE: owner.confirm_absence,
             GET_STATE: owner.read_state,
             CANCEL: owner.cancel,
             COUNT_PENDING: owner.count_pending,
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -33,9 +33,11 @@
 logger = logging.getLogger(__name__)
 
 GROUP = "owners"
-# Form of the records that a host reads and writes, as named by its members. Hosts that name none do
-# not read parts of steps.
-RECORD_FORM = 2
+# Form of the records and calls that a host reads, as named by its members; 1 if it names none.
+FORM = 3
+# First forms with parts of steps, and with the versions of queues in submissions.
+PARTS_FORM = 2
+QUEUE_VERSIONS_FORM = 3
 # Membership lifetime without renewal. Together with the renewal interval, it limits the time until
 # another process takes over after a crash to about 2 s.
 MEMBERSHIP_TTL_MS = 1_500
@@ -124,7 +126,7 @@
         """
         cores = f"{self._settings.cores:.3f}"
         token = secrets.token_hex(6)
-        return f"{self._settings.peer_address}#{cores}#{token}#{RECORD_FORM}"
+        return f"{self._settings.peer_address}#{cores}#{token}#{FORM}"
 
     @property
     def address(self) -> str:
@@ -142,9 +144,14 @@
         return self._renewed_within(timedelta(seconds=self._settings.abandon_seconds))
 
     def has_former_members(self) -> bool:
-        """Returns whether a host of an earlier version owned a partition at the last read."""
+        """Returns whether a host that reads no parts of steps owns a partition."""
         members = self._members_by_partition.values()
-        return any(member and _read_form(member) < RECORD_FORM for member in members)
+        return any(member and _read_form(member) < PARTS_FORM for member in members)
+
+    def reads_queue_versions(self, partition: int) -> bool:
+        """Returns whether the owner of a partition reads the versions of queues in submissions."""
+        member = self._members_by_partition.get((WORKFLOWS_TOPIC, partition), "")
+        return not member or _read_form(member) >= QUEUE_VERSIONS_FORM
 
     def find_owner(self, partition: int) -> PartitionOwner | None:
         """Returns the local owner of a partition, None if this process does not own it."""
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -14,6 +14,7 @@
     ABSENT,
     ACCEPTED,
     FOUND,
+    MOVED,
     REJECTED,
     TOO_LARGE,
     UNKNOWN_OUTCOME,
@@ -27,8 +28,9 @@
     encode_state,
 )
 from carawayd.process.discovery import LAYOUT_MAX_AGE
-from carawayd.process.ownercalls import CANCEL, COUNT_PENDING, GET_STATE, SUBMIT
+from carawayd.process.ownercalls import CANCEL, CONFIRM_ABSENCE, COUNT_PENDING, GET_STATE, SUBMIT
 from carawayshore.decoding import MalformedDocument, parse_count
+from carawayshore.workflows.model import AbsenceQuery, QueueVersion, Submission
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -120,7 +122,8 @@
                 return _build_response(
                     413, {"error": f"the body exceeds {deployment.max_body_bytes} bytes"}
                 )
-            return await self._submit(queue, identifier, await request.read(), timeout)
+            body = await request.read()
+            return await self._submit(queue, deployment.version, identifier, body, timeout)
         return _build_response(405, {"error": "accepted: POST, GET and DELETE"})
 
     def _read_timeout(self, request: web.BaseRequest) -> float:
@@ -132,7 +135,7 @@
             return DEFAULT_TIMEOUT_SECONDS
 
     async def _submit(
-        self, queue: QueueConfig, identifier: str, body: bytes, timeout: float
+        self, queue: QueueConfig, version: int, identifier: str, body: bytes, timeout: float
     ) -> web.Response:
         workflow, findings = decode_submission(identifier, queue, body)
         if workflow is None:
@@ -141,18 +144,24 @@
             )
         if not await self._wait_for(self._discovery.prepare_submission(queue), timeout):
             return self._build_failure_response(Reply(UNREADY), identifier)
+        present = QueueVersion(queue.host, queue.prefix, version)
         partition, *former = self._discovery.list_partitions(queue, moved_within=REPEAT_TIME)
+        query = msgspec.to_builtins(AbsenceQuery(identifier, present))
         for other in former:
-            reply = await self._call_owner(other, GET_STATE, identifier, timeout)
+            reply = await self._call_owner(other, CONFIRM_ABSENCE, query, timeout)
             if reply.outcome == FOUND:
                 return _build_response(200)
             if reply.outcome != ABSENT:
                 return self._build_failure_response(Reply(UNREADY), identifier)
-        reply = await self._call_owner(partition, SUBMIT, msgspec.to_builtins(workflow), timeout)
+        submission = msgspec.to_builtins(Submission(workflow, present))
+        reply = await self._call_owner(partition, SUBMIT, submission, timeout)
         if reply.outcome == ACCEPTED:
             return _build_response(200)
         if reply.outcome == TOO_LARGE:
             return _build_response(413, {"error": reply.detail})
+        if reply.outcome == MOVED:
+            error = {"error": "the configuration of this entry host is out of date"}
+            return _build_response(503, error, UNREADY_RETRY_SECONDS)
         if reply.outcome == REJECTED:
             return _build_response(429, {"error": reply.detail}, reply.retry_after)
         return self._build_failure_response(reply, identifier)
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -267,6 +267,31 @@
         return self.first_due_ms + occurrence * self.interval_ms if self.repeats else 0
 
 
+class QueueVersion(NamedTuple):
+    """A queue, by its address for callers, as one version of the configuration has it."""
+
+    host: str
+    prefix: str
+    version: int
+
+
+class Submission(NamedTuple):
+    """A workflow, and the queue that the entry host submits it to."""
+
+    workflow: Workflow
+    queue: QueueVersion
+
+
+class AbsenceQuery(NamedTuple):
+    """Question whether a workflow is known, by an entry host that is to submit it elsewhere.
+
+    ``queue`` is the queue by the version in which it has moved.
+    """
+
+    workflow: str
+    queue: QueueVersion
+
+
 def check_steps(steps: list[StepSpec]) -> list[Finding]:
     """Returns the findings that make the steps invalid, whatever the capacity of the workers."""
     found = []
