Requests for placement tickets follow the queue's figures, and tickets are used while they may be valid

Cause: a ticket was used until 0.7 of its lifetime after the request, whatever the answer had taken, and a request named twelve workers, whatever the queue's figures said. Ruled out: a lock or a lost answer in the advisor; each answer was logged as received. Change: the number of workers follows from the terms of the queue, an answer that allows none doubles it (up to 100), a refused ticket halves it. A ticket is used while it may be valid if it can't be used while it certainly is; a refusal has no effect. Failed requests back off. Tickets of a former incarnation of a worker are forgotten. A queue whose tickets are refused even after requests about one worker is not rejected; it is logged.

--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -10,7 +10,7 @@
 import asyncio
 import itertools
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from datetime import UTC, datetime, timedelta
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -85,9 +85,10 @@
 # to the removal of its entry.
 DRAIN_S = 2.0
 UNLISTED_AFTER_S = 0.5
-# Time for which the placement policy service works on a call, and lifetime of its tickets.
-ADVICE_S = 0.3
-TICKET_LIFETIME_S = 60.0
+# Terms of the placement policy service for a job whose submission named none.
+ADVICE = AdviceConfig(300, 0, 60_000)
+# Calls of one host that wait at that service, beyond which it rejects further ones.
+MAX_WAITING_ADVICE = 32
 
 
 class Run(NamedTuple):
@@ -252,7 +253,7 @@
             raise OrderRefused("fenced")
         self.fence = fence
 
-    def start(self, task: TaskName, run: int, expires_ms: int, fence: int) -> int:
+    def start(self, task: TaskName, run: int, expires_ms: int, fence: int, ticket: str = "") -> int:
         self._check_fence(fence)
         if expires_ms < self.clock_ms:
             raise OrderRefused("expired")
@@ -266,6 +267,9 @@
             raise OrderRefused(self.world.refusals[self.name])
         if self.state != "ready":
             raise OrderRefused("draining")
+        if not self.world.accepts_ticket(self, task, ticket):
+            self.world.refused_tickets += 1
+            raise OrderRefused("unadvised")
         self.world.check_start(self, task, run)
         cores, seconds = self.world.jobs[task.workflow]
         now = self.world.now()
@@ -357,13 +361,15 @@
             raise PlatformError("disconnected")
         return result
 
-    async def start(self, _address, worker, task, run, *, expires_ms, fence, may_send, **_):
+    async def start(
+        self, _address, worker, task, run, *, expires_ms, fence, may_send, ticket="", **_
+    ):
         carries_out = self._world.undecodable.get(worker)
         if carries_out is False:
             raise RecursionError("the answer to a start order is nested too deeply")
 
         def carry_out(model: ModelWorker) -> int:
-            return model.start(task, run, expires_ms, fence)
+            return model.start(task, run, expires_ms, fence, ticket)
 
         if worker in self._world.late_starts:
             await self._send_late(worker, may_send, carry_out)
@@ -472,16 +478,49 @@
         return LatestRecords(records, self.end)
 
 
+class Ticket(NamedTuple):
+    """Ticket for one step on one incarnation of a worker; times in seconds."""
+
+    text: str
+    born: int
+    valid_until: float
+
+
 class ModelAdvice:
-    """Placement policy service, which allows the workers that the world does not deny."""
+    """Placement policy service as one host sees it: it handles one call of the host at a time.
+
+    It allows the workers that the world does not deny, with tickets that are valid for a while from
+    its answer on, or from the call on if ``World.tickets_count_from_call`` is set.
+    """
 
     def __init__(self, world: World) -> None:
         self._world = world
+        self._lock = asyncio.Lock()
+        self._waiting = 0
 
     async def advise(self, workflow, occurrence, step, workers, *, timeout) -> Advice:
-        await asyncio.sleep(ADVICE_S)
-        allowed = {name: "ticket" for name in workers if name not in self._world.denied}
-        return Advice(allowed, TICKET_LIFETIME_S)
+        world = self._world
+        world.advice_calls.append(len(workers))
+        if world.advice_is_down:
+            raise PlatformUnreached("advice")
+        if self._waiting >= MAX_WAITING_ADVICE:
+            raise PlatformRefusal(429, {})
+        terms = world.advice_terms.get(workflow, ADVICE)
+        self._waiting += 1
+        try:
+            async with self._lock:
+                called_at = world.now()
+                await asyncio.sleep((terms.decision_ms + terms.per_worker_ms * len(workers)) / 1000)
+        finally:
+            self._waiting -= 1
+        since = called_at if world.tickets_count_from_call else world.now()
+        allowed = {}
+        for name in workers:
+            if name not in world.denied:
+                text = allowed[name] = f"{name}-{len(world.advice_calls)}"
+                ticket = Ticket(text, world.workers[name].born, since + terms.valid_ms / 1000)
+                world.tickets[workflow, occurrence, step, name].append(ticket)
+        return Advice(allowed, terms.valid_ms / 1000)
 
 
 class OwnerClock:
@@ -589,8 +628,15 @@
         self.late_orders_need_age_s = 0.0
         # Number of delayed orders that a worker has carried out.
         self.late_arrivals = 0
-        # Workers for which the placement policy service gives no ticket.
+        # Workers for which the placement policy service gives no ticket, and its terms by workflow.
         self.denied: set[str] = set()
+        self.advice_terms: dict[str, AdviceConfig] = {}
+        self.advice_is_down = False
+        self.tickets_count_from_call = False
+        # Number of workers that each call to the service named.
+        self.advice_calls: list[int] = []
+        self.tickets: defaultdict[tuple, list[Ticket]] = defaultdict(list)
+        self.refused_tickets = 0
         # Time of the last disturbance that is over.
         self.disturbed_at = self.now()
         self.restarts = RestartWatch(self)
@@ -729,6 +775,8 @@
         self.jobs[identifier] = (0 if step.best_effort else cores, seconds)
         if crash_delay is not None:
             self.crash_delays[identifier] = crash_delay
+        if advice is not None:
+            self.advice_terms[identifier] = advice
         self.max_failures[identifier] = max_failures
         steps = [
             step._replace(count=count, after=(number - 1,) if number else ())
@@ -808,6 +856,15 @@
                 return
             self.late_arrivals += 1
 
+    def accepts_ticket(self, worker: ModelWorker, task: TaskName, text: str) -> bool:
+        """Returns whether a start needs no ticket, or carries a valid one."""
+        if task.workflow not in self.advice_terms:
+            return True
+        return any(
+            ticket.text == text and ticket.born == worker.born and self.now() <= ticket.valid_until
+            for ticket in self.tickets[(*task[:3], worker.name)]
+        )
+
     def check_start(self, worker: ModelWorker, task: TaskName, run: int) -> None:
         """Records the promises that a start breaks."""
         cores, _ = self.jobs[task.workflow]
--- a/packages/carawayd/src/carawayd/partition/advisor.py
+++ b/packages/carawayd/src/carawayd/partition/advisor.py
@@ -8,6 +8,13 @@
 
 from carawayd.platform.common import PlatformError
 from carawayd.supervision import start_in_background
+from carawayshore.workflows.advice import (
+    Answer,
+    choose_after_expiry,
+    choose_first,
+    choose_next,
+    measure_request,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,12 +28,11 @@
 
 StepKey = tuple[str, int, int]
 
-# Limit of workers in one call, since each of them makes the call take longer.
-MAX_WORKERS_PER_CALL = 12
 # Added to the declared duration of a call, since the service queues the calls of one host.
 QUEUE_WAIT_SECONDS = 3.0
-# Share of its lifetime for which a ticket is used, so that it is still valid on arrival.
-TICKET_LIFETIME_SHARE = 0.7
+# Delay of the next call after one that failed, doubled with each further failure.
+FIRST_RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 4.0
 
 
 class Advisor:
@@ -49,6 +55,12 @@
         self._tickets: dict[StepKey, dict[str, tuple[str, float]]] = {}
         self._denied: dict[StepKey, set[str]] = {}
         self._in_progress: set[StepKey] = set()
+        # Number of workers that the next call about a step names, and tickets of the step that were
+        # refused since the last call.
+        self._worker_limits: dict[StepKey, int] = {}
+        self._refusals: dict[StepKey, int] = {}
+        self._retry_seconds = 0.0
+        self._retry_at = 0.0
         self._call_lock = asyncio.Lock()
 
     def _now(self) -> float:
@@ -64,16 +76,17 @@
         """Starts a request about the workers with the most free processor capacity.
 
         Leaves out workers that have a ticket or were denied one; does nothing while a request
-        about the step is in progress.
+        about the step is in progress, or shortly after a request has failed.
         """
-        if self._client is None or key in self._in_progress:
+        if self._client is None or key in self._in_progress or self._now() < self._retry_at:
             return
         denied, tickets = self._denied.get(key, set()), self.find_tickets(key)
+        limit = self._worker_limits.setdefault(key, choose_first(config))
         candidates = [
             capacity.entry.worker
             for capacity in sorted(capacities, key=lambda capacity: -capacity.free_millicores)
             if capacity.entry.worker not in denied and capacity.entry.worker not in tickets
-        ][:MAX_WORKERS_PER_CALL]
+        ][:limit]
         if candidates:
             self._in_progress.add(key)
             start_in_background(self._request_tickets(key, candidates, config))
@@ -81,25 +94,42 @@
     async def _request_tickets(
         self, key: StepKey, candidates: list[str], config: AdviceConfig
     ) -> None:
-        timeout = (
-            config.decision_ms + config.per_worker_ms * len(candidates)
-        ) / 1000 + QUEUE_WAIT_SECONDS
+        timeout = measure_request(config, len(candidates)) + QUEUE_WAIT_SECONDS
         try:
             async with self._call_lock:
                 asked_at = self._now()
+                self._refusals.pop(key, None)
                 advice = await self._client.advise(*key, candidates, timeout=timeout)
         except PlatformError as error:
+            self._delay_retry()
             logger.info(
                 "request for placement tickets failed",
-                extra={"fields": {"workflow": key[0], "error": str(error)}},
+                extra={
+                    "fields": {
+                        "workflow": key[0],
+                        "error": str(error),
+                        "retry_seconds": self._retry_seconds,
+                    }
+                },
             )
             return
         finally:
+            is_wanted = key in self._in_progress
             self._in_progress.discard(key)
-        until = asked_at + advice.valid_seconds * TICKET_LIFETIME_SHARE
+        self._retry_seconds = 0.0
+        if not is_wanted:
+            # The workflow has ended meanwhile.
+            return
+        valid_seconds = advice.valid_seconds or config.valid_ms / 1000
+        answer = Answer(asked_at, self._now(), valid_seconds)
         tickets = self._tickets.setdefault(key, {})
-        tickets.update({worker: (ticket, until) for worker, ticket in advice.tickets.items()})
+        tickets.update(
+            {worker: (ticket, answer.use_until) for worker, ticket in advice.tickets.items()}
+        )
         self._denied.setdefault(key, set()).update(set(candidates) - set(advice.tickets))
+        self._worker_limits[key] = choose_next(
+            config, self._worker_limits[key], has_allowed=bool(advice.tickets)
+        )
         logger.info(
             "placement tickets received",
             extra={
@@ -108,6 +138,8 @@
                     "step": key[2],
                     "asked": len(candidates),
                     "allowed": sorted(advice.tickets),
+                    "answer_seconds": round(answer.answered_at - asked_at, 3),
+                    "use_seconds": round(answer.use_until - answer.answered_at, 3),
                 }
             },
         )
@@ -119,14 +151,30 @@
             "tickets": len(self.find_tickets(key)),
             "denied": len(self._denied.get(key, ())),
             "asked": key in self._in_progress,
+            "workers_to_ask_for": self._worker_limits.get(key),
+            "refused_tickets": self._refusals.get(key, 0),
         }
 
-    def forget_ticket(self, key: StepKey, worker: str) -> None:
-        """Removes a ticket that a worker has refused."""
+    def handle_refusal(self, key: StepKey, worker: str) -> None:
+        """Removes a ticket that a worker has refused; the next call names fewer workers."""
         self._tickets.get(key, {}).pop(worker, None)
+        self._refusals[key] = self._refusals.get(key, 0) + 1
+        if self._refusals[key] == 1 and key in self._worker_limits:
+            self._worker_limits[key] = choose_after_expiry(self._worker_limits[key])
+
+    def forget_worker(self, worker: str) -> None:
+        """Removes the tickets of a worker that has restarted, which are valid no longer."""
+        for tickets in self._tickets.values():
+            tickets.pop(worker, None)
 
     def forget_workflow(self, workflow: str) -> None:
-        """Removes the tickets and denials of an ended workflow."""
-        for table in (self._tickets, self._denied):
+        """Removes what is known of the steps of an ended workflow."""
+        for table in (self._tickets, self._denied, self._worker_limits, self._refusals):
             for key in [key for key in table if key[0] == workflow]:
                 del table[key]
+        self._in_progress = {key for key in self._in_progress if key[0] != workflow}
+
+    def _delay_retry(self) -> None:
+        doubled = max(FIRST_RETRY_SECONDS, 2 * self._retry_seconds)
+        self._retry_seconds = min(doubled, MAX_RETRY_SECONDS)
+        self._retry_at = self._now() + self._retry_seconds
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -702,6 +702,8 @@
         restarted : bool
             Whether another incarnation has answered, so that the former one has certainly ended.
         """
+        if restarted:
+            self._advisor.forget_worker(link.worker)
         if restarted and link.closed:
             self._ended_workers[link.worker] = link.entry
         born = self.find_recorded_start(link.worker)
@@ -814,7 +816,7 @@
             return
         workflow, step, state = found
         if why == TICKET_REFUSED:
-            self._advisor.forget_ticket(task[:3], link.worker)
+            self._advisor.handle_refusal(task[:3], link.worker)
         if state.status != ORDERED or state.run != run or state.worker != link.worker:
             return
         self._reset_task(workflow, step, state, task, why)
