Leases that a former clock of a worker has given are waited for, also by the next owner

The owner counted what it had meant to give, 4 s at most.

Cause: the bound followed the last call's own clock. Left out were the answered call that finds the restart, a start order that the next life answers or refuses, and at the next owner all that was sent by a former clock. One function bounds the lease now (partition/leases), for all calls of all links to the worker's identifier, and the link, the handover and the next owner ask it: - a call by a former clock that was answered counts from its answer, one without an answer for 13 s; - the answer to a start order tells by its clock whether a later life has taken it; - the next owner counts former clocks while the worker's life is younger than 16 s, unless the former owner has recorded how long the leases last, for the same life; - without any contact to the worker it waits 3 s and one longest lease, if that is more than before. Besides, a lease is renewed only by a clock that is at most 1.2 s old, so the poll of an idle worker, or the first one after a pause of the owner, gives none. A run that the next life lists is not counted as lost with the former one. A closed link is replaced in the same scan. The line of a closed link tells the life, the silence and the call that gave the lease. Stand-ins: workers give the longest lease at most, and take the lease of refused orders; the model's entries may follow a restart at once. A task that an order of a former clock began waits for 6.4 s in place of 4.4 s (owner_workers.feature); with leases of 10 s that is 10.5 s by the same formula, not played. Ruled out: a deadline left out after a silence alone; the order itself reaches the next life. Still open: an order without an answer that the next life carries out.

--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -9,8 +9,9 @@
 
 from workflow_builders import build_entry, build_workflow
 
+from carawayd.partition.leases import START_ORDER
 from carawayd.partition.owner import PartitionOwner
-from carawayd.partition.workerlink import Order, WorkerLink
+from carawayd.partition.workerlink import UNKNOWN, Order, WorkerLink
 from carawayd.platform.runs import EndedRun, RunningTask, WorkerReport
 from carawayd.process.site import SITE_FIELDS, SiteSettings
 from carawayd.process.workflowmetrics import WorkflowMetrics
@@ -22,6 +23,8 @@
 
 WORKER = "w0"
 BORN = 1_000
+# Clock of the worker in its reports and answers.
+CLOCK_MS = 50_000
 
 
 class ManualClock:
@@ -47,12 +50,13 @@
     def __init__(self) -> None:
         self.error: Exception | None = None
         self.calls: list[tuple[str, str, int]] = []
+        self.clock_ms = CLOCK_MS
 
     async def _call(self, kind: str, task: TaskName | None = None, run: int = 0) -> int:
         self.calls.append((kind, task.workflow if task else "", run))
         if self.error is not None:
             raise self.error
-        return 0
+        return self.clock_ms
 
     async def start(self, address: str, worker: str, task: TaskName, run: int, **_: Any) -> int:
         return await self._call("start", task, run)
@@ -183,7 +187,11 @@
         link = self.owner.links[WORKER]
         _, step, item = self.owner._find_task(task)
         item.status, item.run, item.worker = ORDERED, run, WORKER
-        link.orders[task] = Order(run, state, absence_certain_after_ms, self.clock.seconds)
+        order = link.orders[task] = Order(run, state, absence_certain_after_ms, self.clock.seconds)
+        if state == UNKNOWN:
+            order.lease_call = link.leases.record_sending(
+                self.clock.seconds, absence_certain_after_ms, START_ORDER
+            )
         link.capacity.reserve(task, compute_usage(task, step.spec))
         self.owner._known_workers.record(link.entry)
         self.owner._record_tasks(self.owner.workflows[task.workflow], step, [task.index])
@@ -193,7 +201,7 @@
         running: list[tuple[TaskName, int]] = (),
         ended: list[tuple[TaskName, int, str]] = (),
         *,
-        clock_ms: int = 50_000,
+        clock_ms: int = CLOCK_MS,
         born: int = BORN,
     ) -> None:
         """Has the link process a report of the worker."""
--- a/features/owner_workers.feature
+++ b/features/owner_workers.feature
@@ -63,6 +63,28 @@
     Then after 1.2 s without contact the lease is not taken to be over
     And after 2.0 s without contact it is
 
+  # Guards against a task that runs twice: the next life of the worker takes a start order by the
+  # former clock, and is cut off before it has reported (rule TWICE, issue 54).
+  Scenario: A start order that the next life of a worker answers gives the longest lease
+    Given an owner whose worker reported 1 s ago and has no tasks
+    When a start order is answered by a worker whose clock shows 400 ms
+    Then after 6.3 s without contact the lease is not taken to be over
+    And after 6.5 s without contact it is
+
+  Scenario: A start order that the same life answers gives the lease that it names
+    Given an owner whose worker reported 1 s ago and has no tasks
+    When a start order is answered by a worker whose clock shows 50980 ms
+    Then after 2.0 s without contact the lease is not taken to be over
+    And after 4.5 s without contact it is
+
+  # The clock of a worker that has just started does not tell whether it has started once more.
+  Scenario: A young worker answers a start order, and reports
+    Given an owner whose worker reported 1 s ago, 300 ms after its start
+    When a start order is answered by a worker whose clock shows 1200 ms
+    And the same life of the worker reports, and its clock shows 1400 ms
+    Then after 5.0 s without contact the lease is not taken to be over
+    And after 5.6 s without contact it is
+
   Scenario: A lease that an earlier owner renewed just before the takeover is waited for
     Given an owner whose membership is not current and whose worker has reported once
     Then after 3.9 s without contact the lease is not taken to be over
--- a/features/placement_tickets.feature
+++ b/features/placement_tickets.feature
@@ -42,7 +42,7 @@
 
   # Guards against starts that are refused one after the other, with tickets of a former incarnation.
   Scenario: A worker restarts while its tickets are valid
-    Given 2 workers, and tickets whose lifetime is counted from the answer
+    Given 1 workers, and tickets whose lifetime is counted from the answer
     When a job of 2 tasks arrives whose queue decides in 50 and 5 ms a worker, for 60000 ms
     And all its tasks are at work and the first worker restarts
     Then all its tasks are at work after at most 6 s
--- a/features/queue_moves.feature
+++ b/features/queue_moves.feature
@@ -52,6 +52,15 @@
     When in 31 plays the queue moves to office while the second host and the owners are cut off, and job 2 is submitted at both hosts, up to 30 ms apart
     Then one owner has accepted the job in each play, now the former and now the present one
 
+  # Guards against a job that is accepted for a service to which its queue no longer leads.
+  Scenario: The former owner knows the move, and nobody has asked it
+    Given two entry hosts, and the owners of booking, office and depot
+    When the second host is cut off from the store, and the owners follow
+    And the operator sends the queue to office
+    And job 2 is submitted at the second host
+    Then the second host answered 503
+    And job 2 has been accepted by no owner
+
   Scenario: An entry host of the version before this one submits to the owner of this one
     Given two entry hosts, and the owners of booking, office and depot
     When a host of the version before this one submits job 3
--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -140,6 +140,29 @@
     harness.run(harness.owner.links[WORKER].start_task(TASK, StartOrder(1, "text", "")))
 
 
+@given("an owner whose worker reported {seconds:g} s ago, {clock:d} ms after its start")
+def report_young(context, seconds, clock):
+    harness = _start(context)
+    harness.add_workflow(JOB, 2000)
+    harness.list_worker()
+    harness.report(clock_ms=clock)
+    harness.clock.seconds += seconds
+
+
+@when("a start order is answered by a worker whose clock shows {clock:d} ms")
+def answer_start(context, clock):
+    harness = context.harness
+    harness.order(TASK, 1, state="sending", absence_certain_after_ms=0)
+    harness.runs.clock_ms = clock
+    harness.assume_recent_report()
+    harness.run(harness.owner.links[WORKER].start_task(TASK, StartOrder(1, "text", "")))
+
+
+@when("the same life of the worker reports, and its clock shows {clock:d} ms")
+def report_same_life(context, clock):
+    context.harness.report(running=[(TASK, 1)], clock_ms=clock)
+
+
 @when("its epoch rises while a start order is refused for its fencing token")
 def refuse_earlier_epoch(context):
     harness = context.harness
--- a/features/steps/queue_moves_steps.py
+++ b/features/steps/queue_moves_steps.py
@@ -115,6 +115,16 @@
     assert context.answers == {"first": first, "second": second}, context.answers
 
 
+@then("the second host answered {status:d}")
+def expect_answer(context, status):
+    assert context.answers == {"second": status}, context.answers
+
+
+@then("job {number:d} has been accepted by no owner")
+def expect_no_owner(context, number):
+    assert context.world.owners.count_runs(identify(number)) == 0
+
+
 @then("job {number:d} has been accepted by one owner")
 def expect_one_owner(context, number):
     assert context.world.owners.count_runs(identify(number)) == 1
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -222,7 +222,8 @@
         if self.born == born:
             self.cores, self.gone = cores, False
             self._reset()
-            asyncio.get_running_loop().call_later(ENTRY_DELAY_S, self._update_entry, born)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.world.entry_delay_s, self._update_entry, born)
 
     def _update_entry(self, born: int) -> None:
         if self.born == born:
@@ -587,6 +588,7 @@
         self.draining_go_on = False
         self.crashed_return_as_new = True
         self.crash_downtime_s = CRASH_DOWNTIME_S
+        self.entry_delay_s = ENTRY_DELAY_S
         self.crashes: Counter[TaskName] = Counter()
         # Number of workers that ended, for whatever cause, while they ran a task.
         self.losses: Counter[TaskName] = Counter()
@@ -817,7 +819,7 @@
         while True:
             for worker in list(self.workers.values()):
                 await asyncio.sleep(BEAT_S / len(self.workers))
-                if self.now() - worker.origin > ENTRY_DELAY_S:
+                if self.now() - worker.origin > self.entry_delay_s:
                     worker.write_entry()
 
     async def _advance(self) -> None:
--- a/packages/carawayd/src/carawayd/partition/contactloss.py
+++ b/packages/carawayd/src/carawayd/partition/contactloss.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayd.partition.leases import UNKNOWN_INCARNATION_SECONDS
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument, parse_count
 
@@ -37,16 +38,28 @@
     ----------
     lease_seconds : float
         Longest time from the renewal of a lease to its certain end.
+        The renewal is sent by the clock of the worker's present incarnation.
     abandon_seconds : float
         Longest time for which a former owner goes on renewing.
+    longest_lease_seconds : float
+        Longest time from a call by the clock of a former incarnation to the lease's certain end.
     """
 
     lease_seconds: float
     abandon_seconds: float
+    longest_lease_seconds: float
 
     @property
     def longest(self) -> float:
-        return self.lease_seconds + self.abandon_seconds
+        """Longest time from a takeover to the end of all leases by former owners.
+
+        They send no start order that they have not recorded before the takeover, and renew leases
+        by the clock of a former incarnation only until a report that follows it.
+        """
+        return max(
+            self.lease_seconds + self.abandon_seconds,
+            self.longest_lease_seconds + UNKNOWN_INCARNATION_SECONDS,
+        )
 
 
 class _Loss(NamedTuple):
@@ -157,6 +170,16 @@
         bound = bounds.lease_seconds if loss.had_contact else bounds.longest
         return self.measure_seconds(worker) > bound
 
+    def find_lease_left(self, worker: str) -> float | None:
+        """Returns the longest time in seconds for which the leases of a silent worker last.
+
+        None unless the owner that lost the contact had it before, so that it knows.
+        """
+        loss = self._losses.get(worker)
+        if loss is None or not loss.had_contact:
+            return None
+        return max(0.0, self._bounds.lease_seconds - self.measure_seconds(worker))
+
     def record_progress(self) -> None:
         """Records the durations whose last record is older than ``RECORD_INTERVAL_SECONDS``.
 
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -26,6 +26,7 @@
 from carawayd.partition.departures import Departures
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
+from carawayd.partition.leases import compute_lease_seconds, compute_longest_seconds
 from carawayd.partition.ledger import WORKFLOWS_TOPIC, Ledger, OwnershipLost
 from carawayd.partition.losses import Losses
 from carawayd.partition.movedqueues import MOVED_PREFIX, MovedQueues
@@ -43,7 +44,6 @@
     Order,
     StartOrder,
     WorkerLink,
-    compute_lease_seconds,
 )
 from carawayd.platform.runs import format_task
 from carawayd.platform.store import MAX_KEY_BYTES
@@ -77,10 +77,9 @@
     from collections.abc import Callable, Iterable, Sequence
     from random import Random
 
-    from carawayd.partition.latestarts import LateStarts
     from carawayd.partition.planner import StepPlacement
     from carawayd.partition.strayorders import StrayOrder
-    from carawayd.partition.workerlink import LostRun
+    from carawayd.partition.workerlink import CallHistory, LostRun
     from carawayd.platform.advice import AdviceClient
     from carawayd.platform.runs import EndedRun, RunsClient
     from carawayd.platform.store import StoreClient
@@ -231,14 +230,18 @@
         self._scheduled: set[tuple[str, int, int]] = set()
         # Worker of each task that an earlier owner ordered, until the link to the worker tracks it.
         self._orphans: dict[TaskName, str] = {}
-        self._lease_bounds = LeaseBounds(compute_lease_seconds(settings), settings.abandon_seconds)
+        self._lease_bounds = LeaseBounds(
+            compute_lease_seconds(settings),
+            settings.abandon_seconds,
+            compute_longest_seconds(settings),
+        )
         self._contact_loss = ContactLoss(clock, self.ledger, self._lease_bounds)
         # Steps whose records could not be read.
         self._closed_steps: list[tuple[WorkflowState, StepState]] = []
         self._known_workers = KnownWorkers(self.ledger)
         self._moved_queues = MovedQueues(self.ledger)
-        # Start orders that may still be carried out, of workers without a link.
-        self._late_starts: dict[str, LateStarts] = {}
+        # Calls that may still take effect, of workers without a link.
+        self._call_histories: dict[str, CallHistory] = {}
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
         self._first_attempts: dict[str, float] = {}
@@ -552,6 +555,7 @@
         entries = self._discovery.list_workers(self._list_services())
         if entries is None:
             return
+        self._remove_links(entries)
         for worker, entry in entries.items():
             link = self.links.get(worker)
             if link is None:
@@ -572,22 +576,24 @@
                 if link.expire_cordon(self._now()):
                     self._cordons.end(link.worker)
                 self._departures.evacuate(link, self.fence)
+        for worker, history in list(self._call_histories.items()):
+            history.expire(self._now())
+            if not history.is_needed(self._now()):
+                del self._call_histories[worker]
+        self._release_orphans()
+
+    def _remove_links(self, entries: dict[str, WorkerEntry]) -> None:
+        """Removes the links that are closed, or whose workers are neither listed nor used."""
         for worker, link in list(self.links.items()):
             if worker not in entries and link.listed:
                 link.update(None)
             if not link.is_needed:
                 del self.links[worker]
-                if link.late_starts:
-                    self._late_starts[worker] = link.late_starts
+                self._call_histories[worker] = link.history
                 self._cordons.end(worker)
                 self._contact_loss.end(worker)
                 self._known_workers.forget(worker)
                 start_in_background(link.stop())
-        for worker, late_starts in list(self._late_starts.items()):
-            late_starts.expire(self._now())
-            if not late_starts:
-                del self._late_starts[worker]
-        self._release_orphans()
 
     def _open_links_of_unlisted_workers(self) -> None:
         """Opens links to workers that are missing in the list although an earlier owner used them.
@@ -608,7 +614,7 @@
 
     def _open_link(self, entry) -> None:
         link = WorkerLink(entry, self, self._runs, self._settings, self._clock)
-        link.late_starts = self._late_starts.pop(entry.worker, link.late_starts)
+        link.history = self._call_histories.pop(entry.worker, link.history)
         for name, worker in list(self._orphans.items()):
             if worker == entry.worker:
                 del self._orphans[name]
@@ -735,6 +741,15 @@
         """Returns whether every lease that any owner has renewed on a worker has expired."""
         return self._contact_loss.are_leases_over(worker)
 
+    def find_recorded_lease(self, worker: str, born: int) -> float | None:
+        """Returns for how many seconds leases on a worker may last that nobody has renewed since.
+
+        None if no earlier owner that had contact to this incarnation of the worker has recorded it.
+        """
+        if not born or born != self.find_recorded_start(worker):
+            return None
+        return self._contact_loss.find_lease_left(worker)
+
     def may_renew(self) -> bool:
         """Returns whether orders may be sent and leases renewed."""
         return not self.lost and self._has_written and self._may_renew()
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -10,6 +10,13 @@
 from mode import Service
 
 from carawayd.partition.latestarts import MAX_DELAY_SECONDS, LateStarts
+from carawayd.partition.leases import (
+    MAX_CLOCK_AGE_SECONDS,
+    RENEWAL,
+    START_ORDER,
+    LeaseBound,
+    compute_lease_ms,
+)
 from carawayd.partition.ledger import OwnershipLost
 from carawayd.partition.stops import Stops
 from carawayd.platform.common import (
@@ -25,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from carawayd.partition.leases import LeaseEnd
     from carawayd.platform.runs import EndedRun, RunningTask, RunsClient, WorkerReport
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
@@ -36,8 +44,6 @@
 # Age that the entry of a draining worker may have when a new owner reads it; workers write theirs
 # about every 1.5 s.
 MAX_FIRST_ENTRY_AGE_SECONDS = 2.0
-# Longer than a handover of the partition to another owner, which takes about two seconds.
-LEASE_MS = 4_000
 # Time after which a worker no longer executes a start order.
 ORDER_VALIDITY_MS = 1_500
 # Wait for an unanswered start order after the worker has restarted, unless it can be revoked. The
@@ -63,15 +69,8 @@
 LATE_START_POLL_SECONDS = 0.25
 # Delay after a failed poll.
 RETRY_SECONDS = 0.25
-# A worker whose last report is older is asked again before it is sent a start order: it may have
-# started again since, with less capacity.
-MAX_REPORT_AGE_SECONDS = 1.2
-# Maximum wait for that report.
+# Maximum wait for a recent report before a start order.
 FRESH_REPORT_TIMEOUT_SECONDS = 1.0
-# Minimum rate of a worker's clock relative to the local one.
-MIN_CLOCK_RATE = 0.98
-# Added to the computed end of a lease before the lease is considered expired.
-LEASE_MARGIN_SECONDS = 0.3
 # Interval at which a stop order is resent while the worker still lists the run.
 STOP_REPEAT_SECONDS = 0.5
 # A task that makes no progress for this long is considered stuck.
@@ -79,14 +78,6 @@
 # ``Order.absence_certain_after_ms`` of a run that an earlier owner ordered. Any report shows
 # whether it exists: the worker refuses orders of that owner once it has seen a call of this one.
 ADOPTED = -1
-
-
-def compute_lease_seconds(settings: SiteSettings) -> float:
-    """Returns the longest time from the renewal of a lease to its certain end."""
-    lease = min(LEASE_MS, settings.longest_lease_ms) / 1000 / MIN_CLOCK_RATE
-    return lease + LEASE_MARGIN_SECONDS
-
-
 # Reason of a missing run whose placement ticket the worker refused; compared by the owner.
 TICKET_REFUSED = "refused: the ticket is not valid"
 SENDING, UNKNOWN, STARTED = "sending", "unknown", "started"
@@ -128,6 +119,8 @@
         Time at which the stop order was last sent, in seconds of the local clock.
     is_adopted : bool
         Whether the run was ordered before it was tracked here, so that its age is not known.
+    lease_call : int
+        Number of the start order among the calls that give leases, 0 if it was not sent here.
     """
 
     __slots__ = (
@@ -136,6 +129,7 @@
         "figure",
         "is_adopted",
         "last_progress_at",
+        "lease_call",
         "listed",
         "ordered_at",
         "progress_percent",
@@ -159,6 +153,7 @@
         self.stopping = False
         self.stop_sent = -STOP_REPEAT_SECONDS
         self.is_adopted = False
+        self.lease_call = 0
 
     @property
     def may_have_started(self) -> bool:
@@ -200,6 +195,20 @@
     is_adopted: bool = False
 
 
+class CallHistory(NamedTuple):
+    """What the next link to a worker has to know of the calls of the last one."""
+
+    late_starts: LateStarts
+    leases: LeaseBound
+
+    def expire(self, now: float) -> None:
+        self.late_starts.expire(now)
+        self.leases.expire(now)
+
+    def is_needed(self, now: float) -> bool:
+        return bool(self.late_starts) or self.leases.is_needed(now)
+
+
 class LinkOwner(Protocol):
     """Interface of the partition owner that a link calls."""
 
@@ -235,6 +244,8 @@
 
     def are_leases_over(self, worker: str) -> bool: ...
 
+    def find_recorded_lease(self, worker: str, born: int) -> float | None: ...
+
     def flush(self) -> asyncio.Future[None]: ...
 
     def are_recorded(self, tasks: Iterable[TaskName]) -> bool: ...
@@ -283,7 +294,7 @@
         self._runs = runs
         self._settings = settings
         self._clock = clock
-        self._lease_ms = min(LEASE_MS, settings.longest_lease_ms)
+        self._lease_ms = compute_lease_ms(settings)
         self._wake = asyncio.Event()
         self._acknowledged = 0
         self._incarnation = 0
@@ -294,22 +305,25 @@
         self._worker_clock_ms: int | None = None
         # Fencing tokens of the last request for a report, and of the last one that was answered.
         self._requested_fence = self._reported_fence = -1
-        # Time at which the last call renewed the lease, None if it did not; and that of the last
-        # renewal that timed out, None if there was none.
-        self._renewed_at: float | None = None
-        self._late_renewal_at: float | None = None
+        # Number of the last request for a report among the calls that give leases, 0 if it gives
+        # none.
+        self._renewal = 0
         self._reported_at = self._now()
+        # Time at which the worker's clock was last known to be that of its present incarnation.
+        self._clock_known_at = self._reported_at
+        # Time of the request for the next report, and time until which its answer counts as read
+        # when it arrived.
+        self._requested_at = self._report_due_at = math.inf
         # Set at each report and each failed poll; orders that need a recent report wait for it.
         self._reported = asyncio.Event()
         self._waiting_for_report = 0
         self._starts_in_flight = asyncio.Semaphore(MAX_STARTS_IN_FLIGHT)
         self._stops = Stops()
         # Survives the link, if the owner passes it on to the next link to the worker.
-        self.late_starts = LateStarts()
+        self.history = CallHistory(LateStarts(), LeaseBound(settings))
         self._failures = 0
         # Time of the first of the consecutive failures.
         self._failing_since = 0.0
-        self._max_lease_expiry_ms = 0
         self.throttle_percent = 100
         self._note_departure(entry)
         self._update_capacity()
@@ -317,6 +331,14 @@
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
 
+    @property
+    def late_starts(self) -> LateStarts:
+        return self.history.late_starts
+
+    @property
+    def leases(self) -> LeaseBound:
+        return self.history.leases
+
     @property
     def worker(self) -> str:
         return self.entry.worker
@@ -456,8 +478,10 @@
         """
         if self._worker_clock_ms is None:
             return None
-        lease = max(0, self._max_lease_expiry_ms - self._worker_clock_ms) / 1000 / MIN_CLOCK_RATE
-        return max(0.0, lease + LEASE_MARGIN_SECONDS - self.silent_seconds)
+        return self._measure_lease().seconds
+
+    def _measure_lease(self) -> LeaseEnd:
+        return self.leases.measure(self._now(), self._worker_clock_ms or 0, self._reported_at)
 
     @property
     def is_lease_expired(self) -> bool:
@@ -467,12 +491,17 @@
             return remaining <= 0
         return self._owner.are_leases_over(self.worker)
 
+    @property
+    def _is_clock_recent(self) -> bool:
+        """Whether calls may be sent by the worker's clock, as far as is known of a restart."""
+        return self._now() - self._clock_known_at <= MAX_CLOCK_AGE_SECONDS
+
     async def _ensure_recent_report(self) -> bool:
         """Waits for a report if the last one is old; returns whether a start order may be sent."""
         if self._failures or self.closed:
             return False
         incarnation = self._incarnation
-        if self._now() - self._reported_at > MAX_REPORT_AGE_SECONDS:
+        if not self._is_clock_recent:
             self._reported.clear()
             self._waiting_for_report += 1
             self._wake.set()
@@ -528,7 +557,11 @@
         entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
         incarnation = self._incarnation
         # The expiry of a start order also renews the lease of everything on the worker.
-        self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, entry.absence_certain_after_ms)
+        entry.lease_call = self.leases.record_sending(
+            entry.sent_at, entry.absence_certain_after_ms, START_ORDER
+        )
+        # A worker without other tasks is renewed at once, since the order gives a short lease.
+        self._wake.set()
         fence = self._owner.fence
         try:
             clock_ms = await self._runs.start(
@@ -544,6 +577,8 @@
                 ticket=order.ticket,
             )
         except OrderRefused as refusal:
+            # A refused order may give a lease as well.
+            self.leases.record_answer(entry.lease_call, self._now())
             if refusal.reason == "fenced":
                 self._report_missing(task, entry, "fenced")
                 # An order under an earlier epoch of the same owner may arrive after a later one.
@@ -556,10 +591,12 @@
             self._report_missing(task, entry, why)
             return
         except OtherIncarnation:
+            self.leases.record_failure(entry.lease_call)
             self._report_missing(task, entry, "another incarnation answered")
             self._wake.set()
             return
         except PlatformUnreached as error:
+            self.leases.record_failure(entry.lease_call)
             if not isinstance(error, PermissionEnded):
                 self.capacity.record_failure(self._now())
             self._report_missing(task, entry, f"order not sent: {error}")
@@ -582,6 +619,11 @@
                 entry.state = UNKNOWN
                 self._wake.set()
             return
+        is_later = self._may_have_restarted(clock_ms)
+        if is_later:
+            # The worker has to report before its clock is used again.
+            self._clock_known_at = -math.inf
+        self.leases.record_answer(entry.lease_call, self._now(), is_later=is_later)
         if self.orders.get(task) is entry:
             if self._incarnation == incarnation:
                 entry.state, entry.absence_certain_after_ms = STARTED, clock_ms
@@ -591,6 +633,15 @@
                 entry.state = UNKNOWN
             self._wake.set()
 
+    def _may_have_restarted(self, clock_ms: int) -> bool:
+        """Returns whether an answer may be that of a later incarnation than the last report.
+
+        The clock of a later one is behind that of the last report, or tells less than its age.
+        """
+        reported_ms = self._worker_clock_ms or 0
+        age_ms = (self._now() - self._reported_at) * 1000
+        return clock_ms < reported_ms or reported_ms <= age_ms
+
     def _report_missing(self, task: TaskName, order: Order, why: str) -> None:
         """Reports to the owner that a run is not on the worker and will not start there."""
         if self.orders.get(task) is order:
@@ -693,6 +744,7 @@
                 self._close("another incarnation has the address", restarted=True)
                 return
             except OrderRefused as refusal:
+                self.leases.record_answer(self._renewal, self._now())
                 if refusal.reason == "fenced":
                     # A call under an earlier epoch of the same owner may arrive after a later one.
                     if self._requested_fence != self._owner.fence:
@@ -702,18 +754,27 @@
                 await self._handle_poll_failure(str(refusal))
                 continue
             except PermissionEnded:
+                self.leases.record_failure(self._renewal)
                 # The next call does not renew the lease, and needs no permission.
                 continue
             except PlatformError as error:
-                if isinstance(error, PlatformTimedOut) and self._renewed_at is not None:
-                    self._late_renewal_at = self._renewed_at
+                self._settle_renewal(error)
                 await self._handle_poll_failure(str(error))
                 continue
+            self.leases.record_answer(self._renewal, self._now())
             try:
                 await self._process_report(report)
             except OwnershipLost:
                 return
 
+    def _settle_renewal(self, error: PlatformError) -> None:
+        """Notes whether a renewal that failed may have given a lease, or may do so later."""
+        if isinstance(error, PlatformUnreached):
+            self.leases.record_failure(self._renewal)
+        elif not isinstance(error, PlatformTimedOut):
+            # The connection was lost, or the answer could not be read.
+            self.leases.record_answer(self._renewal, self._now())
+
     @property
     def _is_idle(self) -> bool:
         """Whether the worker has reported, runs nothing, and has no further end to report."""
@@ -736,12 +797,17 @@
             self._close("no longer in the worker list", restarted=False)
 
     async def _request_report(self) -> WorkerReport:
-        expires_ms = self._renewed_at = None
+        expires_ms, self._renewal = None, 0
         wait = 0.0
         if self._worker_clock_ms is not None and not self._failures and self._owner.may_renew():
-            expires_ms = self._estimate_worker_clock() + self._lease_ms
-            self._renewed_at = self._now()
-            self._max_lease_expiry_ms = max(self._max_lease_expiry_ms, expires_ms)
+            until_ms = self._estimate_worker_clock() + self._lease_ms
+            if self._is_clock_recent:
+                expires_ms = until_ms
+                self._renewal = self.leases.record_sending(self._now(), until_ms, RENEWAL)
+            else:
+                # A lease by the clock of a former incarnation would be the longest one. The link
+                # is kept for as long as if this call renewed it.
+                self.leases.extend(until_ms, RENEWAL)
             shared = self.capacity.best_effort and self.capacity.serving
             wait = SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
             if self.capacity.reserved_for:
@@ -752,6 +818,8 @@
             elif UNKNOWN in states or STARTED not in states:
                 wait = UNSETTLED_REPORT_WAIT_SECONDS
         self._requested_fence = self._owner.fence
+        self._requested_at = self._now()
+        self._report_due_at = self._requested_at + wait + MAX_CLOCK_AGE_SECONDS
         return await self._runs.renew(
             self.entry.address,
             self.worker,
@@ -780,7 +848,8 @@
         # Orders that wait for a report are not sent; their tasks may start on other workers.
         self._reported.set()
         if self.is_lease_expired:
-            self._close("lease expired", restarted=False)
+            source = self._measure_lease().source if self._worker_clock_ms is not None else None
+            self._close("lease expired", restarted=False, lease_from=source)
             return
         await asyncio.sleep(RETRY_SECONDS)
 
@@ -800,10 +869,11 @@
             if order.may_have_started
         ]
 
-    def _close(self, why: str, *, restarted: bool) -> None:
+    def _close(self, why: str, *, restarted: bool, lease_from: str | None = None) -> None:
         """Closes the link and reports all its runs as missing, since none is left on the worker.
 
-        ``restarted`` tells whether another incarnation has answered.
+        ``restarted`` tells whether another incarnation has answered, ``lease_from`` what gave the
+        last lease.
         """
         self.closed = True
         runs = self._list_runs()
@@ -813,7 +883,16 @@
         self._update_capacity()
         logger.info(
             "link to worker closed; its runs are treated as missing",
-            extra={"fields": {"worker": self.worker, "why": why, "orders": len(self.orders)}},
+            extra={
+                "fields": {
+                    "worker": self.worker,
+                    "why": why,
+                    "orders": len(self.orders),
+                    "born": self._incarnation,
+                    "silent_seconds": round(self.silent_seconds, 3),
+                    "lease_from": lease_from,
+                }
+            },
         )
         for task, order in list(self.orders.items()):
             self._report_missing(task, order, why)
@@ -825,27 +904,40 @@
         recorded = self._owner.find_recorded_start(self.worker)
         return not self._incarnation and bool(recorded) and report.born not in (0, recorded)
 
+    def _list_runs_before(self, report: WorkerReport) -> list[LostRun]:
+        """Returns the runs that were on the former incarnation of a worker that has restarted.
+
+        A run that the present one lists was ordered while the restart was not known.
+        """
+        listed = {(item.task, item.run) for item in (*report.running, *report.ended)}
+        return [run for run in self._list_runs() if (run.task, run.run) not in listed]
+
     async def _process_report(self, report: WorkerReport) -> None:
         if self._has_ended_before_contact(report):
             logger.info(
                 "worker has restarted since it was sent its last order",
                 extra={"fields": {"worker": self.worker, "born": report.born}},
             )
-            self._owner.handle_loss(self, self._list_runs(), restarted=True)
+            self._owner.handle_loss(self, self._list_runs_before(report), restarted=True)
         if self._incarnation and report.born != self._incarnation:
-            logger.info("worker restarted", extra={"fields": {"worker": self.worker}})
-            self._owner.handle_loss(self, self._list_runs(), restarted=True)
+            logger.info(
+                "worker restarted",
+                extra={
+                    "fields": {
+                        "worker": self.worker,
+                        "born": report.born,
+                        "former": self._incarnation,
+                        "clock_ms": report.clock_ms,
+                    }
+                },
+            )
+            self._owner.handle_loss(self, self._list_runs_before(report), restarted=True)
             self._acknowledged, self._is_reconciled = 0, False
-            # Calls that are still on their way carry times of the previous incarnation's clock, so
-            # that only the worker's maximum limits the lease that they give.
             unanswered = {
                 (task, order.run): order
                 for task, order in self.orders.items()
                 if order.state != STARTED and order.may_have_started
             }
-            self._max_lease_expiry_ms = self._compute_late_lease_ms(
-                report.clock_ms, [order.sent_at for order in unanswered.values()]
-            )
             for order in self.orders.values():
                 order.listed = False
                 if order.state == STARTED:
@@ -864,12 +956,14 @@
         self.is_awaited = False
         first = self._worker_clock_ms is None
         self._worker_clock_ms, self._reported_at = report.clock_ms, self._now()
+        # A report that was read late, since this process was paused, may be older than it seems.
+        is_late = self._reported_at > self._report_due_at
+        self._clock_known_at = self._requested_at if is_late else self._reported_at
         self._reported_fence = self._requested_fence
+        self.leases.begin_incarnation(report.born, self._requested_at)
         if first:
-            # An earlier owner may have renewed the lease until just before this report.
-            self._max_lease_expiry_ms = max(
-                report.clock_ms + self._lease_ms, self._compute_late_lease_ms(report.clock_ms, [])
-            )
+            recorded = self._owner.find_recorded_lease(self.worker, report.born)
+            self.leases.count_earlier_owners(self._reported_at, report.clock_ms, recorded)
         if self._failures or first:
             await self._owner.handle_recovery(self)
         if self._failures:
@@ -898,26 +992,6 @@
                 self._has_further_ends = True
                 await asyncio.sleep(RETRY_SECONDS)
 
-    def _may_lease_late(self) -> bool:
-        """Returns whether a renewal that timed out may still lease the worker's runs."""
-        if self._late_renewal_at is None:
-            return False
-        elapsed_ms = (self._now() - self._late_renewal_at) * 1000
-        return elapsed_ms < LATE_ORDER_WAIT_MS + self._settings.longest_lease_ms
-
-    def _compute_late_lease_ms(self, clock_ms: int, sent_times: list[float]) -> int:
-        """Returns the longest lease that calls to former incarnations may still give, 0 for none.
-
-        Also a start order that is refused prolongs the lease, up to the worker's maximum.
-        """
-        sent_times = [*sent_times, *self.late_starts.list_sent_times()]
-        if self._may_lease_late():
-            sent_times.append(self._late_renewal_at)
-        if not sent_times:
-            return 0
-        late_ms = max(self._measure_late_wait_ms(sent_at) for sent_at in sent_times)
-        return clock_ms + late_ms + self._settings.longest_lease_ms
-
     def _measure_late_wait_ms(self, sent_at: float) -> int:
         """Returns for how long a call without an answer may reach a later incarnation.
 
@@ -948,7 +1022,7 @@
         self._stops.retain(listed)
         self._log_overdue_stops(now)
         self.late_starts.remove_carried_out(listed)
-        self.late_starts.expire(now)
+        self.history.expire(now)
         for task, run in self.late_starts.list_due(now, self._incarnation):
             start_in_background(self._revoke_start(task, run))
 
@@ -974,6 +1048,7 @@
     def _update_order(self, task: TaskName, order: Order, row: RunningTask, now: float) -> None:
         if order.state == UNKNOWN:
             order.state = STARTED
+            self.leases.record_answer(order.lease_call, now)
         order.listed = True
         order.figure, order.checkpoint = row.figure, row.checkpoint
         if row.percent != order.progress_percent:
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -10,6 +10,8 @@
 
 # A capacity that has shrunk counts from this time later: ``contactMs`` and one heartbeat.
 SHRINK_GRACE_S = 4.5
+# Longest lease that a call gives, whatever time it names.
+MAX_LEASE_MS = 6_000
 MILLICORES = 16_000
 TASK_MILLICORES = 1_000
 
@@ -198,6 +200,11 @@
         self.fence = token
         return True
 
+    def _renew_lease(self, body: dict[str, Any]) -> None:
+        """Prolongs the lease to the time that a call names, which may be of a former clock."""
+        expiry_ms = min(body.get("deadlineMs", 0), self.clock_ms + MAX_LEASE_MS)
+        self.lease_expiry_ms = max(self.lease_expiry_ms, expiry_ms)
+
     def _end(self, task: str, outcome: str) -> None:
         entry = self._running.pop(task, None)
         if entry is None:
@@ -224,6 +231,8 @@
             return self._respond(409, reason="fence")
         if body["deadlineMs"] < self.clock_ms:
             return self._respond(409, reason="late")
+        # Also an order that is refused below renews the lease.
+        self._renew_lease(body)
         if body["run"] <= self._highest_ended.get(body["task"], 0):
             return self._respond(409, reason="old")
         if self.refuses_starts:
@@ -231,7 +240,6 @@
         if self.required_ticket and body.get("ticket") != self.required_ticket:
             self.refused_tickets += 1
             return self._respond(409, reason="ticket")
-        self.lease_expiry_ms = max(self.lease_expiry_ms, body["deadlineMs"])
         task = body["task"]
         if task not in self._running:
             outcome = "failed" if self.fails_all_runs else "done"
@@ -274,8 +282,7 @@
         body = await request.json()
         if not self._accept_fencing_token(body):
             return self._respond(409, reason="fence")
-        if "deadlineMs" in body:
-            self.lease_expiry_ms = max(self.lease_expiry_ms, body["deadlineMs"])
+        self._renew_lease(body)
         last_seen = body.get("lastSeen", 0)
         for number, task, run, *_ in self._finished:
             if number <= last_seen:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -23,8 +23,8 @@
 from behave.__main__ import main as run_behave
 
 from carawayd import unreadable
-from carawayd.partition import claims as room_claims
 from carawayd.partition import (
+    advisor,
     contactloss,
     cordons,
     deferrals,
@@ -32,12 +32,15 @@
     departures,
     isolation,
     knownworkers,
+    leases,
     ledger,
     losses,
+    movedqueues,
     owner,
     planner,
     workerlink,
 )
+from carawayd.partition import claims as room_claims
 from carawayd.platform import common, documents
 from carawayd.process import (
     discovery,
@@ -53,7 +56,7 @@
 from carawayshore import assignment, claims, decoding, fold, records
 from carawayshore import keys as key_rules
 from carawayshore import membership as members
-from carawayshore.workflows import placement, pools, state
+from carawayshore.workflows import advice, placement, pools, state
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "mutations.md"
@@ -69,6 +72,10 @@
 # What drives the waits of long-running tasks without a worker (docs/incidents/020).
 PLACES = ("pool_width", "displaced_elsewhere", "workflow_decisions")
 LEASES = ("late_starts",)
+# Calls by the clock of a former life of a worker, moves of queues, and placement tickets.
+LIVES = ("former_clock",)
+QUEUE_MOVES = ("queue_moves",)
+TICKETS = ("placement_tickets",)
 DEPARTURES = ("displaced_tasks",)
 POOL_MOVES = ("pool_moves",)
 ENTRY_HOSTS = ("platform",)
@@ -83,6 +90,9 @@
             *LEDGERS,
             *DOCUMENTS,
             *PLACES,
+            *LIVES,
+            *QUEUE_MOVES,
+            *TICKETS,
             *POOL_MOVES,
             *ENTRY_HOSTS,
         )
@@ -299,13 +309,102 @@
     original = workerlink.WorkerLink.start_task
 
     async def start_task(self, task, order) -> None:
-        before = self._max_lease_expiry_ms
+        before = self.leases._expiry_ms
         await original(self, task, order)
-        self._max_lease_expiry_ms = before
+        self.leases._expiry_ms = before
 
     workerlink.WorkerLink.start_task = start_task
 
 
+@mutation("a lease that the answer to a start order shows to be longer is waited for", OWNERS)
+def trust_answers_to_orders() -> None:
+    workerlink.WorkerLink._may_have_restarted = lambda self, clock_ms: False
+
+
+@mutation("leases that a former clock has given are waited for after a restart", LIVES)
+def ignore_former_clocks() -> None:
+    original = leases.LeaseBound.begin_incarnation
+
+    def begin_incarnation(self, incarnation, asked_at) -> None:
+        original(self, incarnation, asked_at)
+        self._former_until = 0.0
+
+    leases.LeaseBound.begin_incarnation = begin_incarnation
+
+
+@mutation("leases by the former clocks of earlier owners are waited for", LIVES)
+def ignore_former_clocks_of_earlier_owners() -> None:
+    def count_earlier_owners(self, now, clock_ms, recorded) -> None:
+        self.extend(clock_ms + self._lease_ms, leases.FIRST_REPORT)
+
+    leases.LeaseBound.count_earlier_owners = count_earlier_owners
+
+
+@mutation("a recorded lease counts for the incarnation that was ordered only", LIVES)
+def trust_recorded_leases() -> None:
+    def find_recorded_lease(self, worker, born) -> float | None:
+        return self._contact_loss.find_lease_left(worker)
+
+    owner.PartitionOwner.find_recorded_lease = find_recorded_lease
+
+
+@mutation("a lease is renewed by a recent clock of the worker only", LIVES)
+def renew_by_old_clocks() -> None:
+    workerlink.MAX_CLOCK_AGE_SECONDS = 10.0
+
+
+@mutation("a run that the next incarnation lists did not crash the former one", LIVES)
+def blame_next_runs() -> None:
+    workerlink.WorkerLink._list_runs_before = lambda self, report: self._list_runs()
+
+
+@mutation("a former owner that was asked about a workflow refuses earlier versions", QUEUE_MOVES)
+def forget_questions() -> None:
+    movedqueues.MovedQueues.find_version = lambda self, queue: 0
+
+
+@mutation("the successor of an owner that was asked refuses earlier versions", QUEUE_MOVES)
+def forget_questions_at_takeover() -> None:
+    movedqueues.MovedQueues.restore = lambda self, key, value: None
+
+
+@mutation("an owner refuses submissions by versions that it knows to be over", QUEUE_MOVES)
+def ignore_own_configuration() -> None:
+    discovery.Discovery.find_route = lambda self, queue: None
+
+
+@mutation("a request for tickets names as many workers as their lifetime allows", TICKETS)
+def name_twelve_workers() -> None:
+    advisor.choose_first = lambda config: advice.FIRST_WORKERS
+
+
+@mutation("a ticket is used while it may be valid", TICKETS)
+def use_certain_tickets() -> None:
+    advice.Answer.use_until = property(
+        lambda self: self.asked_at + self.valid_seconds * advice.CERTAIN_SHARE
+    )
+
+
+@mutation("a refused ticket makes the next request name fewer workers", TICKETS)
+def repeat_request() -> None:
+    advisor.choose_after_expiry = lambda named: named
+
+
+@mutation("an answer that allows no worker makes the next request name more", TICKETS)
+def name_as_many_again() -> None:
+    advisor.choose_next = lambda config, named, *, has_allowed: named
+
+
+@mutation("tickets of a restarted worker are not used", TICKETS)
+def keep_tickets_of_former_incarnations() -> None:
+    advisor.Advisor.forget_worker = lambda self, worker: None
+
+
+@mutation("failed requests for tickets are repeated after a delay", TICKETS)
+def repeat_failed_requests_at_once() -> None:
+    advisor.Advisor._delay_retry = lambda self: None
+
+
 @mutation("an earlier owner's renewals are waited for", OWNERS)
 def ignore_earlier_leases() -> None:
     contactloss.LeaseBounds.longest = property(lambda self: self.lease_seconds)
