A report that a paused owner reads late tells no recent clock, and the call after it renews at once

Cause: an owner that was paused reads a report that waited in its socket, takes it for one of this moment, and renews leases and sends orders by a clock that may be that of a former life. And a call without a renewal waited for up to 1 s at the worker, so a lease that was not renewed during a slow write of the store was left for 1 s more. Change: a report that is read later than its time-out allows counts from its request. A call that renews no lease is answered at once, so that the renewal follows. Evidence: owner_workers.feature, "A report is read long after it was sent", fails without the first part (mutation trust_late_reports); the wait was found by reading, not by a run.

--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -51,6 +51,8 @@
         self.error: Exception | None = None
         self.calls: list[tuple[str, str, int]] = []
         self.clock_ms = CLOCK_MS
+        # Time until which each request for a report renewed the lease, None if it did not.
+        self.renewals: list[int | None] = []
 
     async def _call(self, kind: str, task: TaskName | None = None, run: int = 0) -> int:
         self.calls.append((kind, task.workflow if task else "", run))
@@ -64,7 +66,10 @@
     async def stop(self, address: str, worker: str, task: TaskName, run: int, **_: Any) -> int:
         return await self._call("stop", task, run)
 
-    async def renew(self, address: str, worker: str, **_: Any) -> Any:
+    async def renew(
+        self, address: str, worker: str, *, expires_ms: int | None = None, **_: Any
+    ) -> Any:
+        self.renewals.append(expires_ms)
         await self._call("renew")
 
 
--- a/features/owner_workers.feature
+++ b/features/owner_workers.feature
@@ -77,6 +77,15 @@
     Then after 2.0 s without contact the lease is not taken to be over
     And after 4.5 s without contact it is
 
+  # Guards against a lease by the clock of a former life, given by a process that was paused: the
+  # worker may have restarted since it sent the report.
+  Scenario: A report is read long after it was sent
+    Given an owner whose worker reported 0 s ago and has no tasks
+    When the next report is read 4 s after it was asked for
+    Then the request after it renews no lease
+    When the next report is read 0.1 s after it was asked for
+    Then the request after it renews the lease
+
   # The clock of a worker that has just started does not tell whether it has started once more.
   Scenario: A young worker answers a start order, and reports
     Given an owner whose worker reported 1 s ago, 300 ms after its start
--- a/features/steps/owner_workers_steps.py
+++ b/features/steps/owner_workers_steps.py
@@ -158,6 +158,25 @@
     harness.run(harness.owner.links[WORKER].start_task(TASK, StartOrder(1, "text", "")))
 
 
+@when("the next report is read {seconds:g} s after it was asked for")
+def read_report(context, seconds):
+    harness = context.harness
+    harness.run(harness.owner.links[WORKER]._request_report())
+    harness.clock.seconds += seconds
+    harness.report()
+    harness.run(harness.owner.links[WORKER]._request_report())
+
+
+@then("the request after it renews no lease")
+def expect_no_renewal(context):
+    assert context.harness.runs.renewals[-1] is None
+
+
+@then("the request after it renews the lease")
+def expect_renewal(context):
+    assert context.harness.runs.renewals[-1] is not None
+
+
 @when("the same life of the worker reports, and its clock shows {clock:d} ms")
 def report_same_life(context, clock):
     context.harness.report(running=[(TASK, 1)], clock_ms=clock)
@@ -219,6 +238,7 @@
     async def act() -> None:
         sending = asyncio.ensure_future(link.start_task(TASK, StartOrder(1, "text", "")))
         await asyncio.sleep(0)
+        await link._request_report()
         born = BORN + 7 if outcome == "another birth" else BORN
         await link._process_report(WorkerReport(70_000, born, [], []))
         await sending
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -512,7 +512,8 @@
                 return False
             finally:
                 self._waiting_for_report -= 1
-        return self.capacity.usable and self._incarnation == incarnation
+        # The report may have been read late, after a pause of this process.
+        return self.capacity.usable and self._incarnation == incarnation and self._is_clock_recent
 
     def abandon_sending(self, task: TaskName, run: int) -> None:
         """Counts a start order as unanswered after an unexpected error while it was sent.
@@ -802,21 +803,12 @@
         if self._worker_clock_ms is not None and not self._failures and self._owner.may_renew():
             until_ms = self._estimate_worker_clock() + self._lease_ms
             if self._is_clock_recent:
-                expires_ms = until_ms
+                expires_ms, wait = until_ms, self._choose_report_wait()
                 self._renewal = self.leases.record_sending(self._now(), until_ms, RENEWAL)
             else:
-                # A lease by the clock of a former incarnation would be the longest one. The link
-                # is kept for as long as if this call renewed it.
+                # A lease by the clock of a former incarnation would be the longest one, so the call
+                # that follows this one renews it. The link is kept as if this one did.
                 self.leases.extend(until_ms, RENEWAL)
-            shared = self.capacity.best_effort and self.capacity.serving
-            wait = SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
-            if self.capacity.reserved_for:
-                wait = ISOLATED_REPORT_WAIT_SECONDS
-            states = {order.state for order in self.orders.values()}
-            if self._waiting_for_report:
-                wait = 0.0
-            elif UNKNOWN in states or STARTED not in states:
-                wait = UNSETTLED_REPORT_WAIT_SECONDS
         self._requested_fence = self._owner.fence
         self._requested_at = self._now()
         self._report_due_at = self._requested_at + wait + MAX_CLOCK_AGE_SECONDS
@@ -831,6 +823,18 @@
             may_send=self._may_send if expires_ms is not None else self._is_open,
         )
 
+    def _choose_report_wait(self) -> float:
+        """Returns for how many seconds the worker may delay the report until a run ends."""
+        states = {order.state for order in self.orders.values()}
+        if self._waiting_for_report:
+            return 0.0
+        if UNKNOWN in states or STARTED not in states:
+            return UNSETTLED_REPORT_WAIT_SECONDS
+        if self.capacity.reserved_for:
+            return ISOLATED_REPORT_WAIT_SECONDS
+        shared = self.capacity.best_effort and self.capacity.serving
+        return SHARED_REPORT_WAIT_SECONDS if shared else REPORT_WAIT_SECONDS
+
     def _is_open(self) -> bool:
         return not self.closed
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -353,6 +353,17 @@
     workerlink.MAX_CLOCK_AGE_SECONDS = 10.0
 
 
+@mutation("a report that was read late tells no recent clock", OWNERS)
+def trust_late_reports() -> None:
+    original = workerlink.WorkerLink._process_report
+
+    async def process(self, report) -> None:
+        self._report_due_at = float("inf")
+        await original(self, report)
+
+    workerlink.WorkerLink._process_report = process
+
+
 @mutation("a run that the next incarnation lists did not crash the former one", LIVES)
 def blame_next_runs() -> None:
     workerlink.WorkerLink._list_runs_before = lambda self, report: self._list_runs()
