A young worker's clock does not delay the next start order; tests follow the new calls

Cause: an answer by a worker that had reported within the first second of its life counted as that of a worker that may have restarted, and kept the next order waiting for a report. Change: only an answer whose clock is behind the last report makes the clock unusable; the doubt still counts for the bound on leases. Tests: three doubles did not know the new calls (wide_steps, malformed_documents), and the scripted worker answered a revocation by another clock than its reports (long_running_restart). What they assert is unchanged.

--- a/features/malformed_builders.py
+++ b/features/malformed_builders.py
@@ -296,6 +296,9 @@
     def find_recorded_start(self, worker: str) -> int:
         return 0
 
+    def find_recorded_lease(self, worker: str, born: int) -> float | None:
+        return None
+
     def measure_unresponsive_seconds(self, worker: str) -> float:
         return 0.0
 
--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -216,6 +216,8 @@
             for number, (task, run, kind) in enumerate(ended, start=1)
         ]
         link = self.owner.links[WORKER]
+        # The worker answers orders by the clock of this report.
+        self.runs.clock_ms = clock_ms
         self.run(link._process_report(WorkerReport(clock_ms, born, rows, ends)))
 
     def assume_recent_report(self) -> None:
--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -34,7 +34,7 @@
 from carawayd.request.workflows import WorkflowHandler
 from carawayshore.decoding import MAX_IDENTIFIER_LENGTH
 from carawayshore.workflows.crashes import WorkerLoss
-from carawayshore.workflows.model import StepSpec
+from carawayshore.workflows.model import StepSpec, Submission
 from carawayshore.workflows.state import (
     DONE,
     MAX_CHECKPOINT_BYTES,
@@ -280,7 +280,8 @@
         self._harness = harness
 
     async def call(self, partition, operation, argument, *, deadline_seconds) -> Reply:
-        return await self._harness.owner.submit(msgspec.convert(argument, type(build_workflow())))
+        submission = msgspec.convert(argument, Submission)
+        return await self._harness.owner.submit(submission.workflow)
 
 
 @given("an entry host whose owner takes records of 16,384 bytes")
@@ -306,7 +307,7 @@
     document = build_job(image="i" * 200)
     document["steps"] *= 100
     body = json.dumps(document).encode()
-    context.answer = context.harness.run(handler._submit(queue, JOB, body, 3.0))
+    context.answer = context.harness.run(handler._submit(queue, 1, JOB, body, 3.0))
 
 
 @then("it is answered with {status:d}, and nothing of it is recorded")
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -621,8 +621,8 @@
                 self._wake.set()
             return
         is_later = self._may_have_restarted(clock_ms)
-        if is_later:
-            # The worker has to report before its clock is used again.
+        if clock_ms < (self._worker_clock_ms or 0):
+            # The worker has restarted, and has to report before its clock is used again.
             self._clock_known_at = -math.inf
         self.leases.record_answer(entry.lease_call, self._now(), is_later=is_later)
         if self.orders.get(task) is entry:
