--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -64,6 +64,7 @@
     async def act() -> None:
         sending = asyncio.ensure_future(link.start_task(TASK, StartOrder(1, "text", "")))
         await asyncio.sleep(0)
+        await link._request_report()
         link.update(link.entry._replace(millicores=cores * 1000))
         await link._process_report(WorkerReport(70_000, BORN, [], []))
         await sending
