Client accounts: keys of callers, and versions of the configuration from peers

Cause: the configuration's tenants were not read, so a call with an unknown or withdrawn key was served, and an entry host that the store turns away kept the version it had. Change: accounts, keys (as digests) and public queues are decoded; a call with an unknown key gets 401; the account of a workflow is recorded with it; a host without contact to the store asks the owners of partitions for a later version. Without tenants nothing changes. Two test doubles know the new call and its argument; what they assert is the same.

--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -57,7 +57,7 @@
 from carawayd.process.ownercalls import SUBMIT, OwnerCalls
 from carawayd.process.site import read_site
 from carawayd.process.workflowmetrics import WorkflowMetrics
-from carawayd.request.workflows import WorkflowHandler
+from carawayd.request.workflows import Origin, WorkflowHandler
 from carawayd.unreadable import unreadable_records
 from carawayshore.findings import FindingsError
 from carawayshore.workflows.model import StepSpec
@@ -632,7 +632,8 @@
     deployment = discovery_module.decode_configuration(
         json.dumps(build_operator_configuration(1)).encode()
     )
-    return asyncio.run(handler._submit(deployment.queues[0], 1, build_identifier(1), body, 1.0))
+    origin = Origin(deployment.queues[0], 1, "")
+    return asyncio.run(handler._submit(origin, build_identifier(1), body, 1.0))
 
 
 @when("{count:d} random malformed submissions arrive")
@@ -868,6 +869,7 @@
             find_address=find_address,
             address="10.1.1.2:1",
             reads_queue_versions=lambda partition: True,
+            reads_accounts=lambda partition: True,
         )
         calls = OwnerCalls(ownership, SimpleNamespace(call=call), clock)
         reply, may_have_effect = asyncio.run(calls.call_once(0, SUBMIT, [], 1.0))
--- a/features/steps/worker_capacity_steps.py
+++ b/features/steps/worker_capacity_steps.py
@@ -99,7 +99,7 @@
     discovery._is_recording_layout = True
     configuration = build_operator_configuration(1)
     configuration["services"][0]["rejectsOverload"] = guard == "refuse overload"
-    discovery._apply_configuration(msgspec.json.encode(configuration))
+    discovery.apply_configuration(msgspec.json.encode(configuration))
     if read == "found after an outage":
         discovery._worker_tailer.recovered_at = context.clock.elapsed()
     discovery._apply_workers(_encode_entry(), read != "written while it was followed")
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -1077,10 +1077,13 @@
 
     # -- callers ---------------------------------------------------------------------------------
 
-    async def submit(self, spec: Workflow, queue: QueueVersion | None = None) -> Reply:
+    async def submit(
+        self, spec: Workflow, queue: QueueVersion | None = None, account: str = ""
+    ) -> Reply:
         """Accepts a workflow, answering once it is recorded, or rejects it at once.
 
-        ``queue`` is the queue as the entry host knows it, None from a host of an earlier version.
+        ``queue`` is the queue as the entry host knows it, None from a host of an earlier version;
+        ``account`` the client account of the caller, empty for none.
         """
         if not self.loaded or self.lost:
             return Reply(UNREADY)
@@ -1100,7 +1103,7 @@
                 return rejection
             now = self._now()
             first = self._first_attempts.pop(spec.identifier, now)
-            known = WorkflowState(spec, first, self._unix_ms())
+            known = WorkflowState(spec, first, self._unix_ms(), account)
             self.workflows[spec.identifier] = known
             self._set_deadline(known)
             self.ledger.mark_dirty(known.key(), known.encode)
--- a/packages/carawayd/src/carawayd/platform/documents.py
+++ b/packages/carawayd/src/carawayd/platform/documents.py
@@ -27,8 +27,12 @@
     reject,
 )
 from carawayshore.findings import Finding, join_pointer
+from carawayshore.workflows.accounts import hash_key
+from carawayshore.workflows.amounts import Amounts
 from carawayshore.workflows.model import (
+    AccountConfig,
     AdviceConfig,
+    CallerLimits,
     Deployment,
     QueueConfig,
     ServiceConfig,
@@ -43,8 +47,8 @@
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 TIMEOUT_HEADER = "Timeout-Ms"
+AUTHORIZATION_HEADER = "Authorization"
 MAX_SPEC_BYTES = 4_000
-DEFAULT_MAX_BODY_BYTES = 262_144
 IDENTIFIER_DIGITS = 16
 WORKER_STATES = {"ready": "ready", "draining": "draining"}
 # Fields of a step: name on the wire, field of StepSpec, type of the value.
@@ -100,11 +104,28 @@
     stretch: NotRequired[Quantity | None]
     targetDurationMs: NotRequired[Milliseconds | None]
     timeoutMs: NotRequired[Milliseconds | None]
+    public: NotRequired[bool | None]
     advice: NotRequired[_AdviceDocument | None]
 
 
 class _LimitsDocument(TypedDict):
+    maxHeaderBytes: NotRequired[Quantity | None]
     maxBodyBytes: NotRequired[Quantity | None]
+    headerTimeoutMs: NotRequired[Milliseconds | None]
+    idleTimeoutMs: NotRequired[Milliseconds | None]
+
+
+class _CapDocument(TypedDict):
+    cpu: NotRequired[Count | None]
+    memMb: NotRequired[Count | None]
+    gpus: NotRequired[Count | None]
+
+
+class _AccountDocument(TypedDict):
+    name: Text
+    apiKeys: NotRequired[list[str] | None]
+    weight: NotRequired[Quantity | None]
+    cap: NotRequired[_CapDocument | None]
 
 
 class _ConfigurationDocument(TypedDict):
@@ -112,6 +133,7 @@
     routes: NotRequired[list[_RouteDocument] | None]
     services: NotRequired[list[_ServiceDocument] | None]
     limits: NotRequired[_LimitsDocument | None]
+    tenants: NotRequired[list[_AccountDocument] | None]
 
 
 class _CapacityDocument(TypedDict):
@@ -155,15 +177,54 @@
         )
         for item in document.get("services") or ()
     }
-    limits = document.get("limits") or {}
+    tenants = document.get("tenants")
     return Deployment(
         int(document["version"]),
         queues,
         services,
-        int(limits.get("maxBodyBytes") or DEFAULT_MAX_BODY_BYTES),
+        _decode_limits(document.get("limits") or {}),
+        None if tenants is None else _decode_accounts(tenants),
+        _index_keys(tenants or []),
     )
 
 
+def _decode_limits(item: _LimitsDocument) -> CallerLimits:
+    """Returns the limits of callers' requests; one that is absent or 0 is the default."""
+    default = CallerLimits()
+    return CallerLimits(
+        int(item.get("maxHeaderBytes") or default.max_head_bytes),
+        int(item.get("maxBodyBytes") or default.max_body_bytes),
+        (item.get("headerTimeoutMs") or 0) / 1000 or default.head_seconds,
+        (item.get("idleTimeoutMs") or 0) / 1000 or default.idle_seconds,
+    )
+
+
+def _decode_accounts(tenants: list[_AccountDocument]) -> dict[str, AccountConfig]:
+    accounts = {}
+    for number, item in enumerate(tenants):
+        _check_name(item["name"], f"/tenants/{number}/name")
+        cap, weight = item.get("cap") or {}, item.get("weight")
+        accounts[item["name"]] = AccountConfig(
+            item["name"],
+            AccountConfig("").weight if weight is None else weight,
+            Amounts(cap.get("cpu") or 0, cap.get("memMb") or 0, cap.get("gpus") or 0),
+        )
+    return accounts
+
+
+def _index_keys(tenants: list[_AccountDocument]) -> dict[bytes, str]:
+    """Returns the account of each key; one that two accounts have is that of the first one.
+
+    An empty key cannot be sent, and is left out.
+    """
+    accounts: dict[bytes, str] = {}
+    for item in tenants:
+        for key in item.get("apiKeys") or ():
+            if key.strip():
+                accounts.setdefault(hash_key(key.strip()), item["name"])
+    return accounts
+
+
 def _check_name(name: str, pointer: str) -> None:
     """Checks a name that becomes part of a key in the store."""
     if len(name.encode()) > MAX_IDENTIFIER_LENGTH:
@@ -183,6 +244,7 @@
         # The objective of a workflow is ``stretch`` times its expected run time plus this.
         allowance_ms=int(item.get("targetDurationMs") or 0),
         timeout_ms=int(item.get("timeoutMs") or 0),
+        public=bool(item.get("public")),
         advice=(
             AdviceConfig(
                 int(advice.get("decisionMs") or 0),
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -176,6 +176,8 @@
     def __init__(self, store: StoreClient, settings: SiteSettings, clock: Clock) -> None:
         super().__init__()
         self.deployment: Deployment | None = None
+        # Record from which the configuration was decoded, for hosts that the store turns away.
+        self.configuration_record = b""
         self.waves: dict[int, KnownWave] = {}
         # Set while this process owns a partition; only owners need the workers.
         self.needs_workers = False
@@ -218,11 +220,12 @@
 
     def _apply_operator_record(self, key: str, value: bytes) -> None:
         if key == CONFIGURATION_KEY:
-            self._apply_configuration(value)
+            self.apply_configuration(value)
         elif key.startswith(WAVE_PREFIX) and value:
             self._apply_wave(value)
 
-    def _apply_configuration(self, value: bytes) -> None:
+    def apply_configuration(self, value: bytes) -> None:
+        """Applies a record of the configuration if its version is later than the one in force."""
         try:
             deployment = decode_configuration(value)
         except MalformedDocument as error:
@@ -237,7 +240,7 @@
             return
         if current is not None:
             self._note_routes(current, deployment)
-        self.deployment = deployment
+        self.deployment, self.configuration_record = deployment, value
         logger.info(
             "configuration applied",
             extra={
@@ -245,6 +248,8 @@
                     "version": deployment.version,
                     "queues": len(deployment.queues),
                     "services": len(deployment.services),
+                    "accounts": len(deployment.accounts or ()),
+                    "keys": len(deployment.accounts_by_key),
                 }
             },
         )
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -11,6 +11,7 @@
 from mode import Service
 
 from carawayd.platform.api import build_client
+from carawayd.process.configrelay import ConfigurationRelay
 from carawayd.process.discovery import Discovery
 from carawayd.process.exchange import PeerRpc
 from carawayd.process.fleetmanager import FleetManager
@@ -64,6 +65,9 @@
             self.store, self.runs, self.discovery, settings, clock, self.random, self.metrics
         )
         self.owner_calls = OwnerCalls(self.ownership, self.peer_rpc, clock)
+        self.configuration_relay = ConfigurationRelay(
+            self.discovery, self.ownership, self.peer_rpc, settings, clock
+        )
         self.calls = WorkflowHandler(
             self.discovery, self.owner_calls, self.metrics, self._may_keep_connections
         )
@@ -99,7 +103,8 @@
         application.router.add_get(READY_PATH, self._get_ready)
         await self._listen(web.AppRunner(application, access_log=None), settings.ready_address)
         await self._listen_metrics()
-        for service in (self.peer_rpc, self.discovery, self.ownership):
+        services = (self.peer_rpc, self.discovery, self.ownership, self.configuration_relay)
+        for service in services:
             await self.add_runtime_dependency(service)
         if self.ownership.fleet is not None:
             await self.add_runtime_dependency(self.ownership.fleet)
--- a/packages/carawayd/src/carawayd/process/exchange.py
+++ b/packages/carawayd/src/carawayd/process/exchange.py
@@ -103,7 +103,9 @@
 
     def __init__(self, settings: SiteSettings, clock: Clock) -> None:
         super().__init__()
+        # Handles the operations that have no handler of their own in ``handlers``.
         self.handler: Callable[[str, list[Any]], Awaitable[Any]] | None = None
+        self.handlers: dict[str, Callable[[list[Any]], Awaitable[Any]]] = {}
         self._settings = settings
         self._clock = clock
         self._process = secrets.token_hex(8)
@@ -177,7 +179,10 @@
                     extra={"fields": {"operation": operation, "expiry": expiry}},
                 )
             elif operation != READ_CLOCK:
-                result = await self.handler(operation, arguments)
+                own_handler = self.handlers.get(operation)
+                result = await (
+                    own_handler(arguments) if own_handler else self.handler(operation, arguments)
+                )
             reply = msgspec.msgpack.encode([number, outcome, result, self._process, self._now()])
             await self._socket.send_multipart([sender, reply], flags=zmq.NOBLOCK)
         except Exception as error:
--- a/packages/carawayd/src/carawayd/process/ownercalls.py
+++ b/packages/carawayd/src/carawayd/process/ownercalls.py
@@ -147,6 +147,8 @@
             return Reply(UNREADY), False
         if operation in FORMER_OPERATIONS and not self._ownership.reads_queue_versions(partition):
             operation, argument = FORMER_OPERATIONS[operation], argument[0]
+        elif operation == SUBMIT and not self._ownership.reads_accounts(partition):
+            argument = argument[:2]
         try:
             answer = await self._peer_rpc.call(
                 address,
@@ -177,7 +179,7 @@
     ) -> Reply:
         argument = convert(argument, ARGUMENT_TYPES[operation])
         if operation == SUBMIT:
-            return await owner.submit(argument.workflow, argument.queue)
+            return await owner.submit(argument.workflow, argument.queue, argument.account)
         if operation == SUBMIT_WORKFLOW:
             return await owner.submit(argument)
         handlers = {
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -34,10 +34,11 @@
 
 GROUP = "owners"
 # Form of the records and calls that a host reads, as named by its members; 1 if it names none.
-FORM = 3
-# First forms with parts of steps, and with the versions of queues in submissions.
+FORM = 4
+# First forms with parts of steps, and with the versions of queues and the accounts in submissions.
 PARTS_FORM = 2
 QUEUE_VERSIONS_FORM = 3
+ACCOUNTS_FORM = 4
 # Membership lifetime without renewal. Together with the renewal interval, it limits the time until
 # another process takes over after a crash to about 2 s.
 MEMBERSHIP_TTL_MS = 1_500
@@ -150,8 +151,19 @@
 
     def reads_queue_versions(self, partition: int) -> bool:
         """Returns whether the owner of a partition reads the versions of queues in submissions."""
+        return self._reads_form(partition, QUEUE_VERSIONS_FORM)
+
+    def reads_accounts(self, partition: int) -> bool:
+        """Returns whether the owner of a partition reads the client accounts in submissions."""
+        return self._reads_form(partition, ACCOUNTS_FORM)
+
+    def _reads_form(self, partition: int, form: int) -> bool:
         member = self._members_by_partition.get((WORKFLOWS_TOPIC, partition), "")
-        return not member or _read_form(member) >= QUEUE_VERSIONS_FORM
+        return not member or _read_form(member) >= form
+
+    def list_peer_addresses(self) -> list[str]:
+        """Returns the addresses of the other entry hosts that own partitions, as far as known."""
+        return sorted(set(self._addresses_by_partition.values()) - {self.address})
 
     def find_owner(self, partition: int) -> PartitionOwner | None:
         """Returns the local owner of a partition, None if this process does not own it."""
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from datetime import timedelta
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 from aiohttp import web
@@ -22,6 +22,7 @@
     Reply,
 )
 from carawayd.platform.documents import (
+    AUTHORIZATION_HEADER,
     TIMEOUT_HEADER,
     decode_submission,
     encode_pending,
@@ -30,6 +31,7 @@
 from carawayd.process.discovery import LAYOUT_MAX_AGE
 from carawayd.process.ownercalls import CANCEL, CONFIRM_ABSENCE, COUNT_PENDING, GET_STATE, SUBMIT
 from carawayshore.decoding import MalformedDocument, parse_count
+from carawayshore.workflows.accounts import identify_caller
 from carawayshore.workflows.model import AbsenceQuery, QueueVersion, Submission
 
 if TYPE_CHECKING:
@@ -63,6 +65,14 @@
     )
 
 
+class Origin(NamedTuple):
+    """Queue and version of the configuration by which a call was admitted, and its account."""
+
+    queue: QueueConfig
+    version: int
+    account: str
+
+
 class WorkflowHandler:
     """Handles workflow requests, with the owner of the partition in this or another entry host.
 
@@ -109,6 +119,9 @@
         queue = deployment.find_queue(host, request.path)
         if queue is None:
             return _build_response(404, {"error": "no such queue"})
+        caller = identify_caller(deployment, queue, request.headers.get(AUTHORIZATION_HEADER, ""))
+        if not caller.accepted:
+            return _build_response(401, {"error": "the key is not known"})
         identifier = request.path[len(queue.prefix) :].strip("/")
         timeout = self._read_timeout(request)
         if request.method == "GET" and not identifier:
@@ -118,12 +131,14 @@
         if request.method == "DELETE" and identifier:
             return await self._cancel(queue, identifier, timeout)
         if request.method == "POST" and identifier:
-            if (request.content_length or 0) > deployment.max_body_bytes:
-                return _build_response(
-                    413, {"error": f"the body exceeds {deployment.max_body_bytes} bytes"}
-                )
+            limit = deployment.limits.max_body_bytes
+            if (request.content_length or 0) > limit:
+                return _build_response(413, {"error": f"the body exceeds {limit} bytes"})
             body = await request.read()
-            return await self._submit(queue, deployment.version, identifier, body, timeout)
+            if len(body) > limit:
+                return _build_response(413, {"error": f"the body exceeds {limit} bytes"})
+            origin = Origin(queue, deployment.version, caller.account)
+            return await self._submit(origin, identifier, body, timeout)
         return _build_response(405, {"error": "accepted: POST, GET and DELETE"})
 
     def _read_timeout(self, request: web.BaseRequest) -> float:
@@ -135,8 +150,9 @@
             return DEFAULT_TIMEOUT_SECONDS
 
     async def _submit(
-        self, queue: QueueConfig, version: int, identifier: str, body: bytes, timeout: float
+        self, origin: Origin, identifier: str, body: bytes, timeout: float
     ) -> web.Response:
+        queue = origin.queue
         workflow, findings = decode_submission(identifier, queue, body)
         if workflow is None:
             return _build_response(
@@ -144,7 +160,7 @@
             )
         if not await self._wait_for(self._discovery.prepare_submission(queue), timeout):
             return self._build_failure_response(Reply(UNREADY), identifier)
-        present = QueueVersion(queue.host, queue.prefix, version)
+        present = QueueVersion(queue.host, queue.prefix, origin.version)
         partition, *former = self._discovery.list_partitions(queue, moved_within=REPEAT_TIME)
         query = msgspec.to_builtins(AbsenceQuery(identifier, present))
         for other in former:
@@ -153,7 +169,7 @@
                 return _build_response(200)
             if reply.outcome != ABSENT:
                 return self._build_failure_response(Reply(UNREADY), identifier)
-        submission = msgspec.to_builtins(Submission(workflow, present))
+        submission = msgspec.to_builtins(Submission(workflow, present, origin.account))
         reply = await self._call_owner(partition, SUBMIT, submission, timeout)
         if reply.outcome == ACCEPTED:
             return _build_response(200)
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from carawayshore.findings import Finding
+from carawayshore.workflows.amounts import NOTHING, Amounts
 
 MAX_STEPS = 100
 MAX_TASKS = 10_000
@@ -99,7 +102,7 @@
     """Configuration of a queue: its address for callers and the objective of its workflows.
 
     A workflow is due ``stretch`` times the run time of its longest chain of steps, plus
-    ``allowance_ms``, after its submission.
+    ``allowance_ms``, after its submission. Calls to a ``public`` queue need no key.
     """
 
     name: str
@@ -112,6 +115,7 @@
     allowance_ms: int
     timeout_ms: int
     advice: AdviceConfig | None
+    public: bool = False
 
 
 class ServiceConfig(NamedTuple):
@@ -123,13 +127,57 @@
     health_path: str
 
 
+class AccountConfig(NamedTuple):
+    """A client account.
+
+    Parameters
+    ----------
+    name : str
+    weight : float
+        Share of the account when capacity is short, relative to the others; also the number of
+        workflows per second up to which its work precedes that beyond the weight of others.
+    cap : Amounts
+        Limit of what the account may have running on all workers together, 0 for no limit.
+    """
+
+    name: str
+    weight: float = 1.0
+    cap: Amounts = NOTHING
+
+
+class CallerLimits(NamedTuple):
+    """Limits of the requests of callers; times in seconds.
+
+    Parameters
+    ----------
+    max_head_bytes, max_body_bytes : int
+        Largest request line with header fields, and largest body.
+    head_seconds : float
+        Time from the first byte of a request until its header fields are complete.
+    idle_seconds : float
+        Time for which a connection without a request stays open.
+    """
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    head_seconds: float = 10.0
+    idle_seconds: float = 75.0
+
+
 class Deployment(NamedTuple):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    ``accounts`` is None if the configuration does not speak of client accounts; no call needs a key
+    then. ``accounts_by_key`` maps the digest of each key (see ``accounts.hash_key``) to the name of
+    its account.
+    """
 
     version: int
     queues: tuple[QueueConfig, ...]
     services: dict[str, ServiceConfig]
-    max_body_bytes: int
+    limits: CallerLimits = CallerLimits()
+    accounts: Mapping[str, AccountConfig] | None = None
+    accounts_by_key: Mapping[bytes, str] = MappingProxyType({})
 
     def find_queue(self, host: str, path: str) -> QueueConfig | None:
         """Returns the queue with the longest prefix that matches, or None."""
@@ -276,10 +324,15 @@
 
 
 class Submission(NamedTuple):
-    """A workflow, and the queue that the entry host submits it to."""
+    """A workflow, the queue that the entry host submits it to, and the client account.
+
+    ``account`` is empty for a call to a public queue without a known key, and from an entry host
+    of an earlier version.
+    """
 
     workflow: Workflow
     queue: QueueVersion
+    account: str = ""
 
 
 class AbsenceQuery(NamedTuple):
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -11,6 +11,7 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from carawayshore.workflows.amounts import NOTHING, Amounts
 from carawayshore.workflows.model import TaskName
 
 if TYPE_CHECKING:
@@ -42,7 +43,11 @@
 
 
 class Usage(NamedTuple):
-    """Resources that one run reserves; best-effort runs reserve no processors."""
+    """Resources that one run reserves; best-effort runs reserve no processors.
+
+    ``requested`` is what the task asks for, which counts against the cap of its client account also
+    for a best-effort run.
+    """
 
     millicores: int
     memory_mb: int
@@ -51,6 +56,7 @@
     serving: bool
     best_effort: bool
     long_running: bool
+    requested: Amounts = NOTHING
 
 
 def compute_usage(name: TaskName, step: StepSpec) -> Usage:
@@ -63,6 +69,7 @@
         step.latency_target_ms > 0,
         step.best_effort,
         step.long_running,
+        Amounts(step.millicores, step.memory_mb, step.accelerators),
     )
 
 
@@ -75,25 +82,6 @@
     )
 
 
-class Amounts(NamedTuple):
-    """Processors in millicores, memory in MB, and accelerators."""
-
-    millicores: int
-    memory_mb: int
-    accelerators: int
-
-    def add(self, usage: Usage, sign: int = 1) -> Amounts:
-        """Returns the sum with the resources of a run, or the difference if ``sign`` is -1."""
-        return Amounts(
-            self.millicores + sign * usage.millicores,
-            self.memory_mb + sign * usage.memory_mb,
-            self.accelerators + sign * usage.accelerators,
-        )
-
-
-NOTHING = Amounts(0, 0, 0)
-
-
 def _select_needed(kept: Amounts, usage: Usage) -> Amounts:
     """Returns the kept amounts of those resources that a run needs itself."""
     if usage.millicores and usage.memory_mb and not kept.accelerators:
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -202,10 +202,15 @@
         Time of submission in seconds of the owner's monotonic clock.
     submitted_unix_ms : int
         The same time in Unix milliseconds, as persisted in the record.
+    account : str
+        Client account that submitted it, empty for none.
     """
 
-    def __init__(self, spec: Workflow, submitted: float, submitted_unix_ms: int = 0) -> None:
+    def __init__(
+        self, spec: Workflow, submitted: float, submitted_unix_ms: int = 0, account: str = ""
+    ) -> None:
         self.spec = spec
+        self.account = account
         self.submitted_unix_ms = submitted_unix_ms
         self.state = QUEUED
         # State in the last record that the store acknowledged. Callers are not shown a later state,
@@ -281,9 +286,9 @@
     def encode(self) -> bytes:
         """Returns the record of the workflow, without the specification once it is terminal."""
         spec = None if self.is_terminal else self.spec
-        return msgspec.json.encode(
-            [self.state, self.spec.service, self.spec.queue, self.submitted_unix_ms, spec]
-        )
+        row = [self.state, self.spec.service, self.spec.queue, self.submitted_unix_ms, spec]
+        # Left out without an account, so that these records are the same as before.
+        return msgspec.json.encode([*row, self.account] if self.account else row)
 
 
 class _Record(msgspec.Struct, array_like=True):
@@ -292,6 +297,7 @@
     queue: str
     submitted_unix_ms: UnixMilliseconds
     spec: Workflow | None
+    account: str = ""
 
 
 def _restore_workflow(key: str, value: bytes, now: float, unix_ms: int) -> WorkflowState:
@@ -301,7 +307,7 @@
     spec = record.spec or Workflow(key, record.service, record.queue, 0, 1, 1.0, 0, "", ())
     submitted_unix_ms = int(record.submitted_unix_ms)
     age = max(0, unix_ms - submitted_unix_ms) / 1000
-    workflow = WorkflowState(spec, now - age, submitted_unix_ms)
+    workflow = WorkflowState(spec, now - age, submitted_unix_ms, record.account)
     workflow.state = workflow.durable_state = record.state
     workflow.ended = now if workflow.is_terminal else 0.0
     return workflow
