Caps and weights of client accounts: shares of caps recorded in the store, standing at admission

Cause: nothing counted what an account has running in several partitions, and admission and the order of tasks knew no accounts. Change: each partition holds a share of each cap, recorded by conditional appends to keyed.caps; an owner starts tasks within its share. Goals are met in the order in which they were published. Work beyond the weight of its account is rejected first and placed last. Replies of owners and admission are modules of their own.

--- a/features/moved_queue_builders.py
+++ b/features/moved_queue_builders.py
@@ -62,7 +62,7 @@
             return Reply(ACCEPTED if subject in jobs else ABSENT)
         if operation == COUNT_PENDING:
             return Reply(FOUND, sum(queue == subject for queue in jobs.values()))
-        workflow, _ = subject
+        workflow, *_ = subject
         jobs[workflow[0]] = workflow[2]
         return Reply(ACCEPTED)
 
--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -80,6 +80,9 @@
         self.entries: dict[str, WorkerEntry] = {}
         self.has_current_capacities = True
 
+    def list_accounts(self) -> None:
+        """The configuration has no client accounts."""
+
     def is_capacity_current(self, entry: WorkerEntry) -> bool:
         return self.has_current_capacities
 
--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -31,7 +31,7 @@
 from carawayd.platform.documents import decode_configuration
 from carawayd.platform.runs import EndedRun, WorkerReport
 from carawayd.process.workflowmetrics import WorkflowMetrics
-from carawayd.request.workflows import WorkflowHandler
+from carawayd.request.workflows import Origin, WorkflowHandler
 from carawayshore.decoding import MAX_IDENTIFIER_LENGTH
 from carawayshore.workflows.crashes import WorkerLoss
 from carawayshore.workflows.model import StepSpec, Submission
@@ -307,7 +307,7 @@
     document = build_job(image="i" * 200)
     document["steps"] *= 100
     body = json.dumps(document).encode()
-    context.answer = context.harness.run(handler._submit(queue, 1, JOB, body, 3.0))
+    context.answer = context.harness.run(handler._submit(Origin(queue, 1, ""), JOB, body, 3.0))
 
 
 @then("it is answered with {status:d}, and nothing of it is recorded")
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -811,6 +811,9 @@
 
     # -- workers ---------------------------------------------------------------------------------
 
+    def list_accounts(self) -> None:
+        """The configuration has no client accounts."""
+
     def is_capacity_current(self, entry) -> bool:
         return self.now() - self.workers[entry.worker].written_at <= CAPACITY_AGE_S
 
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -123,9 +123,18 @@
         self._offered_loads.setdefault(service, []).append(offer)
 
     def measure_backlog(
-        self, service: str, capacities: list[WorkerCapacity], due: float
+        self,
+        service: str,
+        capacities: list[WorkerCapacity],
+        due: float,
+        *,
+        with_beyond_weight: bool = True,
     ) -> Backlog:
-        """Returns the backlog ahead of a workflow due at ``due``, in seconds of the clock."""
+        """Returns the backlog ahead of a workflow due at ``due``, in seconds of the clock.
+
+        ``with_beyond_weight`` tells whether waiting work beyond the weights of the client accounts
+        is counted, which is placed after other work.
+        """
         now = self._now()
         usable = [
             capacity
@@ -140,7 +149,7 @@
             # Claimed room is for long-running tasks, too.
             cores += max(0, capacity.entry.millicores - long_running - capacity.claimed_millicores)
             running += sum(usage.millicores for usage in usages if not usage.long_running)
-        waiting = self._measure_waiting_work(service, due)
+        waiting = self._measure_waiting_work(service, due, with_beyond_weight)
         remaining = running / 1000 * waiting.longest_seconds * REMAINING_SHARE
         return Backlog(
             cores / 1000,
@@ -151,7 +160,9 @@
             waiting.mean_objective_seconds,
         )
 
-    def _measure_waiting_work(self, service: str, due: float) -> _WaitingWork:
+    def _measure_waiting_work(
+        self, service: str, due: float, with_beyond_weight: bool
+    ) -> _WaitingWork:
         """Returns the waiting work of a service, in total and as far as it precedes ``due``."""
         now = self._now()
         first = total = sooner = longest = objective_sum = 0.0
@@ -162,6 +173,8 @@
             other_due = self._due.get(workflow.identifier)
             if other_due is None or workflow.is_long_running:
                 continue
+            if workflow.beyond_weight and not with_beyond_weight:
+                continue
             count += 1
             objective_sum += other_due - workflow.submitted
             for step in workflow.steps.values():
--- a/packages/carawayd/src/carawayd/partition/latestarts.py
+++ b/packages/carawayd/src/carawayd/partition/latestarts.py
@@ -64,6 +64,10 @@
     def __bool__(self) -> bool:
         return bool(self._starts)
 
+    def list_runs(self) -> list[RunKey]:
+        """Returns the runs whose orders may still be carried out."""
+        return list(self._starts)
+
     def list_sent_times(self) -> list[float]:
         """Returns when the orders were sent, in seconds of the local clock."""
         return [start.sent_at for start in self._starts.values()]
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -12,12 +12,16 @@
 import math
 from datetime import timedelta
 from functools import partial
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from mode import Service
 
+from carawayd.partition.accountstandings import AccountStandings
+from carawayd.partition.accountusage import AccountUsage
+from carawayd.partition.admissions import AdmissionControl
 from carawayd.partition.advisor import Advisor
+from carawayd.partition.capshares import CapShares
 from carawayd.partition.claims import Claims
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss, LeaseBounds
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
@@ -33,6 +37,17 @@
 from carawayd.partition.planner import Planner
 from carawayd.partition.preemption import PreemptionControl
 from carawayd.partition.relief import Relief
+from carawayd.partition.replies import (
+    ABSENT,
+    ACCEPTED,
+    FOUND,
+    MOVED,
+    REJECTED,
+    TOO_LARGE,
+    UNKNOWN_OUTCOME,
+    UNREADY,
+    Reply,
+)
 from carawayd.partition.shortwaits import ShortTaskWaits
 from carawayd.partition.strayorders import StrayOrders
 from carawayd.partition.unusedworkers import UnusedWorkers
@@ -50,7 +65,6 @@
 from carawayd.supervision import start_in_background, supervised_task, unexpected_errors
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument
-from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
 from carawayshore.workflows.placement import compute_usage
@@ -109,8 +123,6 @@
 WORKER_DISCOVERY_SECONDS = 1.5
 # Maximum wait of a planned handover for the store.
 HANDOVER_TIMEOUT_SECONDS = 0.5
-# Retention period of the first attempt of a rejected submission.
-FIRST_ATTEMPT_RETENTION_SECONDS = 20.0
 # Prefix of ledger keys for the learned run times of a queue.
 RUNTIME_PREFIX = "="
 # The statistics of a queue are recorded once per this many measured run times.
@@ -121,36 +133,6 @@
 STATUS_MARGIN_SECONDS = 30.0
 
 
-class Reply(NamedTuple):
-    """Answer to a call to the partition owner.
-
-    Parameters
-    ----------
-    outcome : str
-        One of the outcomes below.
-    detail : Any
-        Result of the call, or the reason of a rejection.
-    retry_after : float
-        Seconds after which a rejected call may be repeated.
-    """
-
-    outcome: str
-    detail: Any = None
-    retry_after: float = 0.0
-
-
-ACCEPTED, REJECTED, TOO_LARGE, UNREADY, UNKNOWN_OUTCOME, FOUND, ABSENT, MOVED = (
-    "accepted",
-    "rejected",
-    "too-large",
-    "unready",
-    "unknown",
-    "found",
-    "absent",
-    "moved",
-)
-
-
 class PartitionOwner(Service):
     """Runs all workflows of one partition, which belong to one or a few services.
 
@@ -175,7 +157,7 @@
     time_of_day : SteadyTimeOfDay
         Gives the time of day, for scheduled start times and the ages of workflows only.
     random : Random
-        Draws the number that the admission of a submission depends on.
+        Passed to the admission of submissions.
     may_renew : callable
         Returns whether the last contact with the store is recent enough to renew leases.
     metrics : WorkflowMetrics
@@ -219,7 +201,6 @@
         self._settings = settings
         self._clock = clock
         self._time_of_day = time_of_day
-        self._random = random
         self._may_renew = may_renew
         self._has_former_hosts = has_former_hosts
         self._had_former_hosts = False
@@ -244,7 +225,6 @@
         self._call_histories: dict[str, CallHistory] = {}
         # Entries of incarnations that have certainly ended but are still listed.
         self._ended_workers: dict[str, WorkerEntry] = {}
-        self._first_attempts: dict[str, float] = {}
         # Workflows of which a checkpoint was left out.
         self._large_checkpoints: set[str] = set()
         self._deadlines: dict[str, float] = {}
@@ -256,15 +236,35 @@
             self._find_task, self._record_tasks, self._give_up, self._isolation, clock, metrics
         )
         self._claims = Claims(self.links, self._find_task, self._runtimes, clock)
+        self._account_usage = AccountUsage(self.workflows, self.find_usage)
         self._demand = Demand(
             self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
         )
+        self._admissions = AdmissionControl(
+            self.links,
+            self._demand,
+            self._runtimes,
+            AccountStandings(self._account_usage, discovery.list_accounts, clock),
+            random=random,
+            clock=clock,
+            metrics=metrics,
+        )
         # Steps whose records the store has refused, each with the number of a task that waits.
         self._suspended_steps: dict[tuple[str, int, int], tuple[WorkflowState, StepState, int]] = {}
         # Number of start orders that are being recorded or sent.
         self._pending_starts = 0
         self._wake = asyncio.Event()
         self._advisor = Advisor(advice, clock, self._wake.set)
+        self._cap_shares = CapShares(
+            partition,
+            store=store,
+            usage=self._account_usage,
+            list_accounts=discovery.list_accounts,
+            get_epoch=lambda: self.fence if self._has_written and not self.lost else None,
+            handle_change=self._wake.set,
+            clock=clock,
+            metrics=metrics,
+        )
         self._planner = Planner(
             self.workflows,
             self.links,
@@ -275,6 +275,7 @@
             deferrals=self._deferrals,
             claims=self._claims,
             advisor=self._advisor,
+            cap_shares=self._cap_shares,
             clock=clock,
             time_of_day=time_of_day,
         )
@@ -346,6 +347,7 @@
                 )
                 return
             await self.add_runtime_dependency(self.ledger)
+            await self.add_runtime_dependency(self._cap_shares)
             start_in_background(
                 self._announce(), lambda: self._mark_lost("its first record could not be written")
             )
@@ -363,6 +365,7 @@
             self._open_closed_steps()
             self._resume_steps()
             self._stray_orders.check(self._track_stray_order)
+            self._count_unsettled_runs()
             self._follow_former_hosts()
             self._waits.check(self.fence)
             self._short_waits.check(self.fence)
@@ -448,6 +451,7 @@
                 "record of a workflow or step cannot be read",
                 extra={"fields": {"key": key, "partition": self.partition, "epoch": self.fence}},
             )
+        self._count_unsettled_runs()
         self.loaded = True
         self._loaded_at = self._now()
         self._wake.set()
@@ -465,6 +469,12 @@
             },
         )
 
+    def _count_unsettled_runs(self) -> None:
+        if self._discovery.list_accounts() is not None:
+            self._account_usage.count_unsettled(
+                self._orphans, self.links.values(), self._call_histories.values()
+            )
+
     def _open_closed_steps(self) -> None:
         """Opens the steps whose records could not be read, once no earlier run can be left.
 
@@ -589,6 +599,7 @@
                 link.update(None)
             if not link.is_needed:
                 del self.links[worker]
+                link.capacity.release_all()
                 self._call_histories[worker] = link.history
                 self._cordons.end(worker)
                 self._contact_loss.end(worker)
@@ -614,6 +625,7 @@
 
     def _open_link(self, entry) -> None:
         link = WorkerLink(entry, self, self._runs, self._settings, self._clock)
+        link.capacity.observer = self._account_usage.count
         link.history = self._call_histories.pop(entry.worker, link.history)
         for name, worker in list(self._orphans.items()):
             if worker == entry.worker:
@@ -966,6 +978,8 @@
         workflow = self.workflows.get(name.workflow)
         if workflow is not None and workflow.spec.advice is not None:
             state |= self._advisor.describe(key)
+        if workflow is not None and self._cap_shares.is_waiting(workflow.account):
+            state |= self._cap_shares.describe(workflow.account)
         return state
 
     def _log_task(self, name: TaskName, message: str, **fields: Any) -> None:
@@ -1064,16 +1078,14 @@
         workflow.durable_state = state
 
     def _expire_entries(self) -> None:
-        """Removes ended workflows and first attempts whose retention period is over."""
+        """Removes what has been kept for its time: ended workflows and attempts to submit."""
         now = self._now()
         keep = self._settings.status_seconds + STATUS_MARGIN_SECONDS
         for identifier, workflow in list(self.workflows.items()):
             if workflow.is_terminal and now - workflow.ended > keep:
                 del self.workflows[identifier]
                 self.ledger.mark_dirty(identifier, bytes)
-        for identifier, at in list(self._first_attempts.items()):
-            if now - at > FIRST_ATTEMPT_RETENTION_SECONDS:
-                del self._first_attempts[identifier]
+        self._admissions.expire()
 
     # -- callers ---------------------------------------------------------------------------------
 
@@ -1098,12 +1110,11 @@
                 return Reply(REJECTED, "the store does not answer", 1.0)
             if not self._has_discovered_workers(spec.service):
                 return Reply(UNREADY)
-            rejection = self._decide_admission(spec)
-            if rejection is not None:
-                return rejection
-            now = self._now()
-            first = self._first_attempts.pop(spec.identifier, now)
-            known = WorkflowState(spec, first, self._unix_ms(), account)
+            admission = self._admissions.decide(spec, account, self.fence)
+            if admission.rejection is not None:
+                return admission.rejection
+            known = WorkflowState(spec, admission.first_attempt_at, self._unix_ms(), account)
+            known.beyond_weight = admission.beyond_weight
             self.workflows[spec.identifier] = known
             self._set_deadline(known)
             self.ledger.mark_dirty(known.key(), known.encode)
@@ -1184,60 +1195,6 @@
             or self._now() - self._loaded_at > WORKER_DISCOVERY_SECONDS
         )
 
-    def _decide_admission(self, spec: Workflow) -> Reply | None:
-        now = self._now()
-        first = self._first_attempts.get(spec.identifier, now)
-        long_running = any(step.long_running for step in spec.steps)
-        capacities = [
-            link.capacity for link in self.links.values() if link.entry.service == spec.service
-        ]
-        request = Request(
-            chain_seconds=self._runtimes.estimate_chain_seconds(spec),
-            work_core_seconds=self._runtimes.estimate_core_seconds(spec),
-            objective_seconds=self._runtimes.estimate_objective_seconds(spec),
-            age_seconds=now - first,
-            long_running=long_running,
-            scheduled=spec.repeats > 0,
-            fits=not capacities
-            or all(any(capacity.could_fit(step) for capacity in capacities) for step in spec.steps),
-            has_fit=all(
-                any(capacity.could_have_fit(step) for capacity in capacities) for step in spec.steps
-            ),
-        )
-        bound = not (request.long_running or request.scheduled)
-        may_fit = request.fits or request.has_fit
-        if spec.identifier not in self._first_attempts and may_fit and bound:
-            self._demand.record_submission(
-                spec.service, request.work_core_seconds, request.chain_seconds
-            )
-        due = first + request.objective_seconds
-        backlog = self._demand.measure_backlog(spec.service, capacities, due)
-        decision = decide_admission(request, backlog, self._random.random())
-        logger.info(
-            "submission considered",
-            extra={
-                "fields": {
-                    "workflow": spec.identifier,
-                    "admitted": decision.admitted,
-                    "why": decision.reason,
-                    "retry_after": round(decision.retry_after_seconds, 2),
-                    "cores": round(backlog.cores, 1),
-                    "wait_seconds": round(backlog.wait_seconds, 2),
-                    "finish_seconds": round(backlog.finish_seconds, 2),
-                    "objective_seconds": round(request.objective_seconds, 2),
-                    "chain_seconds": round(request.chain_seconds, 2),
-                    "age_seconds": round(request.age_seconds, 2),
-                    "epoch": self.fence,
-                }
-            },
-        )
-        outcome = "admitted" if decision.admitted else "rejected"
-        self._metrics.submissions.labels(spec.service, outcome).inc()
-        if decision.admitted:
-            return None
-        self._first_attempts.setdefault(spec.identifier, now)
-        return Reply(REJECTED, decision.reason, decision.retry_after_seconds)
-
     def _set_deadline(self, workflow: WorkflowState) -> None:
         self._deadlines[workflow.identifier] = (
             workflow.submitted + self._runtimes.estimate_objective_seconds(workflow.spec)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -28,6 +28,7 @@
     from collections.abc import Iterator
 
     from carawayd.partition.advisor import Advisor
+    from carawayd.partition.capshares import CapShares
     from carawayd.partition.claims import Claims
     from carawayd.partition.deferrals import Deferrals, Subject
     from carawayd.partition.isolation import Isolation
@@ -105,6 +106,8 @@
     clock : Clock
     time_of_day : SteadyTimeOfDay
         For scheduled start times only.
+    cap_shares : CapShares, optional
+        Tells how many tasks of a client account may start, None for as many as there is room for.
     """
 
     def __init__(
@@ -121,6 +124,7 @@
         advisor: Advisor,
         clock: Clock,
         time_of_day: SteadyTimeOfDay,
+        cap_shares: CapShares | None = None,
     ) -> None:
         self._workflows = workflows
         self._links = links
@@ -131,6 +135,7 @@
         self._deferrals = deferrals
         self._claims = claims
         self._advisor = advisor
+        self._cap_shares = cap_shares
         self._clock = clock
         self._time_of_day = time_of_day
         self._rejections = Rejections(clock)
@@ -168,6 +173,8 @@
         if self._isolation:
             self._isolation.refresh()
         self.end_needless_claims()
+        if self._cap_shares is not None:
+            self._cap_shares.begin_plan()
         ranked = self._rank_due_steps(now)
         capacities_by_service: dict[str, list[WorkerCapacity]] = {}
         for _, key in ranked:
@@ -189,6 +196,8 @@
             if placement is not None:
                 limit -= len(placement.chosen)
                 yield placement
+        if self._cap_shares is not None:
+            self._cap_shares.end_plan()
 
     def _rank_due_steps(self, now: float) -> list[tuple[Rank, StepKey]]:
         """Returns the open steps whose time has come, the most urgent first."""
@@ -281,6 +290,7 @@
             due,
             remaining,
             step.spec.best_effort,
+            workflow.beyond_weight,
         )
         return rank_candidate(candidate, now)
 
@@ -319,6 +329,14 @@
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
         elif self._is_unplaceable(workflow, step):
             return None
+        if workflow.account and self._cap_shares is not None:
+            requested = compute_usage(TaskName(*key, waiting[0]), spec).requested
+            count = min(limit, len(waiting))
+            limit = self._cap_shares.count_startable(
+                workflow.account, requested, count, only_all=spec.gang
+            )
+            if limit == 0:
+                return None
         claims = self._claims.describe(key) if spec.gang else {}
         chosen = self._choose_workers(step, key, waiting, capacities, now, limit)
         if spec.gang and len(chosen) < len(waiting):
--- a/packages/carawayd/src/carawayd/process/discovery.py
+++ b/packages/carawayd/src/carawayd/process/discovery.py
@@ -29,12 +29,13 @@
 from carawayshore.decoding import MalformedDocument
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from carawayd.platform.store import StoreClient
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import (
+        AccountConfig,
         Deployment,
         QueueConfig,
         QueueVersion,
@@ -257,6 +258,10 @@
             self._is_recording_layout = True
             start_in_background(self._record_layout())
 
+    def list_accounts(self) -> Mapping[str, AccountConfig] | None:
+        """Returns the client accounts by name, None if the configuration has none."""
+        return self.deployment.accounts if self.deployment is not None else None
+
     def find_route(self, queue: QueueVersion) -> PresentRoute | None:
         """Returns where the configuration in force sends a queue, None if it is not a later one."""
         deployment = self.deployment
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -11,7 +11,7 @@
 from mode import Service
 
 from carawayd.partition.ledger import FLEET_TOPIC, Ledger, OwnershipLost
-from carawayd.partition.owner import ABSENT, ACCEPTED, FOUND, UNREADY
+from carawayd.partition.replies import ABSENT, ACCEPTED, FOUND, UNREADY
 from carawayd.platform.common import PlatformError, PlatformUnreached
 from carawayd.platform.documents import WAVE_PREFIX, encode_wave_state
 from carawayd.platform.machines import MachineRefused
--- a/packages/carawayd/src/carawayd/process/ownercalls.py
+++ b/packages/carawayd/src/carawayd/process/ownercalls.py
@@ -6,13 +6,12 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-from carawayd.partition.owner import (
+from carawayd.partition.replies import (
     ABSENT,
     MOVED,
     REJECTED,
     UNKNOWN_OUTCOME,
     UNREADY,
-    PartitionOwner,
     Reply,
 )
 from carawayd.process.exchange import PeerUnreachable
@@ -21,6 +20,7 @@
 from carawayshore.workflows.model import AbsenceQuery, Submission, Workflow
 
 if TYPE_CHECKING:
+    from carawayd.partition.owner import PartitionOwner
     from carawayd.process.exchange import PeerRpc
     from carawayd.process.ownership import Ownership
     from carawayshore.clock import Clock
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -11,6 +11,11 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
+ACCOUNT_KINDS = ("held", "used", "waiting")
+# Accounts with metrics of their own, so that the number of label values is limited.
+MAX_COUNTED_ACCOUNTS = 50
+OTHER_ACCOUNTS = "other"
+
 
 class WorkflowMetrics:
     """All metrics of one entry host on the platform."""
@@ -91,6 +96,17 @@
         self.pool_shortage = self._add_gauge(
             "caraway_pool_shortage", "Machines that a pool lacks beyond those that come.", "service"
         )
+        self.account_cores = self._add_gauge(
+            "caraway_account_cores",
+            "Cores of a client account: share of its cap, what may be running, what waits for it.",
+            "partition",
+            "account",
+            "kind",
+        )
+        self.account_rejections = self._add_counter(
+            "caraway_account_rejections", "Rejected submissions of client accounts.", "account"
+        )
+        self._counted_accounts: set[str] = set()
         self.version = Gauge(
             "caraway_configuration_version", "Version in force.", registry=self.registry
         )
@@ -115,6 +131,27 @@
         self.registry.register(histogram)
         return histogram
 
+    def set_account(
+        self, partition: int, account: str, held: float, used: float, waiting: float
+    ) -> None:
+        """Sets the cores of an account in one partition."""
+        for kind, cores in zip(ACCOUNT_KINDS, (held, used, waiting), strict=True):
+            self.account_cores.labels(str(partition), account, kind).set(cores)
+
+    def count_account_rejection(self, account: str) -> None:
+        """Counts a rejection; accounts beyond a number that is limited are counted together."""
+        if not account:
+            return
+        if len(self._counted_accounts) < MAX_COUNTED_ACCOUNTS:
+            self._counted_accounts.add(account)
+        name = account if account in self._counted_accounts else OTHER_ACCOUNTS
+        self.account_rejections.labels(name).inc()
+
+    def remove_account(self, partition: int, account: str) -> None:
+        """Removes the cores of an account that has none in a partition any more."""
+        for kind in ACCOUNT_KINDS:
+            self.account_cores.remove(str(partition), account, kind)
+
     def observe_append(self, topic: str, size: int, duration: timedelta) -> None:
         """Records one append of ``size`` bytes."""
         self.appends.labels(topic).inc()
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from carawayd.partition.owner import (
+from carawayd.partition.replies import (
     ABSENT,
     ACCEPTED,
     FOUND,
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -5,7 +5,9 @@
 of one that finishes on time, and accepting a whole burst would make every workflow late. A workflow
 is accepted if the backlog ahead of it can be processed within the slack that its objective leaves.
 Work that is due later than the new workflow, or is already late, is scheduled after it and is not
-counted in that backlog.
+counted in that backlog, and neither is work beyond the weight of its client account. A workflow
+beyond the weight of its account is accepted only while the pool has room, and one of an account
+that uses more than its part of the pool needs more slack.
 """
 
 from __future__ import annotations
@@ -13,8 +15,13 @@
 import math
 from typing import NamedTuple
 
+from carawayshore.workflows.fairness import Standing
+
 # Maximum queue wait as a share of the slack; the rest covers estimation error.
 SLACK_SHARE = 0.7
+# The same for an account that uses more than its part of the pool: half, so that the other accounts
+# are still admitted when it no longer is.
+OVER_SHARE_SLACK_SHARE = 0.35
 # Maximum time to complete the work that is due sooner, and all accepted work, as a multiple of the
 # objective.
 FINISH_FACTOR = 1.2
@@ -103,6 +110,8 @@
         Whether each task fits on at least one worker.
     has_fit : bool
         Whether each task would fit if no worker had shrunk.
+    standing : Standing
+        Standing of the client account.
     """
 
     chain_seconds: float
@@ -113,6 +122,7 @@
     scheduled: bool
     fits: bool
     has_fit: bool = False
+    standing: Standing = Standing()
 
 
 class AdmissionDecision(NamedTuple):
@@ -149,17 +159,24 @@
     sooner = backlog.estimate_seconds(backlog.due_sooner_core_seconds + request.work_core_seconds)
     finish = backlog.estimate_seconds(backlog.total_core_seconds + request.work_core_seconds)
     reference_objective = max(request.objective_seconds, backlog.mean_objective_seconds)
+    slack_share = OVER_SHARE_SLACK_SHARE if request.standing.over_share else SLACK_SHARE
     excess = max(
-        backlog.wait_seconds - slack * SLACK_SHARE,
+        backlog.wait_seconds - slack * slack_share,
         sooner - objective * FINISH_FACTOR,
         finish - reference_objective * FINISH_FACTOR,
     )
-    if excess <= 0:
-        return AdmissionDecision(True, "the backlog fits into the slack")
-    if (
+    has_room = (
         backlog.wait_seconds <= IDLE_WAIT_SECONDS
         and finish <= reference_objective * IDLE_FINISH_SHARE
-    ):
+    )
+    if request.standing.beyond_weight and not has_room:
+        retry = min(max(excess, MIN_RETRY_SECONDS), max(backlog.finish_seconds, MIN_RETRY_SECONDS))
+        return AdmissionDecision(
+            False, "beyond the weight of the account", spread_retry(retry, jitter)
+        )
+    if excess <= 0:
+        return AdmissionDecision(True, "the backlog fits into the slack")
+    if has_room:
         return AdmissionDecision(True, "late, but the pool has room")
     # While nothing is accepted, the time to complete the backlog falls by 1 s each second, so a
     # retry delay beyond the completion time of the accepted work would be too long.
--- a/packages/carawayshore/src/carawayshore/workflows/ordering.py
+++ b/packages/carawayshore/src/carawayshore/workflows/ordering.py
@@ -3,7 +3,7 @@
 Load pattern: at the peak of a burst some workflows can no longer meet their objective. Running
 them first would make the next workflows late as well, so workflows that can still be on time go
 first, by latest possible start time. Long-running tasks go before both, since lost uptime cannot
-be made up.
+be made up. Work beyond the weight of its client account goes after work that is owed.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
     due: float
     remaining_seconds: float
     best_effort: bool = False
+    beyond_weight: bool = False
 
 
 class Rank(NamedTuple):
@@ -28,6 +29,7 @@
     """
 
     best_effort: bool
+    beyond_weight: bool
     late: bool
     priority: int
     latest_start: float
@@ -36,6 +38,12 @@
 def rank_candidate(candidate: Candidate, now: float) -> Rank:
     """Returns the sort key of a ready step."""
     if candidate.long_running:
-        return Rank(candidate.best_effort, False, -1, candidate.due)
+        return Rank(candidate.best_effort, False, False, -1, candidate.due)
     latest_start = candidate.due - candidate.remaining_seconds
-    return Rank(candidate.best_effort, latest_start < now, candidate.priority, latest_start)
+    return Rank(
+        candidate.best_effort,
+        candidate.beyond_weight,
+        latest_start < now,
+        candidate.priority,
+        latest_start,
+    )
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -15,7 +15,7 @@
 from carawayshore.workflows.model import TaskName
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from carawayshore.workflows.model import StepSpec, WorkerEntry
 
@@ -101,6 +101,8 @@
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
+        # Called with each run that is reserved (1) or released (-1).
+        self.observer: Callable[[Usage, int], None] | None = None
         # Whether tasks may be placed on the worker now.
         self.usable = False
         # Whether the worker is usable, or will be once it has reported.
@@ -140,6 +142,11 @@
         if usage is not None:
             self._count(usage, -1)
 
+    def release_all(self) -> None:
+        """Releases the capacity of all runs, since none is left on the worker."""
+        for name in list(self.usages):
+            self.release(name)
+
     def _count(self, usage: Usage, sign: int) -> None:
         self.millicores += sign * usage.millicores
         self.memory_mb += sign * usage.memory_mb
@@ -152,6 +159,8 @@
         self.best_effort += sign * usage.best_effort
         if usage.long_running:
             self._long_running = self._long_running.add(usage, sign)
+        if self.observer is not None:
+            self.observer(usage, sign)
 
     def claim(self, name: TaskName, usage: Usage) -> None:
         """Keeps room for a task, also while others still use it."""
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -219,6 +219,9 @@
         self.submitted = submitted
         self.ended = 0.0
         self.begun = False
+        # Whether it is beyond what its account is owed; not persisted, so that it counts as owed
+        # after a takeover.
+        self.beyond_weight = False
         self.steps: dict[tuple[int, int], StepState] = {}
         for occurrence in range(spec.occurrences):
             for number, step in enumerate(spec.steps):
