--- a/features/client_accounts.feature
+++ b/features/client_accounts.feature
@@ -77,7 +77,7 @@
   Scenario: Tasks that are larger than an even part of the cap start one after the other
     Given four partitions that hold no share of a cap of 14 cores
     When each of them has two waiting tasks of 13 cores
-    Then all of them have been started within 60 seconds of run time each
+    Then all of them have been started within 30 seconds
 
   # Load: one account sends five times its weight while a queue bursts. Guards against an account
   # that crowds the others out of a full pool.
@@ -89,7 +89,7 @@
 
   # Guards against work that is rejected although workers are free.
   Scenario: Work beyond the weight of its account is served while the pool has room
-    Given an idle pool, and an account that submits 5 times its weight
+    Given an idle pool, and an account that submits a quarter more than its weight
     When accounts submit workflows for 10 seconds
     Then all workflows are admitted
 
