Shares of caps: a goal follows its need, and waits in one resource are not taken for absence

Cause: seeded plays (112 and 119 with PYTHONHASHSEED=0) left tasks waiting: a goal kept amounts that no longer fitted the first waiting task, and a partition that lacked processors only was taken to be gone since memory was free. Change: goals are adjusted to the need and keep their place; a goal is passed over only if some of each resource that it lacks is free.

--- a/packages/carawayd/src/carawayd/partition/capshares.py
+++ b/packages/carawayd/src/carawayd/partition/capshares.py
@@ -164,8 +164,8 @@
         self._found: dict[str, Need] = {}
         # Time since which tasks of an account have waited for its cap without interruption.
         self._waiting_since: dict[str, float] = {}
-        # For each account with a goal, what had been started in sum when it was published.
-        self._bases: dict[str, tuple[Goal, Amounts]] = {}
+        # For each account with a goal, when it was published and what had been started in sum.
+        self._bases: dict[str, tuple[int, Amounts]] = {}
         # Time since which each partition has not taken what is free for its goal.
         self._stale_since: dict[tuple[int, str], float] = {}
         # Limits that have been computed since the records or the plan changed.
@@ -460,8 +460,8 @@
             self._bases.pop(account, None)
             return NOTHING
         started, known = self._usage.measure_started(account), self._bases.get(account)
-        if known is None or known[0] != holding.goal:
-            known = self._bases[account] = (holding.goal, started)
+        if known is None or known[0] != holding.goal.since:
+            known = self._bases[account] = (holding.goal.since, started)
         return started.add(known[1], -1)
 
     def _log_change(self, own: PartitionShares | None, planned: PartitionShares) -> None:
--- a/packages/carawayshore/src/carawayshore/workflows/capshares.py
+++ b/packages/carawayshore/src/carawayshore/workflows/capshares.py
@@ -142,9 +142,15 @@
         need.first,
         cap,
     )
-    if own.goal is not None and not exceeds(need.started.add(need.first), turn, cap):
-        return Holding(share, own.goal)
-    return Holding(share, Goal(_limit(need.used.add(turn), cap), log_end))
+    amounts = _map(min, _limit(need.used.add(turn), cap), wanted)
+    if own.goal is None or exceeds(need.started.add(need.first), turn, cap):
+        return Holding(share, Goal(amounts, log_end))
+    # The goal keeps its amounts while they serve the need, so that the record rarely changes.
+    needed = _limit(need.used.add(need.first), cap)
+    is_fitting = not exceeds(needed, own.goal.amounts, cap) and not exceeds(
+        own.goal.amounts, wanted, cap
+    )
+    return Holding(share, own.goal if is_fitting else Goal(amounts, own.goal.since))
 
 
 def compute_limit(
@@ -168,10 +174,11 @@
 
 
 def may_take(holding: Holding, holdings: Mapping[int, Holding], cap: Amounts) -> bool:
-    """Returns whether something is free that the goal of a holding lacks."""
+    """Returns whether some of each resource is free that the goal of a holding lacks."""
     lack = _map(lambda aim, held: aim - held, holding.goal.amounts, holding.share)
     free = _measure_free(holdings, cap)
-    return any(missing > 0 and left > 0 for missing, left in zip(lack, free, strict=True))
+    lacking = [left for missing, left in zip(lack, free, strict=True) if missing > 0]
+    return bool(lacking) and min(lacking) > 0
 
 
 def count_startable(
