--- a/packages/carawayd/src/carawayd/partition/admissions.py
+++ b/packages/carawayd/src/carawayd/partition/admissions.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayd.partition.replies import REJECTED, Reply
-from carawayshore.workflows.admission import Request, decide_admission
+from carawayshore.workflows.admission import Request, decide_admission, estimate_store_delay
+from carawayshore.workflows.runtimes import count_chain_steps
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from carawayd.partition.accountstandings import AccountStandings
@@ -53,6 +55,8 @@
     demand : Demand
     runtimes : RuntimeModel
     standings : AccountStandings
+    measure_append : callable
+        Returns the time in seconds that an append to the store takes now.
     random : Random
         Draws the number that spreads the retries of rejected callers.
     clock : Clock
@@ -65,6 +69,7 @@
         demand: Demand,
         runtimes: RuntimeModel,
         standings: AccountStandings,
+        measure_append: Callable[[], float],
         *,
         random: Random,
         clock: Clock,
@@ -74,6 +79,7 @@
         self._demand = demand
         self._runtimes = runtimes
         self._standings = standings
+        self._measure_append = measure_append
         self._random = random
         self._clock = clock
         self._metrics = metrics
@@ -114,6 +120,7 @@
                 any(capacity.could_have_fit(step) for capacity in capacities) for step in spec.steps
             ),
             standing=standing,
+            delay_seconds=estimate_store_delay(count_chain_steps(spec), self._measure_append()),
         )
         bound = not (request.long_running or request.scheduled)
         may_fit = request.fits or request.has_fit
@@ -137,6 +144,7 @@
             "objective_seconds": round(request.objective_seconds, 2),
             "chain_seconds": round(request.chain_seconds, 2),
             "age_seconds": round(request.age_seconds, 2),
+            "store_delay_seconds": round(request.delay_seconds, 2),
             "epoch": epoch,
         }
         if account:
--- a/packages/carawayd/src/carawayd/partition/ledger.py
+++ b/packages/carawayd/src/carawayd/partition/ledger.py
@@ -46,6 +46,9 @@
 MAX_RETRY_DELAY = timedelta(milliseconds=400)
 # While an append has been unanswered for longer than this, the owner rejects submissions at once.
 STALL_TIMEOUT = timedelta(milliseconds=400)
+# Weight of the last append in the moving average of their times: a store that turns slow is noticed
+# within a few appends.
+APPEND_TIME_RATE = 0.3
 # Limit of the records of one append, if the store does not have a lower one.
 MAX_BATCH_BYTES = 500_000
 # Interval at which a record that the store has refused is tried again.
@@ -99,6 +102,8 @@
         self._waiters: list[asyncio.Future[None]] = []
         self._wake = asyncio.Event()
         self._append_started_at: timedelta | None = None
+        # Moving average of the time of an append.
+        self._append_seconds = 0.0
         # End of the partition after the last append, None before the first takeover.
         self._end_offset: int | None = None
         # Serialises appends and epoch changes: the store would reject, as fenced, an append under
@@ -193,6 +198,14 @@
                 await self._clock.sleep(delay)
                 delay = min(2 * delay, MAX_RETRY_DELAY)
 
+    @property
+    def append_seconds(self) -> float:
+        """Time in seconds that an append takes now, as far as is known."""
+        if self._append_started_at is None:
+            return self._append_seconds
+        elapsed = (self._clock.elapsed() - self._append_started_at).total_seconds()
+        return max(self._append_seconds, elapsed)
+
     @property
     def is_stalled(self) -> bool:
         """Whether the current append has been unanswered for longer than ``STALL_TIMEOUT``."""
@@ -378,6 +391,7 @@
             delay = min(2 * delay, MAX_RETRY_DELAY)
         duration = self._clock.elapsed() - self._append_started_at
         self._append_started_at = None
+        self._append_seconds += APPEND_TIME_RATE * (duration.total_seconds() - self._append_seconds)
         self._metrics.observe_append(self.topic, len(data), duration)
 
     def _log_retry(self, error: Exception) -> None:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -245,6 +245,7 @@
             self._demand,
             self._runtimes,
             AccountStandings(self._account_usage, discovery.list_accounts, clock),
+            lambda: self.ledger.append_seconds,
             random=random,
             clock=clock,
             metrics=metrics,
--- a/packages/carawayshore/src/carawayshore/workflows/admission.py
+++ b/packages/carawayshore/src/carawayshore/workflows/admission.py
@@ -7,7 +7,8 @@
 Work that is due later than the new workflow, or is already late, is scheduled after it and is not
 counted in that backlog, and neither is work beyond the weight of its client account. A workflow
 beyond the weight of its account is accepted only while the pool has room, and one of an account
-that uses more than its part of the pool needs more slack.
+that uses more than its part of the pool needs more slack. While the store is slow, each step is
+delayed by its records, which reduces the slack.
 """
 
 from __future__ import annotations
@@ -32,6 +33,10 @@
 # A workflow that will miss its objective is accepted only if all accepted work can be completed
 # within this share of its own or the mean objective, whichever is longer.
 IDLE_FINISH_SHARE = 0.6
+# Appends for which each step of a workflow waits.
+APPENDS_PER_STEP = 2
+# Time of an append to a store that is not slow, which the learned run times contain.
+USUAL_APPEND_SECONDS = 0.05
 # Shortest retry delay of a rejected workflow.
 MIN_RETRY_SECONDS = 1.0
 # Longest retry delay of a rejected workflow, before jitter.
@@ -112,6 +117,8 @@
         Whether each task would fit if no worker had shrunk.
     standing : Standing
         Standing of the client account.
+    delay_seconds : float
+        Expected delay of all steps of the chain by a slow store, beyond the run times.
     """
 
     chain_seconds: float
@@ -123,6 +130,23 @@
     fits: bool
     has_fit: bool = False
     standing: Standing = Standing()
+    delay_seconds: float = 0.0
+
+
+def estimate_store_delay(steps: int, append_seconds: float) -> float:
+    """Returns the time in seconds by which a slow store delays a chain of steps.
+
+    The start orders of a step are sent once they are recorded, and the next step begins once the
+    ends of its tasks are.
+
+    Parameters
+    ----------
+    steps : int
+        Number of steps of the chain.
+    append_seconds : float
+        Time of an append.
+    """
+    return steps * APPENDS_PER_STEP * max(0.0, append_seconds - USUAL_APPEND_SECONDS)
 
 
 class AdmissionDecision(NamedTuple):
@@ -154,7 +178,7 @@
         return AdmissionDecision(
             False, "no worker is usable", spread_retry(MIN_RETRY_SECONDS, jitter)
         )
-    objective = request.objective_seconds - request.age_seconds
+    objective = request.objective_seconds - request.age_seconds - request.delay_seconds
     slack = objective - request.chain_seconds
     sooner = backlog.estimate_seconds(backlog.due_sooner_core_seconds + request.work_core_seconds)
     finish = backlog.estimate_seconds(backlog.total_core_seconds + request.work_core_seconds)
--- a/packages/carawayshore/src/carawayshore/workflows/runtimes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/runtimes.py
@@ -161,5 +161,13 @@
         )
 
 
+def count_chain_steps(workflow: Workflow) -> int:
+    """Returns the number of steps of the longest chain."""
+    lengths: list[int] = []
+    for step in workflow.steps:
+        lengths.append(1 + max((lengths[number] for number in step.after), default=0))
+    return max(lengths, default=0)
+
+
 def _update_average(average: float, value: float) -> float:
     return average + LEARNING_RATE * (value - average)
