--- a/features/cap_share_play.py
+++ b/features/cap_share_play.py
@@ -129,9 +129,12 @@
 
 
 class Task(NamedTuple):
+    """A task, or the tasks of a gang."""
+
     account: str
     amounts: Amounts
     seconds: float
+    count: int = 1
 
 
 class Violation(NamedTuple):
@@ -164,6 +167,7 @@
         epoch = self.epochs[partition]
         owner = CapShares(
             partition,
+            PARTITIONS,
             store=self.store,
             usage=self.usages[partition],
             list_accounts=lambda: self._see_accounts(partition),
@@ -202,20 +206,22 @@
         owner.begin_plan()
         waiting = []
         for task in self.queues[partition]:
-            if owner.count_startable(task.account, task.amounts, 1):
+            is_gang = task.count > 1
+            if owner.count_startable(task.account, task.amounts, task.count, is_gang=is_gang):
                 self._start(partition, task)
             else:
+                owner.note_waiting(task.account, task.amounts, task.count, is_gang=is_gang)
                 waiting.append(task)
         owner.end_plan()
         self.queues[partition] = waiting
 
     def _start(self, partition: int, task: Task) -> None:
-        usage = self.usages[partition]
-        usage.add(task.account, task.amounts)
+        usage, loop = self.usages[partition], asyncio.get_running_loop()
         self.started += 1
+        for _ in range(task.count):
+            usage.add(task.account, task.amounts)
+            loop.call_later(task.seconds, usage.add, task.account, task.amounts, -1)
         self._check(task.account)
-        loop = asyncio.get_running_loop()
-        loop.call_later(task.seconds, usage.add, task.account, task.amounts, -1)
 
     def _check(self, account: str) -> None:
         now = self.clock.elapsed().total_seconds()
@@ -241,7 +247,9 @@
         account = self.rng.choice(ACCOUNTS)
         for _ in range(self.rng.choice([1, 2, 4])):
             seconds = self.rng.choice([0.3, 0.8, 2.1])
-            self.queues[partition].append(Task(account, self.rng.choice(SIZES), seconds))
+            # The other caps are too small for a gang.
+            count = self.rng.choice([1, 1, 1, 3]) if account == "large" else 1
+            self.queues[partition].append(Task(account, self.rng.choice(SIZES), seconds, count))
 
     async def replace_owner(self, partition: int) -> None:
         """Ends an owner; the former one adjusts shares for some time beside its successor."""
--- a/features/client_accounts.feature
+++ b/features/client_accounts.feature
@@ -79,6 +79,42 @@
     When each of them has two waiting tasks of 13 cores
     Then all of them have been started within 30 seconds
 
+  # Guards against a cap that is exceeded without end since what ran before it was set is in no share.
+  Scenario: A cap that is set while tasks run counts them
+    Given two partitions, one of which runs 150 cores of an account without a cap
+    When a cap of 200 cores is set, and the other partition has work for 100 cores
+    Then the account runs at most 200 cores from then on
+
+  # Guards against a gang that waits for ever, since the share covers one of its tasks only.
+  Scenario: A gang gets a share for all of its tasks beside steady work of another partition
+    Given two partitions, one of which has steady work for the whole cap of an account
+    When a gang of 8 tasks of 10 cores is submitted in the other one, with a cap of 100 cores
+    Then the gang starts within 30 seconds
+
+  # Guards against a gang beyond the cap that stops all other tasks of its account.
+  Scenario: A gang that is larger than the cap holds up no other task
+    Given one partition with a gang of 12 tasks of 10 cores and a cap of 100 cores
+    When 20 tasks of 10 cores are submitted after it
+    Then all 20 of them have been started within 30 seconds
+
+  # Guards against a task that never starts since the cap limits another resource as well.
+  Scenario: A task that is larger than the cap in one resource starts alone
+    Given one partition with a task of 13 cores and 5 GB and a cap of 10 cores and 40 GB
+    When nothing else of the account runs
+    Then the task starts within 5 seconds
+
+  # Guards against runs that the next owner does not count, since their workflow has ended.
+  Scenario: Runs of a workflow that was cancelled just before a takeover count for the next owner
+    Given a workflow of harbour with 4 running tasks of 10 cores that is cancelled
+    When the next owner reads its record
+    Then 40 cores of harbour may be running, and none 4 seconds later
+
+  # Guards against an account at its cap whose waiting work gets the work of others rejected.
+  Scenario: Work that waits for the cap of its account is not in the backlog of others
+    Given idle workers, and an account whose work waits for its cap
+    When the backlog is measured for another account and for the same one
+    Then only the same one has a backlog
+
   # Load: one account sends five times its weight while a queue bursts. Guards against an account
   # that crowds the others out of a full pool.
   Scenario: Work beyond the weight of its account is rejected first when a pool is short
--- a/features/steps/client_account_steps.py
+++ b/features/steps/client_account_steps.py
@@ -23,13 +23,18 @@
 from virtual import LoopClock
 from virtual_time import play
 
+from carawayd.partition.accountusage import AccountUsage
+from carawayd.partition.demand import Demand
 from carawayd.process.configrelay import ConfigurationRelay
 from carawayd.process.discovery import Discovery
 from carawayshore.decoding import MalformedDocument
 from carawayshore.workflows.accounts import hash_key, identify_caller
-from carawayshore.workflows.amounts import Amounts
+from carawayshore.workflows.amounts import NOTHING, Amounts
 from carawayshore.workflows.fairness import is_over_share
+from carawayshore.workflows.model import AccountConfig, StepSpec, Workflow
 from carawayshore.workflows.ordering import Candidate, rank_candidate
+from carawayshore.workflows.runtimes import RuntimeModel
+from carawayshore.workflows.state import CANCELLED, ORDERED, WorkflowState, restore_workflows
 
 CALLS = {
     "with the key of harbour": f"Token {KEYS['harbour']}",
@@ -157,7 +162,8 @@
         self.discovery.has_contact = lambda limit: self.is_served
         rpc = SimpleNamespace(handlers={}, call=peers.call)
         ownership = SimpleNamespace(
-            list_peer_addresses=lambda: [other for other in peers.hosts if other != name]
+            list_peer_addresses=lambda: [other for other in peers.hosts if other != name],
+            refresh_directory=lambda interval: None,
         )
         self.relay = ConfigurationRelay(self.discovery, ownership, rpc, settings, clock)
         peers.hosts[name] = rpc
@@ -274,6 +280,168 @@
     assert not context.world.violations
 
 
+async def _open(world: CapWorld, partitions: int, cap: Amounts) -> None:
+    world.accounts = {"x": AccountConfig("x", 1.0, cap)}
+    for partition in range(partitions):
+        await world.open_owner(partition)
+
+
+async def _run(world: CapWorld, seconds: float) -> None:
+    planners = asyncio.ensure_future(world.run_planners())
+    await asyncio.sleep(seconds)
+    planners.cancel()
+    for owner in world.owners:
+        if owner is not None:
+            await owner.stop()
+
+
+CORES_10, CAP_100, CAP_200 = Amounts(10_000, 0, 0), Amounts(100_000, 0, 0), Amounts(200_000, 0, 0)
+
+
+@given("two partitions, one of which runs 150 cores of an account without a cap")
+def run_without_cap(context):
+    async def scene():
+        world = CapWorld(Random(1))
+        await _open(world, 2, NOTHING)
+        world.queues[0] += [Task("x", CORES_10, 60.0)] * 15
+        world.plan(0)
+        await asyncio.sleep(10)
+        world.change_cap("x", CAP_200)
+        await asyncio.sleep(1)
+        world.queues[1] += [Task("x", CORES_10, 60.0)] * 10
+        await _run(world, 20)
+        return world
+
+    context.scene = scene
+
+
+@when("a cap of 200 cores is set, and the other partition has work for 100 cores")
+@when("a gang of 8 tasks of 10 cores is submitted in the other one, with a cap of 100 cores")
+@when("20 tasks of 10 cores are submitted after it")
+@when("nothing else of the account runs")
+def play_scene(context):
+    context.world = play(context.scene())
+
+
+@then("the account runs at most 200 cores from then on")
+def check_new_cap(context):
+    assert not context.world.violations, context.world.violations
+    assert context.world.started == 20, context.world.started
+
+
+@given("two partitions, one of which has steady work for the whole cap of an account")
+def build_rival(context):
+    async def scene():
+        world = CapWorld(Random(1))
+        await _open(world, 2, CAP_100)
+        world.queues[0] += [Task("x", CORES_10, 0.8)] * 600
+        context.gang = Task("x", CORES_10, 1.0, 8)
+        asyncio.get_running_loop().call_later(2.0, world.queues[1].append, context.gang)
+        await _run(world, 32)
+        return world
+
+    context.scene = scene
+
+
+@then("the gang starts within 30 seconds")
+def check_gang(context):
+    assert context.gang not in context.world.queues[1]
+    assert not context.world.violations
+
+
+@given("one partition with a gang of 12 tasks of 10 cores and a cap of 100 cores")
+def build_large_gang(context):
+    async def scene():
+        world = CapWorld(Random(1))
+        await _open(world, 1, CAP_100)
+        world.queues[0].append(Task("x", CORES_10, 1.0, 12))
+        world.queues[0] += [Task("x", CORES_10, 0.8)] * 20
+        await _run(world, 30)
+        return world
+
+    context.scene = scene
+
+
+@then("all 20 of them have been started within 30 seconds")
+def check_beside_gang(context):
+    assert context.world.started == 20, context.world.started
+
+
+@given("one partition with a task of 13 cores and 5 GB and a cap of 10 cores and 40 GB")
+def build_oversized(context):
+    async def scene():
+        world = CapWorld(Random(1))
+        await _open(world, 1, Amounts(10_000, 40_000, 0))
+        world.queues[0].append(Task("x", Amounts(13_000, 5_000, 0), 1.0))
+        await _run(world, 5)
+        return world
+
+    context.scene = scene
+
+
+@then("the task starts within 5 seconds")
+def check_oversized(context):
+    assert context.world.started == 1
+
+
+@given("a workflow of harbour with 4 running tasks of 10 cores that is cancelled")
+def cancel_workflow(context):
+    step = StepSpec(count=4, millicores=10_000, memory_mb=100)
+    spec = Workflow("0" * 16, "booking", "slots", 0, 1, 1.0, 0, "", (step,))
+    state = WorkflowState(spec, 0.0, 1_000, "harbour")
+    for task in state.steps[0, 0].tasks:
+        task.status, task.run, task.worker = ORDERED, 1, "w"
+    state.note_remaining(5_000)
+    state.state = CANCELLED
+    context.record = (state.identifier, state.encode())
+
+
+@when("the next owner reads its record")
+def take_over(context):
+    workflows = restore_workflows([context.record], 100.0, 7_000).workflows
+    context.usage = AccountUsage(workflows, lambda name: None)
+    context.usage.restore(100.0, 7_000)
+
+
+@then("40 cores of harbour may be running, and none 4 seconds later")
+def check_remaining(context):
+    for now, millicores in ((100.0, 40_000), (104.0, 0)):
+        context.usage.count_unsettled(now, [], [], [])
+        assert context.usage.measure("harbour").millicores == millicores
+
+
+@given("idle workers, and an account whose work waits for its cap")
+def build_capped_backlog(context):
+    step = StepSpec(count=32, millicores=10_000, memory_mb=100, estimate_ms=1_000)
+    workflows = {}
+    for number in range(20):
+        spec = Workflow(f"{number:016x}", "booking", "slots", 0, 1, 1.6, 600, "", (step,))
+        workflows[spec.identifier] = WorkflowState(spec, 0.0, 0, "harbour")
+    clock = SimpleNamespace(elapsed=lambda: timedelta())
+    context.demand = Demand(
+        workflows,
+        {},
+        {},
+        dict.fromkeys(workflows, 10.0),
+        RuntimeModel(),
+        clock,
+        lambda account: account == "harbour",
+    )
+
+
+@when("the backlog is measured for another account and for the same one")
+def measure_backlogs(context):
+    context.backlogs = [
+        context.demand.measure_backlog("booking", [], 20.0, account=account).total_core_seconds
+        for account in ("museum", "harbour")
+    ]
+
+
+@then("only the same one has a backlog")
+def check_backlogs(context):
+    assert context.backlogs[0] == 0 and context.backlogs[1] > 0, context.backlogs
+
+
 # -- weights -------------------------------------------------------------------------------------
 
 
--- a/packages/carawayd/src/carawayd/partition/accountstandings.py
+++ b/packages/carawayd/src/carawayd/partition/accountstandings.py
@@ -52,7 +52,9 @@
     def judge(
         self, identifier: str, account: str, capacities: Iterable[WorkerCapacity]
     ) -> Standing:
-        """Returns the standing of an account for a workflow; repeated submissions count once.
+        """Returns the standing of an account for a workflow.
+
+        One that is within the weight once stays so when it is submitted again.
 
         Parameters
         ----------
@@ -70,11 +72,11 @@
         if config is None:
             # The account has been removed, so nothing is owed to it.
             return Standing(beyond_weight=True)
-        known = self._judged.get(identifier)
-        if known is None:
-            known = (not self._rates.take(account, config.weight, self._now()), self._now())
-            self._judged[identifier] = known
-        return Standing(known[0], self._is_over_share(account, accounts, capacities))
+        is_beyond, _ = self._judged.get(identifier, (True, 0.0))
+        if is_beyond:
+            is_beyond = not self._rates.take(account, config.weight, self._now())
+            self._judged[identifier] = (is_beyond, self._now())
+        return Standing(is_beyond, self._is_over_share(account, accounts, capacities))
 
     def _is_over_share(
         self,
@@ -82,8 +84,9 @@
         accounts: Mapping[str, AccountConfig],
         capacities: Iterable[WorkerCapacity],
     ) -> bool:
-        used = {name: self._usage.measure(name) for name in self._usage.list_accounts()}
-        entries = [capacity.entry for capacity in capacities if capacity.expected]
+        usable = [capacity for capacity in capacities if capacity.expected]
+        used = self._usage.measure_workers(usable)
+        entries = [capacity.entry for capacity in usable]
         size = Amounts(
             sum(entry.millicores for entry in entries),
             sum(entry.memory_mb for entry in entries),
--- a/packages/carawayd/src/carawayd/partition/accountusage.py
+++ b/packages/carawayd/src/carawayd/partition/accountusage.py
@@ -11,10 +11,17 @@
 
     from carawayd.partition.workerlink import CallHistory, WorkerLink
     from carawayshore.workflows.model import TaskName
-    from carawayshore.workflows.placement import Usage
+    from carawayshore.workflows.placement import Usage, WorkerCapacity
     from carawayshore.workflows.state import WorkflowState
 
 
+# Time after a takeover for which the runs of workflows that ended shortly before count: until the
+# workers have reported and stopped them.
+STOPPING_SECONDS = 3.0
+# Age of such an end up to which its runs may not have been stopped.
+MAX_END_AGE_MS = 15_000
+
+
 class AccountUsage:
     """Counts the runs that hold capacity on workers, by account.
 
@@ -39,6 +46,9 @@
         self._used: dict[str, Amounts] = {}
         self._started: dict[str, Amounts] = {}
         self._unsettled: dict[str, Amounts] = {}
+        # Account and amounts of runs that an earlier owner was stopping, until a time of the clock.
+        self._stopping: list[tuple[str, Amounts]] = []
+        self._stopping_until = 0.0
         # Account and number of counted runs of each workflow: a workflow may be forgotten before
         # its last run has ended.
         self._accounts: dict[str, tuple[str, int]] = {}
@@ -63,8 +73,22 @@
         workflow = self._workflows.get(identifier)
         return workflow.account if workflow is not None else ""
 
+    def restore(self, now: float, unix_ms: int) -> None:
+        """Counts the runs of workflows that ended shortly before a takeover.
+
+        Their records tell no tasks. ``now`` is in seconds of the clock, ``unix_ms`` the same time.
+        """
+        self._stopping = [
+            (workflow.account, Amounts(*workflow.remaining[1:]))
+            for workflow in self._workflows.values()
+            if workflow.remaining is not None
+            and unix_ms - workflow.remaining.ended_unix_ms <= MAX_END_AGE_MS
+        ]
+        self._stopping_until = now + STOPPING_SECONDS
+
     def count_unsettled(
         self,
+        now: float,
         orphans: Iterable[TaskName],
         links: Iterable[WorkerLink],
         histories: Iterable[CallHistory],
@@ -73,6 +97,8 @@
 
         Parameters
         ----------
+        now : float
+            Seconds of the clock.
         orphans : iterable of TaskName
             Tasks that were ordered on workers without a link.
         links : iterable of WorkerLink
@@ -90,6 +116,8 @@
         for history in histories:
             names += [task for task, _ in history.late_starts.list_runs()]
         self._unsettled = {}
+        for account, amounts in self._stopping if now < self._stopping_until else ():
+            self._unsettled[account] = self._unsettled.get(account, NOTHING).add(amounts)
         for name in names:
             account, usage = self._find_account(name.workflow), self._find_usage(name)
             if account and usage is not None:
@@ -102,9 +130,19 @@
         return used.add(self._unsettled[account]) if account in self._unsettled else used
 
     def measure_started(self, account: str) -> Amounts:
-        """Returns what this process has started of an account, in sum."""
+        """Returns what has been reserved on workers for an account since the takeover, in sum."""
         return self._started.get(account, NOTHING)
 
+    def measure_workers(self, capacities: Iterable[WorkerCapacity]) -> dict[str, Amounts]:
+        """Returns what each account uses of some workers."""
+        used: dict[str, Amounts] = {}
+        for capacity in capacities:
+            for usage in capacity.usages.values():
+                account = self._find_account(usage.group[0])
+                if account:
+                    used[account] = used.get(account, NOTHING).add(usage.requested)
+        return used
+
     def list_accounts(self) -> set[str]:
         """Returns the accounts of which something may be running."""
         return self._used.keys() | self._unsettled.keys()
--- a/packages/carawayd/src/carawayd/partition/admissions.py
+++ b/packages/carawayd/src/carawayd/partition/admissions.py
@@ -130,7 +130,11 @@
             )
         due = first + request.objective_seconds
         backlog = self._demand.measure_backlog(
-            spec.service, capacities, due, with_beyond_weight=standing.beyond_weight
+            spec.service,
+            capacities,
+            due,
+            account=account,
+            with_beyond_weight=standing.beyond_weight,
         )
         decision = decide_admission(request, backlog, self._random.random())
         fields = {
--- a/packages/carawayd/src/carawayd/partition/capshares.py
+++ b/packages/carawayd/src/carawayd/partition/capshares.py
@@ -13,12 +13,13 @@
 
 import asyncio
 import logging
+from collections import Counter
 from datetime import timedelta
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
-import msgspec
 from mode import Service
 
+from carawayd.partition.caprecords import PartitionShares, decode_shares, encode_shares
 from carawayd.platform.common import PlatformError, PlatformRefusal
 from carawayd.platform.store import (
     KeyedRecord,
@@ -29,14 +30,14 @@
 from carawayd.process.workflowmetrics import MAX_COUNTED_ACCOUNTS, OTHER_ACCOUNTS
 from carawayd.supervision import supervised_task
 from carawayd.unreadable import unreadable_records
-from carawayshore.decoding import Count, MalformedDocument, decode_json, parse_count
+from carawayshore.decoding import MalformedDocument, reject
 from carawayshore.workflows.amounts import NOTHING, Amounts
 from carawayshore.workflows.capshares import (
-    Goal,
     Holding,
     Need,
     compute_limit,
     count_startable,
+    exceeds,
     limits_nothing,
     may_take,
     plan_share,
@@ -61,9 +62,11 @@
 # Interval at which it is looked whether there are caps.
 IDLE_INTERVAL = timedelta(milliseconds=250)
 # Shortest interval between two records of a partition.
-RECORD_INTERVAL = timedelta(milliseconds=40)
-# Longest interval between two looks at what the shares should be.
+RECORD_INTERVAL = timedelta(milliseconds=60)
+# Longest interval between two looks at what the shares should be: while an account has a goal, and
+# otherwise.
 ADJUST_INTERVAL_SECONDS = 0.1
+CALM_ADJUST_INTERVAL_SECONDS = 0.5
 # Time after which the unmet goal of a partition that does not take what is free is not waited for:
 # its owner may be gone.
 GOAL_PATIENCE_SECONDS = 1.5
@@ -73,43 +76,8 @@
 MAX_LOGGED_ACCOUNTS = 10
 
 
-class _HoldingRow(msgspec.Struct, array_like=True):
-    share: tuple[Count, Count, Count]
-    goal: tuple[Count, Count, Count] | None = None
-    since: Count = 0
-
-
-class _ShareRecord(msgspec.Struct, array_like=True):
-    epoch: Count
-    accounts: dict[str, _HoldingRow]
-
-
-class PartitionShares(NamedTuple):
-    """Record of one partition; ``holdings`` is None if it cannot be read."""
-
-    epoch: int
-    holdings: dict[str, Holding] | None
-
-
-def _encode(record: PartitionShares) -> bytes:
-    rows = {
-        account: [item.share, *((item.goal.amounts, item.goal.since) if item.goal else ())]
-        for account, item in record.holdings.items()
-    }
-    return msgspec.json.encode([record.epoch, rows])
-
-
-def _decode(value: bytes) -> PartitionShares:
-    record = decode_json(value, _ShareRecord)
-    return PartitionShares(
-        record.epoch,
-        {
-            account: Holding(
-                Amounts(*row.share), Goal(Amounts(*row.goal), row.since) if row.goal else None
-            )
-            for account, row in record.accounts.items()
-        },
-    )
+def _multiply(amounts: Amounts, count: int) -> Amounts:
+    return Amounts(*(amount * count for amount in amounts))
 
 
 class CapShares(Service):
@@ -117,7 +85,8 @@
 
     Parameters
     ----------
-    partition : int
+    partition, partitions : int
+        Number of the partition, and of all partitions of the workflows.
     store : StoreClient
     usage : AccountUsage
     list_accounts : callable
@@ -133,6 +102,7 @@
     def __init__(
         self,
         partition: int,
+        partitions: int,
         *,
         store: StoreClient,
         usage: AccountUsage,
@@ -144,6 +114,7 @@
     ) -> None:
         super().__init__()
         self.partition = partition
+        self._partitions = partitions
         self._store = store
         self._usage = usage
         self._list_accounts = list_accounts
@@ -166,10 +137,14 @@
         self._waiting_since: dict[str, float] = {}
         # For each account with a goal, when it was published and what had been started in sum.
         self._bases: dict[str, tuple[int, Amounts]] = {}
-        # Time since which each partition has not taken what is free for its goal.
-        self._stale_since: dict[tuple[int, str], float] = {}
-        # Limits that have been computed since the records or the plan changed.
+        # Partitions that have not taken what is free for their goals, by account: the holding, and
+        # since when it has been so. It is kept until the holding changes.
+        self._stale: dict[str, dict[int, tuple[Holding, float]]] = {}
+        # Limits that have been computed since what they depend on changed.
         self._limits: dict[str, Amounts] = {}
+        # What all partitions hold of each account, and the number of their goals.
+        self._totals: dict[str, Amounts] = {}
+        self._goal_counts: Counter[str] = Counter()
         # Caps of the accounts of one version of the configuration.
         self._caps: tuple[Mapping[str, AccountConfig] | None, dict[str, Amounts]] = (None, {})
         self._reported_at = -REPORT_INTERVAL_SECONDS
@@ -188,6 +163,8 @@
                 {name: cap for name, cap in caps.items() if not limits_nothing(cap)},
             )
             self._limits.clear()
+            # What runs already has to be in the records before others raise their shares.
+            self._wake.set()
         return self._caps[1]
 
     # -- planning --------------------------------------------------------------------------------
@@ -195,10 +172,17 @@
     def begin_plan(self) -> None:
         """Begins to note which tasks wait for a cap."""
         self._found = {}
-        self._limits.clear()
+        self._list_caps()
+
+    def end_plan(self, *, is_complete: bool = True) -> None:
+        """Takes over what the plan has found; the shares are adjusted if it is new.
 
-    def end_plan(self) -> None:
-        """Takes over what the plan has found; the shares are adjusted if it is new."""
+        A plan that has not looked at all steps may have missed some that still wait.
+        """
+        if not is_complete:
+            self._found = self._waiting | self._found
+        for account in self._waiting.keys() ^ self._found.keys():
+            self._limits.pop(account, None)
         if self._found != self._waiting:
             self._waiting = self._found
             self._wake.set()
@@ -206,27 +190,44 @@
         self._waiting_since = {name: since.get(name, self._now()) for name in self._waiting}
 
     def count_startable(
-        self, account: str, requested: Amounts, count: int, *, only_all: bool = False
+        self, account: str, requested: Amounts, count: int, *, is_gang: bool = False
     ) -> int:
         """Returns how many of ``count`` like tasks of an account may start now.
 
-        ``only_all`` tells that the tasks start together or not at all.
+        The tasks of a gang start together or not at all.
         """
         cap = self._list_caps().get(account) if account else None
         if cap is None:
             return count
-        used = self._usage.measure(account)
+        if account in self._found and self._must_keep_order(account):
+            return 0
         limit = self._limits.get(account)
         if limit is None:
             limit = self._limits[account] = self._compute_limit(account, cap)
-        startable = count_startable(requested, used, limit, cap, count)
-        if account in self._found and self._must_keep_order(account):
-            startable = 0
-        if startable < count and only_all:
-            startable = 0
-        if startable < count:
-            self._note_waiting(account, requested, count - startable)
-        return startable
+        used = self._usage.measure(account)
+        if not is_gang:
+            return count_startable(requested, used, limit, cap, count)
+        total = _multiply(requested, count)
+        # A gang that is larger than the cap would exceed it by more than one task.
+        if exceeds(total, cap, cap):
+            return 0
+        return count * count_startable(total, used, limit, cap, 1)
+
+    def note_waiting(
+        self, account: str, requested: Amounts, count: int, *, is_gang: bool = False
+    ) -> None:
+        """Notes that tasks wait for the cap of their account although workers have room."""
+        cap = self._list_caps().get(account)
+        total = _multiply(requested, count)
+        if cap is None or (is_gang and exceeds(total, cap, cap)):
+            return
+        found = self._found.get(account)
+        if found is None:
+            self._found[account] = Need(NOTHING, total, total if is_gang else requested)
+            if account not in self._waiting:
+                self._limits.pop(account, None)
+        else:
+            self._found[account] = found._replace(waiting=found.waiting.add(total))
 
     def _must_keep_order(self, account: str) -> bool:
         """Returns whether no task may pass the first one that waits for the cap of its account.
@@ -252,13 +253,6 @@
             "limit": self._compute_limit(account, cap),
         }
 
-    def _note_waiting(self, account: str, requested: Amounts, count: int) -> None:
-        found = self._found.get(account)
-        waiting = Amounts(*(amount * count for amount in requested))
-        if found is not None:
-            waiting, requested = waiting.add(found.waiting), found.first
-        self._found[account] = Need(NOTHING, waiting, requested)
-
     def _compute_limit(self, account: str, cap: Amounts) -> Amounts:
         if not self._is_claimed:
             return NOTHING
@@ -286,8 +280,8 @@
         now = self._now()
         return [
             partition
-            for (partition, name), since in self._stale_since.items()
-            if name == account and now - since > GOAL_PATIENCE_SECONDS
+            for partition, (_, since) in self._stale.get(account, {}).items()
+            if now - since > GOAL_PATIENCE_SECONDS
         ]
 
     # -- records ---------------------------------------------------------------------------------
@@ -311,9 +305,11 @@
                 await self._clock.sleep(RETRY_INTERVAL)
 
     async def _read(self) -> None:
+        started_at = self._clock.elapsed()
         if self._end is None:
             latest = await self._store.read_latest(CAPS_TOPIC, CAPS_PARTITION)
-            self._records.clear()
+            for partition in list(self._records):
+                self._set_record(partition, None)
             self._apply(latest.records, latest.end)
             return
         try:
@@ -326,46 +322,95 @@
         # An append of this process may have moved the end on meanwhile.
         if self._end is not None and tail.end > self._end:
             self._apply(tail.records, tail.end)
+        elif self._clock.elapsed() - started_at < RETRY_INTERVAL:
+            # The store did not wait.
+            await self._clock.sleep(RETRY_INTERVAL)
 
     def _apply(self, records: list[KeyedRecord], end: int) -> None:
         for record in records:
-            try:
-                partition = parse_count(record.key)
-                self._records[partition] = _decode(record.value)
-            except MalformedDocument as error:
-                unreadable_records.note(CAPS_TOPIC, record.key, error)
-                if record.key.isdecimal() and len(record.key) < 10:
-                    self._records[int(record.key)] = PartitionShares(0, None)
+            if not record.key.isdecimal() or int(record.key[:9]) >= self._partitions:
+                unreadable_records.note(
+                    CAPS_TOPIC, record.key, reject("", record.key, "the number of a partition")
+                )
+                continue
+            partition, decoded = int(record.key), None
+            if record.value:
+                try:
+                    decoded = decode_shares(record.value)
+                except MalformedDocument as error:
+                    unreadable_records.note(CAPS_TOPIC, record.key, error)
+                    decoded = PartitionShares(0, None)
+            self._set_record(partition, decoded)
         self._end = end
         if end > self._pending_end:
             # The record at that offset has been read, so no append on its condition can follow.
             self._pending.clear()
+            self._limits.clear()
         self._handle_new_shares()
 
     def _handle_new_shares(self) -> None:
-        self._limits.clear()
         self._wake.set()
         if self._waiting:
             self._handle_change()
 
-    def _note_stale_goals(self) -> None:
+    def _set_record(self, partition: int, record: PartitionShares | None) -> None:
+        """Sets the record of a partition, None if it has none, and the sums over all partitions."""
+        if partition == self.partition:
+            self._limits.clear()
+        former = self._records.pop(partition, None)
+        if record is not None:
+            self._records[partition] = record
+        before = (former.holdings if former is not None else None) or {}
+        after = (record.holdings if record is not None else None) or {}
+        for account in before.keys() | after.keys():
+            old, new = before.get(account, Holding()), after.get(account, Holding())
+            if old == new:
+                continue
+            self._limits.pop(account, None)
+            total = self._totals.get(account, NOTHING).add(new.share).add(old.share, -1)
+            self._totals[account] = total
+            self._goal_counts[account] += (new.goal is not None) - (old.goal is not None)
+            if total == NOTHING:
+                del self._totals[account]
+            if not self._goal_counts[account]:
+                del self._goal_counts[account]
+        if any(item is not None and item.holdings is None for item in (former, record)):
+            # What an unreadable record holds is not in the sums.
+            self._limits.clear()
+
+    def _note_stale_goals(self, caps: dict[str, Amounts]) -> None:
         """Notes since when partitions have not taken what is free for their goals."""
-        now, stale, caps = self._now(), {}, self._list_caps()
-        for partition, record in self._records.items():
-            for account, item in (record.holdings or {}).items():
-                cap = caps.get(account)
-                if partition == self.partition or cap is None or item.goal is None:
+        now, stale = self._now(), {}
+        for account in self._goal_counts:
+            cap = caps.get(account)
+            if cap is None:
+                continue
+            holdings = self._list_holdings(account, cap)
+            known = self._stale.get(account, {})
+            found = {}
+            for partition, item in holdings.items():
+                if partition == self.partition or item.goal is None:
                     continue
-                if may_take(item, self._list_holdings(account, cap), cap):
-                    key = (partition, account)
-                    stale[key] = self._stale_since.get(key, now)
-        self._stale_since = stale
+                former = known.get(partition)
+                is_ignored = former is not None and now - former[1] > GOAL_PATIENCE_SECONDS
+                if former is not None and former[0] != item:
+                    former, is_ignored = None, False
+                if is_ignored or may_take(item, holdings, cap):
+                    found[partition] = former or (item, now)
+            if found:
+                stale[account] = found
+            if found or known:
+                self._limits.pop(account, None)
+        self._stale = stale
 
     @supervised_task
     async def _adjust_repeatedly(self) -> None:
         while not self.should_stop:
             try:
-                async with asyncio.timeout(ADJUST_INTERVAL_SECONDS):
+                is_calm = not self._goal_counts and not self._waiting
+                async with asyncio.timeout(
+                    CALM_ADJUST_INTERVAL_SECONDS if is_calm else ADJUST_INTERVAL_SECONDS
+                ):
                     await self._wake.wait()
             except TimeoutError:
                 pass
@@ -385,18 +430,20 @@
             return
         if not self._is_claimed:
             self._claim = epoch
-        self._note_stale_goals()
+            self._limits.clear()
+        self._note_stale_goals(caps)
         planned = PartitionShares(self._claim, self._plan_holdings(caps))
         self._report(planned)
-        if own == planned or (own is None and not planned.holdings):
-            return
         end = self._end
+        has_pending = bool(self._pending) and end == self._pending_end
+        if not has_pending and (own == planned or (own is None and not planned.holdings)):
+            return
         if end != self._pending_end:
             self._pending.clear()
         self._pending.append(planned)
         self._pending_end = end
         self._limits.clear()
-        record = KeyedRecord(str(self.partition), _encode(planned))
+        record = KeyedRecord(str(self.partition), encode_shares(planned))
         try:
             new_end = await self._store.append(
                 CAPS_TOPIC, CAPS_PARTITION, encode_records([record]), expected_end=end
@@ -405,10 +452,15 @@
             # The pending record holds until the records up to its offset have been read.
             await self._clock.sleep(RETRY_INTERVAL)
             return
-        except PlatformRefusal:
+        except PlatformRefusal as refusal:
             # Nothing was appended, but an earlier append without an answer may still be.
             if planned in self._pending:
                 self._pending.remove(planned)
+            self._limits.clear()
+            logger.info(
+                "the store refused the shares of caps; trying again",
+                extra={"fields": {"partition": self.partition, "error": str(refusal)}},
+            )
             await self._clock.sleep(RETRY_INTERVAL)
             return
         except PlatformError as error:
@@ -422,9 +474,10 @@
         if self._end is None or self._end > end:
             # The records have been read anew meanwhile, this one among them.
             return
-        self._records[self.partition] = planned
+        self._set_record(self.partition, planned)
         self._end = new_end
         self._pending.clear()
+        self._limits.clear()
         self._handle_new_shares()
 
     def _plan_holdings(self, caps: dict[str, Amounts]) -> dict[str, Holding]:
@@ -432,26 +485,38 @@
         former = (record.holdings or {}) if record is not None else {}
         planned = {}
         names = former.keys() | self._waiting.keys() | self._usage.list_accounts()
-        for account in sorted(names & caps.keys()):
-            waiting = self._waiting.get(account, Need())
-            cap = caps[account]
-            holdings = self._list_holdings(account, cap)
-            if record is not None and record.holdings is None:
-                holdings[self.partition] = Holding(self._usage.measure(account))
-            holding = plan_share(
-                self.partition,
-                holdings,
-                waiting._replace(
-                    used=self._usage.measure(account), started=self._measure_started(account)
-                ),
-                cap,
-                self._end,
-                self._list_ignored(account),
-            )
+        for account in names & caps.keys():
+            holding, cap = former.get(account, Holding()), caps[account]
+            if self._may_change(account, holding, cap):
+                holding = self._plan_holding(account, cap)
             if holding != Holding():
                 planned[account] = holding
         return planned
 
+    def _may_change(self, account: str, holding: Holding, cap: Amounts) -> bool:
+        """Returns whether the holding of an account may have to change."""
+        return (
+            account in self._waiting
+            or account in self._goal_counts
+            or exceeds(self._usage.measure(account), holding.share, cap)
+            or exceeds(self._totals.get(account, NOTHING), cap, cap)
+        )
+
+    def _plan_holding(self, account: str, cap: Amounts) -> Holding:
+        waiting, used = self._waiting.get(account, Need()), self._usage.measure(account)
+        holdings = self._list_holdings(account, cap)
+        record = self._records.get(self.partition)
+        if record is not None and record.holdings is None:
+            holdings[self.partition] = Holding(used)
+        return plan_share(
+            self.partition,
+            holdings,
+            waiting._replace(used=used, started=self._measure_started(account)),
+            cap,
+            self._end,
+            self._list_ignored(account),
+        )
+
     def _measure_started(self, account: str) -> Amounts:
         """Returns what has been started since the goal of an account was published."""
         record = self._records.get(self.partition)
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -11,6 +11,8 @@
 from carawayshore.workflows.state import WAITING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
     from carawayshore.workflows.placement import WorkerCapacity
@@ -77,6 +79,8 @@
         owner.
     runtimes : RuntimeModel
     clock : Clock
+    is_held_back : callable, optional
+        Returns whether tasks of a client account wait for its cap.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         due: dict[str, float],
         runtimes: RuntimeModel,
         clock: Clock,
+        is_held_back: Callable[[str], bool] = lambda account: False,
     ) -> None:
         self._workflows = workflows
         self._links = links
@@ -94,6 +99,7 @@
         self._due = due
         self._runtimes = runtimes
         self._clock = clock
+        self._is_held_back = is_held_back
         # Cores that each service may get soon, as last reported by the fleet manager.
         self.upcoming_cores: dict[str, float] = {}
         self._offered_loads: dict[str, list[_OfferedLoad]] = {}
@@ -128,12 +134,14 @@
         capacities: list[WorkerCapacity],
         due: float,
         *,
+        account: str = "",
         with_beyond_weight: bool = True,
     ) -> Backlog:
         """Returns the backlog ahead of a workflow due at ``due``, in seconds of the clock.
 
-        ``with_beyond_weight`` tells whether waiting work beyond the weights of the client accounts
-        is counted, which is placed after other work.
+        Work that waits for the cap of another client account than ``account`` is not counted.
+        ``with_beyond_weight`` tells whether work beyond the weights of accounts is counted, which
+        is placed after other work.
         """
         now = self._now()
         usable = [
@@ -149,7 +157,7 @@
             # Claimed room is for long-running tasks, too.
             cores += max(0, capacity.entry.millicores - long_running - capacity.claimed_millicores)
             running += sum(usage.millicores for usage in usages if not usage.long_running)
-        waiting = self._measure_waiting_work(service, due, with_beyond_weight)
+        waiting = self._measure_waiting_work(service, due, account, with_beyond_weight)
         remaining = running / 1000 * waiting.longest_seconds * REMAINING_SHARE
         return Backlog(
             cores / 1000,
@@ -161,7 +169,7 @@
         )
 
     def _measure_waiting_work(
-        self, service: str, due: float, with_beyond_weight: bool
+        self, service: str, due: float, account: str, with_beyond_weight: bool
     ) -> _WaitingWork:
         """Returns the waiting work of a service, in total and as far as it precedes ``due``."""
         now = self._now()
@@ -175,6 +183,8 @@
                 continue
             if workflow.beyond_weight and not with_beyond_weight:
                 continue
+            if workflow.account != account and self._is_held_back(workflow.account):
+                continue
             count += 1
             objective_sum += other_due - workflow.submitted
             for step in workflow.steps.values():
@@ -281,6 +291,8 @@
             workflow = self._workflows[key[0]]
             if step.spec.best_effort or workflow.spec.service != service:
                 continue
+            if self._is_held_back(workflow.account):
+                continue
             count = sum(task.status == WAITING for task in step.tasks)
             cores = count * step.spec.millicores / 1000
             if step.spec.long_running:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -238,7 +238,13 @@
         self._claims = Claims(self.links, self._find_task, self._runtimes, clock)
         self._account_usage = AccountUsage(self.workflows, self.find_usage)
         self._demand = Demand(
-            self.workflows, self.links, self._open_steps, self._deadlines, self._runtimes, clock
+            self.workflows,
+            self.links,
+            self._open_steps,
+            self._deadlines,
+            self._runtimes,
+            clock,
+            lambda account: self._cap_shares.is_waiting(account),
         )
         self._admissions = AdmissionControl(
             self.links,
@@ -258,10 +264,11 @@
         self._advisor = Advisor(advice, clock, self._wake.set)
         self._cap_shares = CapShares(
             partition,
+            settings.partitions,
             store=store,
             usage=self._account_usage,
             list_accounts=discovery.list_accounts,
-            get_epoch=lambda: self.fence if self._has_written and not self.lost else None,
+            get_epoch=lambda: self.fence if self.may_renew() else None,
             handle_change=self._wake.set,
             clock=clock,
             metrics=metrics,
@@ -452,6 +459,7 @@
                 "record of a workflow or step cannot be read",
                 extra={"fields": {"key": key, "partition": self.partition, "epoch": self.fence}},
             )
+        self._account_usage.restore(now, self._unix_ms())
         self._count_unsettled_runs()
         self.loaded = True
         self._loaded_at = self._now()
@@ -473,7 +481,7 @@
     def _count_unsettled_runs(self) -> None:
         if self._discovery.list_accounts() is not None:
             self._account_usage.count_unsettled(
-                self._orphans, self.links.values(), self._call_histories.values()
+                self._now(), self._orphans, self.links.values(), self._call_histories.values()
             )
 
     def _open_closed_steps(self) -> None:
@@ -727,6 +735,8 @@
             self._ended_workers[link.worker] = link.entry
         born = self.find_recorded_start(link.worker)
         self._losses.handle_loss(link, runs, born, self.fence, restarted=restarted)
+        # Orders without an answer no longer hold room on the link, but may still be carried out.
+        self._count_unsettled_runs()
 
     def _give_up(
         self, workflow: WorkflowState, name: TaskName, losses: Sequence[WorkerLoss]
@@ -1032,6 +1042,7 @@
 
     def _end_workflow(self, workflow: WorkflowState, state: str, why: str) -> None:
         """Records the end of a workflow and stops its running tasks."""
+        workflow.note_remaining(self._unix_ms())
         workflow.state = state
         workflow.ended = self._now()
         self._advisor.forget_workflow(workflow.identifier)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -179,6 +179,8 @@
         capacities_by_service: dict[str, list[WorkerCapacity]] = {}
         for _, key in ranked:
             if limit <= 0:
+                if self._cap_shares is not None:
+                    self._cap_shares.end_plan(is_complete=False)
                 return
             workflow, step = self._workflows[key[0]], self._open_steps[key]
             service = workflow.spec.service
@@ -261,7 +263,13 @@
     def list_candidates(
         self, workflow: WorkflowState, step: StepState, name: TaskName
     ) -> list[WorkerCapacity]:
-        """Returns the workers on which a long-running task may be placed next."""
+        """Returns the workers on which a long-running task may be placed next.
+
+        None if it waits and the cap of its client account does not let it start.
+        """
+        is_waiting = step.tasks[name.index].status == WAITING
+        if is_waiting and not self._count_startable(workflow, step, name[:3], 1):
+            return []
         capacities = self._list_usable(workflow.spec.service)
         if workflow.spec.advice is not None:
             tickets = self._advisor.find_tickets(name[:3])
@@ -329,14 +337,11 @@
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
         elif self._is_unplaceable(workflow, step):
             return None
-        if workflow.account and self._cap_shares is not None:
-            requested = compute_usage(TaskName(*key, waiting[0]), spec).requested
-            count = min(limit, len(waiting))
-            limit = self._cap_shares.count_startable(
-                workflow.account, requested, count, only_all=spec.gang
-            )
-            if limit == 0:
-                return None
+        capped = self._count_startable(workflow, step, key, min(limit, len(waiting)))
+        if not capped:
+            self._note_waiting_for_cap(workflow, step, key, len(waiting), capacities, now)
+            return None
+        is_capped, limit = capped < min(limit, len(waiting)), min(limit, capped)
         claims = self._claims.describe(key) if spec.gang else {}
         chosen = self._choose_workers(step, key, waiting, capacities, now, limit)
         if spec.gang and len(chosen) < len(waiting):
@@ -346,7 +351,11 @@
             chosen = []
         if len(chosen) < min(limit, len(waiting)):
             placed = {name.index for _, name in chosen}
-            self._claim_room(key, step, [i for i in waiting if i not in placed], capacities)
+            left = [index for index in waiting if index not in placed]
+            self._claim_room(key, step, left[: limit - len(chosen)], capacities)
+        elif is_capped:
+            left_count = len(waiting) - len(chosen)
+            self._note_waiting_for_cap(workflow, step, key, left_count, capacities, now)
         if not chosen:
             return None
         run = max((task.run for task in step.tasks), default=0) + 1 if spec.gang else 0
@@ -356,6 +365,40 @@
             self._rejections.record_placement(name, capacity.entry.worker, failures)
         return StepPlacement(workflow, step, chosen, run, tickets, len(waiting) - len(chosen))
 
+    def _count_startable(
+        self, workflow: WorkflowState, step: StepState, key: StepKey, count: int
+    ) -> int:
+        """Returns how many of ``count`` waiting tasks the cap of their account lets start."""
+        if not workflow.account or self._cap_shares is None:
+            return count
+        requested = compute_usage(TaskName(*key, 0), step.spec).requested
+        return self._cap_shares.count_startable(
+            workflow.account, requested, count, is_gang=step.spec.gang
+        )
+
+    def _note_waiting_for_cap(
+        self,
+        workflow: WorkflowState,
+        step: StepState,
+        key: StepKey,
+        count: int,
+        capacities: list[WorkerCapacity],
+        now: float,
+    ) -> None:
+        """Notes that tasks wait for the cap of their account, if a worker has room for one of them.
+
+        Without room, a larger share would be of no use, and others could not use it.
+        """
+        usage = compute_usage(TaskName(*key, 0), step.spec)
+        if step.spec.long_running:
+            # The room that is kept for them is of use to others meanwhile.
+            for index in range(len(step.tasks)):
+                self._claims.end(TaskName(*key, index))
+        if choose_worker(capacities, step.spec, usage, now) is not None:
+            self._cap_shares.note_waiting(
+                workflow.account, usage.requested, count, is_gang=step.spec.gang
+            )
+
     def _choose_workers(
         self,
         step: StepState,
--- a/packages/carawayd/src/carawayd/platform/documents.py
+++ b/packages/carawayd/src/carawayd/platform/documents.py
@@ -133,7 +133,8 @@
     routes: NotRequired[list[_RouteDocument] | None]
     services: NotRequired[list[_ServiceDocument] | None]
     limits: NotRequired[_LimitsDocument | None]
-    tenants: NotRequired[list[_AccountDocument] | None]
+    # Not null: without accounts no call needs a key.
+    tenants: NotRequired[list[_AccountDocument]]
 
 
 class _CapacityDocument(TypedDict):
@@ -203,6 +204,10 @@
     accounts = {}
     for number, item in enumerate(tenants):
         _check_name(item["name"], f"/tenants/{number}/name")
+        if item["name"] in accounts:
+            raise reject(
+                f"/tenants/{number}/name", item["name"], "a name that no other account has"
+            )
         cap, weight = item.get("cap") or {}, item.get("weight")
         accounts[item["name"]] = AccountConfig(
             item["name"],
--- a/packages/carawayd/src/carawayd/process/configrelay.py
+++ b/packages/carawayd/src/carawayd/process/configrelay.py
@@ -1,5 +1,7 @@
 """Passes the configuration on to entry hosts that the store turns away while it serves others.
 
+Only a configuration with client accounts is passed on, since its keys may be withdrawn.
+
 Load pattern: the store rejects a third of the entry hosts for some seconds and serves the others,
 and meanwhile the operator withdraws keys. The rejected hosts keep answering callers, so they ask
 the owners of partitions for a later version.
@@ -31,6 +33,8 @@
 # Longer than a long poll of the configuration, whose answer renews the contact with the store.
 MAX_CONTACT_AGE = timedelta(seconds=1.2)
 INTERVAL = timedelta(seconds=0.5)
+# Age at which the list of the owners of partitions is read again.
+DIRECTORY_INTERVAL = timedelta(seconds=10)
 CALL_TIMEOUT_SECONDS = 0.8
 # Name of the peers' records in metrics and log lines.
 PEER_RECORDS = "peers"
@@ -78,8 +82,12 @@
     @supervised_task
     async def _follow(self) -> None:
         while not self.should_stop:
-            if not self._discovery.has_contact(MAX_CONTACT_AGE):
-                await self._ask_peer()
+            if self._discovery.list_accounts() is not None:
+                if self._discovery.has_contact(MAX_CONTACT_AGE):
+                    # The peers have to be known before contact is lost.
+                    self._ownership.refresh_directory(DIRECTORY_INTERVAL)
+                else:
+                    await self._ask_peer()
             await self._clock.sleep(INTERVAL)
 
     async def _ask_peer(self) -> None:
--- a/packages/carawayd/src/carawayd/process/ownership.py
+++ b/packages/carawayd/src/carawayd/process/ownership.py
@@ -172,12 +172,12 @@
 
     async def find_address(self, partition: int, *, refresh: bool = False) -> str | None:
         """Returns the address of the entry host that owns a partition, None if it is unknown."""
-        due = self._refresh_directory(DIRECTORY_REFRESH_INTERVAL if refresh else DIRECTORY_INTERVAL)
+        due = self.refresh_directory(DIRECTORY_REFRESH_INTERVAL if refresh else DIRECTORY_INTERVAL)
         if due and (refresh or partition not in self._addresses_by_partition):
             await asyncio.wait([self._directory_task], timeout=DIRECTORY_WAIT_SECONDS)
         return self._addresses_by_partition.get(partition)
 
-    def _refresh_directory(self, interval: timedelta) -> bool:
+    def refresh_directory(self, interval: timedelta) -> bool:
         """Starts reading the owners if the last read is older than ``interval``; returns if so."""
         now = self._clock.elapsed()
         if self._directory_at is not None and now - self._directory_at <= interval:
@@ -221,7 +221,7 @@
     async def _update_candidacy(self) -> None:
         """Joins or leaves the group, depending on the cores of the present owners."""
         if self._settings.cores < MIN_OWNER_CORES:
-            self._refresh_directory(NON_MEMBER_DIRECTORY_INTERVAL)
+            self.refresh_directory(NON_MEMBER_DIRECTORY_INTERVAL)
         view = GroupView(
             self._settings.cores,
             self._is_candidate,
@@ -277,7 +277,7 @@
         wanted = {number for number in assigned if self._discovery.list_services(number)}
         self._discovery.needs_workers = bool(wanted)
         if changed and wanted:
-            self._refresh_directory(DIRECTORY_REFRESH_INTERVAL)
+            self.refresh_directory(DIRECTORY_REFRESH_INTERVAL)
         if self.fleet is not None:
             await self.fleet.set_holder((FLEET_TOPIC, 0) in membership.partitions, self._generation)
             if self.fleet.fenced:
--- a/packages/carawayd/src/carawayd/request/workflows.py
+++ b/packages/carawayd/src/carawayd/request/workflows.py
@@ -121,7 +121,9 @@
             return _build_response(404, {"error": "no such queue"})
         caller = identify_caller(deployment, queue, request.headers.get(AUTHORIZATION_HEADER, ""))
         if not caller.accepted:
-            return _build_response(401, {"error": "the key is not known"})
+            response = _build_response(401, {"error": "the key is not known"})
+            response.headers["WWW-Authenticate"] = "Token"
+            return response
         identifier = request.path[len(queue.prefix) :].strip("/")
         timeout = self._read_timeout(request)
         if request.method == "GET" and not identifier:
--- a/packages/carawayshore/src/carawayshore/workflows/capshares.py
+++ b/packages/carawayshore/src/carawayshore/workflows/capshares.py
@@ -3,7 +3,8 @@
 Load pattern: the queues of an account are in several partitions, each with an owner of its own, and
 burst in turn. The account may run only so much on all workers together, which no owner sees. Each
 partition therefore holds a share of the cap and starts tasks within it. The sum of the shares grows
-only while it is below the cap, so no order of messages, failures or pauses exceeds it.
+only while it is below the cap, so no order of messages, failures or pauses exceeds it. What runs
+already when a cap appears or falls is in the shares all the same, so that nobody starts more.
 
 A partition that needs more than its share publishes a goal. Goals are met in the order in which
 they were published: whoever holds an unused share returns it to the oldest goal, and a partition
@@ -56,11 +57,11 @@
     used : Amounts
         What may be running.
     waiting : Amounts
-        What the tasks need that wait for the cap alone.
+        What the tasks need that wait for the cap although workers have room for them.
     first : Amounts
-        What the first of these tasks needs.
+        What the first of these tasks needs, or all tasks of its gang.
     started : Amounts
-        What has been started since the goal was published, in sum.
+        What has been reserved on workers since the goal was published, in sum.
     """
 
     used: Amounts = NOTHING
@@ -92,7 +93,8 @@
 ) -> Holding:
     """Decides which share of a cap a partition is to hold, and its goal.
 
-    The share is never below what may be running, and is raised only by what no partition holds.
+    The share is never below what may be running. Beyond that it is raised only by what no partition
+    holds.
 
     Parameters
     ----------
@@ -110,6 +112,11 @@
         Partitions whose goals are not waited for, since nobody has acted on them for some time.
     """
     own = holdings.get(partition, Holding())
+    covered = _map(
+        lambda held, used, bound: max(held, used) if bound else 0, own.share, need.used, cap
+    )
+    own = own._replace(share=covered)
+    holdings = {**holdings, partition: own}
     has_waiting = need.waiting != NOTHING
     owed = _measure_owed(partition, holdings, cap, ignored, has_waiting=has_waiting)
     free = _measure_free(holdings, cap)
@@ -186,16 +193,15 @@
 ) -> int:
     """Returns how many of ``count`` like tasks may start within a limit.
 
-    A task that is larger than the cap itself starts alone, by a partition that holds all of it.
+    A task that is larger than the cap starts alone, by a partition that holds all of it.
     """
-    if exceeds(requested, cap, cap):
-        return int(used == NOTHING and not exceeds(cap, limit, cap))
-    counts = [
-        (allowed - taken) // amount
-        for amount, taken, allowed, bound in zip(requested, used, limit, cap, strict=True)
-        if bound and amount
-    ]
-    return max(0, min([count, *counts]))
+    counts = [count]
+    for amount, taken, allowed, bound in zip(requested, used, limit, cap, strict=True):
+        if bound and amount > bound:
+            counts.append(int(taken == 0 and allowed >= bound))
+        elif bound and amount:
+            counts.append((allowed - taken) // amount)
+    return max(0, min(counts))
 
 
 def _measure_owed(
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -22,6 +22,7 @@
     parse_count,
     reject,
 )
+from carawayshore.workflows.amounts import NOTHING, Amounts
 from carawayshore.workflows.crashes import WorkerLoss
 from carawayshore.workflows.model import MAX_TASKS, StepSpec, TaskName, Workflow, check_steps
 
@@ -192,6 +193,18 @@
     return TaskState(row.status, row.run, row.failures, row.worker, row.checkpoint, row.losses)
 
 
+class RemainingRuns(NamedTuple):
+    """What may still have been running of a workflow when it ended, until it has been stopped.
+
+    ``ended_unix_ms`` is the time of the end in Unix milliseconds.
+    """
+
+    ended_unix_ms: UnixMilliseconds
+    millicores: Count
+    memory_mb: Count
+    accelerators: Count
+
+
 class WorkflowState:
     """State of a workflow and its steps.
 
@@ -222,6 +235,8 @@
         # Whether it is beyond what its account is owed; not persisted, so that it counts as owed
         # after a takeover.
         self.beyond_weight = False
+        # Set with its end if it belongs to an account, for the next owner of its partition.
+        self.remaining: RemainingRuns | None = None
         self.steps: dict[tuple[int, int], StepState] = {}
         for occurrence in range(spec.occurrences):
             for number, step in enumerate(spec.steps):
@@ -260,6 +275,17 @@
     def is_complete(self) -> bool:
         return all(step.is_done for step in self.steps.values())
 
+    def note_remaining(self, unix_ms: int) -> None:
+        """Notes what may be running of an account's workflow that ends now."""
+        if not self.account:
+            return
+        total = NOTHING
+        for name, _ in self.iterate_ordered_tasks():
+            spec = self.spec.steps[name.step]
+            total = total.add(Amounts(spec.millicores, spec.memory_mb, spec.accelerators))
+        if total != NOTHING:
+            self.remaining = RemainingRuns(unix_ms, *total)
+
     def key(self) -> str:
         return self.identifier
 
@@ -291,7 +317,9 @@
         spec = None if self.is_terminal else self.spec
         row = [self.state, self.spec.service, self.spec.queue, self.submitted_unix_ms, spec]
         # Left out without an account, so that these records are the same as before.
-        return msgspec.json.encode([*row, self.account] if self.account else row)
+        if self.account:
+            row += [self.account] if self.remaining is None else [self.account, self.remaining]
+        return msgspec.json.encode(row)
 
 
 class _Record(msgspec.Struct, array_like=True):
@@ -301,6 +329,7 @@
     submitted_unix_ms: UnixMilliseconds
     spec: Workflow | None
     account: str = ""
+    remaining: RemainingRuns | None = None
 
 
 def _restore_workflow(key: str, value: bytes, now: float, unix_ms: int) -> WorkflowState:
@@ -311,6 +340,7 @@
     submitted_unix_ms = int(record.submitted_unix_ms)
     age = max(0, unix_ms - submitted_unix_ms) / 1000
     workflow = WorkflowState(spec, now - age, submitted_unix_ms, record.account)
+    workflow.remaining = record.remaining
     workflow.state = workflow.durable_state = record.state
     workflow.ended = now if workflow.is_terminal else 0.0
     return workflow
