Callers outside the limits: requests are framed in bounded memory

Cause: aiohttp holds heads of up to a megabyte and bodies piece by piece, for each connection and without a bound over all of them; the handler runs before the body has arrived, and in the embedded mode holds a slot of a target meanwhile.

Change: a server for callers, which both modes use, frames requests before aiohttp handles them (carawayshore/requestframing), in blocks of one size, and keeps an account of what is held and of the connections (carawayshore/intake). The longest without progress are shed first. New settings memory_mb and max_descriptors state the machine.

--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -14,6 +14,7 @@
 from mode import Service
 
 import carawayd.request.jobs  # noqa: F401  Registers its endpoints.
+from carawayd.connection.callers import CallerServer, CallerSettings
 from carawayd.connection.target import Connections
 from carawayd.platform.api import Platform, open_platform
 from carawayd.process.appender import Appender, AppendRateLimiter
@@ -48,6 +49,7 @@
 from carawayshore.assignment import FLEET_CLAIM
 from carawayshore.jobs import JOBS_CLAIM
 from carawayshore.waves import MAINTENANCE_CLAIM
+from carawayshore.workflows.model import CallerLimits
 
 if TYPE_CHECKING:
     from carawayd.process.settings import Settings
@@ -57,6 +59,10 @@
 logger = logging.getLogger(__name__)
 
 IDLE_POLL_INTERVAL = timedelta(milliseconds=50)
+DEFAULT_LIMITS = CallerLimits()
+# Largest request body that is received completely before the request is handled. A larger one is
+# streamed, and takes a slot of a target meanwhile.
+COLLECTED_BYTES = DEFAULT_LIMITS.max_body_bytes
 
 
 @dataclass
@@ -355,13 +361,23 @@
     def __init__(self, components: Components) -> None:
         super().__init__()
         self.components = components
+        self.callers: CallerServer | None = None
         self._runners: list[web.BaseRunner] = []
 
     async def on_start(self) -> None:
         components = self.components
         endpoints = CallerEndpoints(components)
-        server = web.Server(endpoints.handle, handler_cancellation=True, access_log=None)
-        await self._listen(web.ServerRunner(server), components.settings.caller_address)
+        options = components.settings.options
+        limits = DEFAULT_LIMITS._replace(max_body_bytes=options.max_request_bytes)
+        self.callers = CallerServer(
+            endpoints.handle,
+            CallerSettings(options.memory_mb, options.max_descriptors, COLLECTED_BYTES),
+            lambda: limits,
+            components.clock,
+            components.metrics.caller_refusals,
+            handler_cancellation=True,
+        )
+        self._runners.append(await self.callers.listen(components.settings.caller_address))
         application = OperatorEndpoints(components).build_application()
         operator_runner = web.AppRunner(application, access_log=None)
         await self._listen(operator_runner, components.settings.operator_address)
@@ -396,6 +412,7 @@
         components = self.components
         return bool(
             components.handler.in_progress
+            or self.callers.intake.unfinished_count
             or components.connections.exchange_count
             or components.keys.unlogged_count
         )
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from mode import Service
 
+from carawayd.connection.callers import CallerServer, CallerSettings
 from carawayd.platform.api import build_client
 from carawayd.process.configrelay import ConfigurationRelay
 from carawayd.process.discovery import Discovery
@@ -22,6 +23,7 @@
 from carawayd.request.workflows import WorkflowHandler
 from carawayd.supervision import unexpected_errors
 from carawayd.unreadable import unreadable_records
+from carawayshore.workflows.model import CallerLimits
 
 if TYPE_CHECKING:
     from carawayd.process.site import SiteSettings
@@ -40,6 +42,8 @@
 STOP_MARGIN_SECONDS = 1.0
 IDLE_POLL_INTERVAL = timedelta(milliseconds=50)
 LISTEN_BACKLOG = 512
+# Limits of callers as long as no configuration is known.
+DEFAULT_LIMITS = CallerLimits()
 
 
 class EntryHost(Service):
@@ -86,6 +90,7 @@
                 clock,
                 self.metrics,
             )
+        self.callers: CallerServer | None = None
         self._runners: list[web.BaseRunner] = []
         self._stopping = False
         # Set once the balancer no longer sends new callers to this host.
@@ -97,8 +102,14 @@
             "starting entry host",
             extra={"fields": {"data_centre": settings.data_centre, "peer": settings.peer_address}},
         )
-        server = web.Server(self.calls.handle, access_log=None)
-        await self._listen(web.ServerRunner(server), settings.caller_address)
+        self.callers = CallerServer(
+            self.calls.handle,
+            CallerSettings(settings.memory_mb, settings.max_descriptors, 0),
+            self._read_limits,
+            self.clock,
+            self.metrics.caller_refusals,
+        )
+        self._runners.append(await self.callers.listen(settings.caller_address))
         application = web.Application()
         application.router.add_get(READY_PATH, self._get_ready)
         await self._listen(web.AppRunner(application, access_log=None), settings.ready_address)
@@ -133,6 +144,10 @@
     async def _get_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self._is_ready() else 503)
 
+    def _read_limits(self) -> CallerLimits:
+        deployment = self.discovery.deployment
+        return deployment.limits if deployment is not None else DEFAULT_LIMITS
+
     def _is_ready(self) -> bool:
         return (
             self.discovery.deployment is not None
@@ -153,11 +168,14 @@
         await self.clock.sleep(BALANCER_DELAY)
         self._closing_connections = True
         limit = timedelta(seconds=self.settings.grace_seconds - STOP_MARGIN_SECONDS)
-        while self.calls.in_progress and self.clock.elapsed() - started_at < limit:
+        while self._is_busy() and self.clock.elapsed() - started_at < limit:
             await self.clock.sleep(IDLE_POLL_INTERVAL)
         logger.info("planned stop finished", extra={"fields": {"busy": self.calls.in_progress}})
         await self.stop()
 
+    def _is_busy(self) -> bool:
+        return bool(self.calls.in_progress or self.callers.intake.unfinished_count)
+
     async def on_shutdown(self) -> None:
         for runner in self._runners:
             await runner.cleanup()
--- a/packages/carawayd/src/carawayd/process/metrics.py
+++ b/packages/carawayd/src/carawayd/process/metrics.py
@@ -64,6 +64,11 @@
         self.refusals = self._add_counter(
             "caraway_refusals", "Requests refused as not run, by reason.", "service", "reason"
         )
+        self.caller_refusals = self._add_counter(
+            "caraway_caller_refusals",
+            "Connections of callers closed before their request was handled, by reason.",
+            "reason",
+        )
         self.retries = self._add_counter("caraway_retries", "Retries by reason.", "reason")
         self.silent_connections = self._add_counter(
             "caraway_silent_connections", "Connections found silent.", "target"
--- a/packages/carawayd/src/carawayd/process/settings.py
+++ b/packages/carawayd/src/carawayd/process/settings.py
@@ -43,6 +43,8 @@
     Field("connect_seconds", "number", "Timeout of a connection to a target.", "s", 1.0),
     Field("max_request_bytes", "integer", "Largest request body.", "bytes", 1 << 30),
     Field("replay_bytes", "integer", "Largest body that is kept for a retry.", "bytes", 65536),
+    Field("memory_mb", "integer", "Memory of the machine, 0 for unknown.", "MB", 0),
+    Field("max_descriptors", "integer", "File descriptors of the machine, 0 for unknown.", "", 0),
     Field("seed", "integer", "Seed of random choices, 0 for a random one.", "", 0),
     Field("operator_token_file", "text", "File of the operators' bearer token.", default=""),
 )
@@ -95,6 +97,8 @@
     connect: timedelta
     max_request_bytes: int
     replay_bytes: int
+    memory_mb: int
+    max_descriptors: int
     seed: int
     operator_token_file: str
 
--- a/packages/carawayd/src/carawayd/process/site.py
+++ b/packages/carawayd/src/carawayd/process/site.py
@@ -64,6 +64,8 @@
     Field("machine_lease_ms", "integer", "Pause between orders of two holders.", "ms", 3000),
     Field("processor_share", "number", "Share of a core that the process may use.", "", 1),
     Field("processor_speed", "number", "Speed of that core relative to an ordinary one.", "", 1),
+    Field("memory_mb", "integer", "Memory of the machine, 0 for unknown.", "MB", 0),
+    Field("max_descriptors", "integer", "File descriptors of the machine, 0 for unknown.", "", 0),
     Field("seed", "integer", "Seed of random choices, 0 for a random one.", "", 0),
 )
 
@@ -103,6 +105,8 @@
     machine_lease_ms: int
     processor_share: float
     processor_speed: float
+    memory_mb: int
+    max_descriptors: int
     seed: int
     options: SiteOptions = SiteOptions()
     abandon_seconds: float = ABANDON_SECONDS
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -18,6 +18,11 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         self.answers = self._add_counter("caraway_answers", "Callers' answers.", "call", "status")
+        self.caller_refusals = self._add_counter(
+            "caraway_caller_refusals",
+            "Connections of callers closed before their request was handled, by reason.",
+            "reason",
+        )
         self.submissions = self._add_counter(
             "caraway_submissions", "Submissions considered by the owner.", "service", "verdict"
         )
