--- a/features/matrix/cell.py
+++ b/features/matrix/cell.py
@@ -33,7 +33,9 @@
 SLOW_SECONDS = 4.0  # Longer than the time within which a silent connection is detected.
 DETECTION_DELAY_S = 0.2  # Time to detect a fault before the requests continue.
 LARGE_ANSWER_BYTES = 12 * 1024 * 1024  # Exceeds the socket buffers along the path.
-LARGE_BODY_BYTES = 200_000  # Exceeds what an entry host keeps for a retry.
+# Half of it exceeds what an entry host collects before it starts a request, so that the caller
+# pauses while the request is being sent to a target.
+LARGE_BODY_BYTES = 800_000
 STAGES = {"accept": "head", "admit": "body", "send": "body", "answer": "answer"}
 
 
--- a/packages/carawayd/src/carawayd/connection/callers.py
+++ b/packages/carawayd/src/carawayd/connection/callers.py
@@ -40,7 +40,7 @@
 
 logger = logging.getLogger(__name__)
 
-READ_BYTES = 32_768
+READ_BYTES = 65_536
 # Reads of a body in very small chunks are smaller, so that decoding it delays others by less than a
 # millisecond.
 FRAGMENTED_READ_BYTES = 4_096
@@ -148,7 +148,7 @@
     ) -> tuple[web.StreamResponse, bool]:
         finished, reset = await super().finish_response(request, resp, start_time)
         if not reset and finished.keep_alive:
-            self._loop.call_soon(self.connection.finish_request)
+            self.connection.finish_request()
         return finished, reset
 
 
@@ -240,7 +240,7 @@
     def _advance(self, now: float) -> None:
         """Passes on what the handler may have, and records the stage and what is held."""
         server, framer = self._server, self._framer
-        while not self._handler_pauses:
+        while framer.has_begun and not self._handler_pauses:
             if self._is_handled and self._is_complete:
                 break
             part = framer.take(server.framing_limits)
@@ -276,12 +276,11 @@
 
     def _estimate_held(self, part: RequestPart) -> int:
         """Returns how much is held for a request while it is handled."""
-        head = part.pieces[0]
-        size = sum(len(piece) for piece in part.pieces)
-        if b"content-encoding:" in head.lower():
+        size = sum(map(len, part.pieces))
+        if part.compressed:
             # aiohttp decompresses the body while the handler reads it.
             size += self._server.framing_limits.max_collected
-        return size * HANDLED_COPIES + head.count(b"\r\n") * FIELD_BYTES
+        return size * HANDLED_COPIES + part.fields * FIELD_BYTES
 
     def _reserve(self, now: float) -> bool:
         """Makes room for a request that is to be handled; returns False if it is refused."""
@@ -385,7 +384,12 @@
         held = CONNECTION_BYTES + (HANDLER_BYTES if self._handler is not None else 0)
         server.intake.set_held(self._caller, held)
         self._transport.write(build_response(status, detail))
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has already reset the connection.
+            self._transport.abort()
+            return
         if self._reading_paused:
             self._reading_paused = False
             self._transport.resume_reading()
@@ -431,6 +435,8 @@
         self.read_view = memoryview(bytearray(READ_BYTES))
         self._collected_bytes = settings.collected_bytes
         self._read_limits = read_limits
+        self._known_limits: CallerLimits | None = None
+        self._framing_limits: FramingLimits | None = None
         self._clock = clock
         self._refusals = refusals
         self._sweep_handle: asyncio.TimerHandle | None = None
@@ -468,8 +474,12 @@
     @property
     def framing_limits(self) -> FramingLimits:
         limits = self._read_limits()
-        collected = min(limits.max_body_bytes, self._collected_bytes or limits.max_body_bytes)
-        return FramingLimits(limits.max_head_bytes, limits.max_body_bytes, collected)
+        if limits is not self._known_limits:
+            self._known_limits = limits
+            body = limits.max_body_bytes
+            collected = min(body, self._collected_bytes or body)
+            self._framing_limits = FramingLimits(limits.max_head_bytes, body, collected)
+        return self._framing_limits
 
     def read_time(self) -> float:
         return self._clock.elapsed().total_seconds()
--- a/packages/carawayshore/src/carawayshore/intake.py
+++ b/packages/carawayshore/src/carawayshore/intake.py
@@ -148,13 +148,6 @@
         self._idle: OrderedDict[Caller, None] = OrderedDict()
         self._unfinished: OrderedDict[Caller, None] = OrderedDict()
         self._refused: OrderedDict[Caller, None] = OrderedDict()
-        self._queues = {
-            Stage.IDLE: self._idle,
-            Stage.HEAD: self._unfinished,
-            Stage.BODY: self._unfinished,
-            Stage.STREAM: self._unfinished,
-            Stage.REFUSED: self._refused,
-        }
 
     @property
     def count(self) -> int:
@@ -183,13 +176,20 @@
         if caller in self._callers:
             del self._callers[caller]
             self.held -= caller.held
-            queue = self._queues.get(caller.stage)
+            queue = self._find_queue(caller.stage)
             if queue is not None:
                 queue.pop(caller, None)
 
+    def _find_queue(self, stage: Stage) -> OrderedDict[Caller, None] | None:
+        if stage is Stage.HANDLED:
+            return None
+        if stage is Stage.IDLE:
+            return self._idle
+        return self._refused if stage is Stage.REFUSED else self._unfinished
+
     def set_stage(self, caller: Caller, stage: Stage, now: float) -> None:
         """Records that a connection has entered a stage, which counts as progress."""
-        former, queue = self._queues.get(caller.stage), self._queues.get(stage)
+        former, queue = self._find_queue(caller.stage), self._find_queue(stage)
         if former is not None:
             former.pop(caller, None)
         if queue is not None:
--- a/packages/carawayshore/src/carawayshore/requestframing.py
+++ b/packages/carawayshore/src/carawayshore/requestframing.py
@@ -24,6 +24,9 @@
 # Bodies are held in blocks of one size after a small first one. Buffers that grow in place, many at
 # once, left five times their size unusable in the allocator.
 FIRST_BLOCK_BYTES = 1_024
+# Bodies up to this size are joined with their head, since aiohttp takes longer for two pieces than
+# for one.
+JOINED_BYTES = 16_384
 BLOCK_BYTES = 16_384
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
@@ -32,7 +35,8 @@
     rb"(?:" + _TOKEN + rb":[^\r\n\0]*+\r\n)*+\r\n"
 )
 _FRAMING_FIELD = re.compile(
-    rb"\r\n(content-length|transfer-encoding|expect|upgrade):[ \t]*+([^\r\n]*+)", re.IGNORECASE
+    rb"\r\n(content-(?:length|encoding)|transfer-encoding|expect|upgrade):[ \t]*+([^\r\n]*+)",
+    re.IGNORECASE,
 )
 _TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding:[^\r\n]*+", re.IGNORECASE)
 _UPGRADE = re.compile(rb"\r\nupgrade:[^\r\n]*+", re.IGNORECASE)
@@ -65,11 +69,17 @@
     pieces : tuple of bytes
     begins, ends : bool
         Whether it contains the head, and whether it contains the end of the request.
+    fields : int
+        Number of lines of the head.
+    compressed : bool
+        Whether the body is encoded, so that it may be larger than what is passed on.
     """
 
     pieces: tuple[bytes, ...]
     begins: bool
     ends: bool
+    fields: int
+    compressed: bool
 
 
 class FramingError(NamedTuple):
@@ -84,6 +94,7 @@
     length: int | None
     chunked: bool
     expects_continue: bool
+    compressed: bool
 
 
 class _Blocks:
@@ -160,7 +171,7 @@
     @property
     def has_begun(self) -> bool:
         """Whether bytes of a request were received whose end was not taken yet."""
-        return self._head is not None or bool(self._buffer) or self._empty_lines > 0
+        return bool(self._buffer) or self._head is not None or self._empty_lines > 0
 
     @property
     def has_head(self) -> bool:
@@ -228,24 +239,27 @@
             return self._pass_on((self._head.data, body.take()), True, False)
         if self._passes_on and not available:
             return None
-        data = bytes(memoryview(buffer)[:available])
-        del buffer[:available]
+        data = b""
+        if available:
+            data = bytes(memoryview(buffer)[:available])
+            del buffer[:available]
         if body.size:
             data = body.take() + data
-        pieces = (data,) if data else ()
         if not self._passes_on:
-            return self._pass_on((self._head.data, *pieces), True, True)
-        return self._pass_on(pieces, False, complete)
+            return self._pass_on(_join(self._head.data, data), True, True)
+        return self._pass_on((data,), False, complete)
 
     def _pass_on(self, pieces: tuple[bytes, ...], begins: bool, ends: bool) -> RequestPart:
         self._passes_on = not ends
+        head = self._head
         if ends:
+            if head.chunked:
+                self._decode = RequestFramer._decode_size
+                self._decoded = self._chunks = self._extensions = self._trailers = 0
+                self._body_ended = False
             self._head = None
             self.wants_continue = False
-            self._decode = RequestFramer._decode_size
-            self._decoded = self._chunks = self._extensions = self._trailers = 0
-            self._body_ended = False
-        return RequestPart(pieces, begins, ends)
+        return RequestPart(pieces, begins, ends, head.data.count(b"\r\n"), head.compressed)
 
     def _take_chunked(self, limits: FramingLimits) -> RequestPart | FramingError | None:
         """Decodes what was received of a chunked body, and takes it if it is due."""
@@ -262,7 +276,7 @@
             body = self._body.take()
             length = b"\r\nContent-Length: %d" % len(body)
             head = _TRANSFER_ENCODING.sub(length, self._head.data)
-            return self._pass_on((head, body) if body else (head,), True, True)
+            return self._pass_on(_join(head, body), True, True)
         if not self._passes_on and self._body.size <= limits.max_collected:
             return None
         pieces = []
@@ -370,6 +384,10 @@
         return end + 2
 
 
+def _join(head: bytes, body: bytes) -> tuple[bytes, ...]:
+    return (head + body,) if len(body) <= JOINED_BYTES else (head, body)
+
+
 def _parse_head(data: bytes) -> _Head | FramingError:
     """Returns the head with what it tells of the body; refuses what could be read in two ways."""
     match = _HEAD.fullmatch(data)
@@ -378,7 +396,7 @@
     if match[1] == b"CONNECT":
         return FramingError(400, "tunnels are not served")
     length: int | None = None
-    chunked = expects_continue = upgrades = False
+    chunked = expects_continue = compressed = upgrades = False
     for name, value in _FRAMING_FIELD.findall(data):
         name, value = name.lower(), value.rstrip(b" \t")
         if name == b"content-length":
@@ -389,6 +407,8 @@
             if chunked or value.lower() != b"chunked" or match[2] == b"0":
                 return FramingError(400, "the transfer encoding is not served")
             chunked = True
+        elif name == b"content-encoding":
+            compressed = True
         elif name == b"expect":
             expects_continue = value.lower() == b"100-continue" and match[2] == b"1"
         else:
@@ -398,4 +418,4 @@
     if upgrades:
         # No other protocol is served, and bytes after such a head would not be framed.
         data = _UPGRADE.sub(b"", data)
-    return _Head(data, length, chunked, expects_continue)
+    return _Head(data, length, chunked, expects_continue, compressed)
