Owner: throttling and the limit on interrupted tasks in modules of their own

Change: moves two functions without changing behaviour (partition/throttling, partition/interruptions).

--- /dev/null
+++ b/packages/carawayd/src/carawayd/partition/interruptions.py
@@ -0,0 +1,37 @@
+"""Limit of a step on the tasks that are interrupted at a time by actions of this system."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawayshore.workflows.state import ORDERED
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from carawayd.partition.workerlink import WorkerLink
+    from carawayshore.workflows.model import TaskName
+    from carawayshore.workflows.state import StepState, TaskState
+
+
+def may_stop(links: Mapping[str, WorkerLink], step: StepState, name: TaskName) -> bool:
+    """Returns whether fewer other tasks of the step are interrupted than the step allows."""
+    interrupted = sum(
+        not _is_fully_running(links, name._replace(index=index), task)
+        for index, task in enumerate(step.tasks)
+        if index != name.index
+    )
+    return interrupted < step.spec.most_away
+
+
+def _is_fully_running(links: Mapping[str, WorkerLink], name: TaskName, task: TaskState) -> bool:
+    link = links.get(task.worker)
+    order = link and link.orders.get(name)
+    return (
+        task.status == ORDERED
+        and bool(order)
+        and not link.is_unresponsive
+        and not order.stopping
+        and order.progress_percent >= 100
+        and order.run == task.run
+    )
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -24,6 +24,7 @@
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.demand import Demand
 from carawayd.partition.departures import Departures
+from carawayd.partition.interruptions import may_stop
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.leases import compute_lease_seconds, compute_longest_seconds
@@ -35,6 +36,7 @@
 from carawayd.partition.relief import Relief
 from carawayd.partition.shortwaits import ShortTaskWaits
 from carawayd.partition.strayorders import StrayOrders
+from carawayd.partition.throttling import throttle_best_effort
 from carawayd.partition.unusedworkers import UnusedWorkers
 from carawayd.partition.waitreasons import WaitReasons
 from carawayd.partition.waits import LongRunningWaits
@@ -52,7 +54,6 @@
 from carawayshore.decoding import MalformedDocument
 from carawayshore.workflows.admission import Request, decide_admission
 from carawayshore.workflows.model import TaskName
-from carawayshore.workflows.pacing import ServingTask, choose_cpu_percent
 from carawayshore.workflows.placement import compute_usage
 from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
@@ -303,14 +304,14 @@
         self._relief = Relief(
             self.links,
             self._find_task,
-            self._may_stop,
+            partial(may_stop, self.links),
             self._planner.list_candidates,
             self._claims,
         )
         self._departures = Departures(
             self.links,
             self._find_task,
-            self._may_stop,
+            partial(may_stop, self.links),
             self._planner.list_candidates,
             self._claims,
             self._may_place,
@@ -662,27 +663,6 @@
             link.track_stray_run(stray.task, stray.run)
             link.capacity.reserve(stray.task, compute_usage(stray.task, step.spec))
 
-    def _may_stop(self, step: StepState, name: TaskName) -> bool:
-        """Returns whether fewer other tasks of the step are interrupted than the step allows."""
-        interrupted = sum(
-            not self._is_fully_running(name._replace(index=index), task)
-            for index, task in enumerate(step.tasks)
-            if index != name.index
-        )
-        return interrupted < step.spec.most_away
-
-    def _is_fully_running(self, name: TaskName, task: TaskState) -> bool:
-        link = self.links.get(task.worker)
-        order = link and link.orders.get(name)
-        return (
-            task.status == ORDERED
-            and bool(order)
-            and not link.is_unresponsive
-            and not order.stopping
-            and order.progress_percent >= 100
-            and order.run == task.run
-        )
-
     def handle_unresponsive(self, link: WorkerLink) -> None:
         """Records since when a worker with ordered tasks has been unresponsive."""
         if link.run_count or link.is_awaited:
@@ -758,23 +738,7 @@
         """Throttles the best-effort tasks of a worker by the tail latency of its serving tasks."""
         self._wake.set()
         self._losses.clear_survivors(link, self.fence)
-        if not (link.capacity.best_effort and link.capacity.serving):
-            return
-        serving, best_effort = [], []
-        for name, order in link.orders.items():
-            found = self._find_task(name)
-            if found is None:
-                continue
-            spec = found[1].spec
-            if spec.latency_target_ms:
-                serving.append(ServingTask(order.figure, spec.latency_target_ms))
-            elif spec.best_effort:
-                best_effort.append(name)
-        percent = choose_cpu_percent(serving, link.throttle_percent)
-        if percent != link.throttle_percent:
-            link.throttle_percent = percent
-            for name in best_effort:
-                start_in_background(link.throttle_task(name, percent))
+        throttle_best_effort(link, self._find_task)
 
     def handle_stuck_task(self, link: WorkerLink, task: TaskName) -> None:
         """Stops a task that makes no progress, to restart it elsewhere."""
