--- a/packages/carawayd/src/carawayd/partition/interruptions.py
+++ b/packages/carawayd/src/carawayd/partition/interruptions.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from carawayshore.workflows.state import ORDERED
+from carawayshore.workflows.model import TaskName
+from carawayshore.workflows.state import ORDERED, WAITING
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from carawayd.partition.workerlink import WorkerLink
-    from carawayshore.workflows.model import TaskName
-    from carawayshore.workflows.state import StepState, TaskState
+    from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
 
 def may_stop(links: Mapping[str, WorkerLink], step: StepState, name: TaskName) -> bool:
@@ -35,3 +35,14 @@
         and order.progress_percent >= 100
         and order.run == task.run
     )
+
+
+def list_interrupted_tasks(workflow: WorkflowState, step: StepState) -> list[TaskName]:
+    """Returns the long-running tasks of a step that have run and wait to run again."""
+    if not step.spec.long_running:
+        return []
+    return [
+        TaskName(workflow.identifier, step.occurrence, step.number, index)
+        for index, task in enumerate(step.tasks)
+        if task.run and task.status == WAITING
+    ]
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -22,9 +22,10 @@
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss, LeaseBounds
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.deferrals import Deferrals
+from carawayd.partition.delays import log_delay
 from carawayd.partition.demand import Demand
 from carawayd.partition.departures import Departures
-from carawayd.partition.interruptions import may_stop
+from carawayd.partition.interruptions import list_interrupted_tasks, may_stop
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
 from carawayd.partition.leases import compute_lease_seconds, compute_longest_seconds
@@ -104,8 +105,6 @@
 MAX_PENDING_STARTS = 256
 # Interval at which the list of workers is read.
 SCAN_INTERVAL = timedelta(milliseconds=100)
-# Delay of a scan that is logged: half of the time after which a call to a worker times out.
-DELAY_ALERT_SECONDS = 0.5
 # Time after a takeover within which the workers of a service are discovered.
 WORKER_DISCOVERY_SECONDS = 1.5
 # Maximum wait of a planned handover for the store.
@@ -356,7 +355,8 @@
             if self.ledger.lost:
                 self._mark_lost("a later owner has written to the partition")
                 return
-            self._log_delay(scanned_at)
+            seconds = self._now() - scanned_at - SCAN_INTERVAL.total_seconds()
+            log_delay(seconds, self.partition, self.fence)
             scanned_at = self._now()
             self._scan_workers()
             self._contact_loss.record_progress()
@@ -376,21 +376,6 @@
         """Returns whether a stopped task could be started again at once."""
         return self.loaded and not self.ledger.is_stalled and self.may_renew()
 
-    def _log_delay(self, scanned_at: float) -> None:
-        """Logs that this process was held up, which makes all workers look silent."""
-        seconds = self._now() - scanned_at - SCAN_INTERVAL.total_seconds()
-        if seconds > DELAY_ALERT_SECONDS:
-            logger.warning(
-                "the owner was delayed",
-                extra={
-                    "fields": {
-                        "partition": self.partition,
-                        "epoch": self.fence,
-                        "seconds": round(seconds, 2),
-                    }
-                },
-            )
-
     def _follow_former_hosts(self) -> None:
         """Records wide steps as a whole when a host of an earlier version joins the group."""
         had_former_hosts, self._had_former_hosts = self._had_former_hosts, self._has_former_hosts()
@@ -440,7 +425,7 @@
             for step in workflow.steps.values():
                 if (workflow, step) not in self._closed_steps:
                     self._open_step(workflow, step)
-                self._preemption.restore(_list_interrupted_tasks(workflow, step))
+                self._preemption.restore(list_interrupted_tasks(workflow, step))
         for key in restored.leftovers:
             self.ledger.mark_dirty(key, bytes)
         for key in restored.unreadable:
@@ -1491,17 +1476,6 @@
         link.abandon_sending(name, order.run)
 
 
-def _list_interrupted_tasks(workflow: WorkflowState, step: StepState) -> list[TaskName]:
-    """Returns the long-running tasks of a step that have run and wait to run again."""
-    if not step.spec.long_running:
-        return []
-    return [
-        TaskName(workflow.identifier, step.occurrence, step.number, index)
-        for index, task in enumerate(step.tasks)
-        if task.run and task.status == WAITING
-    ]
-
-
 def _fits_whole(step: StepState, limit: int) -> bool:
     """Returns whether all tasks of a step fit into one record."""
     return len(step.encode()) <= limit - MAX_KEY_BYTES
