--- a/packages/carawayd/src/carawayd/partition/losses.py
+++ b/packages/carawayd/src/carawayd/partition/losses.py
@@ -45,6 +45,8 @@
     isolation : Isolation
     clock : Clock
     metrics : WorkflowMetrics
+    was_run : callable
+        Returns whether a run of a task was lost while the other run of the task goes on.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         isolation: Isolation,
         clock: Clock,
         metrics: WorkflowMetrics,
+        was_run: Callable[[TaskName, int, str], bool] = lambda *_: False,
     ) -> None:
         self._find_task = find_task
         self._record_tasks = record_tasks
@@ -62,6 +65,7 @@
         self._isolation = isolation
         self._clock = clock
         self._metrics = metrics
+        self._was_run = was_run
         # Tasks with losses, and possibly some whose losses no longer count.
         self._bereaved: set[TaskName] = set()
 
@@ -137,7 +141,9 @@
             if found is None or found[0].is_terminal:
                 continue
             workflow, step, task = found
-            if (task.run, task.worker) == (run.run, link.worker) and task.status != DONE:
+            is_known = task.has_run(run.run, link.worker)
+            is_known = is_known or self._was_run(run.task, run.run, link.worker)
+            if is_known and task.status != DONE:
                 self._replace_losses(workflow, step, run.task, add_loss(task.losses, loss))
                 changed[workflow.identifier] = workflow
                 self._judge(workflow, run.task, task)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -20,6 +20,7 @@
 from carawayd.partition.advisor import Advisor
 from carawayd.partition.claims import Claims
 from carawayd.partition.contactloss import UNRESPONSIVE_PREFIX, ContactLoss, LeaseBounds
+from carawayd.partition.copies import Copies
 from carawayd.partition.cordons import CORDON_PREFIX, Cordons
 from carawayd.partition.deferrals import Deferrals
 from carawayd.partition.delays import log_delay
@@ -253,7 +254,13 @@
         self._deferrals = Deferrals(clock, lambda name: self._waits.measure(name))
         self._isolation = Isolation(self.links, self._deferrals, clock)
         self._losses = Losses(
-            self._find_task, self._record_tasks, self._give_up, self._isolation, clock, metrics
+            self._find_task,
+            self._record_tasks,
+            self._give_up,
+            self._isolation,
+            clock,
+            metrics,
+            lambda *run: self._copies.was_run(*run),
         )
         self._claims = Claims(self.links, self._find_task, self._runtimes, clock)
         self._demand = Demand(
@@ -278,7 +285,23 @@
             clock=clock,
             time_of_day=time_of_day,
         )
-        self._stray_orders = StrayOrders(self.workflows, self.links, self._orphans, clock)
+        self._copies = Copies(
+            self.workflows,
+            self.links,
+            self._open_steps,
+            runtimes=self._runtimes,
+            isolation=self._isolation,
+            known_workers=self._known_workers,
+            record_tasks=self._record_tasks,
+            start_sending=self._start_sending,
+            is_due=self._planner.is_due,
+            list_excluded=self._planner.list_excluded,
+            orphans=self._orphans,
+            clock=clock,
+            metrics=metrics,
+        )
+        orphans = (self._orphans, self._copies.orphans)
+        self._stray_orders = StrayOrders(self.workflows, self.links, orphans, clock)
         reasons = WaitReasons(self.links, self._isolation, self._describe_step, clock)
         self._waits = LongRunningWaits(
             self.workflows,
@@ -370,6 +393,7 @@
             self._unused_workers.check(self.fence)
             if self._may_place():
                 self._preemption.make_room(self.fence)
+                self._copies.make(self.fence)
             await self._clock.sleep(SCAN_INTERVAL)
 
     def _may_place(self) -> bool:
@@ -422,6 +446,7 @@
             self._losses.restore(workflow)
             for name, task in workflow.iterate_ordered_tasks():
                 self._orphans[name] = task.worker
+            self._copies.restore(workflow)
             for step in workflow.steps.values():
                 if (workflow, step) not in self._closed_steps:
                     self._open_step(workflow, step)
@@ -605,11 +630,12 @@
             if worker == entry.worker:
                 del self._orphans[name]
                 found = self._find_task(name)
-                # Tasks of ended workflows are not adopted, so that the link stops their runs.
-                if found is not None and not found[0].is_terminal:
+                # Ended tasks and workflows are not adopted, so that the link stops their runs.
+                if found and found[2].status == ORDERED and not found[0].is_terminal:
                     _, step, task = found
                     link.adopt(name, task.run)
                     link.capacity.reserve(name, compute_usage(name, step.spec))
+        self._copies.adopt(link)
         self.links[entry.worker] = link
         self._restore_cordon(link)
         start_in_background(
@@ -625,9 +651,10 @@
                 continue
             del self._orphans[name]
             found = self._find_task(name)
-            if found is not None:
-                workflow, step, task = found
-                self._reset_task(workflow, step, task, name, "its worker is no longer listed")
+            # Another run may have succeeded meanwhile.
+            if found is not None and found[2].status == ORDERED:
+                self._lose_run(found, name, found[2].run, "its worker is no longer listed")
+        self._copies.release_orphans(self._contact_loss)
 
     def _track_stray_order(self, stray: StrayOrder) -> None:
         """Takes a run that nothing tracks as possibly running, so that its end will be known."""
@@ -640,7 +667,9 @@
         )
         link = self.links.get(stray.worker)
         if link is None or link.closed:
-            self._orphans[stray.task] = stray.worker
+            is_copy = self._find_task(stray.task)[2].is_copy(stray.run, stray.worker)
+            orphans = self._copies.orphans if is_copy else self._orphans
+            orphans[stray.task] = stray.worker
         elif stray.is_unanswered:
             link.abandon_sending(stray.task, stray.run)
         else:
@@ -752,9 +781,10 @@
         if found is None or found[0].is_terminal:
             return False
         state = found[2]
-        expected = state.status == ORDERED and state.run == run and state.worker == worker
+        expected = state.status == ORDERED and state.has_run(run, worker)
         if expected:
-            self._orphans.pop(task, None)
+            is_copy = state.is_copy(run, worker)
+            (self._copies.orphans if is_copy else self._orphans).pop(task, None)
             self.links[worker].capacity.reserve(task, compute_usage(task, found[1].spec))
         return expected
 
@@ -778,12 +808,10 @@
         found = self._find_task(task)
         if found is None:
             return
-        workflow, step, state = found
         if why == TICKET_REFUSED:
             self._advisor.handle_refusal(task[:3], link.worker)
-        if state.status != ORDERED or state.run != run or state.worker != link.worker:
-            return
-        self._reset_task(workflow, step, state, task, why)
+        if found[2].status == ORDERED and found[2].has_run(run, link.worker):
+            self._lose_run(found, task, run, why)
 
     def handle_end(self, link: WorkerLink, end: EndedRun, seconds: float) -> None:
         """Records the end of a run before the link acknowledges it.
@@ -802,7 +830,7 @@
         if found is None:
             return
         workflow, step, task = found
-        if task.run != end.run or task.worker != link.worker:
+        if not task.has_run(end.run, link.worker):
             if end.kind == "done":
                 self._accept_other_success(workflow, step, end)
             return
@@ -813,17 +841,19 @@
             self._keep_checkpoint(end, task)
         if end.kind == "done" and not step.spec.long_running:
             if seconds > 0:
+                self._copies.learn(workflow, step, link.worker, seconds)
                 self._learn_runtime(workflow, step, seconds)
-            self._finish_task(workflow, step, end.task)
+            self._finish_task(workflow, step, end.task, (end.run, link.worker))
         elif end.kind == "failed" and not step.spec.long_running:
             task.failures += 1
             if task.failures >= workflow.spec.max_failures and not workflow.is_terminal:
-                task.status = WAITING
+                if not self._copies.keep_other(workflow, step, end.task, end.run, "failed"):
+                    task.status = WAITING
                 self._end_workflow(workflow, FAILED, f"{end.task} failed {task.failures} times")
                 return
-            self._reset_task(workflow, step, task, end.task, "failed")
+            self._lose_run(found, end.task, end.run, "failed")
         else:
-            self._reset_task(workflow, step, task, end.task, end.kind)
+            self._lose_run(found, end.task, end.run, end.kind)
 
     def _accept_other_success(
         self, workflow: WorkflowState, step: StepState, end: EndedRun
@@ -842,8 +872,8 @@
             link = self.links.get(step.tasks[index].worker)
             if step.tasks[index].status == ORDERED and link is not None:
                 link.stop_task(end.task._replace(index=index))
-        task.run = max(task.run, end.run)
-        self._finish_task(workflow, step, end.task)
+        task.run = max(task.last_run, end.run)
+        self._finish_task(workflow, step, end.task, (end.run, ""))
 
     def _keep_checkpoint(self, end: EndedRun, task: TaskState) -> None:
         """Keeps the checkpoint of a run, or the one before it if it is too large to be recorded."""
@@ -858,7 +888,10 @@
                 limit_bytes=MAX_CHECKPOINT_BYTES,
             )
 
-    def _finish_task(self, workflow: WorkflowState, step: StepState, name: TaskName) -> None:
+    def _finish_task(
+        self, workflow: WorkflowState, step: StepState, name: TaskName, winner: tuple[int, str]
+    ) -> None:
+        self._copies.finish(workflow, name, step.tasks[name.index], winner)
         indexes = range(len(step.tasks)) if step.spec.gang else [name.index]
         for task in (step.tasks[index] for index in indexes):
             if task.status != DONE:
@@ -877,6 +910,17 @@
                 self._end_workflow(workflow, COMPLETED, "all tasks are done")
         self._wake.set()
 
+    def _lose_run(
+        self,
+        found: tuple[WorkflowState, StepState, TaskState],
+        name: TaskName,
+        run: int,
+        why: str,
+    ) -> None:
+        """Resets a task one of whose runs has ended without success, unless it has another run."""
+        if not self._copies.keep_other(found[0], found[1], name, run, why):
+            self._reset_task(*found, name, why)
+
     def _reset_task(
         self, workflow: WorkflowState, step: StepState, task: TaskState, name: TaskName, why: str
     ) -> None:
@@ -983,10 +1027,11 @@
             for key, _ in workflow.list_step_records(step, started, part_tasks):
                 self.ledger.mark_dirty(key, bytes)
         start_in_background(self._publish_state(workflow, state))
-        for name, task in list(workflow.iterate_ordered_tasks()):
-            link = self.links.get(task.worker)
+        for name, _, worker in workflow.iterate_ordered_runs():
+            link = self.links.get(worker)
             if link is not None:
                 link.stop_task(name)
+        self._copies.end_workflow(workflow)
         late = self._now() - self._deadlines.pop(workflow.identifier, math.inf)
         duration = timedelta(seconds=workflow.ended - workflow.submitted)
         self._metrics.workflows.labels(workflow.spec.service, state, str(late <= 0)).inc()
@@ -1296,6 +1341,7 @@
         if step.is_done or workflow.is_terminal or not workflow.is_ready(step):
             return
         self._open_steps[workflow.identifier, step.occurrence, step.number] = step
+        self._copies.watch(workflow, step)
 
     @supervised_task
     async def _plan_repeatedly(self) -> None:
@@ -1389,9 +1435,7 @@
     ) -> tuple[WorkerLink, TaskName, StartOrder]:
         task = step.tasks[name.index]
         link = self.links[capacity.entry.worker]
-        task.status = ORDERED
-        task.run = gang_run or task.run + 1
-        task.worker = link.worker
+        task.begin_run(gang_run or task.last_run + 1, link.worker)
         link.orders[name] = Order(task.run, SENDING, 0, self._now())
         self._known_workers.record(link.entry)
         checkpoint = task.checkpoint if step.spec.checkpointing else ""
@@ -1421,8 +1465,12 @@
             link.capacity.release(name)
             link.orders.pop(name, None)
             return False
-        if (found[2].run, found[2].worker) != (run, link.worker):
-            # The link was closed meanwhile, and the task has been ordered elsewhere.
+        if not found[2].has_run(run, link.worker):
+            # The link was closed meanwhile, and the task has been ordered elsewhere, or the other
+            # run of the task has succeeded.
+            if name in link.orders and link.orders[name].run == run:
+                link.capacity.release(name)
+                del link.orders[name]
             return False
         if not self._is_recorded(name):
             self._suspend_order(link, name)
@@ -1446,7 +1494,10 @@
         """Drops an order that could not be recorded; its step waits until its record is written."""
         workflow, step, task = self._find_task(name)
         link.capacity.release(name)
-        link.orders.pop(name, None)
+        order = link.orders.pop(name, None)
+        run = order.run if order is not None else task.run
+        if self._copies.keep_other(workflow, step, name, run, "it could not be recorded"):
+            return
         task.status = WAITING
         key = (workflow.identifier, step.occurrence, step.number)
         self._open_steps.pop(key, None)
--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -185,14 +185,12 @@
                         yield workflow, step, name, task
 
     def _is_at_work(self, name: TaskName, task: TaskState) -> bool:
-        link = self._links.get(task.worker)
-        order = link and link.orders.get(name)
-        return (
-            bool(order)
-            and order.run == task.run
-            and order.state == STARTED
-            and not link.is_unresponsive
-        )
+        for run, worker in task.list_runs():
+            link = self._links.get(worker)
+            order = link and link.orders.get(name)
+            if order and order.run == run and order.state == STARTED and not link.is_unresponsive:
+                return True
+        return False
 
     def _select_unexplained(
         self, absences: list[_Absence]
--- a/packages/carawayd/src/carawayd/partition/strayorders.py
+++ b/packages/carawayd/src/carawayd/partition/strayorders.py
@@ -12,12 +12,12 @@
 from carawayd.partition.workerlink import SENDING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container
+    from collections.abc import Callable, Sequence
 
     from carawayd.partition.workerlink import Order, WorkerLink
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import TaskName
-    from carawayshore.workflows.state import TaskState, WorkflowState
+    from carawayshore.workflows.state import OrderedRun, WorkflowState
 
 # Interval at which all ordered tasks are looked through.
 CHECK_INTERVAL_SECONDS = 1.0
@@ -48,8 +48,9 @@
     ----------
     workflows, links
         Tables of the partition owner, which updates them.
-    orphans : container of TaskName
-        Tasks that wait for the leases of a worker without a link.
+    orphans : sequence of dict
+        Tasks whose runs wait for the leases of a worker without a link, with these workers; the
+        copies apart from the others.
     clock : Clock
     """
 
@@ -57,7 +58,7 @@
         self,
         workflows: dict[str, WorkflowState],
         links: dict[str, WorkerLink],
-        orphans: Container[TaskName],
+        orphans: Sequence[dict[TaskName, str]],
         clock: Clock,
     ) -> None:
         self._workflows = workflows
@@ -79,24 +80,25 @@
         for workflow in self._workflows.values():
             if workflow.is_terminal:
                 continue
-            for name, task in workflow.iterate_ordered_tasks():
-                if name in self._orphans:
+            for ordered in workflow.iterate_ordered_runs():
+                name, run, worker = ordered
+                if any(orphans.get(name) == worker for orphans in self._orphans):
                     continue
-                order = self._find_order(name, task)
+                order = self._find_order(ordered)
                 if order is not None:
                     if _is_unanswered(order, now):
-                        strays.append(StrayOrder(name, task.run, task.worker, True))
+                        strays.append(StrayOrder(name, run, worker, True))
                     continue
-                since = self._since[name, task.run] = former.get((name, task.run), now)
+                since = self._since[name, run] = former.get((name, run), now)
                 if now - since >= STRAY_SECONDS:
-                    strays.append(StrayOrder(name, task.run, task.worker, False))
+                    strays.append(StrayOrder(name, run, worker, False))
         for stray in strays:
             handle(stray)
 
-    def _find_order(self, name: TaskName, task: TaskState) -> Order | None:
-        link = self._links.get(task.worker)
-        order = link.orders.get(name) if link is not None else None
-        return order if order is not None and order.run == task.run else None
+    def _find_order(self, ordered: OrderedRun) -> Order | None:
+        link = self._links.get(ordered.worker)
+        order = link.orders.get(ordered.name) if link is not None else None
+        return order if order is not None and order.run == ordered.run else None
 
 
 def _is_unanswered(order: Order, now: float) -> bool:
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -168,6 +168,7 @@
     spec: str
     checkpoint: str
     ticket: str = ""
+    validity_ms: int = ORDER_VALIDITY_MS
 
 
 class LostRun(NamedTuple):
@@ -555,7 +556,7 @@
             self._report_missing(task, entry, "the worker's capacity has shrunk; order not sent")
             return
         entry.sent_at = self._now()
-        entry.absence_certain_after_ms = self._estimate_worker_clock() + ORDER_VALIDITY_MS
+        entry.absence_certain_after_ms = self._estimate_worker_clock() + order.validity_ms
         incarnation = self._incarnation
         # The expiry of a start order also renews the lease of everything on the worker.
         entry.lease_call = self.leases.record_sending(
@@ -605,13 +606,7 @@
         except PlatformError as error:
             logger.info(
                 "start order failed; it is unknown whether the run started",
-                extra={
-                    "fields": {
-                        "task": format_task(task),
-                        "worker": self.worker,
-                        "error": str(error),
-                    }
-                },
+                extra={"fields": self._describe_failure(task, error)},
             )
             # A worker that does not answer orders is avoided like one whose tasks fail.
             self.capacity.record_failure(self._now())
@@ -723,15 +718,12 @@
         except PlatformError as error:
             logger.info(
                 "throttle order failed; the next one is sent when the limit changes",
-                extra={
-                    "fields": {
-                        "task": format_task(task),
-                        "worker": self.worker,
-                        "error": str(error),
-                    }
-                },
+                extra={"fields": self._describe_failure(task, error)},
             )
 
+    def _describe_failure(self, task: TaskName, error: Exception) -> dict[str, str]:
+        return {"task": format_task(task), "worker": self.worker, "error": str(error)}
+
     @supervised_task
     async def _poll_reports(self) -> None:
         while not self.should_stop and not self.closed:
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -25,6 +25,9 @@
             "caraway_start_orders", "Start orders.", "service", "outcome"
         )
         self.ends = self._add_counter("caraway_run_ends", "Ends of runs.", "service", "kind")
+        self.copies = self._add_counter(
+            "caraway_copies", "Copies of late runs that were settled.", "service", "outcome"
+        )
         self.preempted_runs = self._add_counter(
             "caraway_preempted_runs", "Short runs stopped for long-running tasks.", "service"
         )
--- a/packages/carawayshore/src/carawayshore/workflows/runtimes.py
+++ b/packages/carawayshore/src/carawayshore/workflows/runtimes.py
@@ -133,6 +133,17 @@
         expected = weight * declared + (1 - weight) * statistics.mean
         return math.exp(expected + weight * error_variance / 2)
 
+    def estimate_log_deviation(self, queue: str, step: StepSpec) -> float:
+        """Returns the standard deviation of the logarithm of a task's run time, as estimated."""
+        statistics = self._queues.get(queue)
+        if statistics is None or statistics.count < MIN_RUN_COUNT:
+            return DEFAULT_LOG_DEVIATION
+        run_variance = max(statistics.variance, MIN_LOG_DEVIATION**2)
+        if not step.estimate_ms:
+            return math.sqrt(run_variance)
+        error_variance = max(statistics.error_variance, MIN_LOG_DEVIATION**2)
+        return math.sqrt(run_variance * error_variance / (run_variance + error_variance))
+
     def estimate_step_seconds(self, queue: str, step: StepSpec) -> float:
         """Returns the expected run time of the slowest task of ``step`` in seconds."""
         seconds = self.estimate_task_seconds(queue, step)
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -83,6 +83,31 @@
     worker: str = ""
     checkpoint: str = ""
     losses: tuple[WorkerLoss, ...] = ()
+    copy: tuple[Count, str] | None = None
+
+
+class CopyRun(NamedTuple):
+    """Second run of a task whose step allows copies.
+
+    Parameters
+    ----------
+    run : int
+        Number of the run, higher than those of all runs before it.
+    worker : str
+        Its worker; empty once the run has ended or is not followed any more, after which only the
+        number counts: the next run has a higher one.
+    """
+
+    run: int
+    worker: str = ""
+
+
+class OrderedRun(NamedTuple):
+    """Run that may be on a worker."""
+
+    name: TaskName
+    run: int
+    worker: str
 
 
 class TaskState:
@@ -102,9 +127,12 @@
         Checkpoint from which the next run can resume, empty for none.
     losses : iterable of WorkerLoss
         Losses of workers under its runs that no later run has outlived.
+    copy : (int, str), optional
+        Its copy as a ``CopyRun``, None if the last run is not a copy. Of an ordered task, both runs
+        may be on their workers.
     """
 
-    __slots__ = ("checkpoint", "failures", "losses", "run", "status", "worker")
+    __slots__ = ("checkpoint", "copy", "failures", "losses", "run", "status", "worker")
 
     def __init__(
         self,
@@ -114,6 +142,7 @@
         worker: str = "",
         checkpoint: str = "",
         losses: Iterable[list | WorkerLoss] = (),
+        copy: tuple[int, str] | None = None,
     ) -> None:
         self.status = status
         self.run = run
@@ -121,14 +150,65 @@
         self.worker = worker
         self.checkpoint = checkpoint
         self.losses = tuple(WorkerLoss(*loss) for loss in losses)
+        self.copy = CopyRun(*copy) if copy is not None else None
+
+    @property
+    def last_run(self) -> int:
+        """Highest number of its runs, that of a copy included."""
+        return max(self.run, self.copy.run) if self.copy is not None else self.run
+
+    @property
+    def has_copy(self) -> bool:
+        """Whether a copy may be running besides the run."""
+        return self.copy is not None and bool(self.copy.worker)
+
+    def is_copy(self, run: int, worker: str) -> bool:
+        """Returns whether a run on a worker is the copy that may be running."""
+        return self.has_copy and self.copy == (run, worker)
+
+    def has_run(self, run: int, worker: str) -> bool:
+        """Returns whether a run on a worker is the last run of the task or its copy."""
+        return (self.run, self.worker) == (run, worker) or self.is_copy(run, worker)
+
+    def list_runs(self) -> list[tuple[int, str]]:
+        """Returns number and worker of the last run, and those of the copy if there is one."""
+        runs = [(self.run, self.worker)]
+        return [*runs, tuple(self.copy)] if self.has_copy else runs
+
+    def begin_run(self, run: int, worker: str) -> None:
+        """Sets the only run of the task, before it is recorded and ordered."""
+        self.status, self.run, self.worker, self.copy = ORDERED, run, worker, None
+
+    def begin_copy(self, worker: str) -> int:
+        """Sets the copy of an ordered task, before it is recorded and ordered; returns its run."""
+        self.copy = CopyRun(self.last_run + 1, worker)
+        return self.copy.run
+
+    def end_copy(self) -> None:
+        """Forgets the worker of the copy; the run goes on as the only one."""
+        if self.copy is not None:
+            self.copy = CopyRun(self.copy.run)
+
+    def promote_copy(self) -> None:
+        """Makes the copy the only run, after the other one has ended without success."""
+        self.run, self.worker = self.copy
+        self.copy = None
 
     def to_row(self) -> list:
         losses = self.losses[-MAX_RECORDED_LOSSES:]
-        row = [self.status, self.run, self.failures, self.worker, self.checkpoint, losses]
+        row = [
+            self.status,
+            self.run,
+            self.failures,
+            self.worker,
+            self.checkpoint,
+            losses,
+            self.copy,
+        ]
         while row and not row[-1]:
             row.pop()
         if self.status == DONE:
-            return [DONE, self.run]
+            return [DONE, self.last_run]
         return row
 
 
@@ -189,7 +269,9 @@
 
 
 def _restore_task(row: _TaskRow) -> TaskState:
-    return TaskState(row.status, row.run, row.failures, row.worker, row.checkpoint, row.losses)
+    return TaskState(
+        row.status, row.run, row.failures, row.worker, row.checkpoint, row.losses, row.copy
+    )
 
 
 class WorkflowState:
@@ -250,6 +332,12 @@
                 if task.status == ORDERED:
                     yield TaskName(self.identifier, occurrence, number, index), task
 
+    def iterate_ordered_runs(self) -> Iterator[OrderedRun]:
+        """Yields all runs that may be on a worker: those of the ordered tasks, and their copies."""
+        for name, task in self.iterate_ordered_tasks():
+            for run, worker in task.list_runs():
+                yield OrderedRun(name, run, worker)
+
     def is_ready(self, step: StepState) -> bool:
         """Returns whether all steps that ``step`` depends on are completed."""
         return all(self.steps[step.occurrence, number].is_done for number in step.spec.after)
