--- a/packages/carawayd/src/carawayd/partition/copies.py
+++ b/packages/carawayd/src/carawayd/partition/copies.py
@@ -38,6 +38,7 @@
     from carawayd.partition.workerlink import WorkerLink
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
+    from carawayshore.workflows.amounts import Amounts
     from carawayshore.workflows.copies import CopyChoice
     from carawayshore.workflows.runtimes import RuntimeModel
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
@@ -96,6 +97,8 @@
         The owner's table of the workers of runs that no link tracks yet.
     clock : Clock
     metrics : WorkflowMetrics
+    has_cap_left : callable, optional
+        Returns whether a client account may run a further task of some amounts.
     """
 
     def __init__(
@@ -114,6 +117,7 @@
         orphans: dict[TaskName, str],
         clock: Clock,
         metrics: WorkflowMetrics,
+        has_cap_left: Callable[[str, Amounts], bool] = lambda account, requested: True,
     ) -> None:
         self._workflows = workflows
         self._links = links
@@ -128,6 +132,7 @@
         self._owner_orphans = orphans
         self._clock = clock
         self._metrics = metrics
+        self._has_cap_left = has_cap_left
         # Worker of each copy that an earlier owner recorded, until the link to it tracks the run.
         self.orphans: dict[TaskName, str] = {}
         # Steps that have begun, are not done, and allow copies.
@@ -283,6 +288,9 @@
         name = choice.name
         workflow = self._workflows[name.workflow]
         step, task = workflow.find_task(name)
+        usage = compute_usage(name, step.spec)
+        if not self._has_cap_left(workflow.account, usage.requested):
+            return
         links = self._list_usable(service)
         excluded = {choice.worker, *slow, *self._list_excluded(name)}
         excluded.update(link.worker for link in links if _is_silent(link) or _knows_run(link, name))
@@ -300,7 +308,7 @@
         link = self._links[capacity.entry.worker]
         run = task.begin_copy(link.worker)
         link.orders[name] = Order(run, SENDING, 0, now)
-        capacity.reserve(name, compute_usage(name, step.spec))
+        capacity.reserve(name, usage)
         self._known_workers.record(link.entry)
         self._record_tasks(workflow, step, [name.index])
         self._log(
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -308,6 +308,7 @@
             orphans=self._orphans,
             clock=clock,
             metrics=metrics,
+            has_cap_left=lambda *asked: self._cap_shares.count_startable(*asked, 1) > 0,
         )
         orphans = (self._orphans, self._copies.orphans)
         self._stray_orders = StrayOrders(self.workflows, self.links, orphans, clock)
@@ -492,7 +493,10 @@
     def _count_unsettled_runs(self) -> None:
         if self._discovery.list_accounts() is not None:
             self._account_usage.count_unsettled(
-                self._now(), self._orphans, self.links.values(), self._call_histories.values()
+                self._now(),
+                [*self._orphans, *self._copies.orphans],
+                self.links.values(),
+                self._call_histories.values(),
             )
 
     def _open_closed_steps(self) -> None:
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -368,8 +368,8 @@
         if not self.account:
             return
         total = NOTHING
-        for name, _ in self.iterate_ordered_tasks():
-            spec = self.spec.steps[name.step]
+        for ordered in self.iterate_ordered_runs():
+            spec = self.spec.steps[ordered.name.step]
             total = total.add(Amounts(spec.millicores, spec.memory_mb, spec.accelerators))
         if total != NOTHING:
             self.remaining = RemainingRuns(unix_ms, *total)
