--- a/packages/carawayd/src/carawayd/partition/capshares.py
+++ b/packages/carawayd/src/carawayd/partition/capshares.py
@@ -70,6 +70,9 @@
 # Time after which the unmet goal of a partition that does not take what is free is not waited for:
 # its owner may be gone.
 GOAL_PATIENCE_SECONDS = 1.5
+# Time after which such a goal is waited for again. What was free for it may be in use by then, so
+# that the partition could not act although its owner is there.
+MAX_STALE_SECONDS = 6.0
 REPORT_INTERVAL_SECONDS = 1.0
 # Time for which smaller tasks of an account may overtake the first one that waits for its cap.
 MAX_OVERTAKING_SECONDS = 1.0
@@ -392,10 +395,11 @@
                 if partition == self.partition or item.goal is None:
                     continue
                 former = known.get(partition)
-                is_ignored = former is not None and now - former[1] > GOAL_PATIENCE_SECONDS
-                if former is not None and former[0] != item:
-                    former, is_ignored = None, False
-                if is_ignored or may_take(item, holdings, cap):
+                seconds = now - former[1] if former is not None else 0.0
+                if former is not None and (former[0] != item or seconds > MAX_STALE_SECONDS):
+                    # Its owner has acted, or may be able to act again.
+                    former, seconds = None, 0.0
+                if seconds > GOAL_PATIENCE_SECONDS or may_take(item, holdings, cap):
                     found[partition] = former or (item, now)
             if found:
                 stale[account] = found
