--- a/features/copies.feature
+++ b/features/copies.feature
@@ -52,6 +52,7 @@
     Given a late run and its copy at work
     When the copy ends failed, and that was the last attempt
     Then the job with the late run is shown as failed
+    And the copies were won 0, lost 0, cancelled 1
     And nothing is left of either run
 
   Scenario: Both runs fail, one after the other
@@ -157,12 +158,32 @@
     Then the copy never started
     And the task goes on with run 1 alone
 
-  Scenario: The owner lost track of a copy
+  Scenario Outline: The owner lost track of a copy
+    # Guards against a copy that is stopped although it is recorded, and against one without an end.
     Given a late run of 18 s and its copy of 16 s at work
-    When the owner loses track of the copy
+    When the owner loses track of the copy, and <finds>
     And the play goes on for 5 s
     Then the owner follows both runs
 
+    Examples:
+      | finds             |
+      | a report tells it |
+      | no report tells   |
+
+  Scenario: The owner lost track of a copy and of its worker
+    Given a late run of 25 s and its copy of 22 s at work
+    When the owner loses track of the copy, and no record tells its worker
+    And the play goes on for 4.5 s
+    Then the copy waits for the leases of its worker
+    When the play goes on for 8 s
+    Then the task goes on with run 1 alone
+
+  Scenario: A run that the task no longer has is missing
+    # Guards against a task that loses a run which goes on.
+    Given a late run and its copy at work
+    When run 7 of the task is reported as missing on both workers
+    Then both runs go on
+
   Scenario: A copy is used up
     # Guards against a run number that a worker has refused or ended before.
     Given a late run and its copy at work
--- a/features/steps/copies_steps.py
+++ b/features/steps/copies_steps.py
@@ -10,6 +10,7 @@
 from copy_world import play
 from worker_model import ADVICE
 
+from carawayd.partition.knownworkers import WORKER_PREFIX
 from carawayd.platform.runs import EndedRun
 from carawayshore.workflows.crashes import WorkerLoss
 from carawayshore.workflows.state import DONE, ORDERED, TaskState
@@ -265,9 +266,10 @@
 def leave_unseen(context, lost):
     play_ = context.play
     worker = play_.find_workers()[NUMBERS[lost]]
-    play_.world.links[worker.name] = "cut"
-    play_.world.unlisted.add(worker.name)
+    _hide_worker(play_, worker.name)
     kill_owner(context)
+    owner = play_.world.current.owner
+    assert worker.name not in owner.links and (owner._orphans or owner._copies.orphans)
     play_.wait(12.0)
 
 
@@ -289,16 +291,48 @@
     context.play.run(world.cancel(world.accepted.index(context.play.task.workflow)))
 
 
-@when("the owner loses track of the copy")
-def lose_copy(context):
+@when("the owner loses track of the copy, and {finds}")
+def lose_copy(context, finds):
+    play_ = context.play
+    owner = play_.world.current.owner
+    link = owner.links[play_.copy]
+    if finds == "no record tells its worker":
+        # Neither the list nor a record lets the owner open another link.
+        _hide_worker(play_, play_.copy)
+        owner._known_workers._entries.pop(play_.copy)
+        del owner.links[play_.copy]
+        play_.run(link.stop())
+        return
+    del link.orders[play_.task]
+    link.capacity.release(play_.task)
+    if finds == "no report tells":
+        link._handle_unordered_run = lambda *_: None
+
+
+def _hide_worker(play_: CopyPlay, worker: str) -> None:
+    """Removes a worker from the list and from the records, and cuts it off."""
+    play_.world.links[worker] = "cut"
+    play_.world.unlisted.add(worker)
+    play_.world.store.records.pop(WORKER_PREFIX + worker, None)
+
+
+@then("the copy waits for the leases of its worker")
+def expect_orphan_copy(context):
+    owner = context.play.world.current.owner
+    assert owner._copies.orphans == {context.play.task: context.play.copy}, owner._copies.orphans
+    assert context.play.task not in owner._orphans
+
+
+@when("run {run:d} of the task is reported as missing on both workers")
+def report_missing(context, run):
     play_ = context.play
-    link = play_.world.current.owner.links[play_.copy]
-    order = link.orders.pop(play_.task)
-    # The link must not adopt the run from the next report, which is another way.
-    link._owner.adopt_if_ordered, adopt = lambda *_: True, link._owner.adopt_if_ordered
-    link._handle_unordered_run = lambda *_: None
-    context.lost_order = order
-    context.add_cleanup(lambda: adopt)
+    owner = play_.world.current.owner
+
+    async def report() -> None:
+        for worker in (play_.original, play_.copy):
+            owner.handle_missing_run(owner.links[worker], play_.task, run, "not listed")
+
+    play_.run(report())
 
 
 @when("the play goes on for {seconds:g} s")
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -630,8 +630,8 @@
             if worker == entry.worker:
                 del self._orphans[name]
                 found = self._find_task(name)
-                # Ended tasks and workflows are not adopted, so that the link stops their runs.
-                if found and found[2].status == ORDERED and not found[0].is_terminal:
+                # Tasks of ended workflows are not adopted, so that the link stops their runs.
+                if found is not None and not found[0].is_terminal:
                     _, step, task = found
                     link.adopt(name, task.run)
                     link.capacity.reserve(name, compute_usage(name, step.spec))
