Copies: one at a time for a queue whose copies are mostly lost

Change: each owner averages the outcomes of a queue's copies; below a share of 0.2 won the queue has one at a time.

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -116,7 +116,8 @@
   Scenario Outline: The job is cancelled with a copy
     Given <runs>
     When the job with the late run is cancelled
-    And the play goes on for 3 s
+    Then neither run is at work 0.3 s later
+    When the play goes on for 3 s
     Then the copies were won 0, lost 0, cancelled 1
     And nothing is left of either run
 
--- a/features/copy_decisions.feature
+++ b/features/copy_decisions.feature
@@ -47,6 +47,16 @@
       | 60    | 0    | no      | 0     |
       | 960   | 0    | yes     | 0     |
 
+  Scenario: A queue whose copies are lost
+    # Guards against cores that are spent on tasks which are late wherever they run.
+    Given 20 steps with a late run of 4 cores each in a pool of 960 cores, of which 0 run copies
+    When 8 copies of their queue were lost
+    Then 1 runs are copied
+    When one copy of their queue is at work
+    Then 0 runs are copied
+    When 2 copies of their queue were won
+    Then 12 runs are copied
+
   Scenario Outline: Workers that get no copy
     Given a late run on w0, and workers w0 and w1 of which w1 <state>
     Then no worker is chosen for the copy
--- a/features/copy_load.py
+++ b/features/copy_load.py
@@ -16,6 +16,7 @@
 
 from carawayshore.workflows.copies import (
     SILENT_SECONDS,
+    CopyGains,
     PoolView,
     RunView,
     StepView,
@@ -118,6 +119,7 @@
         self._capacities = build_worker_capacities(WORKERS, millicores=WORKER_MILLICORES)
         self._model = RuntimeModel()
         self._speeds = WorkerSpeeds()
+        self._gains = CopyGains()
         self._arrivals: list[_Job] = []
         time = 0.0
         while time < LENGTH_S:
@@ -185,6 +187,8 @@
     def _finish(self, job: _Job, index: int, winner: _Run, now: float) -> None:
         task = job.tasks[index]
         task.is_done = True
+        if len(task.runs) > 1:
+            self._gains.learn(QUEUE, is_won=winner is not task.runs[0])
         for run in task.runs:
             run.capacity.release(TaskName(job.name, 0, 0, index))
         expected = self._model.estimate_task_seconds(QUEUE, job.spec)
@@ -244,19 +248,21 @@
             self._model.estimate_log_deviation(QUEUE, job.spec),
             self._model.estimate_step_seconds(QUEUE, job.spec),
             job.spec.millicores,
+            QUEUE,
         )
 
     def _copy(self, now: float) -> None:
         jobs = {job.name: job for job in self._active}
         usable = self._list_usable(now)
         total = sum(capacity.entry.millicores for capacity in usable)
-        running = sum(
+        copied = [
             job.spec.millicores
             for job in self._active
             for task in job.tasks
             if not task.is_done and len(task.runs) > 1
-        )
-        pool = PoolView(total, running, bool(self._queue))
+        ]
+        running, limits = sum(copied), self._gains.limit_copies({QUEUE: len(copied)})
+        pool = PoolView(total, running, bool(self._queue), limits)
         views = [self._view(job, now) for job in self._active]
         overdue: dict[str, int] = {}
         for view in views:
--- a/features/steps/copies_steps.py
+++ b/features/steps/copies_steps.py
@@ -85,7 +85,8 @@
 @given("a late run whose copy waits for its record")
 def delay_record(context):
     play_ = _open(context)
-    play_.submit()
+    # A second step, so that the job goes on after the end of the task.
+    play_.submit(chain=2)
     assert play_.wait_until(lambda: bool(play_.find_workers()))
     play_.world.store.append_seconds = 0.3
     play_.wait_for_copy()
@@ -371,6 +372,12 @@
     assert {name: found.get(name, 0) for name in OUTCOMES} == expected, found
 
 
+@then("neither run is at work {seconds:g} s later")
+def expect_both_stopped(context, seconds):
+    context.play.wait(seconds)
+    assert not context.play.find_workers(), context.play.find_workers()
+
+
 @then("the late run was stopped within 1 s of the end")
 def expect_stopped(context):
     assert context.stopped
--- a/features/steps/copy_decision_steps.py
+++ b/features/steps/copy_decision_steps.py
@@ -7,6 +7,7 @@
 from workflow_builders import add_running_task, build_worker_capacities
 
 from carawayshore.workflows.copies import (
+    CopyGains,
     PoolView,
     RunView,
     StepView,
@@ -29,7 +30,9 @@
 
 
 def _step(runs=(), *, after=(), ended=(1.0,) * 7, waiting=0, done=False, slowest=1.3, cores=4):
-    return StepView(after, done, tuple(runs), waiting, ended, 1.0, 0.3, slowest, cores * 1000)
+    return StepView(
+        after, done, tuple(runs), waiting, ended, 1.0, 0.3, slowest, cores * 1000, "slots"
+    )
 
 
 @given("a step whose other {others}")
@@ -111,6 +114,19 @@
     context.pool = context.pool._replace(has_waiting_tasks=waiting == "yes")
 
 
+@when("{count:d} copies of their queue were {outcome:w}")
+def settle_copies(context, count, outcome):
+    context.gains = getattr(context, "gains", CopyGains())
+    for _ in range(count):
+        context.gains.learn("slots", is_won=outcome == "won")
+    context.pool = context.pool._replace(copies_left=context.gains.limit_copies({}))
+
+
+@when("one copy of their queue is at work")
+def begin_copy(context):
+    context.pool = context.pool._replace(copies_left=context.gains.limit_copies({"slots": 1}))
+
+
 @then("{count:d} runs are copied")
 def expect_count(context, count):
     found = len(_choose(context))
--- a/packages/carawayd/src/carawayd/partition/copies.py
+++ b/packages/carawayd/src/carawayd/partition/copies.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayd.partition.workerlink import SENDING, STARTED, Order, StartOrder
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.copies import (
     SILENT_SECONDS,
+    CopyGains,
     PoolView,
     RunView,
     StepView,
@@ -133,6 +135,7 @@
         # Last run of a task that was lost while the other one went on.
         self._former_runs: dict[TaskName, Run] = {}
         self._speeds = WorkerSpeeds()
+        self._gains = CopyGains()
         self._checked_at = -CHECK_INTERVAL_SECONDS
 
     def _now(self) -> float:
@@ -176,7 +179,14 @@
         if not late:
             return
         jobs = {(workflow.identifier, step.occurrence): workflow for workflow, step in late}
-        pool = PoolView(self._count_millicores(service), _count_copy_millicores(items), False)
+        copied: Counter[str] = Counter()
+        copy_millicores = 0
+        for workflow, step in items:
+            count = sum(task.has_copy for task in step.tasks)
+            copied[workflow.spec.queue] += count
+            copy_millicores += count * step.spec.millicores
+        millicores = sum(link.entry.millicores for link in self._list_usable(service))
+        pool = PoolView(millicores, copy_millicores, False, self._gains.limit_copies(copied))
         choices = choose_copies(
             [
                 self._view_job(workflow, occurrence, now)
@@ -200,9 +210,6 @@
             and self._is_due(self._workflows[identifier], step)
         )
 
-    def _count_millicores(self, service: str) -> int:
-        return sum(link.entry.millicores for link in self._list_usable(service))
-
     def _list_usable(self, service: str) -> list[WorkerLink]:
         return [
             link
@@ -229,6 +236,7 @@
             self._runtimes.estimate_log_deviation(queue, step.spec),
             self._runtimes.estimate_step_seconds(queue, step.spec),
             step.spec.millicores,
+            queue,
         )
 
     def _view_runs(self, workflow: WorkflowState, step: StepState, now: float) -> Iterator[RunView]:
@@ -322,6 +330,7 @@
                 if order is not None and run != winner:
                     link.stop_task(name)
             outcome = WON if task.is_copy(*winner) else LOST
+            self._gains.learn(workflow.spec.queue, is_won=outcome == WON)
             self._settle(workflow, name, task, outcome, "a run has succeeded")
         task.run, task.copy = task.last_run, None
 
@@ -423,7 +432,3 @@
 def _knows_run(link: WorkerLink, name: TaskName) -> bool:
     """Returns whether an earlier run of a task may still be on a worker."""
     return name in link.orders or any(task == name for task, _ in link.unordered_runs)
-
-
-def _count_copy_millicores(items: Iterable[_Step]) -> int:
-    return sum(step.spec.millicores for _, step in items for task in step.tasks if task.has_copy)
--- a/packages/carawayshore/src/carawayshore/workflows/copies.py
+++ b/packages/carawayshore/src/carawayshore/workflows/copies.py
@@ -10,6 +10,7 @@
 
 import math
 import statistics
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.placement import choose_worker, compute_usage
@@ -44,6 +45,12 @@
 # single stragglers do not make a worker count as slow.
 SPEED_LEARNING_RATE = 0.2
 MAX_SPEED_RATIO = 3.0
+# Weight of a new outcome in the share of a queue's copies that were won, and its initial value.
+GAIN_LEARNING_RATE = 0.15
+INITIAL_WON_SHARE = 0.5
+# Share below which a queue has one copy at a time, by which a change is noticed: its tasks are late
+# for what they do, not for where they run.
+MIN_WON_SHARE = 0.2
 # A worker that takes this many times as long as the median of the workers is slow.
 SLOW_WORKER_RATIO = 1.5
 # A worker with this many overdue runs at a time is slow.
@@ -101,6 +108,7 @@
         Expected run time of the slowest task.
     millicores : int
         Processors of one task.
+    queue : str
     """
 
     after: tuple[int, ...]
@@ -112,14 +120,26 @@
     log_deviation: float
     slowest_seconds: float
     millicores: int
+    queue: str = ""
 
 
 class PoolView(NamedTuple):
-    """Processors of the usable workers of a pool, those of its copies, and whether tasks wait."""
+    """Pool of workers.
+
+    Parameters
+    ----------
+    millicores, copy_millicores : int
+        Processors of its usable workers, and of the copies on them.
+    has_waiting_tasks : bool
+        Whether due tasks wait for it.
+    copies_left : mapping of str to int
+        Number of further copies of each queue whose copies gain little; others have no such limit.
+    """
 
     millicores: int
     copy_millicores: int
     has_waiting_tasks: bool
+    copies_left: Mapping[str, int] = MappingProxyType({})
 
 
 class CopyChoice(NamedTuple):
@@ -261,9 +281,12 @@
     found.sort(key=lambda item: -item[1].gain_seconds)
     budget = int(MAX_COPY_SHARE * pool.millicores) - pool.copy_millicores
     chosen = []
+    copies_left = dict(pool.copies_left)
     for step, choice in found:
-        if step.millicores <= budget:
+        if step.millicores <= budget and copies_left.get(step.queue, 1) > 0:
             budget -= step.millicores
+            if step.queue in copies_left:
+                copies_left[step.queue] -= 1
             chosen.append(choice)
     return chosen
 
@@ -304,6 +327,29 @@
     return choose_worker(candidates, step, compute_usage(name, step), now)
 
 
+class CopyGains:
+    """Learns for each queue which share of its copies were won."""
+
+    def __init__(self) -> None:
+        self._won_shares: dict[str, float] = {}
+
+    def learn(self, queue: str, *, is_won: bool) -> None:
+        """Adds the outcome of a copy of which one run has succeeded."""
+        share = self._won_shares.get(queue, INITIAL_WON_SHARE)
+        self._won_shares[queue] = share + GAIN_LEARNING_RATE * (is_won - share)
+
+    def limit_copies(self, running: Mapping[str, int]) -> dict[str, int]:
+        """Returns the number of further copies of each queue whose copies gain little.
+
+        ``running`` counts the present copies of each queue.
+        """
+        return {
+            queue: max(0, 1 - running.get(queue, 0))
+            for queue, share in self._won_shares.items()
+            if share < MIN_WON_SHARE
+        }
+
+
 class WorkerSpeeds:
     """Learns which workers take longer than the others for their tasks."""
 
