Tests of copies: guards that no test had noticed

Change: scenarios for workers that no record tells, runs that hold room, an order whose stop does not arrive, free room beside waiting tasks, and what keeps a run from being copied.

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -6,6 +6,7 @@
 
   Scenario: The copy wins
     Given a late run and its copy at work
+    Then both runs hold room
     When the copy ends first
     Then the job is completed, its task by run 2
     And the copies were won 1, lost 0, cancelled 0
@@ -113,6 +114,26 @@
     When the copy's worker leaves unseen and the owner is killed
     Then the task goes on with run 1 alone
 
+  Scenario: The worker of a copy leaves the list, and another owner follows
+    # Guards against a copy whose worker the next owner cannot ask.
+    Given a late run of 18 s and its copy of 16 s at work
+    When the copy's worker leaves the list and the owner is killed
+    Then both runs go on
+    And both runs hold room
+
+  Scenario: The late run fails while the worker of its copy is unknown
+    Given a late run of 18 s and its copy of 5 s at work
+    When the copy's worker leaves unseen and the owner is killed for 1 s
+    And the late run ends failed
+    Then the copy waits for the leases of its worker as the only run
+
+  Scenario: The late run succeeds while the worker of its copy is unknown
+    Given a late run of 18 s and its copy of 5 s at work
+    When the copy's worker leaves unseen and the owner is killed for 1 s
+    And the late run ends before it arrives
+    And the play goes on for 1 s
+    Then the copy waits for nothing more
+
   Scenario Outline: The job is cancelled with a copy
     Given <runs>
     When the job with the late run is cancelled
@@ -193,6 +214,18 @@
     And the late run ends failed
     Then the task has 2 failures and goes on with run 3 alone
 
+  Scenario Outline: Kinds of steps
+    Then copies of tasks are allowed for <kind>: <allowed>
+
+    Examples:
+      | kind               | allowed |
+      | short tasks        | yes     |
+      | no copies          | no      |
+      | a gang             | no      |
+      | long-running       | no      |
+      | best effort        | no      |
+      | a placement policy | no      |
+
   Scenario Outline: Steps that get no copies
     Given a late run of a step with <step>
     When the play goes on for 8 s
@@ -206,6 +239,19 @@
       | best effort      |
       | a placement policy |
 
+  Scenario Outline: What keeps a late run from being copied
+    Given a late run for which <obstacle>
+    Then no second run was started
+
+    Examples:
+      | obstacle                                   |
+      | the other workers are silent               |
+      | an earlier run may be on the other workers |
+      | the other workers have rejected the task   |
+      | its job is suspected of crashes            |
+      | it is not known whether it has started     |
+      | it is being stopped                        |
+
   Scenario: No copy while tasks of the pool wait
     Given a late run in a full pool with tasks that wait
     When the play goes on for 5 s
--- a/features/steps/copies_steps.py
+++ b/features/steps/copies_steps.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import os
+from functools import partial
 
 import msgspec
 from behave import given, then, when
-from copy_builders import SETTLE_S, CopyPlay
+from copy_builders import POLL_S, SETTLE_S, CopyPlay
 from copy_world import play
 from worker_model import ADVICE
+from workflow_builders import build_workflow
 
+from carawayd.partition.copies import allows_copies
 from carawayd.partition.knownworkers import WORKER_PREFIX
+from carawayd.partition.workerlink import UNKNOWN
 from carawayd.platform.runs import EndedRun
 from carawayshore.workflows.crashes import WorkerLoss
-from carawayshore.workflows.state import DONE, ORDERED, TaskState
+from carawayshore.workflows.model import StepSpec
+from carawayshore.workflows.state import DONE, ORDERED, TaskState, WorkflowState
 
 STEPS = {
     "no copies": {"speculative": False},
@@ -27,6 +34,7 @@
 # Longest time from the end of a worker to the end of its leases, as the owner knows it.
 LOSS_TIMEOUT_S = 10.0
 ALONE_TIMEOUT_S = 2.0
+OBSTACLE_S = 4.0
 NUMBERS = {"late run": 1, "copy": 2}
 
 
@@ -119,10 +127,12 @@
     play_ = _open(context)
     play_.submit()
     assert play_.wait_until(lambda: bool(play_.find_workers()))
+    for name in play_.world.workers.keys() - {play_.state.worker}:
+        play_.world.late_starts[name] = seconds
     play_.wait_for_copy()
-    play_.world.late_seconds = seconds
-    play_.world.links[play_.copy] = "late"
-    play_.wait(0.1)
+    play_.wait(0.05)
+    # The stop order that follows it does not arrive.
+    play_.world.links[play_.copy] = "cut"
 
 
 @given("a late run of a step with {step}")
@@ -137,7 +147,8 @@
     play_.wait(0.1)
 
     async def fill() -> None:
-        context.filler = await play_.world.submit(12, 20, 60.0)
+        # Each worker has room for one of these, and for a copy beside it.
+        context.filler = await play_.world.submit(8, 20, 60.0)
 
     play_.run(fill())
 
@@ -148,6 +159,62 @@
     context.play.run(world.cancel(world.accepted.index(context.filler)))
 
 
+def _silence(play_: CopyPlay, link) -> None:
+    if link.worker != play_.state.worker:
+        link.unordered_runs[play_.task._replace(index=1), 0] = play_.loop.time()
+        link.capacity.reserve((play_.task._replace(index=1), 0), link._owner.find_usage(play_.task))
+        link._reported_at = link._now() - 3.0
+
+
+def _keep_former_run(play_: CopyPlay, link) -> None:
+    if link.worker != play_.state.worker:
+        link.unordered_runs[play_.task, 0] = play_.loop.time()
+        link.capacity.reserve((play_.task, 0), link._owner.find_usage(play_.task))
+
+
+def _exclude(play_: CopyPlay, link) -> None:
+    link._owner._copies._list_excluded = lambda _: list(play_.world.workers)
+
+
+def _suspect(play_: CopyPlay, link) -> None:
+    workflow = link._owner.workflows[play_.task.workflow]
+    link._owner._isolation._suspects[workflow.identifier] = workflow
+
+
+def _change_order(play_: CopyPlay, link, **changes) -> None:
+    order = link.orders.get(play_.task)
+    if link.worker == play_.state.worker and order is not None:
+        for field, value in changes.items():
+            setattr(order, field, value)
+
+
+# What keeps a copy from being made, applied to each link again and again.
+OBSTACLES = {
+    "the other workers are silent": _silence,
+    "an earlier run may be on the other workers": _keep_former_run,
+    "the other workers have rejected the task": _exclude,
+    "its job is suspected of crashes": _suspect,
+    "it is not known whether it has started": partial(_change_order, state=UNKNOWN),
+    "it is being stopped": partial(_change_order, stopping=True, stop_sent=math.inf),
+}
+
+
+@given("a late run for which {obstacle}")
+def begin_with_obstacle(context, obstacle):
+    play_ = _open(context)
+    play_.submit()
+    assert play_.wait_until(lambda: bool(play_.find_workers()))
+
+    async def apply() -> None:
+        until = play_.world.now() + OBSTACLE_S
+        while play_.world.now() < until:
+            for link in play_.world.current.owner.links.values():
+                OBSTACLES[obstacle](play_, link)
+            await asyncio.sleep(POLL_S)
+
+    play_.run(apply())
+
+
 def _begin_changed(context, **changes) -> None:
     play_ = _open(context)
     play_.submit()
@@ -265,13 +332,18 @@
 
 @when("the {lost}'s worker leaves unseen and the owner is killed")
 def leave_unseen(context, lost):
+    leave_unseen_for(context, lost, 12.0)
+
+
+@when("the {lost}'s worker leaves unseen and the owner is killed for {seconds:g} s")
+def leave_unseen_for(context, lost, seconds):
     play_ = context.play
     worker = play_.find_workers()[NUMBERS[lost]]
     _hide_worker(play_, worker.name)
     kill_owner(context)
     owner = play_.world.current.owner
     assert worker.name not in owner.links and (owner._orphans or owner._copies.orphans)
-    play_.wait(12.0)
+    play_.wait(seconds)
 
 
 @when("the play's owner is killed and the next one takes over")
@@ -310,6 +382,44 @@
         link._handle_unordered_run = lambda *_: None
 
 
+@when("the copy's worker leaves the list and the owner is killed")
+def unlist_worker(context):
+    play_ = context.play
+    play_.world.unlisted.add(play_.copy)
+    kill_owner(context)
+
+
+@then("the copy waits for the leases of its worker as the only run")
+def expect_orphan_run(context):
+    owner = context.play.world.current.owner
+    assert owner._orphans == {context.play.task: context.play.copy}, owner._orphans
+    assert not owner._copies.orphans
+
+
+@then("the copy waits for nothing more")
+def expect_no_orphan(context):
+    owner = context.play.world.current.owner
+    assert not owner._orphans and not owner._copies.orphans, owner._copies.orphans
+
+
+@then("both runs hold room")
+def expect_room(context):
+    play_ = context.play
+    links = play_.world.current.owner.links
+    for worker in (play_.original, play_.copy):
+        assert play_.task in links[worker].capacity.usages, worker
+        assert play_.task in links[worker].orders, worker
+
+
+@then("copies of tasks are allowed for {kind}: {is_allowed}")
+def expect_allowed(context, kind, is_allowed):
+    changes = dict(STEPS.get(kind, {}))
+    advice = changes.pop("advice", None)
+    spec = StepSpec(**({"count": 2, "speculative": True} | changes))
+    state = WorkflowState(build_workflow(spec, advice=advice), 0.0)
+    assert allows_copies(state, state.steps[0, 0]) == (is_allowed == "yes")
+
+
 def _hide_worker(play_: CopyPlay, worker: str) -> None:
     """Removes a worker from the list and from the records, and cuts it off."""
     play_.world.links[worker] = "cut"
