Tests of copies: slow workers get none

Cause: with the exclusion of slow workers removed from the control, no test failed. Change: a scenario, which fails without the exclusion. Result: it passes; with the exclusion removed it fails.

--- a/features/copies.feature
+++ b/features/copies.feature
@@ -270,6 +270,11 @@
       | 0    | 2     |
       | 10   | 1     |
 
+  Scenario: Slow workers get no copy
+    # Guards against a copy that takes as long as the late run.
+    Given a late run on the first of 6 workers, of which the next 2 are slow
+    Then the copy is on none of the slow workers w1 and w2
+
   Scenario: No copy while tasks of the pool wait
     Given a late run in a full pool with tasks that wait
     When the play goes on for 5 s
--- a/features/steps/copy_obstacle_steps.py
+++ b/features/steps/copy_obstacle_steps.py
@@ -152,6 +152,21 @@
     assert allows_copies(state, state.steps[0, 0]) == (is_allowed == "yes")
 
 
+@given("a late run on the first of 6 workers, of which the next {count:d} are slow")
+def begin_with_slow_workers(context, count):
+    play_ = open_play(context)
+    play_.submit()
+    speeds = play_.world.current.owner._copies._speeds
+    for number in range(6):
+        speeds._logarithms[f"w{number}"] = 1.0 if 0 < number <= count else 0.0
+
+
+@then("the copy is on none of the slow workers w1 and w2")
+def expect_other_worker(context):
+    context.play.wait_for_copy()
+    assert context.play.copy not in ("w1", "w2"), context.play.copy
+
+
 @then("no second run was started")
 def expect_no_second_run(context):
     play_ = context.play
