--- a/features/copy_world.py
+++ b/features/copy_world.py
@@ -78,6 +78,14 @@
         return found
 
 
+def _heal(world: CopyWorld) -> None:
+    """Ends the disturbances of workers, links and the store, apart from processes that are gone."""
+    world.failing.clear()
+    world.late_starts.clear()
+    world.links = dict.fromkeys(world.links, "")
+    world.store.append_seconds, world.store.loses_answers = 0.0, False
+
+
 async def _disturb(world: CopyWorld, random: Random) -> None:
     """Does one of the things that may happen to owners, workers and jobs."""
     names = [name for name in world.workers if not world.workers[name].gone]
@@ -86,7 +94,7 @@
         ("submit",) * 5
         + ("plain", "cancel", "take_over", "kill", "bounce", "restart", "crash", "unlist")
         + ("link",) * 3
-        + ("failing", "heal", "heal", "lost_stop")
+        + ("failing", "heal", "heal", "lost_stop", "late_start", "store")
     )
     if kind == "submit":
         await world.submit(
@@ -117,9 +125,14 @@
         world.unlisted ^= {name}
     elif kind == "failing":
         world.failing.add(name)
+    elif kind == "late_start":
+        # Start orders to the worker reach whichever start of it is up by then.
+        world.late_starts[name] = random.choice((0.4, 0.9, 1.3, 2.5))
+    elif kind == "store":
+        world.store.append_seconds = random.choice((0.0, 0.1, 0.4))
+        world.store.loses_answers = random.random() < 0.5
     elif kind == "heal":
-        world.failing.clear()
-        world.links = dict.fromkeys(world.links, "")
+        _heal(world)
     elif kind == "lost_stop":
         world.lost_stop_answers[name] += 1
 
@@ -137,8 +150,7 @@
         for _ in range(steps):
             await _disturb(world, random)
             await asyncio.sleep(random.choice(WAITS))
-        world.links = dict.fromkeys(world.links, "")
-        world.failing.clear()
+        _heal(world)
         world.unlisted = {w.name for w in world.workers.values() if w.gone or w.replaced}
         world.late_share = 0.0
         for item in list(world.workers.values()):
