--- a/features/copy_world.py
+++ b/features/copy_world.py
@@ -9,7 +9,7 @@
 import looptime
 from worker_model import ModelWorker, World
 
-from carawayshore.workflows.state import DONE
+from carawayshore.workflows.state import DONE, ORDERED
 
 if TYPE_CHECKING:
     from carawayshore.workflows.model import TaskName
@@ -54,7 +54,22 @@
 
     def check_start(self, worker: ModelWorker, task: TaskName, run: int) -> None:
         super().check_start(worker, task, run)
-        self.second_runs += any(task in other.runs for other in self.workers.values())
+        others = [other for other in self.workers.values() if task in other.runs]
+        self.second_runs += bool(others)
+        self.violations += [
+            f"RESET at {self.now():.3f}: {task} run {run} on {worker.name} beside run"
+            f" {other.runs[task].run} on {other.name}, which is neither its run nor its copy"
+            for other in others
+            if not self._is_followed(task, other)
+        ]
+
+    def _is_followed(self, task: TaskName, worker: ModelWorker) -> bool:
+        """Returns whether the present owner takes the run of a task on a worker as going on."""
+        workflow = self.current.owner.workflows.get(task.workflow)
+        if not self.current.owner.loaded or workflow is None or workflow.is_terminal:
+            return True
+        state = workflow.find_task(task)[1]
+        return state.status != ORDERED or state.has_run(worker.runs[task].run, worker.name)
 
     def check_acknowledged(self, worker: ModelWorker, task: TaskName) -> None:
         if not self.steps[task.workflow].speculative:
