--- a/packages/carawayd/src/carawayd/partition/claims.py
+++ b/packages/carawayd/src/carawayd/partition/claims.py
@@ -9,11 +9,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from carawayshore.workflows.placement import choose_worker, compute_usage
+from carawayshore.workflows.placement import HELD, choose_worker, compute_usage, find_obstacle
 from carawayshore.workflows.room import (
     ShortRun,
     choose_worker_to_claim,
     may_claim,
+    may_run_before_claims,
     may_use_claim,
 )
 
@@ -23,7 +24,7 @@
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
     from carawayshore.workflows.model import StepSpec, TaskName
-    from carawayshore.workflows.placement import WorkerCapacity
+    from carawayshore.workflows.placement import Usage, WorkerCapacity
     from carawayshore.workflows.runtimes import RuntimeModel
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
@@ -271,6 +272,26 @@
             return PENDING
         return IMPOSSIBLE
 
+    def find_idle_room(
+        self, step: StepSpec, usage: Usage, seconds: float, candidates: list[WorkerCapacity]
+    ) -> WorkerCapacity | None:
+        """Returns a worker whose claimed room is idle for longer than a short task takes.
+
+        Workers with a reservation have rules of their own.
+        """
+        now = self._now()
+        for capacity in candidates:
+            if (
+                capacity.claims
+                and capacity.claims.keys() <= self._claims.keys()
+                and find_obstacle(capacity, step, usage, now) == HELD
+                and capacity.suspect_until <= now
+                and not capacity.reserved_for
+                and may_run_before_claims(capacity, usage, seconds, self.list_short_runs(capacity))
+            ):
+                return capacity
+        return None
+
     def forget_estimate(self, worker: str) -> None:
         """Notes that runs on a worker are being stopped."""
         self._estimates.pop(worker, None)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -959,7 +959,7 @@
         state = {
             "open": key in self._open_steps,
             "suspended": key in self._suspended_steps,
-            "excluded": self._planner.list_excluded(name),
+            **self._planner.describe_step(name),
             "pending_starts": self._pending_starts,
             "store_stalled": self.ledger.is_stalled,
         }
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -7,21 +7,27 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, NamedTuple
-
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from carawayd.partition.candidates import (
+    Requirement,
+    build_requirement,
+    exclude,
+    find_offered_millicores,
+    select_rack,
+)
 from carawayd.partition.rejections import Rejections
+from carawayd.partition.reservations import Reservations, WaitingStep
 from carawayd.supervision import unexpected_errors
 from carawayshore.workflows.crashes import needs_isolation
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.ordering import Candidate, rank_candidate
 from carawayshore.workflows.placement import (
-    HELD,
     choose_worker,
     compute_usage,
     count_slots,
-    find_obstacle,
 )
-from carawayshore.workflows.room import count_claimable, may_run_before_claims, may_use_claim
+from carawayshore.workflows.room import count_claimable, may_use_claim
 from carawayshore.workflows.state import ORDERED, WAITING
 
 if TYPE_CHECKING:
@@ -47,22 +53,6 @@
 StepKey = tuple[str, int, int]
 
 
-class _Requirement(NamedTuple):
-    """What decides whether a worker can take a short task without limits of its own."""
-
-    service: str
-    usage: tuple[int, int, int, bool, bool]
-    label: str
-
-
-def _build_requirement(service: str, spec: StepSpec, usage: Usage) -> _Requirement | None:
-    """Returns the requirement of a step, None if its tasks have limits of their own."""
-    if spec.long_running or spec.gang or spec.same_rack or spec.most_per_worker:
-        return None
-    amounts = (usage.millicores, usage.memory_mb, usage.accelerators)
-    return _Requirement(service, (*amounts, usage.serving, usage.best_effort), spec.label)
-
-
 class StepPlacement(NamedTuple):
     """Workers chosen for tasks of one step, whose room is reserved.
 
@@ -105,6 +95,8 @@
     clock : Clock
     time_of_day : SteadyTimeOfDay
         For scheduled start times only.
+    looks_ahead : bool
+        Whether room is reserved for large short tasks that wait.
     """
 
     def __init__(
@@ -121,6 +113,7 @@
         advisor: Advisor,
         clock: Clock,
         time_of_day: SteadyTimeOfDay,
+        looks_ahead: bool = True,
     ) -> None:
         self._workflows = workflows
         self._links = links
@@ -134,9 +127,12 @@
         self._clock = clock
         self._time_of_day = time_of_day
         self._rejections = Rejections(clock)
+        self._reservations = Reservations(claims, is_enabled=looks_ahead)
+        # Most processors that a worker of each service offers to a short task, in the present plan.
+        self._offered: dict[str, int] = {}
         # Requirements for which the present plan has found no worker, and whether one would have
         # been found despite precautions. Room only shrinks while a plan is made.
-        self._unplaceable: dict[_Requirement, bool] = {}
+        self._unplaceable: dict[Requirement, bool] = {}
         # Room that has been reserved for the step that is being placed.
         self._reserved: list[tuple[WorkerCapacity, TaskName]] = []
         # Time from which each step that caused an unexpected error is looked at again.
@@ -169,8 +165,18 @@
             self._isolation.refresh()
         self.end_needless_claims()
         ranked = self._rank_due_steps(now)
+        self._offered.clear()
+        # A reservation could keep the workers busy on which suspected tasks are to run alone.
+        waiting = [] if self._isolation else self._list_waiting(ranked)
+        with self._reservations.plan(waiting, now):
+            yield from self._place_ranked(ranked, now, limit)
+
+    def _place_ranked(
+        self, ranked: list[tuple[Rank, StepKey]], now: float, limit: int
+    ) -> Iterator[StepPlacement]:
         capacities_by_service: dict[str, list[WorkerCapacity]] = {}
-        for _, key in ranked:
+        list_excluded = self._rejections.list_excluded
+        for rank, key in ranked:
             if limit <= 0:
                 return
             workflow, step = self._workflows[key[0]], self._open_steps[key]
@@ -180,13 +186,19 @@
                 capacities = capacities_by_service[service] = self._list_usable(service)
             self._reserved.clear()
             try:
+                item = WaitingStep(rank, key, workflow.spec, step)
+                self._reservations.begin_step(item, capacities, list_excluded)
                 placement = self._place_step(workflow, step, capacities, now, limit)
+                if placement is None or placement.still_waiting:
+                    self._reservations.reserve(item, capacities, list_excluded)
             except Exception:
                 for capacity, name in self._reserved:
                     capacity.release(name)
+                self._offered.clear()
                 self._delay_step(key, now)
                 continue
             if placement is not None:
+                self._offered.clear()
                 limit -= len(placement.chosen)
                 yield placement
 
@@ -205,6 +217,12 @@
         ranked.sort()
         return ranked
 
+    def _list_waiting(self, ranked: list[tuple[Rank, StepKey]]) -> list[WaitingStep]:
+        return [
+            WaitingStep(rank, key, self._workflows[key[0]].spec, self._open_steps[key])
+            for rank, key in ranked
+        ]
+
     def _delay_step(self, key: StepKey, now: float) -> None:
         """Logs the error of a step, which must not keep all other steps from being placed."""
         for other in [other for other, until in self._failed_until.items() if now >= until]:
@@ -220,9 +238,12 @@
         """Ends the claims of tasks that need none, and those on workers that cannot be used."""
         self._claims.retain(self._needs_claim)
 
-    def list_excluded(self, name: TaskName) -> list[str]:
-        """Returns the workers that have rejected a task a moment ago."""
-        return self._rejections.list_excluded(name)
+    def describe_step(self, name: TaskName) -> dict[str, Any]:
+        """Describes for the log what keeps a task from some workers."""
+        workflow = self._workflows.get(name.workflow)
+        service = workflow.spec.service if workflow is not None else ""
+        excluded = self._rejections.list_excluded(name)
+        return {"excluded": excluded} | self._reservations.describe(service, name)
 
     def _list_usable(self, service: str) -> list[WorkerCapacity]:
         return [
@@ -258,12 +279,12 @@
             tickets = self._advisor.find_tickets(name[:3])
             self._request_advice(workflow, step, name, capacities, tickets, 1)
             capacities = [capacity for capacity in capacities if capacity.entry.worker in tickets]
-        capacities = _exclude(capacities, self._rejections.list_avoided(name)) or _exclude(
+        capacities = exclude(capacities, self._rejections.list_avoided(name)) or exclude(
             capacities, self._rejections.list_excluded(name)
         )
         if step.spec.same_rack:
             usage = compute_usage(name, step.spec)
-            preferred = self._select_rack(step, capacities)
+            preferred = select_rack(step, capacities)
             if any(capacity.fits(usage) for capacity in preferred):
                 return preferred
         return capacities
@@ -307,8 +328,7 @@
         if (
             not spec.best_effort
             and not spec.long_running
-            and spec.millicores
-            > max((_count_offered_millicores(capacity) for capacity in capacities), default=0)
+            and spec.millicores > self._find_offered_millicores(workflow.spec.service, capacities)
         ):
             return None
         tickets: dict[str, str] = {}
@@ -353,10 +373,11 @@
         """
         chosen: list[tuple[WorkerCapacity, TaskName]] = []
         spec = step.spec
-        preferred = self._select_rack(step, capacities) if spec.same_rack else capacities
+        preferred = select_rack(step, capacities) if spec.same_rack else capacities
         # Short tasks are not spread over racks, where they are slow and keep others waiting.
         fallback = capacities if spec.long_running else preferred
         requirement = self._find_requirement(step, key[0])
+        queue = self._workflows[key[0]].spec.queue
         has_precautions = len(fallback) > len(preferred) or any(
             capacity.suspect_until > now
             or capacity.reserved_for
@@ -376,7 +397,7 @@
                 avoided.append(task.worker)
             # A gang starts together: one refusal does not speak against the workers of the others.
             excluded = [] if spec.gang else self._rejections.list_excluded(name)
-            candidates, others = _exclude(preferred, excluded), _exclude(fallback, excluded)
+            candidates, others = exclude(preferred, excluded), exclude(fallback, excluded)
             isolated = self._find_isolated_subject(step, name)
             if isolated:
                 candidates = self._isolation.select(isolated, spec, usage, candidates)
@@ -386,7 +407,10 @@
             if capacity is None and not is_full:
                 capacity = choose_worker(candidates, spec, usage, now, avoided=avoided)
             if capacity is None and not (isolated or spec.long_running or spec.gang):
-                capacity = self._find_idle_claimed_room(step, name, usage, candidates, now)
+                seconds = self._runtimes.estimate_task_seconds(queue, spec)
+                capacity = self._claims.find_idle_room(spec, usage, seconds, candidates)
+                if capacity is None:
+                    capacity = self._reservations.find_backfill(step, usage, seconds, candidates)
             is_kept = False
             if capacity is None and has_precautions and not is_full:
                 capacity, is_kept = self._choose_despite_precautions(spec, name, usage, others, now)
@@ -408,29 +432,11 @@
                 break
         return chosen
 
-    def _find_idle_claimed_room(
-        self,
-        step: StepState,
-        name: TaskName,
-        usage: Usage,
-        candidates: list[WorkerCapacity],
-        now: float,
-    ) -> WorkerCapacity | None:
-        """Returns a worker whose claimed room is idle for longer than a short task takes."""
-        queue = self._workflows[name.workflow].spec.queue
-        seconds = self._runtimes.estimate_task_seconds(queue, step.spec)
-        for capacity in candidates:
-            if (
-                capacity.claims
-                and find_obstacle(capacity, step.spec, usage, now) == HELD
-                and capacity.suspect_until <= now
-                and not capacity.reserved_for
-                and may_run_before_claims(
-                    capacity, usage, seconds, self._claims.list_short_runs(capacity)
-                )
-            ):
-                return capacity
-        return None
+    def _find_offered_millicores(self, service: str, capacities: list[WorkerCapacity]) -> int:
+        """Returns the most processors that a short task may get on one worker."""
+        if service not in self._offered:
+            self._offered[service] = find_offered_millicores(capacities)
+        return self._offered[service]
 
     def _order_waiting(self, step: StepState, key: StepKey, waiting: list[int]) -> list[int]:
         """Returns the waiting tasks of a step, those with a claim first.
@@ -451,13 +457,13 @@
             return None
         return capacity if may_use_claim(capacity, spec, compute_usage(name, spec)) else None
 
-    def _find_requirement(self, step: StepState, workflow: str) -> _Requirement | None:
+    def _find_requirement(self, step: StepState, workflow: str) -> Requirement | None:
         """Returns what the outcome for one task of a step tells about other steps, or None."""
         state = self._workflows[workflow]
         if workflow in self._isolation or state.spec.advice is not None:
             return None
         usage = compute_usage(TaskName(workflow, step.occurrence, step.number, 0), step.spec)
-        return _build_requirement(state.spec.service, step.spec, usage)
+        return build_requirement(state.spec.service, step.spec, usage)
 
     def _is_unplaceable(self, workflow: WorkflowState, step: StepState) -> bool:
         """Returns whether the present plan has found no worker for a task like those of the step.
@@ -506,7 +512,7 @@
         """
         if not step.spec.long_running:
             return
-        preferred = self._select_rack(step, capacities) if step.spec.same_rack else capacities
+        preferred = select_rack(step, capacities) if step.spec.same_rack else capacities
         names = [TaskName(*key, index) for index in self._order_waiting(step, key, waiting)]
         if step.spec.gang and not self._can_claim_all(step, names, capacities):
             # Room for some of its members is of no use.
@@ -516,8 +522,8 @@
         for name in names:
             self._deferrals.begin(name)
             avoided = self._rejections.list_avoided(name)
-            candidates = _exclude(capacities, self._rejections.list_excluded(name))
-            if self._claims.keep(name, step.spec, candidates, _exclude(preferred, avoided)):
+            candidates = exclude(capacities, self._rejections.list_excluded(name))
+            if self._claims.keep(name, step.spec, candidates, exclude(preferred, avoided)):
                 continue
             if self._claims.take_over(name, step.spec, candidates, self._is_at_work):
                 continue
@@ -564,29 +570,3 @@
         )
         if free < waiting:
             self._advisor.ask(name[:3], capacities, workflow.spec.advice)
-
-    def _select_rack(
-        self, step: StepState, capacities: list[WorkerCapacity]
-    ) -> list[WorkerCapacity]:
-        """Returns the workers of one rack: that of running tasks, else the one with most room."""
-        used = {task.worker for task in step.tasks if task.status == ORDERED}
-        racks = {capacity.entry.rack for capacity in capacities if capacity.entry.worker in used}
-        if not racks and capacities:
-            free: dict[str, int] = {}
-            for capacity in capacities:
-                free[capacity.entry.rack] = (
-                    free.get(capacity.entry.rack, 0) + capacity.free_millicores
-                )
-            racks = {max(free, key=lambda rack: free[rack])}
-        return [capacity for capacity in capacities if capacity.entry.rack in racks]
-
-
-def _count_offered_millicores(capacity: WorkerCapacity) -> int:
-    """Returns the processors that a short task may get, those of pending claims among them."""
-    return capacity.free_millicores + capacity.claimed_millicores
-
-
-def _exclude(capacities: list[WorkerCapacity], excluded: list[str]) -> list[WorkerCapacity]:
-    if not excluded:
-        return capacities
-    return [capacity for capacity in capacities if capacity.entry.worker not in excluded]
--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -10,6 +10,7 @@
 import logging
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from carawayd.partition.fragmentation import publish_fragmentation
 from carawayd.partition.workerlink import STARTED
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.model import TaskName
@@ -115,6 +116,7 @@
         late = [absence for absence in absences if now - absence.since >= ALERT_SECONDS]
         unexplained = list(self._select_unexplained(late))
         self._publish("short_task_longest_unexplained_wait", [item[0] for item in unexplained], now)
+        publish_fragmentation(self._list_services(), self._workflows, self._links, self._metrics)
         lines = 0
         for absence, detail in unexplained:
             seconds = now - absence.since
@@ -164,6 +166,7 @@
         """Resets the metrics, once the partition is no longer owned here."""
         self._publish("short_task_longest_wait", [], 0.0)
         self._publish("short_task_longest_unexplained_wait", [], 0.0)
+        publish_fragmentation(self._list_services(), {}, {}, self._metrics)
 
     def _iterate_absent_tasks(
         self,
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -83,6 +83,11 @@
             "Longest of these times among tasks that are ordered, or for which a worker has room.",
             "service",
         )
+        self.fragmentation = self._add_gauge(
+            "caraway_pool_fragmentation",
+            "Share of the free processors that the largest unfinished short task cannot use.",
+            "service",
+        )
         self.unused_workers = self._add_gauge(
             "caraway_unused_workers",
             "Workers that are listed as ready and have not been usable for some seconds.",
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -185,6 +185,11 @@
         """Processors that are neither reserved nor claimed."""
         return self.entry.millicores - self.millicores - self._claimed.millicores
 
+    @property
+    def free_memory_mb(self) -> int:
+        """Memory that is neither reserved nor claimed."""
+        return self.entry.memory_mb - self.memory_mb - self._claimed.memory_mb
+
     @property
     def claimed_millicores(self) -> int:
         return self._claimed.millicores
