--- a/benchmarks/placement_load.py
+++ b/benchmarks/placement_load.py
@@ -56,8 +56,8 @@
     memory_mb: int = 128_000
     burst_load: float = 1.6
     large_share: float = 0.25
-    long_running_jobs: int = 5
-    long_running_tasks: int = 9
+    long_running_jobs: int = 3
+    long_running_tasks: int = 15
     run_deviation: float = 0.2
     error_deviation: float = 0.3
     straggler_share: float = 0.0
--- a/benchmarks/placement_replay.py
+++ b/benchmarks/placement_replay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterator
 from datetime import UTC, datetime, timedelta
 from itertools import count
 from random import Random
@@ -10,6 +11,7 @@
 from typing import NamedTuple
 
 from benchmarks.placement_load import QUEUE, SERVICE, Job, Load, draw_jobs, draw_long_running
+from benchmarks.report import Line, case
 from carawayd.partition.advisor import Advisor
 from carawayd.partition.claims import Claims
 from carawayd.partition.deferrals import Deferrals
@@ -256,3 +258,57 @@
             self.clock.seconds, _, action = heapq.heappop(self._events)
             action()
         return self.result
+
+
+LOADS = {
+    "mixed": Load(),
+    "overload": Load(burst_load=2.4),
+    "few-large": Load(large_share=0.08),
+    "wrong-estimates": Load(error_deviation=0.9),
+    "small-only": Load(large_share=0.0),
+}
+SEEDS = 6
+SECONDS = 40.0
+
+
+def _summarize(results: list[Result]) -> dict[str, float]:
+    waits = {
+        size: sorted(wait for item in results for wait in item.waits[size])
+        for size in ("large", "small")
+    }
+    fragmentation = [share for item in results for share in item.fragmentation]
+    figures = {
+        "on_time": sum(item.on_time for item in results) / sum(item.jobs for item in results),
+        "fragmentation": sum(fragmentation) / max(1, len(fragmentation)),
+    }
+    for size, values in waits.items():
+        if values:
+            figures[f"{size}_mean_s"] = sum(values) / len(values)
+            figures[f"{size}_p95_s"] = values[int(0.95 * len(values))]
+            figures[f"{size}_max_s"] = values[-1]
+    return {name: round(value, 4) for name, value in figures.items()}
+
+
+@case("placement-lookahead")
+def compare_placement(seed: int) -> Iterator[Line]:
+    """Compares the share of jobs on time, and the waits, without and with reservations."""
+    for name, load in LOADS.items():
+        before, after = (
+            _summarize(
+                [
+                    Replay(load, seed + number, SECONDS, looks_ahead=looks_ahead).play()
+                    for number in range(SEEDS)
+                ]
+            )
+            for looks_ahead in (False, True)
+        )
+        yield Line(
+            f"placement-lookahead/{name}",
+            seed,
+            before["on_time"],
+            after["on_time"],
+            after["on_time"] / before["on_time"],
+            "share of jobs on time not lower",
+            after["on_time"] >= before["on_time"],
+            {"unit": "share of jobs", "seeds": SEEDS, "before": before, "after": after},
+        )
--- a/features/lookahead.feature
+++ b/features/lookahead.feature
@@ -63,6 +63,15 @@
     Then no room is reserved
     And at least 1 small task has started
 
+  Scenario: In overload no room is reserved for a task that is not overdue
+    # Guards against idle processors while more jobs become late by each of them.
+    Given 1 worker of 16 cores with runs of 4 cores that end after 0.3, 2.0, 2.0 and 5.0 s
+    And a waiting task of 12 cores with an allowance of 0.6 s, due in 8 s, that runs for 2 s
+    And 20 waiting tasks of 4 cores, due in 30 s, that run for 9 s
+    When the pool runs for 0.4 s
+    Then no room is reserved
+    And at least 1 small task has started
+
   Scenario: A reservation that is not met is given up, and tried again later
     # Guards against a worker that is kept idle for a run whose estimate is wrong.
     Given 1 worker of 16 cores with a run of 8 cores that is estimated at 1.0 s and never ends
@@ -124,12 +133,13 @@
 
   Scenario: The log tells for whom room is reserved
     # Guards against a task that waits although it fits, without any reason in the log.
-    Given 1 worker of 16 cores with a run of 8 cores that ends after 1.0 s
+    Given 1 worker of 16 cores with a run of 6 cores that ends after 1.0 s
     And a waiting task of 12 cores, due in 8 s, that runs for 2 s
-    And 20 waiting tasks of 8 cores, due in 30 s, that run for 9 s
+    And 5 waiting tasks of 6 cores, due in 30 s, that run for 9 s
     And 1 waiting task of 4 cores, due in 60 s, that runs for 9 s
     When the pool runs for 0.2 s
-    Then the description of a waiting task of 8 cores names the large task and w0
+    Then the description of a waiting task of 6 cores names the large task and w0
+    And w0 is shown as kept for a large task to the tasks of 6 cores, which is no unexplained wait
 
   Scenario Outline: Fragmentation is the share of free processors that a large task cannot use
     Given workers of 64 cores and 128 GB with <free> free cores and <memory> GB of free memory
--- a/features/lookahead_builders.py
+++ b/features/lookahead_builders.py
@@ -10,6 +10,8 @@
 from carawayshore.workflows.model import StepSpec, TaskName
 from carawayshore.workflows.state import WorkflowState
 
+# Allowance of the objectives, longer than any backlog of the scenarios but one.
+ALLOWANCE_MS = 60_000
 # Rack of all workers.
 RACK = "a"
 NEVER_S = math.inf
@@ -31,11 +33,19 @@
         self.run_task(TaskName(job.identifier, 0, 0, 0), worker, seconds)
 
     def submit(
-        self, step: StepSpec, *, due: float, seconds: float, priority: int = 5
+        self,
+        step: StepSpec,
+        *,
+        due: float,
+        seconds: float,
+        priority: int = 5,
+        allowance_ms: int = ALLOWANCE_MS,
     ) -> WorkflowState:
         """Lets a job of one step wait that should be done by ``due``."""
         identifier = f"{len(self.workflows) + 1:016x}"
-        spec = build_workflow(step, identifier=identifier, priority=priority, advice=None)
+        spec = build_workflow(
+            step, identifier=identifier, priority=priority, allowance_ms=allowance_ms, advice=None
+        )
         state = self.workflows[identifier] = WorkflowState(spec, self.clock.seconds)
         self.deadlines[identifier] = due
         self.run_seconds[identifier] = seconds
--- a/features/steps/lookahead_steps.py
+++ b/features/steps/lookahead_steps.py
@@ -9,6 +9,7 @@
 from workflow_builders import build_worker_capacities
 
 from carawayd.partition.fragmentation import publish_fragmentation
+from carawayd.partition.waitreasons import KEPT, WaitReasons
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayshore.workflows.amounts import Amounts
 from carawayshore.workflows.lookahead import measure_fragmentation
@@ -86,6 +87,15 @@
     context.large = _submit(context, cores, due, seconds)
 
 
+@given(
+    "a waiting task of {cores:d} cores with an allowance of {allowance:g} s, due in {due:g} s, "
+    "that runs for {seconds:g} s"
+)
+def submit_large_with_allowance(context, cores, allowance, due, seconds):
+    allowance_ms = int(allowance * 1000)
+    context.large = _submit(context, cores, due, seconds, allowance_ms=allowance_ms)
+
+
 @given(
     "a waiting task of {cores:d} cores, estimated at {ms:d} ms, due in {due:g} s, that runs for "
     "{seconds:g} s"
@@ -160,6 +170,19 @@
     assert not found["own"], found
 
 
+@then("w0 is shown as kept for a large task to the tasks of 6 cores, which is no unexplained wait")
+def check_wait_reason(context):
+    pool, job = context.pool, context.jobs[0]
+    for link in pool.links.values():
+        link.silent_seconds = 0.0
+    planner = pool.planner
+    reasons = WaitReasons(pool.links, planner._isolation, planner.describe_step, pool.clock)
+    step = job.steps[0, 0]
+    choice = reasons.describe_choice(job, step, TaskName(job.identifier, 0, 0, 0))
+    assert choice.obstacles == {KEPT: 1}, choice
+    assert not choice.has_room
+
+
 @then("the large task has started after at most {seconds:g} s")
 def check_large(context, seconds):
     start = context.pool.find_start(context.large)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -127,7 +127,7 @@
         self._clock = clock
         self._time_of_day = time_of_day
         self._rejections = Rejections(clock)
-        self._reservations = Reservations(claims, is_enabled=looks_ahead)
+        self._reservations = Reservations(claims, runtimes, is_enabled=looks_ahead)
         # Most processors that a worker of each service offers to a short task, in the present plan.
         self._offered: dict[str, int] = {}
         # Requirements for which the present plan has found no worker, and whether one would have
--- a/packages/carawayd/src/carawayd/partition/reservations.py
+++ b/packages/carawayd/src/carawayd/partition/reservations.py
@@ -14,17 +14,18 @@
 from carawayd.partition.candidates import exclude
 from carawayd.platform.runs import format_task
 from carawayshore.workflows.lookahead import (
-    MAX_LATE_SECONDS,
     MAX_START_SECONDS,
     begin_span,
     choose_start,
     estimate_start,
     find_smallest,
     is_large,
+    is_overdue,
     is_very_late,
     may_backfill,
     may_delay,
     may_reserve,
+    measure_backlog_seconds,
 )
 from carawayshore.workflows.model import TaskName
 from carawayshore.workflows.placement import HELD, compute_usage, find_obstacle
@@ -40,6 +41,7 @@
     from carawayshore.workflows.model import StepSpec, Workflow
     from carawayshore.workflows.ordering import Rank
     from carawayshore.workflows.placement import Usage, WorkerCapacity
+    from carawayshore.workflows.runtimes import RuntimeModel
     from carawayshore.workflows.state import StepState
 
 StepKey = tuple[str, int, int]
@@ -81,18 +83,23 @@
     ----------
     claims : Claims
         Estimates when short runs end.
+    runtimes : RuntimeModel
     is_enabled : bool
     """
 
-    def __init__(self, claims: Claims, *, is_enabled: bool = True) -> None:
+    def __init__(self, claims: Claims, runtimes: RuntimeModel, *, is_enabled: bool = True) -> None:
         self._claims = claims
+        self._runtimes = runtimes
         self._is_enabled = is_enabled
         self._now = 0.0
         self._memories: dict[StepKey, _Memory] = {}
         self._in_force: dict[str, _Reservation] = {}
         # Those of the last plan, for the log.
         self._last: dict[str, _Reservation] = {}
+        self._waiting: list[WaitingStep] = []
         self._smallest: dict[str, Amounts] = {}
+        # Seconds that the workers of each service need for what waits.
+        self._backlogs: dict[str, float] = {}
         # For each service the step that is late by so much that others have to wait for it.
         self._overdue: dict[str, WaitingStep] = {}
         self._choices_left = 0
@@ -104,7 +111,7 @@
         """Notes the waiting steps of a plan; ends its reservations when it has been made."""
         self._release()
         self._now = now
-        self._smallest, self._overdue = {}, {}
+        self._smallest, self._overdue, self._backlogs, self._waiting = {}, {}, {}, []
         self._choices_left = MAX_CHOICES_PER_PLAN
         if self._memories:
             keys = {item.key for item in waiting}
@@ -119,6 +126,7 @@
 
     def _note_waiting(self, waiting: list[WaitingStep]) -> None:
         waiting = [item for item in waiting if may_reserve(item.workflow, item.step.spec)]
+        self._waiting = waiting
         steps: dict[str, list[StepSpec]] = {}
         for item in waiting:
             steps.setdefault(item.workflow.service, []).append(item.step.spec)
@@ -127,7 +135,7 @@
             service = item.workflow.service
             if (
                 service not in self._overdue
-                and item.rank.latest_start < self._now - MAX_LATE_SECONDS
+                and is_overdue(item.rank, self._now)
                 and is_large(item.step.spec, self._smallest[service])
             ):
                 self._overdue[service] = item
@@ -199,7 +207,11 @@
             return
         limit = math.inf if is_very_late(item.rank, now) else MAX_START_SECONDS
         start = self._find_start(memory, step, usage, capacities, limit)
-        if start is None or not may_delay(item.rank, start, now):
+        if start is None:
+            return
+        backlog_seconds = self._measure_backlog_seconds(item.workflow.service, capacities)
+        allowance_seconds = item.workflow.allowance_ms / 1000
+        if not may_delay(item.rank, start, now, backlog_seconds, allowance_seconds):
             return
         if memory is None:
             memory = _Memory(begin_span(start, now), start.capacity)
@@ -210,6 +222,19 @@
         start.capacity.claim(name, usage)
         self._in_force[item.workflow.service] = _Reservation(name, item.rank, start)
 
+    def _measure_backlog_seconds(self, service: str, capacities: list[WorkerCapacity]) -> float:
+        """Returns how long the workers need for the waiting work, measured once per plan."""
+        if service not in self._backlogs:
+            work = sum(
+                sum(task.status == WAITING for task in item.step.tasks)
+                * item.step.spec.millicores
+                * self._runtimes.estimate_task_seconds(item.workflow.queue, item.step.spec)
+                for item in self._waiting
+                if item.workflow.service == service
+            )
+            self._backlogs[service] = measure_backlog_seconds(work, capacities)
+        return self._backlogs[service]
+
     def _find_start(
         self,
         memory: _Memory | None,
--- a/packages/carawayd/src/carawayd/partition/waitreasons.py
+++ b/packages/carawayd/src/carawayd/partition/waitreasons.py
@@ -25,8 +25,11 @@
     from carawayshore.workflows.placement import Usage
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
-# Obstacles of workers that cannot take a task, whatever the owner decides.
-SHORTAGES = frozenset({UNUSABLE, NO_ROOM, NO_LABEL, STEP_LIMIT})
+# A worker that could take a task, but has room reserved for a large task that waits.
+KEPT = "kept for a large task"
+# Obstacles of workers that cannot take a task, whatever the owner decides; a reservation ends
+# within seconds.
+SHORTAGES = frozenset({UNUSABLE, NO_ROOM, NO_LABEL, STEP_LIMIT, KEPT})
 # A worker that could take a task, but is cordoned for upkeep or a move to another pool.
 CORDONED = "cordoned"
 
@@ -104,7 +107,10 @@
         links = [
             link for link in self._links.values() if link.entry.service == workflow.spec.service
         ]
-        obstacles = Counter(_find_obstacle(link, step.spec, usage, now) for link in links)
+        state = self._describe_step(name)
+        reservation = state.get("reservation")
+        kept = "" if reservation is None or reservation["own"] else reservation["worker"]
+        obstacles = Counter(_find_obstacle(link, step.spec, usage, now, kept) for link in links)
         silences = [round(link.silent_seconds, 1) for link in links]
         detail = {
             "workers": dict(obstacles),
@@ -114,11 +120,14 @@
                 name if step.spec.long_running else name.workflow, step.spec
             ),
         }
-        return Choice(obstacles, detail | self._describe_step(name))
+        return Choice(obstacles, detail | state)
 
 
-def _find_obstacle(link: WorkerLink, step: StepSpec, usage: Usage, now: float) -> str:
+def _find_obstacle(link: WorkerLink, step: StepSpec, usage: Usage, now: float, kept: str) -> str:
+    """Returns why a task cannot start on a worker; ``kept`` is the one with a reservation."""
     obstacle = find_obstacle(link.capacity, step, usage, now)
     if obstacle == UNUSABLE and link.cordoned and link.capacity.fits(usage):
         return CORDONED if link.list_unusable_reasons() == [CORDONED] else UNUSABLE
+    if not obstacle and link.worker == kept:
+        return KEPT
     return obstacle or "free"
--- a/packages/carawayshore/src/carawayshore/workflows/lookahead.py
+++ b/packages/carawayshore/src/carawayshore/workflows/lookahead.py
@@ -119,13 +119,37 @@
     )
 
 
-def may_delay(rank: Rank, start: Start, now: float) -> bool:
+def measure_backlog_seconds(work: float, capacities: Iterable[WorkerCapacity]) -> float:
+    """Returns how long the workers need for the waiting short work, in millicore-seconds."""
+    millicores = sum(
+        max(0, capacity.entry.millicores - capacity.long_running_millicores)
+        for capacity in capacities
+        if capacity.usable
+    )
+    return work / millicores if millicores else math.inf
+
+
+def is_overdue(rank: Rank, now: float) -> bool:
+    """Returns whether a task is so late that it holds back others that are not."""
+    return now - rank.latest_start > MAX_LATE_SECONDS
+
+
+def may_delay(
+    rank: Rank, start: Start, now: float, backlog_seconds: float, allowance_seconds: float
+) -> bool:
     """Returns whether a task may hold back others until its start.
 
-    While others can still be on time, it has to be on time itself. Late tasks are behind them, and
-    hold back other late tasks only, until they are overdue.
+    It has to be on time itself, and the backlog short enough that the others can be, too: every
+    objective contains the allowance. In overload the processors that a reservation leaves idle
+    would make more jobs late than one. An overdue task holds back others in any case.
     """
-    return rank.late or now + start.seconds <= rank.latest_start
+    if is_overdue(rank, now):
+        return True
+    return (
+        not rank.late
+        and now + start.seconds <= rank.latest_start
+        and backlog_seconds <= allowance_seconds
+    )
 
 
 def estimate_start(
--- a/packages/carawayshore/src/carawayshore/workflows/placement.py
+++ b/packages/carawayshore/src/carawayshore/workflows/placement.py
@@ -190,6 +190,10 @@
         """Memory that is neither reserved nor claimed."""
         return self.entry.memory_mb - self.memory_mb - self._claimed.memory_mb
 
+    @property
+    def long_running_millicores(self) -> int:
+        return self._long_running.millicores
+
     @property
     def claimed_millicores(self) -> int:
         return self._claimed.millicores
