--- a/packages/carawayshore/src/carawayshore/workflows/lookahead.py
+++ b/packages/carawayshore/src/carawayshore/workflows/lookahead.py
@@ -10,8 +10,8 @@
 
 from __future__ import annotations
 
-import heapq
 import math
+from itertools import islice
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.amounts import Amounts
@@ -181,14 +181,15 @@
 
     Workers with claims are left out, since long-running tasks go first there.
     """
-    candidates = [
+    ranked = sorted(
         (_measure_share(capacity, usage), number, capacity)
         for number, capacity in enumerate(capacities)
-        if not capacity.claims and may_claim(capacity, step, usage, now)
-    ]
+        if not capacity.claims
+    )
+    candidates = (item[2] for item in ranked if may_claim(item[2], step, usage, now))
     starts = [
         start
-        for _, _, capacity in heapq.nsmallest(MAX_WORKERS, candidates)
+        for capacity in islice(candidates, MAX_WORKERS)
         if (start := estimate_start(capacity, usage, list_short_runs(capacity))) is not None
     ]
     best = min(starts, key=lambda start: start.seconds, default=None)
@@ -196,12 +197,13 @@
 
 
 def _measure_share(capacity: WorkerCapacity, usage: Usage) -> float:
-    """Returns the largest share of a worker that has to be freed for a task."""
-    shortage = capacity.measure_shortage(usage)
+    """Returns the largest share of a worker without claims that has to be freed for a task."""
+    entry = capacity.entry
     return max(
-        shortage.millicores / max(1, capacity.entry.millicores),
-        shortage.memory_mb / max(1, capacity.entry.memory_mb),
-        shortage.accelerators / max(1, capacity.entry.accelerators),
+        (usage.millicores + capacity.millicores - entry.millicores) / max(1, entry.millicores),
+        (usage.memory_mb + capacity.memory_mb - entry.memory_mb) / max(1, entry.memory_mb),
+        (usage.accelerators + capacity.accelerators - entry.accelerators)
+        / max(1, entry.accelerators),
     )
 
 
