Late urgent tasks use reserved room although a less urgent task like them could not

The planner keeps for each plan which requirements find no worker. A task of low priority that was kept from reserved room excluded late tasks of a higher priority with the same requirement. The priority is part of the requirement now; the scenario fails without it.

--- a/features/lookahead.feature
+++ b/features/lookahead.feature
@@ -47,6 +47,16 @@
     When the pool runs for 2 s
     Then the urgent task has started after at most 0.4 s
 
+  Scenario: Late urgent work does not wait for an overdue task of less urgent work
+    # Guards against the outcome for a task of low priority that is taken for one of high priority.
+    Given 1 worker of 16 cores with runs of 4 cores that end after 0.3, 5.0, 5.0 and 5.0 s
+    And a waiting task of 12 cores, due in -20 s, that runs for 2 s
+    And 20 waiting tasks of 4 cores, due in 30 s, that run for 2 s
+    And an urgent waiting task of 4 cores, due in -1 s, that runs for 2 s
+    When the pool runs for 1 s
+    Then the urgent task has started after at most 0.4 s
+    And room is reserved on w0
+
   Scenario: Small tasks alone cause no reservation
     # Guards against a change for pools whose tasks are all alike.
     Given 1 worker of 16 cores with a run of 14 cores that ends after 1.0 s
--- a/packages/carawayd/src/carawayd/partition/candidates.py
+++ b/packages/carawayd/src/carawayd/partition/candidates.py
@@ -9,25 +9,30 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from carawayshore.workflows.model import StepSpec
+    from carawayshore.workflows.model import StepSpec, Workflow
     from carawayshore.workflows.placement import Usage, WorkerCapacity
     from carawayshore.workflows.state import StepState
 
 
 class Requirement(NamedTuple):
-    """What decides whether a worker can take a short task without limits of its own."""
+    """What decides whether a worker can take a short task without limits of its own.
+
+    Reserved room is open to tasks of a higher priority than that of the reservation.
+    """
 
     service: str
+    priority: int
     usage: tuple[int, int, int, bool, bool]
     label: str
 
 
-def build_requirement(service: str, spec: StepSpec, usage: Usage) -> Requirement | None:
+def build_requirement(workflow: Workflow, spec: StepSpec, usage: Usage) -> Requirement | None:
     """Returns the requirement of a step, None if its tasks have limits of their own."""
     if spec.long_running or spec.gang or spec.same_rack or spec.most_per_worker:
         return None
     amounts = (usage.millicores, usage.memory_mb, usage.accelerators)
-    return Requirement(service, (*amounts, usage.serving, usage.best_effort), spec.label)
+    fields = (*amounts, usage.serving, usage.best_effort)
+    return Requirement(workflow.service, workflow.priority, fields, spec.label)
 
 
 def find_offered_millicores(capacities: Iterable[WorkerCapacity]) -> int:
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -463,7 +463,7 @@
         if workflow in self._isolation or state.spec.advice is not None:
             return None
         usage = compute_usage(TaskName(workflow, step.occurrence, step.number, 0), step.spec)
-        return build_requirement(state.spec.service, step.spec, usage)
+        return build_requirement(state.spec, step.spec, usage)
 
     def _is_unplaceable(self, workflow: WorkflowState, step: StepState) -> bool:
         """Returns whether the present plan has found no worker for a task like those of the step.
