--- a/features/lookahead.feature
+++ b/features/lookahead.feature
@@ -124,7 +124,7 @@
     # after its latest start, for 3 s until the reserved room is free, and twice for that if the
     # first reservation is not met.
     Given 4 workers of 16 cores
-    And 10000 waiting tasks of 4 cores, due in 9000 s, that run for 0.8 s
+    And 10000 waiting tasks of 4 cores, due in 9000 s, that run for 0.8 to 1.4 s
     When the pool runs for 1 s
     And a large task of 12 cores is submitted, due in 3 s, that runs for 2 s
     And an urgent task of 4 cores is submitted, due in 3 s, that runs for 1 s
--- a/features/lookahead_builders.py
+++ b/features/lookahead_builders.py
@@ -15,6 +15,8 @@
 # Rack of all workers.
 RACK = "a"
 NEVER_S = math.inf
+# Number of different run times of a job whose tasks differ.
+RUN_TIMES = 7
 
 
 class WaitingPool(Pool):
@@ -26,6 +28,8 @@
         self.deadlines = self.planner._deadlines
         # Run times in seconds of the tasks of each job.
         self.run_seconds: dict[str, float] = {}
+        # Longest of them, for jobs whose tasks differ.
+        self.longest_seconds: dict[str, float] = {}
 
     def run_short(self, worker: str, cores: int, *, estimate_ms: int, seconds: float) -> None:
         """Lets a short task run on a worker for some seconds, with another estimate."""
@@ -59,7 +63,11 @@
             self.scan(lambda: 0.0)
 
     def run_task(self, name: TaskName, worker: str, seconds: float) -> None:
-        super().run_task(name, worker, self.run_seconds.get(name.workflow, seconds))
+        seconds = self.run_seconds.get(name.workflow, seconds)
+        longest = self.longest_seconds.get(name.workflow, seconds)
+        # The tasks of a worker end at different times, so that it is never empty by itself.
+        seconds += (longest - seconds) * (name.index % RUN_TIMES) / RUN_TIMES
+        super().run_task(name, worker, seconds)
 
     def find_start(self, job: WorkflowState) -> float:
         """Returns the time at which the first task of a job started, infinite if none has."""
--- a/features/steps/lookahead_steps.py
+++ b/features/steps/lookahead_steps.py
@@ -111,6 +111,16 @@
     context.jobs = [*getattr(context, "jobs", []), job]
 
 
+@given(
+    "{count:d} waiting tasks of {cores:d} cores, due in {due:g} s, that run for {shortest:g} to "
+    "{longest:g} s"
+)
+def submit_different_small(context, count, cores, due, shortest, longest):
+    job = _submit(context, cores, due, shortest, count=count)
+    context.pool.longest_seconds[job.identifier] = longest
+    context.jobs = [job]
+
+
 @given(
     "{count:d} waiting tasks of {cores:d} cores, estimated at {ms:d} ms, due in {due:g} s, that "
     "run for {seconds:g} s"
