--- a/features/plan_error_builders.py
+++ b/features/plan_error_builders.py
@@ -24,7 +24,7 @@
 METHODS = {
     "the rank": lambda owner: (owner._planner, "_rank"),
     "the choice of workers": lambda owner: (owner._planner, "_find_requirement"),
-    "the placement": lambda owner: (owner._planner._rejections, "record_placement"),
+    "the placement": lambda owner: (owner._planner.rejections, "record_placement"),
     "the order": lambda owner: (owner, "_create_order"),
     "the record": lambda owner: (owner, "_record_tasks"),
 }
--- a/packages/carawayd/src/carawayd/partition/capshares.py
+++ b/packages/carawayd/src/carawayd/partition/capshares.py
@@ -241,8 +241,8 @@
         return since is not None and self._now() - since > MAX_OVERTAKING_SECONDS
 
     def is_waiting(self, account: str) -> bool:
-        """Returns whether tasks of an account wait for its cap alone."""
-        return account in self._waiting
+        """Returns whether tasks of an account wait for its cap, by the last plan or the present."""
+        return account in self._waiting or account in self._found
 
     def describe(self, account: str) -> dict[str, object]:
         """Describes for the log what a task of an account waits for."""
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -304,7 +304,7 @@
             record_tasks=self._record_tasks,
             start_sending=self._start_sending,
             is_due=self._planner.is_due,
-            list_excluded=self._planner.list_excluded,
+            list_excluded=self._planner.rejections.list_excluded,
             orphans=self._orphans,
             clock=clock,
             metrics=metrics,
@@ -979,7 +979,7 @@
         state = {
             "open": key in self._open_steps,
             "suspended": key in self._suspended_steps,
-            "excluded": self._planner.list_excluded(name),
+            **self._planner.describe_step(name),
             "pending_starts": self._pending_starts,
             "store_stalled": self.ledger.is_stalled,
         }
