--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from benchmarks import (
+    accounts,
     capacity,
     claims_cost,
     forwarding,
@@ -25,6 +26,7 @@
 from benchmarks.report import list_cases
 
 MODULES = (
+    accounts,
     capacity,
     claims_cost,
     forwarding,
--- a/packages/carawayshore/src/carawayshore/workflows/capshares.py
+++ b/packages/carawayshore/src/carawayshore/workflows/capshares.py
@@ -77,9 +77,11 @@
 
 def exceeds(amounts: Amounts, limit: Amounts, cap: Amounts) -> bool:
     """Returns whether amounts exceed a limit in a resource that the cap limits."""
-    return any(
-        bound and amount > allowed
-        for amount, allowed, bound in zip(amounts, limit, cap, strict=True)
+    # Written out, since it is called for each account many times a second.
+    return bool(
+        (cap.millicores and amounts.millicores > limit.millicores)
+        or (cap.memory_mb and amounts.memory_mb > limit.memory_mb)
+        or (cap.accelerators and amounts.accelerators > limit.accelerators)
     )
 
 
@@ -195,13 +197,17 @@
 
     A task that is larger than the cap starts alone, by a partition that holds all of it.
     """
-    counts = [count]
-    for amount, taken, allowed, bound in zip(requested, used, limit, cap, strict=True):
-        if bound and amount > bound:
-            counts.append(int(taken == 0 and allowed >= bound))
-        elif bound and amount:
-            counts.append((allowed - taken) // amount)
-    return max(0, min(counts))
+    for place in range(len(cap)):
+        amount, bound = requested[place], cap[place]
+        if not bound or not amount:
+            continue
+        if amount > bound:
+            fitting = int(used[place] == 0 and limit[place] >= bound)
+        else:
+            fitting = (limit[place] - used[place]) // amount
+        if fitting < count:
+            count = fitting
+    return max(0, count)
 
 
 def _measure_owed(
