--- a/packages/carawayd/src/carawayd/connection/callers.py
+++ b/packages/carawayd/src/carawayd/connection/callers.py
@@ -52,10 +52,11 @@
 LINGER_BYTES = 1_048_576
 UNLIMITED = 1 << 30
 SWEEP_SECONDS = 0.5
-# Connections that the kernel keeps until they are accepted, and how many are accepted at once
-# before the bound of connections is checked. asyncio uses one number for both.
+# Connections that the kernel keeps until they are accepted, and how many are accepted in one turn
+# of the event loop. asyncio uses one number for both. It takes some turns from an acceptance until
+# a connection beyond the bound is closed, so the bound is exceeded by some times the second.
 LISTEN_BACKLOG = 1024
-ACCEPTED_AT_ONCE = 64
+ACCEPTED_AT_ONCE = 16
 RETRY_SECONDS = 1
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {
--- a/packages/carawayshore/src/carawayshore/requestframing.py
+++ b/packages/carawayshore/src/carawayshore/requestframing.py
@@ -21,7 +21,7 @@
 MAX_BATCH_CHUNK_BYTES = 16
 MIN_BATCH_CHUNKS = 8
 # Steps of decoding, three for each chunk, after which `take` returns, so that very small chunks of
-# different sizes delay others by about a millisecond only.
+# different sizes delay others by a few milliseconds only.
 MAX_DECODE_STEPS = 1_000
 
 # Bodies are held in blocks of one size after a small first one. Buffers that grow in place, many at
