Request framing: builders of chunked bodies take linear time

Cause: a body of 262,144 chunks was built by appending to bytes, and the feature took most of a minute; a check with a limit of 60 s did not end.

Change: the builder appends to a bytearray. Nothing else differs.

--- a/features/request_framing_builders.py
+++ b/features/request_framing_builders.py
@@ -26,13 +26,13 @@
     body: bytes, sizes: list[int], *, extension: str = "", trailer: str = ""
 ) -> bytes:
     """Returns a request in chunks, whose sizes are used in turn."""
-    data, start, number = build_head("Transfer-Encoding: chunked"), 0, 0
+    data, start, number = bytearray(build_head("Transfer-Encoding: chunked")), 0, 0
     while start < len(body):
         piece = body[start : start + sizes[number % len(sizes)]]
         data += b"%x%s\r\n%s\r\n" % (len(piece), extension.encode(), piece)
         start += len(piece)
         number += 1
-    return data + f"0\r\n{trailer}\r\n".encode()
+    return bytes(data) + f"0\r\n{trailer}\r\n".encode()
 
 
 def frame(pieces: list[bytes], limits: FramingLimits = LIMITS) -> list:
