Demand leaves out work that has waited for its cap for a second, not all that waits

Work of an account was left out of the backlog and of the demand of its pool whenever a share was being raised, which is most of a burst. Change: only after a second of waiting.

--- a/packages/carawayd/src/carawayd/partition/capshares.py
+++ b/packages/carawayd/src/carawayd/partition/capshares.py
@@ -244,6 +244,13 @@
         """Returns whether tasks of an account wait for its cap, by the last plan or the present."""
         return account in self._waiting or account in self._found
 
+    def is_held_back(self, account: str) -> bool:
+        """Returns whether tasks of an account have waited for its cap for some time.
+
+        A share that is being raised takes less.
+        """
+        return account in self._waiting_since and self._must_keep_order(account)
+
     def describe(self, account: str) -> dict[str, object]:
         """Describes for the log what a task of an account waits for."""
         cap = self._list_caps().get(account)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -251,7 +251,7 @@
             self._deadlines,
             self._runtimes,
             clock,
-            lambda account: self._cap_shares.is_waiting(account),
+            lambda account: self._cap_shares.is_held_back(account),
         )
         self._admissions = AdmissionControl(
             self.links,
