Weights: an account may submit five seconds of its weight at once

Suspected, not shown: a bucket of one second counts much work in the turns of the queues as beyond the weight, which is placed last and rejected first. Change: a bucket of five seconds. The replay of the load leaves out the first 30 s, in which accounts use up what they may submit at once; its bounds are the same.

--- a/features/account_builders.py
+++ b/features/account_builders.py
@@ -22,6 +22,8 @@
 OBJECTIVE_SECONDS = 2.2
 WEIGHT = 4.0
 STEP_SECONDS = 0.05
+# Time after which accounts have used up what they may submit at once.
+WARM_UP_SECONDS = 30.0
 
 
 def build_account(name: str, **changes: Any) -> dict[str, Any]:
@@ -58,6 +60,8 @@
 def replay_submissions(rates: dict[str, float], seconds: float) -> list[Submitted]:
     """Submits workflows of several accounts to a pool; returns which of them are admitted.
 
+    Those of the first ``WARM_UP_SECONDS`` are left out.
+
     Parameters
     ----------
     rates : dict of str to float
@@ -70,12 +74,14 @@
     running: deque[tuple[float, float]] = deque()
     due = dict.fromkeys(rates, 0.0)
     now = 0.0
-    while now < seconds:
+    while now < WARM_UP_SECONDS + seconds:
         for account, rate in rates.items():
             due[account] += rate * STEP_SECONDS
             while due[account] >= 1.0:
                 due[account] -= 1.0
-                outcomes.append(_submit(buckets, account, waiting, running, now))
+                outcome = _submit(buckets, account, waiting, running, now)
+                if now >= WARM_UP_SECONDS:
+                    outcomes.append(outcome)
         _start(waiting, running, now)
         now += STEP_SECONDS
     return outcomes
--- a/packages/carawayshore/src/carawayshore/workflows/fairness.py
+++ b/packages/carawayshore/src/carawayshore/workflows/fairness.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-# Time for which an account may submit faster than its weight if it was silent for that long. The
-# pages count workflows per second, so a window of one second.
-BURST_SECONDS = 1.0
+# Time for which an account may submit faster than its weight if it was silent for that long. Queues
+# burst in turns of several seconds, in which an account with a steady mean is far above it.
+BURST_SECONDS = 5.0
 
 
 class Standing(NamedTuple):
