--- a/features/moved_queue_builders.py
+++ b/features/moved_queue_builders.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections import defaultdict
+from collections.abc import AsyncIterator
 from types import SimpleNamespace
 from typing import Any
 
@@ -84,11 +85,15 @@
     async def send(self, method: str, path: str, document: Any = None) -> Any:
         """Returns the answer to a caller's request."""
 
-        async def read() -> bytes:
-            return json.dumps(document).encode()
+        async def iter_any() -> AsyncIterator[bytes]:
+            yield json.dumps(document).encode()
 
         request = SimpleNamespace(
-            method=method, path=path, headers={"Host": HOST}, content_length=10, read=read
+            method=method,
+            path=path,
+            headers={"Host": HOST},
+            content_length=10,
+            content=SimpleNamespace(iter_any=iter_any),
         )
         return await self.handler._handle(request)
 
