Count a job as started once a worker has started one of its tasks

Cause: WorkflowState.begun was set with the order, before it was recorded, sent or answered, and nothing took it back. The next owner took each workflow with a recorded run as begun, and a run is recorded before it is ordered.

Change: partition/starts notes the first start of a workflow from what workers tell: the answer to a start order, a run that a report lists, the end of a run. What is not at work any more is known to the next owner by the record of the step: an end, a failure, a checkpoint, a loss under a started run, or a field in the first row, which rides along with the next change, after 1 s at the latest, and with a handover. The state `running` and caraway_first_start_seconds follow the same fact. The stand-in of the workers can answer 503 and 429.

Evidence: features/pending_jobs (virtual time) and features/pending_counts (entry hosts and stand-ins over sockets) compare the count with what workers have started.

Why this works: no order sets the flag, so there is nothing to take back, whichever way an order is lost.

Tests changed: malformed_documents asks whether the record of the step was read (was_ordered_before, which is what `begun` told there); the later version's field in rare_sequences follows the new one; a double knows handle_start.

--- a/features/malformed_builders.py
+++ b/features/malformed_builders.py
@@ -320,7 +320,7 @@
         """Ignores what the link tells."""
 
     handle_end = handle_missing_run = handle_stuck_task = handle_loss = ignore
-    handle_report = handle_fenced = handle_unresponsive = ignore
+    handle_start = handle_report = handle_fenced = handle_unresponsive = ignore
 
 
 class LineCollector(logging.Handler):
--- a/features/owner_builders.py
+++ b/features/owner_builders.py
@@ -211,9 +211,10 @@
         *,
         clock_ms: int = CLOCK_MS,
         born: int = BORN,
+        percent: int = 50,
     ) -> None:
         """Has the link process a report of the worker."""
-        rows = [RunningTask(task, run, "", 50, 0.0) for task, run in running]
+        rows = [RunningTask(task, run, "", percent, 0.0) for task, run in running]
         ends = [
             EndedRun(number, task, run, kind, "")
             for number, (task, run, kind) in enumerate(ended, start=1)
--- a/features/rare_sequence_builders.py
+++ b/features/rare_sequence_builders.py
@@ -167,7 +167,9 @@
 def add_field(record: bytes) -> bytes:
     """Returns the record of a step with a field more in each row, as a later version writes it."""
     rows = msgspec.json.decode(record)
-    return msgspec.json.encode([[*row, *["", [], None][len(row) - 4 :], "later"] for row in rows])
+    return msgspec.json.encode(
+        [[*row, *["", [], None, False][len(row) - 4 :], "later"] for row in rows]
+    )
 
 
 def damage(record: bytes) -> bytes:
--- a/features/steps/malformed_documents_steps.py
+++ b/features/steps/malformed_documents_steps.py
@@ -410,7 +410,7 @@
         context.missed.append((repr(error), {key: value[:200] for key, value in records.items()}))
         return
     found = harness.owner.workflows.get(OTHER_JOB)
-    if not harness.owner.loaded or found is None or not found.begun:
+    if not harness.owner.loaded or found is None or not found.was_ordered_before:
         context.missed.append({key: value[:200] for key, value in records.items()})
 
 
--- a/features/worker_model.py
+++ b/features/worker_model.py
@@ -874,6 +874,10 @@
             for ticket in self.tickets[(*task[:3], worker.name)]
         )
 
+    def has_started(self, identifier: str) -> bool:
+        """Returns whether a worker has started a task of a job."""
+        return any(task.workflow == identifier for task in self._last_start_at)
+
     def choose_run_seconds(self, worker: ModelWorker, task: TaskName) -> float:
         """Returns for how long a run that starts now takes."""
         return self.jobs[task.workflow][1]
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -52,6 +52,7 @@
     Reply,
 )
 from carawayd.partition.shortwaits import ShortTaskWaits
+from carawayd.partition.starts import Starts
 from carawayd.partition.strayorders import StrayOrders
 from carawayd.partition.throttling import throttle_best_effort
 from carawayd.partition.unusedworkers import UnusedWorkers
@@ -243,6 +244,7 @@
             lambda *run: self._copies.was_run(*run),
         )
         self._claims = Claims(self.links, self._find_task, self._runtimes, clock)
+        self._starts = Starts(self._find_task, self.links, self._record_tasks, clock, metrics)
         self._account_usage = AccountUsage(self.workflows, self.find_usage)
         self._demand = Demand(
             self.workflows,
@@ -396,6 +398,7 @@
             self._contact_loss.record_progress()
             self._expire_entries()
             self._open_closed_steps()
+            self._starts.record_due()
             self._resume_steps()
             self._stray_orders.check(self._track_stray_order)
             self._count_unsettled_runs()
@@ -549,6 +552,7 @@
         """
         if not self.lost:
             self._record_leases()
+            self._starts.record()
             self._record_whole_steps()
         self.lost = True
         try:
@@ -840,6 +844,10 @@
         if found[2].status == ORDERED and found[2].has_run(run, link.worker):
             self._lose_run(found, task, run, why)
 
+    def handle_start(self, task: TaskName, percent: int = 0) -> None:
+        """Notes that a worker has started a task, by its answer or in a report."""
+        self._starts.note(task, percent)
+
     def handle_end(self, link: WorkerLink, end: EndedRun, seconds: float) -> None:
         """Records the end of a run before the link acknowledges it.
 
@@ -857,6 +865,7 @@
         if found is None:
             return
         workflow, step, task = found
+        self._starts.note_end(end)
         if not task.has_run(end.run, link.worker):
             if end.kind == "done":
                 self._accept_other_success(workflow, step, end)
@@ -1002,6 +1011,7 @@
         if not workflow.is_terminal:
             for key, encode in self._list_step_records(workflow, step, indexes):
                 self.ledger.mark_dirty(key, encode)
+            self._starts.note_recorded((workflow.identifier, step.occurrence, step.number))
 
     def _list_step_records(
         self, workflow: WorkflowState, step: StepState, indexes: Iterable[int]
@@ -1220,7 +1230,7 @@
         if not workflow.durable_state:
             return Reply(UNREADY)
         state = workflow.durable_state
-        if state == QUEUED and workflow.begun and not workflow.is_terminal:
+        if state == QUEUED and workflow.has_started and not workflow.is_terminal:
             state = RUNNING
         return Reply(FOUND, state)
 
@@ -1247,7 +1257,7 @@
         count = sum(
             workflow.spec.queue == queue
             and not workflow.is_terminal
-            and not workflow.begun
+            and not workflow.has_started
             and bool(workflow.durable_state)
             for workflow in self.workflows.values()
         )
@@ -1354,10 +1364,6 @@
                 )
             self._record_tasks(workflow, step, [name.index for _, name in placement.chosen])
             self._log_orders(placement)
-            if not workflow.begun:
-                waited = timedelta(seconds=self._now() - workflow.submitted)
-                self._metrics.first_start.observe(workflow.spec.service, waited)
-            workflow.begun = True
         except Exception:
             unexpected_errors.count += 1
             logger.exception(
--- a/packages/carawayd/src/carawayd/partition/workerlink.py
+++ b/packages/carawayd/src/carawayd/partition/workerlink.py
@@ -215,6 +215,8 @@
 
     fence: int
 
+    def handle_start(self, task: TaskName, percent: int = 0) -> None: ...
+
     def handle_end(self, link: WorkerLink, end: EndedRun, seconds: float) -> None: ...
 
     def handle_missing_run(self, link: WorkerLink, task: TaskName, run: int, why: str) -> None: ...
@@ -628,6 +630,7 @@
                 self.late_starts.record((task, entry.run), entry.sent_at, incarnation)
                 entry.state = UNKNOWN
             self._wake.set()
+        self._owner.handle_start(task)
 
     def _may_have_restarted(self, clock_ms: int) -> bool:
         """Returns whether an answer may be that of a later incarnation than the last report.
@@ -1011,10 +1014,11 @@
                 continue
             elif report.clock_ms > order.absence_certain_after_ms:
                 self._report_missing(task, order, "not listed by the worker")
-        for task, run in listed:
+        for (task, run), row in listed.items():
             order = self.orders.get(task)
             if order is None or order.run != run:
                 self._handle_unordered_run(task, run, now)
+            self._owner.handle_start(task, row.percent)
         self._stops.retain(listed)
         self._log_overdue_stops(now)
         self.late_starts.remove_carried_out(listed)
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -124,7 +124,7 @@
             "caraway_configuration_version", "Version in force.", registry=self.registry
         )
         self.first_start = self._add_histogram(
-            "caraway_first_start_seconds", "From submission to the first start order.", "service"
+            "caraway_first_start_seconds", "From submission to the first known start.", "service"
         )
         self.duration = self._add_histogram(
             "caraway_workflow_seconds", "From submission to the end of a workflow.", "service"
--- a/packages/carawayshore/src/carawayshore/workflows/state.py
+++ b/packages/carawayshore/src/carawayshore/workflows/state.py
@@ -85,6 +85,8 @@
     checkpoint: str = ""
     losses: tuple[WorkerLoss, ...] = ()
     copy: tuple[Count, str] | None = None
+    # Whether the workflow has started, although no row of the record shows it otherwise.
+    workflow_started: bool = False
 
 
 class CopyRun(NamedTuple):
@@ -195,7 +197,16 @@
         self.run, self.worker = self.copy
         self.copy = None
 
-    def to_row(self) -> list:
+    def shows_start(self, *, gang: bool) -> bool:
+        """Returns whether its record shows that a worker has started one of its runs.
+
+        A member of a gang that failed or was lost may only have waited for the others.
+        """
+        if self.status == DONE or self.checkpoint:
+            return True
+        return not gang and (self.failures > 0 or any(loss.started for loss in self.losses))
+
+    def to_row(self, *, workflow_started: bool = False) -> list:
         losses = self.losses[-MAX_RECORDED_LOSSES:]
         row = [
             self.status,
@@ -205,6 +216,7 @@
             self.checkpoint,
             losses,
             self.copy,
+            workflow_started,
         ]
         while row and not row[-1]:
             row.pop()
@@ -214,9 +226,24 @@
 
 
 class StepState:
-    """Tasks of one step of one occurrence."""
+    """Tasks of one step of one occurrence.
+
+    Attributes
+    ----------
+    records_start : bool
+        Whether its records tell that the workflow has started. Set for the step whose task was the
+        first that is known to have started.
+    """
 
-    __slots__ = ("done_count", "number", "occurrence", "run_seconds", "spec", "tasks")
+    __slots__ = (
+        "done_count",
+        "number",
+        "occurrence",
+        "records_start",
+        "run_seconds",
+        "spec",
+        "tasks",
+    )
 
     def __init__(self, occurrence: int, number: int, spec: StepSpec) -> None:
         self.occurrence = occurrence
@@ -224,6 +251,7 @@
         self.spec = spec
         self.tasks = [TaskState() for _ in range(spec.count)]
         self.done_count = 0
+        self.records_start = False
         # Run times in seconds of the tasks that succeeded while this process owned the partition;
         # not persisted.
         self.run_seconds: list[float] = []
@@ -234,11 +262,20 @@
 
     def encode(self) -> bytes:
         """Returns the record of all tasks."""
-        return msgspec.json.encode([task.to_row() for task in self.tasks])
+        return self._encode(self.tasks)
 
     def encode_part(self, first: int, size: int) -> bytes:
         """Returns the record of up to ``size`` tasks from number ``first`` on."""
-        return msgspec.json.encode([task.to_row() for task in self.tasks[first : first + size]])
+        return self._encode(self.tasks[first : first + size])
+
+    def _encode(self, tasks: list[TaskState]) -> bytes:
+        rows = [task.to_row() for task in tasks]
+        if self.records_start and not self._shows_start(tasks):
+            rows[0] = tasks[0].to_row(workflow_started=True)
+        return msgspec.json.encode(rows)
+
+    def _shows_start(self, tasks: list[TaskState]) -> bool:
+        return any(task.shows_start(gang=self.spec.gang) for task in tasks)
 
     def restore(self, value: bytes) -> None:
         """Applies the record of the step; raises MalformedDocument if it cannot be read."""
@@ -247,6 +284,7 @@
             raise reject("", rows, f"{self.spec.count} tasks")
         self.tasks = [_restore_task(row) for row in rows]
         self.done_count = _count_done(self.tasks)
+        self._restore_start(rows, self.tasks)
 
     def restore_part(self, first: int, value: bytes) -> None:
         """Applies the record of the tasks from number ``first`` on.
@@ -263,6 +301,11 @@
         self.done_count -= _count_done(self.tasks[first:end])
         self.tasks[first:end] = [_restore_task(row) for row in rows]
         self.done_count += _count_done(self.tasks[first:end])
+        self._restore_start(rows, self.tasks[first:end])
+
+    def _restore_start(self, rows: list[_TaskRow], tasks: list[TaskState]) -> None:
+        is_started = any(row.workflow_started for row in rows) or self._shows_start(tasks)
+        self.records_start = self.records_start or is_started
 
 
 def _count_done(tasks: list[TaskState]) -> int:
@@ -309,11 +352,16 @@
         self.submitted_unix_ms = submitted_unix_ms
         self.state = QUEUED
         # State in the last record that the store acknowledged. Callers are not shown a later state,
-        # except that a workflow that has begun is shown as running.
+        # except that a workflow that has started is shown as running.
         self.durable_state = ""
         self.submitted = submitted
         self.ended = 0.0
-        self.begun = False
+        # Whether a worker is known to have started one of its tasks. An order alone is no start: it
+        # may be refused, dropped or never arrive.
+        self.has_started = False
+        # Whether an earlier owner has ordered a task, so that the time of the first start is not
+        # known here; not persisted.
+        self.was_ordered_before = False
         # Whether it is beyond what its account is owed; not persisted, so that it counts as owed
         # after a takeover.
         self.beyond_weight = False
@@ -537,6 +585,7 @@
         if (workflow, step) not in restored.closed_steps:
             restored.closed_steps.append((workflow, step))
         raise
-    workflow.begun = workflow.begun or any(task.run for task in step.tasks)
-    if workflow.begun and workflow.state == QUEUED:
+    workflow.was_ordered_before |= any(task.run for task in step.tasks)
+    workflow.has_started |= step.records_start
+    if workflow.has_started and workflow.state == QUEUED:
         workflow.state = workflow.durable_state = RUNNING
--- a/packages/standins/src/carawayshore_standins/platform_worker.py
+++ b/packages/standins/src/carawayshore_standins/platform_worker.py
@@ -46,6 +46,8 @@
         End every run as failed.
     refuses_starts : bool
         Refuse start orders for lack of capacity.
+    unhealthy_status : int
+        Status, 429 or 503, with which start orders are answered without any effect; 0 if healthy.
     millicores : int
         Capacity, which may change while the worker runs. Every task takes ``task_millicores``.
     overloads : list of tuple
@@ -69,6 +71,7 @@
         self.required_ticket = ""
         self.refused_tickets = 0
         self.refuses_starts = False
+        self.unhealthy_status = 0
         self.millicores = MILLICORES
         self.task_millicores = TASK_MILLICORES
         self.overloads: list[tuple[str, float]] = []
@@ -227,6 +230,8 @@
         body = await request.json()
         if self.start_delay_seconds:
             await asyncio.sleep(self.start_delay_seconds)
+        if self.unhealthy_status:
+            return self._respond(self.unhealthy_status)
         if not self._accept_fencing_token(body):
             return self._respond(409, reason="fence")
         if body["deadlineMs"] < self.clock_ms:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -38,6 +38,7 @@
     movedqueues,
     owner,
     planner,
+    starts,
     workerlink,
 )
 from carawayd.partition import claims as room_claims
@@ -65,6 +66,7 @@
 OWNERS = ("owner_workers", "owner_property", "fleet_manager")
 CRASHES = ("worker_crashes",)
 HANDOVERS = ("handover",)
+PENDING_JOBS = ("pending_jobs",)
 CAPACITIES = ("worker_capacity", "owner_property")
 RESTARTS = ("long_running_restart",)
 LEDGERS = ("ledger", "owner_property")
@@ -562,7 +564,50 @@
 @mutation("the losses of workers are part of a step's record", CRASHES)
 def forget_losses() -> None:
     original = state.TaskState.to_row
-    state.TaskState.to_row = lambda self: original(self)[:5]
+    state.TaskState.to_row = lambda self, **options: original(self, **options)[:5]
+
+
+@mutation("an order is no start", PENDING_JOBS)
+def count_order_as_start() -> None:
+    original = owner.PartitionOwner._create_order
+
+    def create(self, workflow, step, capacity, name, *args):
+        self._starts._note(workflow, step, name)
+        return original(self, workflow, step, capacity, name, *args)
+
+    owner.PartitionOwner._create_order = create
+
+
+@mutation("a start is recorded although nothing else changes", PENDING_JOBS)
+def leave_starts_unrecorded() -> None:
+    starts.Starts.record_due = lambda self: None
+
+
+@mutation("a handover records the starts", PENDING_JOBS)
+def hand_over_without_starts() -> None:
+    original = owner.PartitionOwner.hand_over
+
+    async def hand_over(self):
+        self._starts._unrecorded.clear()
+        await original(self)
+
+    owner.PartitionOwner.hand_over = hand_over
+
+
+@mutation("the record of a step tells that its workflow has started", PENDING_JOBS)
+def leave_out_start_field() -> None:
+    original = state.TaskState.to_row
+    state.TaskState.to_row = lambda self, **options: original(self)
+
+
+@mutation("a run that is listed is a start, also without an answer", PENDING_JOBS)
+def ignore_listed_runs() -> None:
+    owner.PartitionOwner.handle_start = lambda self, task, percent=0: None
+
+
+@mutation("a gang has not started before all its members are present", PENDING_JOBS)
+def start_gang_early() -> None:
+    starts.Starts._is_gang_present = lambda self, name, step: True
 
 
 @mutation("an order is sent only while the worker has room for it", CAPACITIES)
