Refuse to count pending jobs as an owner whose membership has run out

Callers may see: a count that leaves out the jobs that the next owner has accepted. An entry host that is in touch may ask the former owner, which has not learned yet that it is one.

Cause: OwnerCalls guarded only the answer that a job is unknown; a count needs all accepted jobs of the partition as well.

Evidence: a scenario in features/pending_jobs asks an owner whose membership has run out; it was answered before, and is refused as unready now, so that the caller's host asks the present owner.

--- a/features/pending_jobs.feature
+++ b/features/pending_jobs.feature
@@ -91,3 +91,8 @@
   Scenario: A start that is recorded later costs at most one append a second
     When 40 jobs start within 2 s and run on, and nothing else is recorded
     Then their starts took at most 3 appends
+
+  Scenario: An owner whose membership has run out tells no count
+    # Guards against a former owner that leaves out what its successor has accepted.
+    When a count is asked of an owner whose membership has run out
+    Then the answer is that another owner may know it
--- a/features/steps/pending_job_steps.py
+++ b/features/steps/pending_job_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from types import SimpleNamespace
+
 from behave import given, then, when
 from pending_job_builders import (
     OrderedJob,
@@ -12,6 +15,9 @@
 )
 from virtual_time import play
 
+from carawayd.partition.replies import FOUND, UNREADY, Reply
+from carawayd.process.ownercalls import COUNT_PENDING, OwnerCalls
+
 
 @when("six jobs are submitted, their start orders {fault} for 7 s, and {change} comes after 2 s")
 def submit_jobs(context, fault, change):
@@ -121,3 +127,20 @@
 @then("their starts took at most {count:d} appends")
 def expect_appends(context, count):
     assert context.appends <= count, context.appends
+
+
+@when("a count is asked of an owner whose membership has run out")
+def ask_former_owner(context):
+    async def count(queue: str) -> Reply:
+        return Reply(FOUND, 0)
+
+    names = ("submit", "confirm_absence", "read_state", "cancel", "report_load", "cordon")
+    owner = SimpleNamespace(**dict.fromkeys((*names, "uncordon", "count_pending"), count))
+    ownership = SimpleNamespace(find_owner=lambda partition: owner, is_current=lambda: False)
+    calls = OwnerCalls(ownership, SimpleNamespace(), None)
+    context.reply, _ = asyncio.run(calls.call_once(0, COUNT_PENDING, "slots", 1.0))
+
+
+@then("the answer is that another owner may know it")
+def expect_unready(context):
+    assert context.reply.outcome == UNREADY, context.reply
--- a/packages/carawayd/src/carawayd/process/ownercalls.py
+++ b/packages/carawayd/src/carawayd/process/ownercalls.py
@@ -193,6 +193,7 @@
         }
         reply = await handlers[operation](argument)
         # An owner that lost its partition does not know the workflows that its successor accepted.
-        if reply.outcome == ABSENT and not self._ownership.is_current():
+        needs_all_workflows = reply.outcome == ABSENT or operation == COUNT_PENDING
+        if needs_all_workflows and not self._ownership.is_current():
             return Reply(UNREADY)
         return reply
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -51,6 +51,7 @@
     keys,
     machineorders,
     membership,
+    ownercalls,
     streams,
     tasks,
 )
@@ -610,6 +611,11 @@
     starts.Starts._is_gang_present = lambda self, name, step: True
 
 
+@mutation("a count is given only while the membership is current", PENDING_JOBS)
+def count_as_former_owner() -> None:
+    ownercalls.COUNT_PENDING = ""
+
+
 @mutation("an order is sent only while the worker has room for it", CAPACITIES)
 def send_without_room() -> None:
     placement.WorkerCapacity.is_overcommitted = False
