Soak: workers reject start orders, and counts of pending jobs are checked

Edition 6 adds workers that answer start orders with 429 or 503, and a time after each calm one in which no worker takes an order while the partitions change their owners. All entry hosts are asked for the count meanwhile, and the answers are compared with what the workers have started, in both directions.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -33,3 +33,7 @@
     Examples: with jobs of up to three steps, and more room than they need
       | seed | seconds | edition |
       | 43   | 10      | 5       |
+
+    Examples: with a time in which no worker takes start orders, and counts of the jobs that wait
+      | seed | seconds | edition |
+      | 61   | 10      | 6       |
--- a/features/soak_faults.py
+++ b/features/soak_faults.py
@@ -277,6 +277,15 @@
     return worker.name
 
 
+@register_fault("worker-unhealthy", edition=6)
+async def reject_starts(deployment: SoakDeployment, random: Random) -> str:
+    worker = random.choice(deployment.list_present_workers())
+    worker.unhealthy_status = random.choice([429, 503])
+    await asyncio.sleep(random.uniform(0.5, 6.0))
+    worker.unhealthy_status = 0
+    return worker.name
+
+
 @register_fault("worker-crash-busiest", edition=4)
 async def crash_busiest_worker(deployment: SoakDeployment, random: Random) -> str:
     worker = deployment.find_busiest_worker()
--- a/features/soak_run.py
+++ b/features/soak_run.py
@@ -19,6 +19,7 @@
     build_operator_configuration,
     build_route,
 )
+from soak_counts import CountWatch
 from soak_faults import FaultProxy, get_faults
 from soak_lasting import LongRunningWatch, SoakWorker
 from soak_short import COMPLETION_LIMIT_S, ShortJobWatch
@@ -61,6 +62,8 @@
 CALM_TIME_S = 14.0
 # The same since edition 5, in which short jobs are judged from up to 12.4 s on.
 LONG_CALM_TIME_S = 20.0
+# Time after each calm time in which no worker takes start orders, since edition 6.
+UNHEALTHY_TIME_S = 9.0
 
 
 class SoakPlan(NamedTuple):
@@ -70,7 +73,8 @@
     Workers start whatever they are told, so that only the owner keeps their capacity. Since edition
     3, the configuration says so, their capacity changes, and some tasks crash them. Since edition
     4, there are long-running jobs, workers leave for good, and a calm time follows each series.
-    Since edition 5, jobs have up to three steps, and there are twice as many workers.
+    Since edition 5, jobs have up to three steps, and there are twice as many workers. Since edition
+    6, workers reject or ignore start orders for a time, also all of them while owners change.
     """
 
     seed: int
@@ -78,7 +82,7 @@
     hosts: int = 4
     workers: int = 5
     callers: int = 6
-    edition: int = 5
+    edition: int = 6
 
     @property
     def worker_cores(self) -> int:
@@ -97,7 +101,8 @@
     def total_seconds(self) -> float:
         """Duration of all series, with the times after them."""
         calm_times = len(self.series) if self.edition >= 4 else 0
-        return self.seconds + calm_times * (SETTLING_TIME_S + self.calm_seconds)
+        unhealthy_seconds = UNHEALTHY_TIME_S if self.edition >= 6 else 0.0
+        return self.seconds + calm_times * (SETTLING_TIME_S + self.calm_seconds + unhealthy_seconds)
 
     @property
     def series(self) -> list[float]:
@@ -118,6 +123,7 @@
         self.steps = steps
         self.accepted_at: float | None = None
         self.cancelled_at: float | None = None
+        self.is_being_cancelled = False
         self.outcome_unknown = False
         self.rejected = False
         self.completed = False
@@ -192,6 +198,7 @@
         self.store.lose_answers = 0
         for worker in self.workers:
             worker.lose_start_responses = 0
+            worker.unhealthy_status = 0
 
     def list_present_workers(self) -> list[SoakWorker]:
         return [worker for worker in self.workers if not worker.gone]
@@ -296,6 +303,12 @@
             self._measure_calm_seconds,
             self.deployment.store.get_generation,
         )
+        self.count_watch = CountWatch(
+            self.jobs,
+            self.deployment.workers,
+            self._ask_count,
+            lambda: sorted(self.deployment.hosts),
+        )
         self._random = Random(plan.seed)
         # Time since which no fault has been injected, None outside of calm times.
         self._calm_since: float | None = None
@@ -365,8 +378,27 @@
                 self._calm_since = self._now()
                 await asyncio.sleep(self.plan.calm_seconds)
                 self._calm_since = None
+                if self.plan.edition >= 6:
+                    await self._deny_starts(randoms[0])
                 await self.deployment.add_worker()
 
+    async def _deny_starts(self, random: Random) -> None:
+        """Has no worker take start orders for a time, while the partitions change their owners."""
+        watching = asyncio.ensure_future(self.count_watch.watch())
+        workers = self.deployment.list_present_workers()
+        for worker in workers:
+            worker.unhealthy_status = random.choice([503, 429, 0])
+            worker.start_delay_seconds = 0.0 if worker.unhealthy_status else UNHEALTHY_TIME_S
+        change_after = random.uniform(0.0, UNHEALTHY_TIME_S)
+        self.faults.append(f"{self._now():.2f}: no worker takes orders for {UNHEALTHY_TIME_S} s")
+        await asyncio.sleep(change_after)
+        self.deployment.store.rotate_owners("owners")
+        self.faults.append(f"{self._now():.2f}: deal-anew")
+        await asyncio.sleep(UNHEALTHY_TIME_S - change_after)
+        for worker in workers:
+            worker.unhealthy_status, worker.start_delay_seconds = 0, 0.0
+        watching.cancel()
+
     async def _inject(self, random: Random, ends_at: float) -> None:
         """Injects faults sequentially; two such sequences run in parallel, so faults overlap."""
         faults = get_faults(self.plan.edition)
@@ -409,6 +441,10 @@
                     await self._poll_until_completed(job, random, ends_at)
             await asyncio.sleep(random.uniform(0.0, 0.3))
 
+    async def _ask_count(self, host: str) -> int | None:
+        status, document, _ = await self._call("GET", "", host)
+        return document["pending"] if status == 200 else None
+
     def _choose_host(self, random: Random) -> str:
         return random.choice(sorted(self.deployment.hosts))
 
@@ -434,6 +470,7 @@
         job.rejected = not job.outcome_unknown
 
     async def _cancel(self, job: Job, random: Random) -> None:
+        job.is_being_cancelled = True
         status, _, _ = await self._call("DELETE", job.identifier, self._choose_host(random))
         job.cancelled_at = self._now()
         job.outcome_unknown = status not in (200, 410)
@@ -549,6 +586,7 @@
         self._check_short_jobs()
         self._check_capacity()
         self._check_crashes()
+        self.findings += self.count_watch.findings
 
     def _check_batches(self) -> None:
         """Checks that no batch of records arrived under the number of another one."""
@@ -636,6 +674,7 @@
             "judged_s": round(self.short_watch.calm_seconds, 1),
             "longest_idle_s": round(max(self.short_watch.longest.values(), default=0.0), 2),
             "longest_idle_in_calm_s": round(self.short_watch.longest_in_calm_s, 2),
+            "judged_counts": self.count_watch.judged,
             "findings": self.findings,
         }
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
     parser = build_seed_parser(__doc__)
     parser.add_argument("--seconds", type=float, default=15.0, help="duration of the faults, in s")
     parser.add_argument("--hosts", type=int, default=4, help="number of entry hosts")
-    parser.add_argument("--edition", type=int, default=5, help="set of faults; default: 5")
+    parser.add_argument("--edition", type=int, default=6, help="set of faults; default: 6")
     return parser
 
 
