Test: long tasks among short ones are taken for a backlog (known red)

The work that runs counts with half the run time of the longest accepted task: 120 tasks of one core, one of them of 9 s, for 540 core-seconds.

--- a/features/overload_admission.feature
+++ b/features/overload_admission.feature
@@ -24,3 +24,18 @@
     Given a pool without a backlog
     When a workflow of a chain of 3 steps is submitted while an append takes 0.3 s
     Then the workflow of that chain is admitted
+
+  # Load: a burst of short tasks with a few that run ten times as long. Guards against the run time of
+  # the longest task counting for all that run, so that work is rejected while workers are free.
+  Scenario Outline: <long> long tasks among <short> short ones are not taken for a backlog
+    Given a pool of 160 cores at work on <short> tasks of 0.8 s and <long> of 9 s, of one core each
+    When a workflow of 16 tasks of 0.8 s is submitted
+    Then all accepted work is expected to end within <finish> s
+    And the workflow is <outcome>
+
+    Examples: the pool has free cores
+      | short | long | finish | outcome  |
+      | 120   | 0    | 0.4    | admitted |
+      | 119   | 1    | 0.4    | admitted |
+      | 115   | 5    | 0.6    | admitted |
+      | 0     | 120  | 3.5    | rejected |
