--- a/features/wide_steps.feature
+++ b/features/wide_steps.feature
@@ -46,7 +46,7 @@
     Examples:
       | record      | state   |
       | the record  | absent  |
-      | the steps   | running |
+      | the steps   | queued  |
 
   Scenario: Ends whose record is refused are not acknowledged
     # Guards against an end that nobody has recorded, after which the task runs again.
