Continue the wait for an unanswered machine order across holders

Cause: a holder of the fleet that takes over waits 13 s for each order of its predecessors without an answer, from its own takeover on. The record of the order did not tell how much of that time had passed, so holders that follow each other began the wait anew, and the machine's worker stayed cordoned: idle, listed as ready, and not used.

Change: the holder records the time that is left while it passes, once a second for all such machines together and first 0.2 s after a takeover. The record is read by the former version as an order without an answer.

Evidence: features/pool_moves.feature, 'Holders that follow each other do not prolong the wait for an unanswered order' failed before (all eight workers cordoned after 16 s with three holders) and passes.

Why it works: whatever a successor reads is the time that was left when the record was written, so only the time between two holders is waited twice. The time is that of the monotonic clock of each holder; no time of day is compared.

--- a/features/fleet_manager_builders.py
+++ b/features/fleet_manager_builders.py
@@ -12,7 +12,7 @@
 from carawayd.platform.api import build_client
 from carawayd.platform.common import PermissionEnded, PlatformError
 from carawayd.process.fleetmanager import FleetManager
-from carawayd.process.machineorders import REMOVAL_INTERVAL
+from carawayd.process.machineorders import RECORD_INTERVAL
 from carawayd.process.site import SITE_FIELDS, SiteSettings
 from carawayd.process.workflowmetrics import WorkflowMetrics
 from carawayshore.clock import SystemClock
@@ -137,8 +137,8 @@
         await manager._ledger.flush()
 
     async def remove_settled_orders(self, manager: FleetManager) -> None:
-        self.clock.advance += REMOVAL_INTERVAL
-        manager._orders.remove_settled()
+        self.clock.advance += RECORD_INTERVAL
+        manager._orders.update_records()
         await manager._ledger.flush()
 
     def close(self) -> None:
--- a/features/pool_move_builders.py
+++ b/features/pool_move_builders.py
@@ -147,7 +147,8 @@
         self.machines = PoolMachines(build_machines(booking=in_service, spare=on_standby))
         self.owner = PoolOwner(self.machines, self.fleet.clock)
         self.fleet.machines = self.machines
-        self.manager = self.fleet.run(self.fleet.start_holder(1))
+        self._generation = 1
+        self.manager = self.fleet.run(self.fleet.start_holder(self._generation))
         self._prepare(self.manager)
 
     def _prepare(self, manager: Any) -> None:
@@ -172,7 +173,8 @@
 
     def take_over(self) -> None:
         """Makes another holder manage the fleet."""
-        self.manager = self.fleet.run(self.fleet.start_holder(2))
+        self._generation += 1
+        self.manager = self.fleet.run(self.fleet.start_holder(self._generation))
         self._prepare(self.manager)
 
     def manage(self, seconds: float) -> None:
--- a/features/pool_moves.feature
+++ b/features/pool_moves.feature
@@ -56,6 +56,16 @@
     When the fleet is managed for 2.5 s
     Then none of its workers is cordoned
 
+  Scenario: Holders that follow each other do not prolong the wait for an unanswered order
+    # Guards against workers with room that stay cordoned for 21 s and more: each holder waited the 13 s
+    # for the orders of its predecessors anew.
+    Given a pool of 8 machines with demand for all, whose former holder got no answer to its orders
+    When the fleet is managed for 5 s
+    And the next holder takes over and the fleet is managed for 5 s
+    Then all of its workers are cordoned
+    When the next holder takes over and the fleet is managed for 6 s
+    Then none of its workers is cordoned
+
   Scenario: A machine whose move is refused takes tasks again and is not ordered at once again
     # Guards against a worker that stays cordoned for 6 s after a refused order, and against an order
     # every 150 ms, each of which costs a call and two records.
--- a/features/steps/pool_move_steps.py
+++ b/features/steps/pool_move_steps.py
@@ -95,6 +95,12 @@
         context.bench.manage(seconds)
 
 
+@when("the next holder takes over and the fleet is managed for {seconds:g} s")
+def manage_by_next_holder(context, seconds):
+    context.bench.take_over()
+    context.bench.manage(seconds)
+
+
 @when("the pool gets work for all its machines and the fleet is managed for {seconds:g} s")
 def raise_demand(context, seconds):
     machines = context.bench.count_machines(SERVICE)
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -263,7 +263,7 @@
 
     async def _control(self) -> None:
         """Advances all upkeep and all moves by a step."""
-        self._orders.remove_settled()
+        self._orders.update_records()
         await self._read_fleet()
         await self._cordon_machines_with_unanswered_orders()
         await self._manage_waves()
--- a/packages/carawayd/src/carawayd/process/machineorders.py
+++ b/packages/carawayd/src/carawayd/process/machineorders.py
@@ -4,14 +4,21 @@
 take effect after one of its successor. The machines service need not check fencing tokens, so this
 holds without its help: an order is recorded before it is sent, and a new holder leaves the machines
 alone that its predecessor ordered last. It waits from its own takeover, on its own monotonic clock,
-since the time of day of another host may be wrong.
+since the time of day of another host may be wrong. The time that is left is recorded while it
+passes, so that holders that follow each other do not begin the wait anew.
 """
 
 from __future__ import annotations
 
+import math
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
+from carawayd.partition.ledger import FLEET_TOPIC
+from carawayd.unreadable import unreadable_records
+from carawayshore.decoding import MalformedDocument, parse_count
+
 if TYPE_CHECKING:
     from carawayd.partition.ledger import Ledger
     from carawayd.process.site import SiteSettings
@@ -19,15 +26,20 @@
 
 # Prefix of ledger keys for the last order to a machine.
 ORDER_PREFIX = "order/"
-# Values of these keys: the order may have been sent; its response has been received.
+# Values of these keys: the order may have been sent, followed by the time in ms for which it may
+# still be executed; its response has been received. Earlier versions record and read the first one
+# without a time, which stands for the whole delay.
 SENT, ANSWERED = b"sent", b"answered"
 # An order without a response may still be executed for this long.
 MAX_ORDER_DELAY = timedelta(seconds=13)
 # Added to the lease of a machine, for the time that an answered order took.
 LEASE_MARGIN = timedelta(milliseconds=200)
-# Interval at which records are removed that a later holder need not wait for; longer than that of
-# the control loop, since each append to the store is charged.
-REMOVAL_INTERVAL = timedelta(seconds=1)
+# Interval at which records are removed that a later holder need not wait for, and at which the time
+# left of the others is recorded; longer than that of the control loop, since each append to the
+# store is charged.
+RECORD_INTERVAL = timedelta(seconds=1)
+# The same after a takeover, so that holders that follow each other quickly make progress together.
+FIRST_RECORD_DELAY = timedelta(milliseconds=200)
 
 
 class MachineOrders:
@@ -56,7 +68,9 @@
         self._inherited_until: dict[str, timedelta] = {}
         # Machine to the time until which an order without a response may still be executed.
         self._unanswered_until: dict[str, timedelta] = {}
-        self._removed_at = clock.elapsed()
+        # Machines for which an order has been recorded whose outcome is not known.
+        self._in_flight: set[str] = set()
+        self._recorded_at = clock.elapsed() + FIRST_RECORD_DELAY - RECORD_INTERVAL
 
     def restore(self, machine: str, value: bytes) -> None:
         """Applies the record of a predecessor's last order."""
@@ -64,7 +78,7 @@
             return
         now = self._clock.elapsed()
         if value != ANSWERED:
-            self._unanswered_until[machine] = now + MAX_ORDER_DELAY
+            self._unanswered_until[machine] = now + _decode_time_left(machine, value)
         until = max(now + self._lease, self._unanswered_until.get(machine, now))
         self._inherited_until[machine] = self._needed_until[machine] = until
 
@@ -78,6 +92,7 @@
 
     def record_sending(self, machine: str) -> None:
         """Queues the record of an order; the order may be sent once the record is durable."""
+        self._in_flight.add(machine)
         self._record(machine, SENT, MAX_ORDER_DELAY)
 
     def record_answer(self, machine: str) -> None:
@@ -85,11 +100,13 @@
 
         Without it, a later holder leaves the machine alone for much longer.
         """
+        self._in_flight.discard(machine)
         if not self._is_unanswered(machine):
             self._record(machine, ANSWERED, self._lease)
 
     def note_missing_answer(self, machine: str) -> None:
         """Notes that an order got no response, and so may still be executed."""
+        self._in_flight.discard(machine)
         self._unanswered_until[machine] = self._clock.elapsed() + MAX_ORDER_DELAY
 
     def _record(self, machine: str, state: bytes, delay: timedelta) -> None:
@@ -108,15 +125,40 @@
         """Returns the machines for which an order without a response may still be executed."""
         return {machine for machine in self._unanswered_until if self._is_unanswered(machine)}
 
-    def remove_settled(self) -> None:
-        """Removes the records of orders that a later holder need not wait for."""
+    def update_records(self) -> None:
+        """Removes the records that a later holder need not wait for, and updates the others."""
         now = self._clock.elapsed()
-        if now - self._removed_at < REMOVAL_INTERVAL:
+        if now - self._recorded_at < RECORD_INTERVAL:
             return
-        self._removed_at = now
+        self._recorded_at = now
         for machine, until in list(self._needed_until.items()):
-            if now >= until and not self._is_unanswered(machine):
+            if machine in self._in_flight:
+                continue
+            if self._is_unanswered(machine):
+                self._ledger.mark_dirty(
+                    ORDER_PREFIX + machine, partial(self._encode_time_left, machine)
+                )
+            elif now >= until:
                 del self._needed_until[machine]
                 self._inherited_until.pop(machine, None)
                 self._unanswered_until.pop(machine, None)
                 self._ledger.mark_dirty(ORDER_PREFIX + machine, bytes)
+
+    def _encode_time_left(self, machine: str) -> bytes:
+        return _encode_sent(self.measure_unanswered(machine))
+
+
+def _encode_sent(left: timedelta) -> bytes:
+    return SENT + b" %d" % math.ceil(left / timedelta(milliseconds=1))
+
+
+def _decode_time_left(machine: str, value: bytes) -> timedelta:
+    """Returns for how long a recorded order may still be executed; the longest time if unknown."""
+    if value == SENT:
+        return MAX_ORDER_DELAY
+    try:
+        left = timedelta(milliseconds=parse_count(value.removeprefix(SENT + b" ")))
+    except MalformedDocument as error:
+        unreadable_records.note(FLEET_TOPIC, ORDER_PREFIX + machine, error)
+        return MAX_ORDER_DELAY
+    return min(left, MAX_ORDER_DELAY)
