Continue a cordon across owners instead of applying its whole lifetime anew

Cause: an owner that takes over applies the recorded lifetime of a cordon from its takeover, and the record was never shortened. Owners that follow each other prolonged the cordon by its whole lifetime each.

Change: an owner records what is left of a cordon once a second while it passes. A renewal is recorded only if the recorded lifetime is shorter, since a successor applies the record from its takeover, which is later.

Why it works: the record holds the time that was left when it was written, so a takeover adds at most the time since then.

--- a/packages/carawayd/src/carawayd/partition/cordons.py
+++ b/packages/carawayd/src/carawayd/partition/cordons.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import math
+from typing import TYPE_CHECKING, NamedTuple
 
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument, parse_count
@@ -15,16 +16,24 @@
 CORDON_PREFIX = "!"
 # Limit of a recorded lifetime; earlier versions recorded a time of day instead.
 MAX_LIFETIME_SECONDS = 30.0
-# A cordon is recorded anew once less than this share of its lifetime is left in the record.
-RENEWAL_SHARE = 0.5
+# Interval at which the lifetimes that have passed are recorded, so that a later owner continues.
+RECORD_INTERVAL_SECONDS = 1.0
+
+
+class _Cordon(NamedTuple):
+    """End of a cordon, and its recorded lifetime; both in seconds, the end of the local clock."""
+
+    until: float
+    recorded_seconds: float
 
 
 class Cordons:
     """Ends of the cordons of workers, and their records.
 
-    The record holds the lifetime at the time of recording. A later owner applies it from its
-    takeover, so the cordon ends later than its holder asked for, never sooner, whatever the time
-    of day of either host.
+    A record holds the lifetime that is left at the time of recording. A later owner applies it from
+    its takeover, so the cordon ends later than its holder asked for, never sooner, whatever the
+    time of day of either host. It is recorded anew while it passes, so that owners that follow each
+    other do not prolong the cordon by its whole lifetime each.
 
     Parameters
     ----------
@@ -35,8 +44,8 @@
     def __init__(self, clock: Clock, ledger: Ledger) -> None:
         self._clock = clock
         self._ledger = ledger
-        # End of each cordon as recorded, in seconds of the monotonic clock.
-        self._ends: dict[str, float] = {}
+        self._cordons: dict[str, _Cordon] = {}
+        self._recorded_at = self._now()
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -53,25 +62,49 @@
             lifetime = min(parse_count(value) / 1000, MAX_LIFETIME_SECONDS)
         except MalformedDocument as error:
             unreadable_records.note(self._ledger.topic, CORDON_PREFIX + worker, error)
-        self._ends[worker] = self._now() + lifetime
+        self._cordons[worker] = _Cordon(self._now() + lifetime, lifetime)
 
     def find_end(self, worker: str) -> float | None:
-        """Returns the recorded end of a worker's cordon, None if it has none."""
-        return self._ends.get(worker)
+        """Returns the end of a worker's cordon, None if it has none."""
+        cordon = self._cordons.get(worker)
+        return cordon.until if cordon is not None else None
 
     def extend(self, worker: str, seconds: float) -> bool:
         """Sets or renews a cordon; returns whether a record has to become durable for it.
 
-        Renewals arrive several times a second, so only those are recorded that are needed.
+        Renewals arrive several times a second. One is recorded only if the recorded lifetime, which
+        a later owner applies from its takeover, is shorter.
         """
-        left = self._ends.get(worker, 0.0) - self._now()
-        if left >= seconds * RENEWAL_SHARE:
+        until = self._now() + seconds
+        cordon = self._cordons.get(worker, _Cordon(0.0, 0.0))
+        self._cordons[worker] = cordon._replace(until=max(until, cordon.until))
+        if cordon.recorded_seconds >= seconds:
             return False
-        self._ends[worker] = self._now() + seconds
-        self._ledger.mark_dirty(CORDON_PREFIX + worker, lambda: str(int(seconds * 1000)).encode())
+        self._record(worker)
         return True
 
+    def record_progress(self) -> None:
+        """Records the lifetimes that are left where they are shorter than recorded by an interval.
+
+        Cordons that are renewed have their whole lifetime left, and need no record.
+        """
+        now = self._now()
+        if now - self._recorded_at < RECORD_INTERVAL_SECONDS:
+            return
+        self._recorded_at = now
+        for worker, (until, recorded_seconds) in list(self._cordons.items()):
+            if 0.0 < until - now <= recorded_seconds - RECORD_INTERVAL_SECONDS:
+                self._record(worker)
+
+    def _record(self, worker: str) -> None:
+        cordon = self._cordons[worker]
+        lifetime = cordon.until - self._now()
+        self._cordons[worker] = cordon._replace(recorded_seconds=lifetime)
+        self._ledger.mark_dirty(
+            CORDON_PREFIX + worker, lambda: str(math.ceil(lifetime * 1000)).encode()
+        )
+
     def end(self, worker: str) -> None:
         """Removes the cordon of a worker."""
-        if self._ends.pop(worker, None) is not None:
+        if self._cordons.pop(worker, None) is not None:
             self._ledger.mark_dirty(CORDON_PREFIX + worker, bytes)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -396,6 +396,7 @@
             scanned_at = self._now()
             self._scan_workers()
             self._contact_loss.record_progress()
+            self._cordons.record_progress()
             self._expire_entries()
             self._open_closed_steps()
             self._starts.record_due()
