Confirm a cordon only once its record is durable

Cause: the owner waited for the record of a cordon only in the request that wrote it. The holder of the fleet gives a request up after 0.5 s and repeats it, and the second one was answered at once while the first record was still being written. The holder then orders the machine; if the owner changes before the record is durable, the next one knows of no cordon and starts tasks there, which the order ends.

Change: a request waits until a record of at least its lifetime is durable.

--- a/features/steps/cordon_steps.py
+++ b/features/steps/cordon_steps.py
@@ -55,6 +55,26 @@
         await world.close()
 
 
+async def _measure_confirmation(seconds: float, interval: float, append: float) -> float:
+    """Returns after how many seconds the second of two requests is confirmed.
+
+    The first one is given up by its caller when the second one is made.
+    """
+    world = World(1, 0.05)
+    try:
+        await world.take_over()
+        await asyncio.sleep(1.0)
+        world.store.append_seconds = append
+        began_at = world.now()
+        first = asyncio.ensure_future(world.current.owner.cordon([WORKER, seconds]))
+        await asyncio.sleep(interval)
+        first.cancel()
+        await world.current.owner.cordon([WORKER, seconds])
+        return world.now() - began_at
+    finally:
+        await world.close()
+
+
 @when(
     "a worker is cordoned for {seconds:g} s and {owners:d} owners follow each other after "
     "{interval:g} s each"
@@ -71,6 +91,19 @@
     context.seconds = play(_renew_until_killed(seconds, interval, until))
 
 
+@when(
+    "a worker is cordoned for {seconds:g} s, again after {interval:g} s, and an append takes "
+    "{append:g} s"
+)
+def cordon_twice(context, seconds, interval, append):
+    context.confirmed_after = play(_measure_confirmation(seconds, interval, append))
+
+
+@then("the owner confirms the second request after {least:g} s at the earliest")
+def expect_late_confirmation(context, least):
+    assert context.confirmed_after >= least, context.confirmed_after
+
+
 @then(
     "it is used again {least:g} s after it was cordoned at the earliest, and {most:g} s after that "
     "at the latest"
--- a/packages/carawayd/src/carawayd/partition/cordons.py
+++ b/packages/carawayd/src/carawayd/partition/cordons.py
@@ -21,10 +21,21 @@
 
 
 class _Cordon(NamedTuple):
-    """End of a cordon, and its recorded lifetime; both in seconds, the end of the local clock."""
+    """State of a cordon.
+
+    Parameters
+    ----------
+    until : float
+        End in seconds of the local clock.
+    recorded_seconds : float
+        Lifetime that was recorded last.
+    is_durable : bool
+        Whether a record of that lifetime or of a longer one is known to be in the store.
+    """
 
     until: float
     recorded_seconds: float
+    is_durable: bool = False
 
 
 class Cordons:
@@ -62,26 +73,32 @@
             lifetime = min(parse_count(value) / 1000, MAX_LIFETIME_SECONDS)
         except MalformedDocument as error:
             unreadable_records.note(self._ledger.topic, CORDON_PREFIX + worker, error)
-        self._cordons[worker] = _Cordon(self._now() + lifetime, lifetime)
+        self._cordons[worker] = _Cordon(self._now() + lifetime, lifetime, is_durable=True)
 
     def find_end(self, worker: str) -> float | None:
         """Returns the end of a worker's cordon, None if it has none."""
         cordon = self._cordons.get(worker)
         return cordon.until if cordon is not None else None
 
-    def extend(self, worker: str, seconds: float) -> bool:
-        """Sets or renews a cordon; returns whether a record has to become durable for it.
+    def extend(self, worker: str, seconds: float) -> float:
+        """Sets or renews a cordon; returns the lifetime whose record has to become durable first.
 
-        Renewals arrive several times a second. One is recorded only if the recorded lifetime, which
-        a later owner applies from its takeover, is shorter.
+        It is 0 if none has to. Renewals arrive several times a second. One is recorded only if the
+        recorded lifetime, which a later owner applies from its takeover, is shorter.
         """
         until = self._now() + seconds
         cordon = self._cordons.get(worker, _Cordon(0.0, 0.0))
-        self._cordons[worker] = cordon._replace(until=max(until, cordon.until))
-        if cordon.recorded_seconds >= seconds:
-            return False
-        self._record(worker)
-        return True
+        cordon = self._cordons[worker] = cordon._replace(until=max(until, cordon.until))
+        if cordon.recorded_seconds < seconds:
+            cordon = self._cordons[worker] = cordon._replace(is_durable=False)
+            self._record(worker)
+        return 0.0 if cordon.is_durable else self._cordons[worker].recorded_seconds
+
+    def note_durable(self, worker: str, seconds: float) -> None:
+        """Notes that the record of a cordon's lifetime has been written."""
+        cordon = self._cordons.get(worker)
+        if cordon is not None and cordon.recorded_seconds <= seconds:
+            self._cordons[worker] = cordon._replace(is_durable=True)
 
     def record_progress(self) -> None:
         """Records the lifetimes that are left where they are shorter than recorded by an interval.
@@ -92,8 +109,8 @@
         if now - self._recorded_at < RECORD_INTERVAL_SECONDS:
             return
         self._recorded_at = now
-        for worker, (until, recorded_seconds) in list(self._cordons.items()):
-            if 0.0 < until - now <= recorded_seconds - RECORD_INTERVAL_SECONDS:
+        for worker, cordon in list(self._cordons.items()):
+            if 0.0 < cordon.until - now <= cordon.recorded_seconds - RECORD_INTERVAL_SECONDS:
                 self._record(worker)
 
     def _record(self, worker: str) -> None:
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -1296,11 +1296,13 @@
         if link is None or link.is_unresponsive or not link.capacity.expected and not link.cordoned:
             return Reply(ABSENT)
         link.cordon(self._now() + seconds)
-        if self._cordons.extend(worker, seconds):
+        recorded_seconds = self._cordons.extend(worker, seconds)
+        if recorded_seconds:
             try:
                 await self.ledger.flush()
             except OwnershipLost:
                 return Reply(UNREADY)
+            self._cordons.note_durable(worker, recorded_seconds)
         self._departures.evacuate(link, self.fence)
         return Reply(ACCEPTED, self._demand.describe_worker(link))
 
