Name the driver of each task whose turn has come and that is not at work

Change: partition/drivers looks at the owner's tables once a second and names for each such task what acts next and by when. A task without a driver, or whose driver has let its time pass by 2 s and done nothing, is counted in caraway_undriven_tasks and logged once. The plays of short jobs, late starts and fleets in virtual time fail on such a task. No decision of the owner is changed.

--- a/features/fleet_play.py
+++ b/features/fleet_play.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from displaced_elsewhere_scenarios import submit_sized
+from driver_watch import watch_drivers
 from fleet_world import STANDBY, FleetWorld
 from restart_scenarios import LONG_S
 from virtual_time import play
@@ -136,6 +137,7 @@
         watching = None
         try:
             await self.fleet.start()
+            watch_drivers(self.world)
             for _ in range(self.rng.randint(1, 3)):
                 await submit_long_job(self)
             await asyncio.sleep(6.0)
--- a/features/late_start_play.py
+++ b/features/late_start_play.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from driver_watch import watch_drivers
 from restart_scenarios import LONG_S
 from short_task_play import (
     bounce,
@@ -35,7 +36,7 @@
 WAITS = (0.0, 0.02, 0.1, 0.3, 0.5, 1.0, 2.0)
 LATE_S = (0.2, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0, 12.0)
 # Promises that late orders may break; waits in calm are judged by other plays.
-PROMISES = ("TWICE", "LIMIT", "UNASKED")
+PROMISES = ("TWICE", "LIMIT", "UNASKED", "UNDRIVEN")
 
 
 async def submit_long(world: World, rng: Random) -> None:
@@ -99,6 +100,7 @@
     world.crashed_return_as_new = False
     world.crash_downtime_s = rng.choice([0.3, 0.8, 1.5])
     world.late_orders_need_age_s = UNKNOWN_START_S
+    watch_drivers(world)
     functions, weights = zip(*ACTIONS, strict=True)
     try:
         await world.take_over()
--- a/features/short_task_play.py
+++ b/features/short_task_play.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from driver_watch import watch_drivers
 from restart_scenarios import LONG_S
 from short_watch import WATCH_INTERVAL_S
 from virtual_time import play
@@ -292,6 +293,7 @@
     world.crashed_return_as_new = rng.random() < 0.3
     world.crash_downtime_s = rng.choice([0.8, 1.5, 3.0, 6.0])
     noting = asyncio.ensure_future(_note_impairments(world))
+    watch_drivers(world)
     try:
         await world.take_over()
         await asyncio.sleep(1.0)
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -30,6 +30,7 @@
 from carawayd.partition.delays import log_delay
 from carawayd.partition.demand import Demand
 from carawayd.partition.departures import Departures
+from carawayd.partition.drivers import DriverWatch, Tables
 from carawayd.partition.interruptions import list_interrupted_tasks, may_stop
 from carawayd.partition.isolation import Isolation
 from carawayd.partition.knownworkers import WORKER_PREFIX, KnownWorkers
@@ -324,6 +325,26 @@
             clock=clock,
             metrics=metrics,
         )
+        tables = Tables(
+            self.workflows,
+            self.links,
+            self._open_steps,
+            self._suspended_steps,
+            self._closed_steps,
+            orphans,
+            self._contact_loss,
+            self.ledger,
+            self._lease_bounds.longest,
+            lambda: self._loaded_at,
+        )
+        self._drivers = DriverWatch(
+            tables,
+            reasons,
+            list_services=self._list_services,
+            is_due=self._planner.is_due,
+            clock=clock,
+            metrics=metrics,
+        )
         self._short_waits = ShortTaskWaits(
             self.workflows,
             self.links,
@@ -406,6 +427,7 @@
             self._follow_former_hosts()
             self._waits.check(self.fence)
             self._short_waits.check(self.fence)
+            self._drivers.check(self.fence)
             self._unused_workers.check(self.fence)
             if self._may_place():
                 self._preemption.make_room(self.fence)
@@ -1345,6 +1367,7 @@
     def _plan(self) -> None:
         """Places the waiting tasks on workers, the most urgent first, and orders their starts."""
         orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
+        self._drivers.note_plan()
         try:
             for placement in self._planner.place_tasks(MAX_PENDING_STARTS - self._pending_starts):
                 orders += self._order_placement(placement)
@@ -1497,6 +1520,7 @@
         self.lost = True
         self._waits.clear()
         self._short_waits.clear()
+        self._drivers.clear()
         self._unused_workers.clear()
         self._wake.set()
         for link in self.links.values():
--- a/packages/carawayd/src/carawayd/process/workflowmetrics.py
+++ b/packages/carawayd/src/carawayd/process/workflowmetrics.py
@@ -96,6 +96,11 @@
             "Longest of these times among tasks that are ordered, or for which a worker has room.",
             "service",
         )
+        self.undriven_tasks = self._add_gauge(
+            "caraway_undriven_tasks",
+            "Tasks whose turn has come and that nothing is known to act on next; normally 0.",
+            "service",
+        )
         self.fragmentation = self._add_gauge(
             "caraway_pool_fragmentation",
             "Share of the free processors that the largest unfinished short task cannot use.",
