Add up the wait of a job that stands still by driver and reason

Change: while nothing of a short job is at work although a task's turn has come, each look adds the time since the last one to a sum by driver and reason, for the task of the job that has waited longest. The sum is in all lines of shortwaits. It ends once a run is known to have started, or with the job; a placement that leads to no start does not end it. The obstacles at the workers are looked up for at most 8 jobs a second.

Measured: in the scenarios, a cordon of 4 s is told as "planner: cordoned", and a wait over several refused placements as one of over 4 s.

--- a/features/drivers.feature
+++ b/features/drivers.feature
@@ -79,3 +79,15 @@
     Given a running owner whose task is at work
     When its order is removed and 2 s pass
     Then the watch of the play finds the task once
+
+  Scenario: The log tells of what a wait was made up
+    Given a running owner whose workers are all cordoned for 4 s
+    When a task is submitted and 8 s pass
+    Then the last line of its wait adds up 2 s to 5 s for "planner: cordoned"
+
+  # Guards against sums that begin anew with each placement, which made long waits look short.
+  Scenario: A placement that leads to no start does not end the wait
+    Given a running owner whose workers refuse all starts for 6 s
+    When a task is submitted and 12 s pass
+    Then the last line of its wait tells of 4 s or more in all
+    And the task was ordered several times meanwhile
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -350,6 +350,7 @@
             self.links,
             self._orphans,
             reasons,
+            find_driver=self._drivers.find_driver,
             list_services=self._list_services,
             is_due=self._planner.is_due,
             clock=clock,
--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from carawayd.partition.fragmentation import publish_fragmentation
@@ -19,12 +20,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from carawayd.partition.drivers import Driver
     from carawayd.partition.waitreasons import WaitReasons
     from carawayd.partition.workerlink import WorkerLink
     from carawayd.process.workflowmetrics import WorkflowMetrics
     from carawayshore.clock import Clock
     from carawayshore.workflows.state import StepState, TaskState, WorkflowState
 
+# Kind of driver whose reasons are the obstacles at the workers.
+PLANNER = "planner"
+
 logger = logging.getLogger(__name__)
 
 CHECK_INTERVAL_SECONDS = 1.0
@@ -35,6 +40,11 @@
 MAX_STEPS_PER_CHECK = 8
 # Maximum number of tasks that one look logs.
 MAX_LINES_PER_CHECK = 5
+# Longest time that one look adds to a wait, so that a pause of this process is not counted as one
+# of the tasks.
+MAX_COUNTED_SECONDS = 2 * CHECK_INTERVAL_SECONDS
+# Jobs of which nothing is at work whose workers one look goes through to tell why.
+MAX_JOBS_PER_CHECK = 8
 # Interval at which the tasks that wait for room are summarized, and the wait from which they are.
 SUMMARY_INTERVAL_SECONDS = 2.0
 SUMMARY_SECONDS = 3.0
@@ -50,6 +60,23 @@
     since: float
 
 
+class _JobWait(NamedTuple):
+    """Time in which nothing of a job was at work although a task's turn had come.
+
+    It goes on over placements that led to no start, and ends once a run is known to have started.
+    ``seconds`` has the time by driver and reason of the task that waited longest.
+    """
+
+    since: float
+    seconds: Counter[str]
+
+    def describe(self, now: float) -> dict[str, Any]:
+        return {
+            "job_seconds": round(now - self.since, 1),
+            "job_waits": {what: round(sum_, 1) for what, sum_ in self.seconds.most_common()},
+        }
+
+
 class ShortTaskWaits:
     """Watches the short tasks of one partition and reports those that wait without a shortage.
 
@@ -58,6 +85,8 @@
     workflows, links, orphans
         Tables of the partition owner, which updates them.
     reasons : WaitReasons
+    find_driver : callable
+        Returns what acts next on a task that is not at work.
     list_services : callable
         Returns the services of the partition.
     is_due : callable
@@ -73,6 +102,7 @@
         orphans: dict[TaskName, str],
         reasons: WaitReasons,
         *,
+        find_driver: Callable[[WorkflowState, TaskName, TaskState], Driver],
         list_services: Callable[[], set[str]],
         is_due: Callable[[WorkflowState, StepState], bool],
         clock: Clock,
@@ -82,6 +112,7 @@
         self._links = links
         self._orphans = orphans
         self._reasons = reasons
+        self._find_driver = find_driver
         self._list_services = list_services
         self._is_due = is_due
         self._clock = clock
@@ -91,6 +122,10 @@
         self._since: dict[TaskName, float] = {}
         self._log_at: dict[TaskName, float] = {}
         self._summarized_at = -SUMMARY_INTERVAL_SECONDS
+        # Waits of the jobs of which nothing is at work, and those that have ended since the last
+        # look.
+        self._job_waits: dict[str, _JobWait] = {}
+        self._ended_job_waits: dict[str, _JobWait] = {}
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -100,18 +135,19 @@
         now = self._now()
         if now - self._checked_at < CHECK_INTERVAL_SECONDS:
             return
-        self._checked_at = now
+        elapsed, self._checked_at = now - max(self._checked_at, 0.0), now
         absences = [
             _Absence(workflow, step, name, task, self._since.get(name, now))
             for workflow, step, name, task in self._iterate_absent_tasks()
         ]
+        absences.sort(key=lambda absence: absence.since)
+        self._sum_waits(absences, min(elapsed, MAX_COUNTED_SECONDS), now)
         self._since = {absence.name: absence.since for absence in absences}
         ended = self._log_at.keys() - self._since.keys()
         for name in sorted(ended)[:MAX_LINES_PER_CHECK]:
             self._log_end(epoch, name)
         for name in ended:
             del self._log_at[name]
-        absences.sort(key=lambda absence: absence.since)
         self._publish("short_task_longest_wait", absences[:1], now)
         late = [absence for absence in absences if now - absence.since >= ALERT_SECONDS]
         unexplained = list(self._select_unexplained(late))
@@ -128,6 +164,59 @@
             self._summarized_at = now
             self._log_summary(epoch, late, now)
 
+    def _sum_waits(self, absences: list[_Absence], elapsed: float, now: float) -> None:
+        """Adds the time since the last look to the waits of the jobs that stand still.
+
+        ``absences`` has the tasks that wait longest first.
+        """
+        former, self._job_waits = self._job_waits, {}
+        at_work: set[str] = set()
+        examined = 0
+        for absence in absences:
+            identifier = absence.name.workflow
+            if identifier in self._job_waits or identifier in at_work:
+                continue
+            if self._has_run_at_work(absence.workflow):
+                at_work.add(identifier)
+                continue
+            wait = former.get(identifier)
+            self._job_waits[identifier] = wait or _JobWait(now, Counter())
+            if wait is None:
+                continue
+            driver = self._find_driver(absence.workflow, absence.name, absence.task)
+            what = f"{driver.kind}: {driver.reason}" if driver.reason else driver.kind
+            if driver.kind == PLANNER and not driver.reason:
+                examined += 1
+                if examined <= MAX_JOBS_PER_CHECK:
+                    what = f"{PLANNER}: {self._name_obstacles(absence)}"
+            wait.seconds[what] += elapsed
+        self._ended_job_waits = {
+            identifier: wait
+            for identifier, wait in former.items()
+            if identifier not in self._job_waits
+        }
+
+    def _name_obstacles(self, absence: _Absence) -> str:
+        """Returns the obstacles at the workers for a waiting task, as one text."""
+        choice = self._reasons.describe_choice(absence.workflow, absence.step, absence.name)
+        found = set(choice.obstacles)
+        found |= {text for text in ("isolation", "excluded") if choice.detail.get(text)}
+        return ", ".join(sorted(found)) or "no worker"
+
+    def _has_run_at_work(self, workflow: WorkflowState) -> bool:
+        return any(
+            task.status == ORDERED
+            and self._is_at_work(
+                TaskName(workflow.identifier, step.occurrence, step.number, i), task
+            )
+            for step in workflow.steps.values()
+            for i, task in enumerate(step.tasks)
+        )
+
+    def _describe_wait(self, identifier: str, now: float) -> dict[str, Any]:
+        wait = self._job_waits.get(identifier) or self._ended_job_waits.get(identifier)
+        return wait.describe(now) if wait is not None else {}
+
     def _log_summary(self, epoch: int, late: list[_Absence], now: float) -> None:
         """Logs how many tasks wait for long, and what the workers offer to the first of them."""
         waiting = [
@@ -151,6 +240,7 @@
                     "needs": [first.step.spec.millicores, first.step.spec.memory_mb],
                     "workers": dict(choice.obstacles),
                 }
+                | self._describe_wait(first.name.workflow, now)
             },
         )
 
@@ -232,6 +322,7 @@
                     "needs": [absence.step.spec.millicores, absence.step.spec.memory_mb],
                 }
                 | detail
+                | self._describe_wait(absence.name.workflow, self._checked_at)
             },
         )
 
@@ -246,5 +337,6 @@
                     "epoch": epoch,
                     "worker": found[1].worker if found else "",
                 }
+                | self._describe_wait(name.workflow, self._checked_at)
             },
         )
