--- a/features/drivers.feature
+++ b/features/drivers.feature
@@ -48,7 +48,7 @@
 
     Examples:
       | state                         | early | more | driver      | reason                  |
-      | step is open                  | 2     | 2    | planner     |                         |
+      | step is open                  | 2     | 3    | planner     |                         |
       | order not sent                | 11    | 3    | start order | not sent                |
       | order being sent              | 4     | 3    | start order | being sent              |
       | order unanswered              | 16    | 4    | report      | unanswered order        |
--- a/packages/carawayd/src/carawayd/partition/drivers.py
+++ b/packages/carawayd/src/carawayd/partition/drivers.py
@@ -111,6 +111,8 @@
     tables: Tables
     now: float
     planned_at: float
+    # Whether the store does not answer the present append.
+    is_stalled: bool
 
     def find_order(self, name: TaskName, run: int, worker: str) -> tuple[WorkerLink, Order] | None:
         """Returns the link and the order that track a run; a closed link tracks none."""
@@ -177,7 +179,7 @@
     """The steps of a workflow are opened once its record is durable."""
     if workflow.durable_state:
         return None
-    if look.tables.ledger.is_stalled:
+    if look.is_stalled:
         return _await_store("acceptance", look)
     return Driver("acceptance", "record", look.now + ACCEPTANCE_SECONDS)
 
@@ -186,7 +188,7 @@
 def _find_planner(look: Look, workflow: WorkflowState, key: StepKey) -> Driver | None:
     if key not in look.tables.open_steps:
         return None
-    if look.tables.ledger.is_stalled:
+    if look.is_stalled:
         return _await_store("planner", look)
     return Driver("planner", "", look.planned_at + PLAN_SECONDS, (look.planned_at,))
 
@@ -196,7 +198,7 @@
     """A step whose record the store has refused is opened once the ledger has written it."""
     if key not in look.tables.suspended_steps:
         return None
-    if look.tables.ledger.is_stalled:
+    if look.is_stalled:
         return _await_store("ledger", look)
     if look.tables.ledger.has_refused_records:
         return Driver("ledger", "refused record", look.now + REFUSED_RETRY_SECONDS, (look.now,))
@@ -238,7 +240,7 @@
     order = found[1]
     if order.may_have_started:
         return Driver("start order", "being sent", order.sent_at + STRAY_SECONDS, (run, worker))
-    reason = "store does not answer" if look.tables.ledger.is_stalled else "not sent"
+    reason = "store does not answer" if look.is_stalled else "not sent"
     return Driver("start order", reason, order.ordered_at + UNSENT_SECONDS, (run, worker))
 
 
@@ -331,9 +333,16 @@
 
 
 def iterate_absences(
-    look: Look, is_due: Callable[[WorkflowState, StepState], bool]
+    look: Look,
+    is_due: Callable[[WorkflowState, StepState], bool],
+    *,
+    leaves_out_open_steps: bool = False,
 ) -> Iterator[Absence]:
-    """Yields the ordered tasks that are not at work, and one waiting task of each step."""
+    """Yields the ordered tasks that are not at work, and one waiting task of each step.
+
+    With ``leaves_out_open_steps``, waiting tasks that the planner drives are left out: under load
+    there are thousands of them.
+    """
     for workflow in look.tables.workflows.values():
         if workflow.is_terminal:
             continue
@@ -341,6 +350,9 @@
             if step.is_done or not workflow.is_ready(step) or not is_due(workflow, step):
                 continue
             key = (workflow.identifier, step.occurrence, step.number)
+            is_left_out = (
+                leaves_out_open_steps and key in look.tables.open_steps and workflow.durable_state
+            )
             first, count = None, 0
             for index, task in enumerate(step.tasks):
                 if task.status == WAITING:
@@ -350,7 +362,7 @@
                     if not is_at_work(look, name, task):
                         driver = find_task_driver(look, name, task)
                         yield Absence(workflow, step, name, task, driver, 1)
-            if first is not None:
+            if first is not None and not is_left_out:
                 driver = find_step_driver(look, workflow, key)
                 name = TaskName(*key, first)
                 yield Absence(workflow, step, name, step.tasks[first], driver, count)
@@ -423,7 +435,7 @@
         return find_step_driver(look, workflow, name[:3])
 
     def _look(self) -> Look:
-        return Look(self._tables, self._now(), self._planned_at)
+        return Look(self._tables, self._now(), self._planned_at, self._tables.ledger.is_stalled)
 
     def check(self, epoch: int) -> None:
         """Looks at all tasks that are not at work, and counts and logs those without a driver."""
@@ -431,7 +443,9 @@
         if look.now - self.checked_at < CHECK_INTERVAL_SECONDS:
             return
         self.checked_at = look.now
-        self.undriven = list(self._compare(look, iterate_absences(look, self._is_due)))
+        is_planner_active = look.is_stalled or look.now - look.planned_at <= PLAN_SECONDS
+        absences = iterate_absences(look, self._is_due, leaves_out_open_steps=is_planner_active)
+        self.undriven = list(self._compare(look, absences))
         counts: Counter[str] = Counter()
         for item in self.undriven:
             counts[item.absence.workflow.spec.service] += item.absence.count
@@ -445,14 +459,13 @@
 
     def _compare(self, look: Look, absences: Iterable[Absence]) -> Iterator[Undriven]:
         former, self._sights = self._sights, {}
-        # Nothing that needs a record can act meanwhile, reports among it.
-        is_stalled = self._tables.ledger.is_stalled
         for absence in absences:
             driver, name = absence.driver, absence.name
             if driver.kind == NONE:
                 yield Undriven(absence, 0.0)
                 continue
-            if is_stalled:
+            # Nothing that needs a record can act meanwhile, reports among it.
+            if look.is_stalled:
                 continue
             sight = former.get(name)
             if sight is None or (sight.kind, sight.mark) != (driver.kind, driver.mark):
--- a/packages/carawayd/src/carawayd/partition/shortwaits.py
+++ b/packages/carawayd/src/carawayd/partition/shortwaits.py
@@ -43,6 +43,10 @@
 # Longest time that one look adds to a wait, so that a pause of this process is not counted as one
 # of the tasks.
 MAX_COUNTED_SECONDS = 2 * CHECK_INTERVAL_SECONDS
+# Jobs of which nothing is at work whose waits are added up, and jobs that are looked at for that,
+# those that wait longest first. Under load most jobs wait for room, which the summary tells.
+MAX_SUMMED_JOBS = 64
+MAX_JOBS_LOOKED_AT = 256
 # Jobs of which nothing is at work whose workers one look goes through to tell why.
 MAX_JOBS_PER_CHECK = 8
 # Interval at which the tasks that wait for room are summarized, and the wait from which they are.
@@ -176,6 +180,10 @@
             identifier = absence.name.workflow
             if identifier in self._job_waits or identifier in at_work:
                 continue
+            is_full = len(self._job_waits) >= MAX_SUMMED_JOBS
+            is_full |= len(self._job_waits) + len(at_work) >= MAX_JOBS_LOOKED_AT
+            if is_full and identifier not in former:
+                continue
             if self._has_run_at_work(absence.workflow):
                 at_work.add(identifier)
                 continue
