Give pools machines for short tasks that none of their workers can hold

Cause: the number of machines of a pool is the larger one of a count by cores and a count by the workers of its long-running tasks. While the second is larger, a short task that fits on no worker which takes tasks adds nothing, and waits until a cordon ends.

Change: the owner counts such tasks (workflows/largetasks) and reports the machines that the pool needs beyond the workers that take tasks, and the idle workers that it keeps. Later steps of accepted jobs count with one machine. Labels and step limits are left out. The field is left out of the report while it is empty, so that a holder of an earlier version reads it.

--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from carawayshore.workflows.admission import Backlog
-from carawayshore.workflows.model import ServiceLoad, TaskName, WorkerLoad
+from carawayshore.workflows.largetasks import LargeTasks, WorkerRoom
+from carawayshore.workflows.model import NO_LARGE_TASKS, ServiceLoad, TaskName, WorkerLoad
 from carawayshore.workflows.placement import Amounts, compute_usage
+from carawayshore.workflows.pools import BACKLOG_DRAIN_SECONDS
 from carawayshore.workflows.spread import TaskGroup, count_needed_workers
 from carawayshore.workflows.state import WAITING
 
@@ -15,6 +18,7 @@
 
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
+    from carawayshore.workflows.model import LargeTaskNeed
     from carawayshore.workflows.placement import WorkerCapacity
     from carawayshore.workflows.runtimes import RuntimeModel
     from carawayshore.workflows.state import StepState, WorkflowState
@@ -26,6 +30,14 @@
 # Interval at which the workers are counted that the long-running tasks need, which looks at all
 # workflows.
 COUNT_INTERVAL_SECONDS = 0.5
+# The same for the short tasks that no worker can hold. It is part of the 3 s within which a task
+# has to be at work, of which the move of a machine takes over 2 s.
+LARGE_TASKS_INTERVAL_SECONDS = 0.25
+# Time before the start of an occurrence from which its steps count, more than a move takes.
+OCCURRENCE_LEAD_SECONDS = 5.0
+# Silence from which a worker counts as one that takes no tasks: longer than most interruptions of
+# a link, so that these move no machines.
+SILENCE_SECONDS = 1.5
 
 
 class _OfferedLoad(NamedTuple):
@@ -107,6 +119,11 @@
         # the workers that they need; and the time at which they were last looked at.
         self._counts: dict[str, tuple[list[TaskGroup], Amounts, int]] = {}
         self._counted_at = -COUNT_INTERVAL_SECONDS
+        # What the pool of each service needs for its large short tasks, when that was measured, and
+        # the workers that took tasks then.
+        self._large_tasks: dict[str, LargeTaskNeed] = {}
+        self._large_tasks_at = -LARGE_TASKS_INTERVAL_SECONDS
+        self._taking_tasks: frozenset[str] = frozenset()
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -222,6 +239,7 @@
             self._measure_offered_cores(service),
             tuple(workers),
             self._count_long_running_workers(service),
+            self._find_large_tasks(service),
         )
 
     def describe_worker(self, link: WorkerLink) -> WorkerLoad:
@@ -244,6 +262,79 @@
         found = self._counts.get(service)
         return found[2] if found is not None else 0
 
+    def _find_large_tasks(self, service: str) -> LargeTaskNeed:
+        """Returns what the pool of a service needs for short tasks that no worker can hold.
+
+        It is measured anew once the workers change, since the holder of the fleet takes it as the
+        need beyond the workers of the same report.
+        """
+        now = self._now()
+        taking = frozenset(name for name, link in self._links.items() if link.capacity.expected)
+        is_due = now - self._large_tasks_at >= LARGE_TASKS_INTERVAL_SECONDS
+        if is_due or taking != self._taking_tasks:
+            self._large_tasks_at, self._taking_tasks = now, taking
+            counts = self._count_large_tasks()
+            self._large_tasks = {name: count.measure() for name, count in counts.items()}
+        return self._large_tasks.get(service, NO_LARGE_TASKS)
+
+    def _count_large_tasks(self) -> dict[str, LargeTasks]:
+        """Returns the short tasks of each service that no worker in use can hold."""
+        counts: dict[str, LargeTasks] = {}
+        for workflow in self._workflows.values():
+            if workflow.is_terminal or self._is_held_back(workflow.account):
+                continue
+            service = workflow.spec.service
+            count = counts.get(service)
+            if count is None:
+                size = self._measure_mean_size(service)
+                count = counts[service] = LargeTasks(self._list_rooms(service), size)
+            if count.are_all_held:
+                continue
+            for step in workflow.steps.values():
+                if workflow.spec.repeats and not self._is_near(workflow, step.occurrence):
+                    break
+                spec = step.spec
+                if step.is_done or spec.long_running or spec.best_effort or count.are_held(spec):
+                    continue
+                if not workflow.is_ready(step):
+                    count.add(spec, 0)
+                elif waiting := sum(task.status == WAITING for task in step.tasks):
+                    count.add(spec, self._count_at_once(workflow, step, waiting))
+        return counts
+
+    def _count_at_once(self, workflow: WorkflowState, step: StepState, waiting: int) -> int:
+        """Returns how many of the waiting tasks start now if a step drains like other work."""
+        seconds = self._runtimes.estimate_task_seconds(workflow.spec.queue, step.spec)
+        return max(1, math.ceil(waiting * min(1.0, seconds / BACKLOG_DRAIN_SECONDS)))
+
+    def _is_near(self, workflow: WorkflowState, occurrence: int) -> bool:
+        """Returns whether an occurrence has begun or is about to."""
+        due_ms = workflow.spec.due_ms(occurrence)
+        delay = (due_ms - workflow.submitted_unix_ms) / 1000
+        return workflow.submitted + delay <= self._now() + OCCURRENCE_LEAD_SECONDS
+
+    def _list_rooms(self, service: str) -> list[WorkerRoom]:
+        """Returns the rooms of the workers that may take tasks.
+
+        Workers that are silent count as well while none is in contact: then the owner is cut off,
+        and further machines would not help.
+        """
+        links = [link for link in self._links.values() if link.entry.service == service]
+        heard = [link for link in links if not link.is_unresponsive]
+        rooms = []
+        for link in links:
+            capacity = link.capacity
+            if not capacity.expected:
+                is_silent = link.is_unresponsive and (
+                    link.silent_seconds < SILENCE_SECONDS or not heard
+                )
+                if not is_silent or link.is_departing or link.closed or not link.listed:
+                    continue
+            room = _measure_room(capacity)
+            if room is not None:
+                rooms.append(WorkerRoom(link.worker, room, not link.run_count))
+        return rooms
+
     def _recount(
         self, service: str, groups: list[TaskGroup]
     ) -> tuple[list[TaskGroup], Amounts, int]:
@@ -309,3 +400,22 @@
         offered = [offer for offer in self._offered_loads.get(service, ()) if offer.until > now]
         self._offered_loads[service] = offered
         return sum(offer.cores for offer in offered)
+
+
+def _measure_room(capacity: WorkerCapacity) -> Amounts | None:
+    """Returns what long-running runs and claims leave of a worker, None if it holds too much."""
+    entry = capacity.entry
+    millicores, memory_mb, accelerators = entry.millicores, entry.memory_mb, entry.accelerators
+    for usage in capacity.usages.values():
+        if usage.long_running:
+            millicores -= usage.millicores
+            memory_mb -= usage.memory_mb
+            accelerators -= usage.accelerators
+    if min(millicores, memory_mb, accelerators) < 0:
+        return None
+    for usage in capacity.claims.values():
+        millicores -= usage.millicores
+        memory_mb -= usage.memory_mb
+        accelerators -= usage.accelerators
+    # A task may use what is left of one resource if it needs nothing of the others.
+    return Amounts(max(0, millicores), max(0, memory_mb), max(0, accelerators))
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -72,7 +72,7 @@
 from carawayd.supervision import start_in_background, supervised_task, unexpected_errors
 from carawayd.unreadable import unreadable_records
 from carawayshore.decoding import MalformedDocument
-from carawayshore.workflows.model import TaskName
+from carawayshore.workflows.model import TaskName, encode_load
 from carawayshore.workflows.placement import compute_usage
 from carawayshore.workflows.runtimes import RuntimeModel, decode_statistics
 from carawayshore.workflows.state import (
@@ -1308,7 +1308,8 @@
         if not self.loaded or self.lost:
             return Reply(UNREADY)
         self._demand.upcoming_cores = upcoming
-        return Reply(FOUND, [self._demand.measure_load(name) for name in self._list_services()])
+        loads = [self._demand.measure_load(name) for name in self._list_services()]
+        return Reply(FOUND, [encode_load(load) for load in loads])
 
     async def cordon(self, argument: list) -> Reply:
         """Cordons a worker and moves its long-running tasks elsewhere, within the steps' limits.
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -344,6 +344,7 @@
         )
         for name in choose_cancelled_moves(view, cancellable):
             self._cancel_move(name, "its pool needs the machine")
+        view = view._replace(released=frozenset(self._cordon_ends))
         for move in choose_moves(view):
             self._pending_moves[move.machine.machine] = move.pool
             logger.info(
--- a/packages/carawayshore/src/carawayshore/workflows/model.py
+++ b/packages/carawayshore/src/carawayshore/workflows/model.py
@@ -259,6 +259,24 @@
     heard: bool
 
 
+class LargeTaskNeed(NamedTuple):
+    """What a pool needs for short tasks that fit beside no long-running runs and claims.
+
+    Parameters
+    ----------
+    missing : int
+        Machines that it needs beyond the workers that take tasks now.
+    kept : tuple of str
+        Idle workers that are the only ones to hold tasks of accepted workflows.
+    """
+
+    missing: int = 0
+    kept: tuple[str, ...] = ()
+
+
+NO_LARGE_TASKS = LargeTaskNeed()
+
+
 class ServiceLoad(NamedTuple):
     """Demand of a service.
 
@@ -278,6 +296,8 @@
     long_running_workers : int
         Workers that the long-running tasks, running or waiting, need because of their resources and
         the limits of their steps. 0 from an owner of an earlier version.
+    large_tasks : LargeTaskNeed
+        Empty from an owner of an earlier version.
     """
 
     service: str
@@ -287,6 +307,15 @@
     offered_cores: float
     workers: tuple[WorkerLoad, ...]
     long_running_workers: int = 0
+    large_tasks: LargeTaskNeed = NO_LARGE_TASKS
+
+
+def encode_load(load: ServiceLoad) -> tuple:
+    """Returns the fields of a load, without ``large_tasks`` if it is empty.
+
+    A holder of the fleet of an earlier version rejects a load with more fields than it knows.
+    """
+    return tuple(load) if load.large_tasks != NO_LARGE_TASKS else tuple(load)[:-1]
 
 
 class Workflow(NamedTuple):
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -55,11 +55,15 @@
         Machines that it keeps while no other pool needs them.
     taking_tasks : int
         Machines among them whose workers have to take tasks, for its long-running tasks.
+    additional : int
+        Machines that it needs beyond those whose workers take tasks now, for short tasks that none
+        of these workers can hold.
     """
 
     needed: int
     retained: int
     taking_tasks: int = 0
+    additional: int = 0
 
 
 class PoolView(NamedTuple):
@@ -81,6 +85,8 @@
     unusable : frozenset of str
         Machines that get no tasks for some time, since an order to them may yet be carried out.
         They count for no pool.
+    released : frozenset of str
+        Machines whose move was cancelled and whose cordon is being ended.
     """
 
     services: dict[str, ServiceLoad]
@@ -90,6 +96,7 @@
     needs: dict[str, PoolNeed]
     pending_moves: dict[str, str]
     unusable: frozenset[str] = frozenset()
+    released: frozenset[str] = frozenset()
 
 
 class PoolHistory:
@@ -130,7 +137,12 @@
         while now - self._needs[0][0] > IDLE_SECONDS:
             self._needs.popleft()
         recent = max(need for _, need in self._needs)
-        return PoolNeed(max(1, recent), max(min_size, recent), load.long_running_workers)
+        return PoolNeed(
+            max(1, recent),
+            max(min_size, recent),
+            load.long_running_workers,
+            load.large_tasks.missing,
+        )
 
 
 def estimate_short_task_cores(load: ServiceLoad) -> float:
@@ -237,7 +249,10 @@
 
 
 def compute_shortages(view: PoolView) -> dict[str, int]:
-    """Returns the number of machines that each pool lacks, negative for a surplus."""
+    """Returns the number of machines that each pool lacks, negative for a surplus.
+
+    Machines that are about to take tasks count for what a pool needs beyond its present workers.
+    """
     present = [
         machine
         for machine in view.machines
@@ -250,16 +265,26 @@
         for worker in load.workers
         if worker.cordoned
     }
-    counts, taking = Counter(), Counter()
+    known = {worker.worker for load in view.services.values() for worker in load.workers}
+    counts, taking, coming = Counter(), Counter(), Counter()
     for machine in present:
         pool = view.pending_moves.get(machine.machine, machine.pool)
         counts[pool] += 1
         taking[pool] += machine.machine in view.pending_moves or machine.worker not in withdrawn
-    return {
+        coming[pool] += (
+            machine.machine in view.pending_moves
+            or machine.machine in view.released
+            or machine.worker not in known
+        )
+    shortages = {
         name: max(need.needed - counts[name], need.taking_tasks - taking[name])
         for name, need in view.needs.items()
         if name in view.services
     }
+    for name, shortage in shortages.items():
+        if view.needs[name].additional:
+            shortages[name] = max(shortage, view.needs[name].additional - coming[name])
+    return shortages
 
 
 def _fill_pools(
@@ -309,6 +334,7 @@
 
 def _list_idle(view: PoolView, machines: list[Machine], loads: dict) -> list[Machine]:
     """Returns the idle machines of a pool; callers take from the end of the list."""
+    kept = {worker for load in view.services.values() for worker in load.large_tasks.kept}
     found = []
     for machine in machines:
         if machine.state != "up" or machine.machine in view.busy:
@@ -316,6 +342,8 @@
         if machine.pool in view.standby:
             found.append(machine)
             continue
+        if machine.worker in kept:
+            continue
         load = loads.get(machine.worker)
         if load is not None and load.heard and load.tasks == 0 and not load.cordoned:
             found.append(machine)
