Test: write the records of the time that a fleet scenario skips

features/pool_moves.feature, 'Holders that follow each other do not prolong the wait for an unanswered order' failed in 3 of 4 runs beside load: the clock skips 150 ms between two looks of the holder, while the event loop, which writes the records, stands still. The last progress of a holder was lost with it. The harness now waits for the records after each look, as a holder that runs all the while would have written them.

--- a/features/pool_move_builders.py
+++ b/features/pool_move_builders.py
@@ -187,6 +187,8 @@
         await self.manager._control()
         while self.manager._order_tasks:
             await self.fleet.clock.sleep(CALL_TIME)
+        # The clock skips the time to the next look, in which records are written.
+        await self.manager._ledger.flush()
 
     def count_machines(self, pool: str) -> int:
         return sum(item.pool == pool for item in self.machines.machines.values())
