Do not wait for a machine whose worker stays unknown

Cause: the pool counted each machine without a known worker as one that is about to take tasks, also one that had been up for long and whose worker has no entry. A large short task then asked for no other machine.

Change: such a machine stops counting as one that comes after 2 s.

Result: large_room.feature, 'submitted while the worker to spare runs, but has no entry': the task had not ended 35 s after its submission before, and is at work after 2.0 s now.

--- a/features/large_room.feature
+++ b/features/large_room.feature
@@ -18,6 +18,7 @@
       | 6 | submitted by memory while the worker to spare is cordoned |
       | 6 | the second step of a job that was accepted while the worker to spare is cordoned |
       | 6 | the last step of a job whose first steps take longer than a pool keeps idle machines |
+      | 6 | submitted while the worker to spare runs, but has no entry |
       | 6 | submitted after the holder of the fleet has changed, with orders without an answer |
 
   # Guards against a pool that gets machines without end for a task that none of them can hold.
--- a/features/large_room_scenarios.py
+++ b/features/large_room_scenarios.py
@@ -131,6 +131,17 @@
     return await fleet.world.submit(LARGE_CORES, 1, SHORT_S)
 
 
+@scenario("submitted while the worker to spare runs, but has no entry")
+async def play_unlisted(fleet: FleetWorld) -> str:
+    world = fleet.world
+    await submit_long_tasks(fleet)
+    world.unlisted |= {
+        name for name, worker in world.workers.items() if not worker.gone and not worker.runs
+    }
+    await settle(fleet)
+    return await world.submit(LARGE_CORES, 1, SHORT_S)
+
+
 @scenario("larger than the workers of the pool but for one that has grown")
 async def play_oversized(fleet: FleetWorld) -> str:
     await submit_long_tasks(fleet)
--- a/packages/carawayd/src/carawayd/process/fleetmanager.py
+++ b/packages/carawayd/src/carawayd/process/fleetmanager.py
@@ -336,7 +336,8 @@
             frozenset(self._orders.list_unanswered()),
         )
         needs = self._pool_sizes.update(now.total_seconds(), view)
-        view = view._replace(needs=needs)
+        unknown = self._pool_sizes.list_unknown(now.total_seconds(), view)
+        view = view._replace(needs=needs, unknown=unknown)
         self._forget_lost_orders()
         self._ordered_moves &= self._pending_moves.keys()
         cancellable = frozenset(
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -32,6 +32,9 @@
 REDUCED_MIN_SIZE_SHARE = 0.15
 # Time for which the demand of a pool must have been lower before machines are returned.
 IDLE_SECONDS = 2.0
+# Time for which a machine that is up counts as about to take tasks while the owner does not know
+# its worker yet. Workers are known within a second of the end of a move.
+START_SECONDS = 2.0
 # Maximum number of machines that one pool returns at a time.
 MAX_RETURNED_MACHINES = 2
 
@@ -87,6 +90,8 @@
         They count for no pool.
     released : frozenset of str
         Machines whose move was cancelled and whose cordon is being ended.
+    unknown : frozenset of str
+        Machines that have been up for some time without a worker that the owner knows.
     """
 
     services: dict[str, ServiceLoad]
@@ -97,6 +102,7 @@
     pending_moves: dict[str, str]
     unusable: frozenset[str] = frozenset()
     released: frozenset[str] = frozenset()
+    unknown: frozenset[str] = frozenset()
 
 
 class PoolHistory:
@@ -161,6 +167,27 @@
     def __init__(self) -> None:
         self._forecast = TurnForecast()
         self._histories: dict[str, PoolHistory] = {}
+        # Time since which each machine has been up without a known worker.
+        self._unknown_since: dict[str, float] = {}
+
+    def list_unknown(self, now: float, view: PoolView) -> frozenset[str]:
+        """Returns the machines that are up, and whose workers no owner has known for some time.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the clock.
+        view : PoolView
+        """
+        known = {worker.worker for load in view.services.values() for worker in load.workers}
+        self._unknown_since = {
+            item.machine: self._unknown_since.get(item.machine, now)
+            for item in view.machines
+            if item.pool in view.services and item.state == "up" and item.worker not in known
+        }
+        return frozenset(
+            name for name, since in self._unknown_since.items() if now - since > START_SECONDS
+        )
 
     def update(self, now: float, view: PoolView) -> dict[str, PoolNeed]:
         """Records the demand of all pools and returns the machines that each pool needs.
@@ -274,7 +301,7 @@
         coming[pool] += (
             machine.machine in view.pending_moves
             or machine.machine in view.released
-            or machine.worker not in known
+            or (machine.worker not in known and machine.machine not in view.unknown)
         )
     shortages = {
         name: max(need.needed - counts[name], need.taking_tasks - taking[name])
