--- a/features/restart_watch.py
+++ b/features/restart_watch.py
@@ -135,12 +135,23 @@
             )
             free = min(worker.cores, worker.measure_limit()) - used
             found = step.count if not cores else max(0, free // cores)
+            if self._world.counts_memory and step.memory_mb:
+                free_mb = self._measure_free_memory(worker, despite_short=despite_short)
+                found = min(found, max(0, free_mb // step.memory_mb))
             if step.most_per_worker:
                 present = sum(task.workflow == workflow for task in worker.runs)
                 found = min(found, max(0, step.most_per_worker - present))
             slots += found
         return slots
 
+    def _measure_free_memory(self, worker: ModelWorker, *, despite_short: bool) -> int:
+        used = sum(
+            run.memory_mb
+            for task, run in worker.runs.items()
+            if not despite_short or self._world.steps[task.workflow].long_running
+        )
+        return worker.entry.memory_mb - used
+
     def _is_usable(self, worker: ModelWorker) -> bool:
         world, name = self._world, worker.name
         return not (
--- a/features/short_watch.py
+++ b/features/short_watch.py
@@ -29,12 +29,15 @@
         Longest time without a run of each job in seconds, whatever its cause.
     overdue : list of str
         Times that break the rule; they are among the violations of the world, too.
+    is_judging : bool
+        False where cordons of the fleet's holder, which may last for 14 s, are not known to it.
     """
 
     def __init__(self, world: World) -> None:
         self._world = world
         self.longest: dict[str, float] = {}
         self.overdue: list[str] = []
+        self.is_judging = True
         # Time since which nothing of a job has run, and since which there has been room as well.
         self._idle_since: dict[str, float] = {}
         self._room_since: dict[str, float] = {}
@@ -68,7 +71,12 @@
                 self._room_since.pop(identifier, None)
                 continue
             since = self._room_since.setdefault(identifier, now)
-            if is_calm and now - since > IDLE_LIMIT_S and identifier not in self.overdue:
+            if (
+                self.is_judging
+                and is_calm
+                and now - since > IDLE_LIMIT_S
+                and identifier not in self.overdue
+            ):
                 self.overdue.append(identifier)
                 self._world.violations.append(
                     f"LOST at {now:.3f}: {identifier} has had nothing at work for"
