Test: a large task beside workers whose machine orders lost their holder

Cause: a holder of the fleet that is lost while an order to a machine is in flight leaves a record without a time. The next holder waits 13 s from its own takeover, so the time without a holder is added to the wait, and the machine's worker stays cordoned for longer than the 14 s of docs/platform.md.

Change: four rows in features/large_tasks.feature, with two idle workers that are cordoned so, none on standby, and a task that fits on no other worker.

--- a/features/large_tasks.feature
+++ b/features/large_tasks.feature
@@ -29,3 +29,17 @@
       | reason                   | count |
       | all workers are cordoned | 1     |
       | one worker is free       | 0     |
+
+  # Guards against an order that was in flight when its holder was lost: its record tells no time, so
+  # the wait of 13 s begins at the next holder's takeover, and the time without a holder is added.
+  # Meanwhile idle workers stay cordoned, and there may be no machine left on standby.
+  Scenario Outline: A large task runs beside workers with orders without an answer whose holder is lost
+    When a large task becomes due beside workers whose orders got no answer, and the fleet has had <changes> changes of its holder, <lifetime> s apart, each with <gap> s without one
+    Then the watch of the end reports 0 lost task
+
+    Examples: Holders
+      | changes | lifetime | gap |
+      | 1       | 0.2      | 2   |
+      | 1       | 0.2      | 3   |
+      | 1       | 1        | 2.5 |
+      | 2       | 1        | 1   |
--- a/features/steps/large_task_steps.py
+++ b/features/steps/large_task_steps.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 from large_task_play import run_play
-from large_task_scenarios import hold_back_large, wait_behind_large
+from large_task_scenarios import hold_back_large, wait_behind_cordons, wait_behind_large
 from virtual_time import play
 
 
@@ -44,3 +44,11 @@
 @then("the watch of the end reports {count:d} lost task")
 def expect_findings(context, count):
     assert len(context.found) == count, context.found
+
+
+@when(
+    "a large task becomes due beside workers whose orders got no answer, and the fleet has had"
+    " {changes:d} changes of its holder, {lifetime:g} s apart, each with {gap:g} s without one"
+)
+def wait_beside_cordons(context, changes, lifetime, gap):
+    context.found = play(wait_behind_cordons(gap, lifetime, changes))
