--- a/packages/carawayd/src/carawayd/partition/absences.py
+++ b/packages/carawayd/src/carawayd/partition/absences.py
@@ -70,14 +70,6 @@
         """
         self._since.setdefault(workflow, self._now())
 
-    def note_full(self, workflow: str) -> None:
-        """Measures from now on, since no worker has room for a task of the workflow.
-
-        At the peak of a burst jobs wait for room, and would otherwise be placed at once on the
-        workers that fail all their tasks.
-        """
-        self._since[workflow] = self._now()
-
     def restore(self, workflow: WorkflowState) -> None:
         """Notes a workflow of an earlier owner, which alone knew when it was at work.
 
--- a/packages/carawayd/src/carawayd/partition/deferrals.py
+++ b/packages/carawayd/src/carawayd/partition/deferrals.py
@@ -117,14 +117,6 @@
         limit = self._max_isolated_absence if is_isolated else MAX_DEFERRAL_SECONDS
         return self._absences is not None and self._absences.measure(workflow) > limit
 
-    def note_full(self, workflow: str) -> None:
-        """Notes that no worker has room for a short task, precautions aside.
-
-        The time until then was spent waiting for room, which precautions do not prolong.
-        """
-        if self._absences is not None:
-            self._absences.note_full(workflow)
-
     def place(self, subject: Subject) -> None:
         """Notes that the subject, or a task of it, has been placed."""
         self._begin_absence(subject)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -465,8 +465,6 @@
                     if obstacle or name in self._claims:
                         continue
                 elif requirement is not None and not avoided:
-                    if not obstacle:
-                        self._deferrals.note_full(name.workflow)
                     is_kept = has_precautions and self._deferrals.is_waiting(name.workflow)
                     self._unplaceable[requirement] = obstacle or (PRECAUTION if is_kept else "")
                 break
@@ -520,8 +518,6 @@
             if obstacle == CLAIM:
                 return not self._deferrals.is_absent(workflow.identifier)
             return not self._deferrals.is_over(workflow.identifier)
-        if obstacle is not None:
-            self._deferrals.note_full(workflow.identifier)
         return obstacle is not None
 
     def _choose_despite_obstacles(
