Leave the time in which no turn of a job has come out of its wait

Cause: the time for which nothing of a workflow has been at work was dropped only at its end, so a scheduled job counted the time between two occurrences as a wait, and began the next one without isolation, on suspected and reserved workers. Change: it is dropped while no task waits whose turn has come and none is ordered. Evidence: features/review_waits.feature, 'The time between two occurrences is no wait of a workflow' failed before with 60 s and passes.

--- a/packages/carawayd/src/carawayd/partition/absences.py
+++ b/packages/carawayd/src/carawayd/partition/absences.py
@@ -14,6 +14,8 @@
 from carawayd.partition.workerlink import STARTED
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from carawayd.partition.workerlink import WorkerLink
     from carawayshore.clock import Clock
     from carawayshore.workflows.state import WorkflowState
@@ -42,6 +44,7 @@
         self._clock = clock
         self._checked_at = -CHECK_INTERVAL_SECONDS
         self._since: dict[str, float] = {}
+        self._due: Collection[str] = ()
 
     def _now(self) -> float:
         return self._clock.elapsed().total_seconds()
@@ -60,9 +63,20 @@
                     self._since[name.workflow] = now
         for identifier in list(self._since):
             workflow = self._workflows.get(identifier)
-            if workflow is None or workflow.is_terminal:
+            if workflow is None or workflow.is_terminal or not self._has_turn(workflow):
                 del self._since[identifier]
 
+    def _has_turn(self, workflow: WorkflowState) -> bool:
+        """Returns whether a task waits whose turn has come, or one is ordered.
+
+        A scheduled workflow has neither between two occurrences.
+        """
+        return workflow.identifier in self._due or self._has_ordered_task(workflow.identifier)
+
+    def note_due(self, workflows: Collection[str]) -> None:
+        """Notes the workflows with waiting tasks whose turn has come."""
+        self._due = workflows
+
     def begin(self, workflow: str) -> None:
         """Starts measuring for a workflow that has not been at work.
 
--- a/packages/carawayd/src/carawayd/partition/deferrals.py
+++ b/packages/carawayd/src/carawayd/partition/deferrals.py
@@ -17,7 +17,7 @@
 from carawayshore.workflows.model import TaskName
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from carawayd.partition.absences import Absences
     from carawayshore.clock import Clock
@@ -117,6 +117,11 @@
         limit = self._max_isolated_absence if is_isolated else MAX_DEFERRAL_SECONDS
         return self._absences is not None and self._absences.measure(workflow) > limit
 
+    def note_due(self, workflows: Collection[str]) -> None:
+        """Notes the workflows with waiting tasks whose turn has come."""
+        if self._absences is not None:
+            self._absences.note_due(workflows)
+
     def place(self, subject: Subject) -> None:
         """Notes that the subject, or a task of it, has been placed."""
         self._begin_absence(subject)
--- a/packages/carawayd/src/carawayd/partition/planner.py
+++ b/packages/carawayd/src/carawayd/partition/planner.py
@@ -228,6 +228,7 @@
             except Exception:
                 self._delay_step(key, now)
         ranked.sort()
+        self._deferrals.note_due({key[0] for _, key in ranked})
         return ranked
 
     def _list_waiting(self, ranked: list[tuple[Rank, StepKey]]) -> list[WaitingStep]:
