Do not add machines for large tasks that the added ones cannot hold

Cause: a task that fits the mean worker, but not the machines that come, asked for one machine after the other (29 in the scenario); so did one whose new machines the owner cannot reach, since a listed worker no longer counted as one that comes. Change: an idle worker without claims that is too small shows that further machines may be; idle workers that are not heard count as ones that come. The builder of large_task_machines says which worker has claims, since the decision now asks for it; its checks are the same.

--- a/features/large_task_builders.py
+++ b/features/large_task_builders.py
@@ -23,7 +23,12 @@
 def build_rooms(*states: str) -> list[WorkerRoom]:
     """Returns the workers that may take tasks, named by their number; a cordoned one may not."""
     return [
-        WorkerRoom(str(number), Amounts(ROOMS[state][0] * 1000, MEMORY_MB, 0), ROOMS[state][1])
+        WorkerRoom(
+            str(number),
+            Amounts(ROOMS[state][0] * 1000, MEMORY_MB, 0),
+            ROOMS[state][1],
+            has_claims=state == "claims",
+        )
         for number, state in enumerate(states)
         if state in ROOMS
     ]
--- a/packages/carawayd/src/carawayd/partition/demand.py
+++ b/packages/carawayd/src/carawayd/partition/demand.py
@@ -332,7 +332,8 @@
                     continue
             room = _measure_room(capacity)
             if room is not None:
-                rooms.append(WorkerRoom(link.worker, room, not link.run_count))
+                has_claims = bool(capacity.claims)
+                rooms.append(WorkerRoom(link.worker, room, not link.run_count, has_claims))
         return rooms
 
     def _recount(
--- a/packages/carawayshore/src/carawayshore/workflows/largetasks.py
+++ b/packages/carawayshore/src/carawayshore/workflows/largetasks.py
@@ -36,11 +36,14 @@
         What is left beside long-running runs and claims.
     is_idle : bool
         Whether nothing runs there, so that the pool may give its machine away.
+    has_claims : bool
+        Whether a part of its room is claimed.
     """
 
     worker: str
     room: Amounts
     is_idle: bool
+    has_claims: bool = False
 
 
 class LargeTasks:
@@ -81,6 +84,13 @@
         amounts = Amounts(step.millicores, step.memory_mb, step.accelerators)
         self._counts[amounts] = self._counts.get(amounts, 0) + count
 
+    def _is_beyond_idle(self, amounts: Amounts) -> bool:
+        """Returns whether a worker without runs and claims is too small for a task.
+
+        The machines that come may be smaller than the mean, and all of them too small.
+        """
+        return any(not item.has_claims and not _fits(amounts, item.room) for item in self._idle)
+
     def measure(self) -> LargeTaskNeed:
         """Returns what the pool needs for the tasks that have been added."""
         if not self._counts:
@@ -90,7 +100,7 @@
         lacking = [
             amounts
             for amounts in sorted(self._counts.keys() - held, reverse=True)
-            if _fits(amounts, self._size)
+            if _fits(amounts, self._size) and not self._is_beyond_idle(amounts)
         ]
         groups = [TaskGroup(self._counts[amounts], amounts, 0) for amounts in lacking]
         groups = [group for group in groups if group.count][:MAX_PACKED_SIZES]
--- a/packages/carawayshore/src/carawayshore/workflows/pools.py
+++ b/packages/carawayshore/src/carawayshore/workflows/pools.py
@@ -293,6 +293,13 @@
         if worker.cordoned
     }
     known = {worker.worker for load in view.services.values() for worker in load.workers}
+    # Further machines would be out of the owner's reach as well, one after the other.
+    silent = {
+        worker.worker
+        for load in view.services.values()
+        for worker in load.workers
+        if not worker.heard and not worker.tasks and not worker.cordoned
+    }
     counts, taking, coming = Counter(), Counter(), Counter()
     for machine in present:
         pool = view.pending_moves.get(machine.machine, machine.pool)
@@ -302,6 +309,7 @@
             machine.machine in view.pending_moves
             or machine.machine in view.released
             or (machine.worker not in known and machine.machine not in view.unknown)
+            or machine.worker in silent
         )
     shortages = {
         name: max(need.needed - counts[name], need.taking_tasks - taking[name])
