Continue the wait after an answered machine order across holders

Cause: each holder waited the machine's lease of 3.2 s after an answered order of its predecessors anew, so holders that follow each other never ordered the machine. Change: a holder records what is left of a wait that it has inherited. Evidence: features/review_waits.feature, 'Holders that follow each other do not prolong the wait for an answered order' failed before (blocked 20 s after the answer, with 10 holders of 2 s) and passes.

--- a/packages/carawayd/src/carawayd/process/machineorders.py
+++ b/packages/carawayd/src/carawayd/process/machineorders.py
@@ -26,9 +26,9 @@
 
 # Prefix of ledger keys for the last order to a machine.
 ORDER_PREFIX = "order/"
-# Values of these keys: the order may have been sent, followed by the time in ms for which it may
-# still be executed; its response has been received. Earlier versions record and read the first one
-# without a time, which stands for the whole delay.
+# Values of these keys: the order may have been sent; its response has been received. The time in ms
+# may follow for which the order may still be executed, or the machine be left alone. Without it the
+# whole time counts. Earlier versions record none, and read any value with one as a sent order.
 SENT, ANSWERED = b"sent", b"answered"
 # An order without a response may still be executed for this long.
 MAX_ORDER_DELAY = timedelta(seconds=13)
@@ -77,9 +77,14 @@
         if not value:
             return
         now = self._clock.elapsed()
-        if value != ANSWERED:
-            self._unanswered_until[machine] = now + _decode_time_left(machine, value)
-        until = max(now + self._lease, self._unanswered_until.get(machine, now))
+        is_answered = value.startswith(ANSWERED)
+        lease_left = self._lease
+        if is_answered:
+            lease_left = _decode_time_left(machine, value, ANSWERED, self._lease)
+        else:
+            left = _decode_time_left(machine, value, SENT, MAX_ORDER_DELAY)
+            self._unanswered_until[machine] = now + left
+        until = max(now + lease_left, self._unanswered_until.get(machine, now))
         self._inherited_until[machine] = self._needed_until[machine] = until
 
     def is_blocked(self, machine: str) -> bool:
@@ -135,30 +140,30 @@
             if machine in self._in_flight:
                 continue
             if self._is_unanswered(machine):
-                self._ledger.mark_dirty(
-                    ORDER_PREFIX + machine, partial(self._encode_time_left, machine)
-                )
+                encode = partial(self._encode_left, SENT, machine, self._unanswered_until)
+                self._ledger.mark_dirty(ORDER_PREFIX + machine, encode)
             elif now >= until:
                 del self._needed_until[machine]
                 self._inherited_until.pop(machine, None)
                 self._unanswered_until.pop(machine, None)
                 self._ledger.mark_dirty(ORDER_PREFIX + machine, bytes)
 
-    def _encode_time_left(self, machine: str) -> bytes:
-        return _encode_sent(self.measure_unanswered(machine))
+            elif machine in self._inherited_until:
+                encode = partial(self._encode_left, ANSWERED, machine, self._inherited_until)
+                self._ledger.mark_dirty(ORDER_PREFIX + machine, encode)
 
+    def _encode_left(self, state: bytes, machine: str, ends: dict[str, timedelta]) -> bytes:
+        left = max(timedelta(), ends.get(machine, timedelta()) - self._clock.elapsed())
+        return state + b" %d" % math.ceil(left / timedelta(milliseconds=1))
 
-def _encode_sent(left: timedelta) -> bytes:
-    return SENT + b" %d" % math.ceil(left / timedelta(milliseconds=1))
 
-
-def _decode_time_left(machine: str, value: bytes) -> timedelta:
-    """Returns for how long a recorded order may still be executed; the longest time if unknown."""
-    if value == SENT:
-        return MAX_ORDER_DELAY
+def _decode_time_left(machine: str, value: bytes, state: bytes, longest: timedelta) -> timedelta:
+    """Returns the time that a record of an order tells, the longest one if it tells none."""
+    if value == state:
+        return longest
     try:
-        left = timedelta(milliseconds=parse_count(value.removeprefix(SENT + b" ")))
+        left = timedelta(milliseconds=parse_count(value.removeprefix(state + b" ")))
     except MalformedDocument as error:
         unreadable_records.note(FLEET_TOPIC, ORDER_PREFIX + machine, error)
-        return MAX_ORDER_DELAY
-    return min(left, MAX_ORDER_DELAY)
+        return longest
+    return min(left, longest)
