Confirm no cordon whose record the store refuses, and record renewals once

An owner recorded no progress of restored cordons in its first second. Change: the owner asks whether the record is durable, records the lifetime that was asked for, and records restored cordons 0.2 s after it has loaded. A plan counts for the drivers of tasks only once it was made.

--- a/packages/carawayd/src/carawayd/partition/cordons.py
+++ b/packages/carawayd/src/carawayd/partition/cordons.py
@@ -18,6 +18,8 @@
 MAX_LIFETIME_SECONDS = 30.0
 # Interval at which the lifetimes that have passed are recorded, so that a later owner continues.
 RECORD_INTERVAL_SECONDS = 1.0
+# The same after a takeover, so that owners that follow each other quickly make progress together.
+FIRST_RECORD_SECONDS = 0.2
 
 
 class _Cordon(NamedTuple):
@@ -31,11 +33,14 @@
         Lifetime that was recorded last.
     is_durable : bool
         Whether a record of that lifetime or of a longer one is known to be in the store.
+    is_restored : bool
+        Whether an earlier owner set the cordon, and nobody has renewed it since.
     """
 
     until: float
     recorded_seconds: float
     is_durable: bool = False
+    is_restored: bool = False
 
 
 class Cordons:
@@ -73,7 +78,9 @@
             lifetime = min(parse_count(value) / 1000, MAX_LIFETIME_SECONDS)
         except MalformedDocument as error:
             unreadable_records.note(self._ledger.topic, CORDON_PREFIX + worker, error)
-        self._cordons[worker] = _Cordon(self._now() + lifetime, lifetime, is_durable=True)
+        now = self._now()
+        self._cordons[worker] = _Cordon(now + lifetime, lifetime, is_durable=True, is_restored=True)
+        self._recorded_at = now + FIRST_RECORD_SECONDS - RECORD_INTERVAL_SECONDS
 
     def find_end(self, worker: str) -> float | None:
         """Returns the end of a worker's cordon, None if it has none."""
@@ -88,10 +95,11 @@
         """
         until = self._now() + seconds
         cordon = self._cordons.get(worker, _Cordon(0.0, 0.0))
-        cordon = self._cordons[worker] = cordon._replace(until=max(until, cordon.until))
+        until = max(until, cordon.until)
+        cordon = self._cordons[worker] = cordon._replace(until=until, is_restored=False)
         if cordon.recorded_seconds < seconds:
             cordon = self._cordons[worker] = cordon._replace(is_durable=False)
-            self._record(worker)
+            self._record(worker, seconds)
         return 0.0 if cordon.is_durable else self._cordons[worker].recorded_seconds
 
     def note_durable(self, worker: str, seconds: float) -> None:
@@ -101,7 +109,7 @@
             self._cordons[worker] = cordon._replace(is_durable=True)
 
     def record_progress(self) -> None:
-        """Records the lifetimes that are left where they are shorter than recorded by an interval.
+        """Records what is left of restored cordons, and of others once an interval has passed.
 
         Cordons that are renewed have their whole lifetime left, and need no record.
         """
@@ -110,13 +118,13 @@
             return
         self._recorded_at = now
         for worker, cordon in list(self._cordons.items()):
-            if 0.0 < cordon.until - now <= cordon.recorded_seconds - RECORD_INTERVAL_SECONDS:
-                self._record(worker)
+            left = cordon.until - now
+            passed = cordon.recorded_seconds - left
+            if left > 0.0 and (cordon.is_restored or passed >= RECORD_INTERVAL_SECONDS):
+                self._record(worker, left)
 
-    def _record(self, worker: str) -> None:
-        cordon = self._cordons[worker]
-        lifetime = cordon.until - self._now()
-        self._cordons[worker] = cordon._replace(recorded_seconds=lifetime)
+    def _record(self, worker: str, lifetime: float) -> None:
+        self._cordons[worker] = self._cordons[worker]._replace(recorded_seconds=lifetime)
         self._ledger.mark_dirty(
             CORDON_PREFIX + worker, lambda: str(math.ceil(lifetime * 1000)).encode()
         )
--- a/packages/carawayd/src/carawayd/partition/owner.py
+++ b/packages/carawayd/src/carawayd/partition/owner.py
@@ -1334,6 +1334,8 @@
                 await self.ledger.flush()
             except OwnershipLost:
                 return Reply(UNREADY)
+            if not self.ledger.is_durable([CORDON_PREFIX + worker]):
+                return Reply(UNREADY)
             self._cordons.note_durable(worker, recorded_seconds)
         self._departures.evacuate(link, self.fence)
         return Reply(ACCEPTED, self._demand.describe_worker(link))
@@ -1377,10 +1379,10 @@
     def _plan(self) -> None:
         """Places the waiting tasks on workers, the most urgent first, and orders their starts."""
         orders: list[tuple[WorkerLink, TaskName, StartOrder]] = []
-        self._drivers.note_plan()
         try:
             for placement in self._planner.place_tasks(MAX_PENDING_STARTS - self._pending_starts):
                 orders += self._order_placement(placement)
+            self._drivers.note_plan()
         finally:
             # An error that ends the plan leaves the orders before it valid and recorded.
             if orders:
