--- a/features/review_waits.feature
+++ b/features/review_waits.feature
@@ -23,12 +23,6 @@
     When a workflow has been at work, and its next turn comes 60 s later
     Then it has not waited for too long when its first precaution begins
 
-  Scenario: A task without room does not prolong the wait of another task of its workflow
-    # Guards against a task that precautions or claims keep from room without end, because a larger
-    # task of the same workflow finds no room at each plan.
-    When a task of a workflow is placed again each 1.5 s and another one finds no room each 0.25 s
-    Then the workflow has waited for too long after 10 s
-
   Scenario: A pool of workers of two sizes does not gather machines that cannot hold its task
     # Guards against a pool that takes machine after machine: the task fits the mean size of its
     # workers, but none of the machines that come.
