Bound what is held at all HTTP addresses of an entry host together

Cause: bounded the address for callers only. The readiness, metrics and operators' addresses of the same process were served by aiohttp's own server, which has no limit over all connections, and none of time for a head or a body.

Change: they are served through CallerServer too (connection/applications), and the servers of a process share one account, so that its bounds hold for all addresses together. A scenario lists the ports on which the process listens, and fails for one without a stated bound.

--- a/features/caller_crowd_builders.py
+++ b/features/caller_crowd_builders.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import tempfile
 from pathlib import Path
@@ -44,7 +45,9 @@
 CALL_SECONDS = 20.0
 RETRY_SECONDS = 0.5
 STOP_SECONDS = 3.0
-RUN_LIMIT_S = 60.0
+RUN_LIMIT_S = 90.0
+# State of a listening socket in the kernel's tables.
+LISTENING = "0A"
 
 _modes: dict[str, type[EntryProcess]] = {}
 
@@ -90,8 +93,12 @@
         self.most_memory_mb = 0.0
         self.most_descriptors = 0
         self.address = ""
+        # Addresses of HTTP listeners other than that for callers, with the path of a request that
+        # each one serves, by name; and those of listeners with a protocol of their own.
+        self.other_addresses: dict[str, tuple[str, str]] = {}
+        self.peer_addresses: list[str] = []
         self.process: ManagedProcess | None = None
-        self._crowd: OpenCrowd | None = None
+        self._crowds: list[OpenCrowd] = []
         self._loop = asyncio.new_event_loop()
         self._folder = tempfile.TemporaryDirectory()
         self._ports = PortReserver()
@@ -146,22 +153,63 @@
             self.measure()
             await asyncio.sleep(SAMPLE_SECONDS)
 
-    async def send_crowds(self, names: list[str]) -> None:
-        """Sends crowds one after the other, and measures the process meanwhile.
+    async def call_other(self, name: str) -> int:
+        """Sends one ordinary request to another address; returns its status, 0 for none."""
+        address, path = self.other_addresses[name]
+        deadline = self._loop.time() + CALL_SECONDS
+        while True:
+            status = 0
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with (
+                    asyncio.timeout(max(0.1, deadline - self._loop.time())),
+                    self._session.get(
+                        f"http://{address}{path}", headers={"Connection": "close"}
+                    ) as answer,
+                ):
+                    await answer.read()
+                    status = answer.status
+            if status == 200 or self._loop.time() >= deadline:
+                return status
+            await asyncio.sleep(RETRY_SECONDS)
 
-        Their connections stay open.
+    def list_listening_ports(self) -> set[int]:
+        """Returns the TCP ports on which the process listens."""
+        folder = Path(f"/proc/{self.process.pid}")
+        links = [os.readlink(item) for item in (folder / "fd").iterdir()]
+        inodes = {link[8:-1] for link in links if link.startswith("socket:[")}
+        ports = set()
+        for table in ("tcp", "tcp6"):
+            for line in (folder / "net" / table).read_text().splitlines()[1:]:
+                fields = line.split()
+                if fields[3] == LISTENING and fields[9] in inodes:
+                    ports.add(int(fields[1].rpartition(":")[2], 16))
+        return ports
+
+    def list_bounded_ports(self) -> set[int]:
+        """Returns the ports whose connections some bound is stated and tested for."""
+        addresses = [self.address, *self.peer_addresses]
+        addresses += [address for address, _ in self.other_addresses.values()]
+        return {int(address.rpartition(":")[2]) for address in addresses}
+
+    async def send_crowds(self, names: list[str], addresses: list[str] | None = None) -> None:
+        """Sends crowds one after the other, to some addresses at once, and measures meanwhile.
+
+        Their connections stay open. Without ``addresses`` they are sent to the address for callers.
         """
         measuring = asyncio.ensure_future(self._keep_measuring())
-        self._crowd = OpenCrowd(self.address, self.host, self.path)
+        crowds = [
+            OpenCrowd(address, self.host, self.path) for address in addresses or [self.address]
+        ]
+        self._crowds += crowds
         for name in names:
-            await self._crowd.send(name)
+            await asyncio.gather(*(crowd.send(name) for crowd in crowds))
         await asyncio.sleep(SETTLE_SECONDS)
         measuring.cancel()
         self.measure()
 
     def close(self) -> None:
-        if self._crowd is not None:
-            self._crowd.close()
+        for crowd in self._crowds:
+            crowd.close()
         self.run(self._close())
         self._ports.release()
         self._folder.cleanup()
@@ -199,14 +247,20 @@
         await self._worker.start()
         self._store.put("keyed.servers", self._worker.name, self._worker.describe())
         self.address = self._ports.reserve()
+        ready, peer, metrics = (self._ports.reserve() for _ in range(3))
+        self.other_addresses = {
+            "ready": (ready, "/api/ready"),
+            "metrics": (metrics, "/metrics"),
+        }
+        self.peer_addresses = [peer]
         document = {
             "member": "entry-0",
             "data_centre": "umea",
             "caller_address": self.address,
-            "ready_address": self._ports.reserve(),
+            "ready_address": ready,
             "peer_host": "127.0.0.1",
-            "peer_port": int(self._ports.reserve().rpartition(":")[2]),
-            "metrics_port": int(self._ports.reserve().rpartition(":")[2]),
+            "peer_port": int(peer.rpartition(":")[2]),
+            "metrics_port": int(metrics.rpartition(":")[2]),
             "store": store_address,
             "partitions": self._store.partition_count,
         } | build_machine(self.descriptors, SITE_FIELDS)
@@ -253,6 +307,9 @@
     async def _start_processes(self) -> None:
         await self._launcher.__aenter__()
         self.address = self._launcher.get_address("umea-1", "caller")
+        operators = self._launcher.get_address("umea-1", "operator")
+        self.other_addresses = {"operators": (operators, "/v1/operator/status")}
+        self.peer_addresses = [self._launcher.get_address("umea-1", "peer")]
         self.process = self._launcher.processes["umea-1"]
 
     async def call(self) -> int:
--- a/features/caller_crowds.feature
+++ b/features/caller_crowds.feature
@@ -35,3 +35,46 @@
       | mode     |
       | platform |
       | embedded |
+
+  Scenario Outline: Crowds at other addresses do not exhaust the memory (<mode>, <names>: <kinds>)
+    # Guards against a listener of the same process that holds without a bound what clients send, so
+    # that the entry host ends for lack of memory although the address for callers has its bounds.
+    Given an entry host of the <mode> mode on a small machine
+    When crowds at its <names> addresses send <kinds>
+    Then the entry host serves one ordinary request
+    And its <name> address answers one ordinary request
+    And it has stayed within its machine
+
+    Examples:
+      | mode     | names                         | name      | kinds                                                            |
+      | platform | ready                         | ready     | heads over the limit, heads without end, empty lines without end |
+      | platform | ready                         | ready     | whole bodies, bodies in large chunks, bodies in very small chunks |
+      | platform | metrics                       | metrics   | heads over the limit, heads without end, empty lines without end |
+      | platform | metrics                       | metrics   | whole bodies, bodies in large chunks, bodies in very small chunks |
+      | embedded | operators                     | operators | heads over the limit, heads without end, empty lines without end |
+      | embedded | operators                     | operators | whole bodies, bodies in large chunks, bodies in very small chunks |
+      | platform | callers and ready and metrics | ready     | heads without end, whole bodies                                  |
+      | embedded | callers and operators         | operators | heads without end, whole bodies                                  |
+
+  Scenario Outline: Connections without a request at all addresses do not exhaust the descriptors (<mode>)
+    # Guards against a bound on the connections of each listener that all of them together exceed.
+    Given an entry host of the <mode> mode on a machine with few descriptors
+    When crowds at its <names> addresses send idle connections
+    Then the entry host serves one ordinary request
+    And it has stayed within its machine
+
+    Examples:
+      | mode     | names                         |
+      | platform | callers and ready and metrics |
+      | embedded | callers and operators         |
+
+  Scenario Outline: Each listener of an entry host has a bound (<mode>)
+    # Guards against a new listener that no account of the process's memory knows of: it has to be
+    # added to the crowds above, or to those with a protocol of their own (docs/design/callers.md).
+    Given an entry host of the <mode> mode on a small machine
+    Then it listens on no port without a bound
+
+    Examples:
+      | mode     |
+      | platform |
+      | embedded |
--- a/features/steps/caller_crowd_steps.py
+++ b/features/steps/caller_crowd_steps.py
@@ -26,6 +26,29 @@
     context.entry.run(context.entry.send_crowds(kinds.split(", ")))
 
 
+@when("crowds at its {names} addresses send {kinds}")
+def send_crowds_to_others(context, kinds, names):
+    entry = context.entry
+    addresses = {name: address for name, (address, _) in entry.other_addresses.items()}
+    addresses["callers"] = entry.address
+    chosen = [addresses[name] for name in names.split(" and ")]
+    entry.run(entry.send_crowds(kinds.split(", "), chosen))
+
+
+@then("its {name} address answers one ordinary request")
+def check_other_address(context, name):
+    entry = context.entry
+    status = entry.run(entry.call_other(name))
+    assert status == 200, f"status {status} after {entry.most_memory_mb:.0f} MB"
+
+
+@then("it listens on no port without a bound")
+def check_listeners(context):
+    entry = context.entry
+    listening, bounded = entry.list_listening_ports(), entry.list_bounded_ports()
+    assert listening == bounded, f"listens on {listening}, bounds are known for {bounded}"
+
+
 @then("the entry host serves one ordinary request")
 def check_served(context):
     entry = context.entry
--- a/packages/carawayd/src/carawayd/connection/callers.py
+++ b/packages/carawayd/src/carawayd/connection/callers.py
@@ -1,5 +1,6 @@
-"""Server for callers, which frames their requests in bounded memory before aiohttp handles them.
+"""Server that frames requests in bounded memory before aiohttp handles them.
 
+The servers of one process share one account, so that its bounds hold for all addresses together.
 A connection that never completes a request costs a few KB: the handler of aiohttp is created when
 the first request is passed on. ``docs/design/callers.md`` describes what is bounded by what.
 """
@@ -148,6 +149,10 @@
         self._passed_on = 0
         self._discarded = 0
 
+    @property
+    def server(self) -> CallerServer:
+        return self._server
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
         now = self._server.read_time()
@@ -401,6 +406,8 @@
     clock : Clock
     refusals : Counter
         Counter with the label ``reason``.
+    intake : Intake, optional
+        Account of another server of the same process, whose bounds both keep together.
     """
 
     def __init__(
@@ -410,11 +417,13 @@
         read_limits: Callable[[], CallerLimits],
         clock: Clock,
         refusals: Counter,
+        *,
+        intake: Intake | None = None,
         **options: Any,
     ) -> None:
         super().__init__(handle, access_log=None, **options)
         descriptors = settings.max_descriptors or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        self.intake = Intake(choose_bounds(settings.memory_mb, descriptors))
+        self.intake = intake or Intake(choose_bounds(settings.memory_mb, descriptors))
         self.read_view = memoryview(bytearray(READ_BYTES))
         self._collected_bytes = settings.collected_bytes
         self._read_limits = read_limits
@@ -466,6 +475,11 @@
             self._framing_limits = FramingLimits(limits.max_head_bytes, body, collected)
         return self._framing_limits
 
+    @property
+    def unfinished_count(self) -> int:
+        """Number of requests to this server that have begun and are not complete."""
+        return sum(owner.server is self for owner in self.intake.list_unfinished_owners())
+
     def add_decoding(self, connection: CallerConnection) -> None:
         """Decodes some of a connection's body later, in turn with others."""
         self._decoding.append(connection)
@@ -520,7 +534,8 @@
         self._sweep_handle = self._loop.call_later(SWEEP_SECONDS, self._sweep)
         now = self.read_time()
         for caller, cause in self.intake.find_expired(self._read_limits(), now):
-            caller.owner.end(cause, now)
+            if caller.owner.server is self:
+                caller.owner.end(cause, now)
         if self.intake.has_calmed(now):
             self._log_shedding("shedding connections of callers ended", "")
 
@@ -528,11 +543,14 @@
         self._is_shut_down = True
         if self._sweep_handle is not None:
             self._sweep_handle.cancel()
-        for connection in self.intake.list_owners():
+        for connection in self._list_connections():
             connection.close()
         super().pre_shutdown()
 
     async def shutdown(self, timeout: float | None = None) -> None:
         await super().shutdown(timeout)
-        for connection in self.intake.list_owners():
+        for connection in self._list_connections():
             connection.abort()
+
+    def _list_connections(self) -> list[CallerConnection]:
+        return [owner for owner in self.intake.list_owners() if owner.server is self]
--- a/packages/carawayd/src/carawayd/process/daemon.py
+++ b/packages/carawayd/src/carawayd/process/daemon.py
@@ -8,12 +8,14 @@
 import secrets
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 from mode import Service
 
 import carawayd.request.jobs  # noqa: F401  Registers its endpoints.
+from carawayd.connection.applications import serve_application
 from carawayd.connection.callers import CallerServer, CallerSettings
 from carawayd.connection.target import Connections
 from carawayd.platform.api import Platform, open_platform
@@ -31,6 +33,7 @@
 from carawayd.process.membership import GLOBAL_STREAM, Membership
 from carawayd.process.metrics import Metrics
 from carawayd.process.observations import Observations
+from carawayd.process.operators import MAX_BODY_BYTES as MAX_OPERATOR_BODY_BYTES
 from carawayd.process.operators import OperatorEndpoints
 from carawayd.process.peers import Peers
 from carawayd.process.reports import ReportWatch
@@ -52,6 +55,8 @@
 from carawayshore.workflows.model import CallerLimits
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayd.process.settings import Settings
     from carawayshore.clock import Clock
     from carawayshore.queueing import QueueSettings
@@ -368,27 +373,34 @@
         components = self.components
         endpoints = CallerEndpoints(components)
         options = components.settings.options
-        limits = DEFAULT_LIMITS._replace(max_body_bytes=options.max_request_bytes)
-        self.callers = CallerServer(
-            endpoints.handle,
-            CallerSettings(options.memory_mb, options.max_descriptors, COLLECTED_BYTES),
-            lambda: limits,
-            components.clock,
-            components.metrics.caller_refusals,
-            handler_cancellation=True,
+        self.callers = self._build_server(
+            endpoints.handle, max_body_bytes=options.max_request_bytes, handler_cancellation=True
         )
         self._runners.append(await self.callers.listen(components.settings.caller_address))
-        application = OperatorEndpoints(components).build_application()
-        operator_runner = web.AppRunner(application, access_log=None)
-        await self._listen(operator_runner, components.settings.operator_address)
+        self._runners += await serve_application(
+            OperatorEndpoints(components).build_application(),
+            components.settings.operator_address,
+            partial(self._build_server, max_body_bytes=MAX_OPERATOR_BODY_BYTES),
+        )
         for service in components.list_services():
             await self.add_runtime_dependency(service)
 
-    async def _listen(self, runner: web.BaseRunner, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
-        self._runners.append(runner)
+    def _build_server(
+        self, handle: Callable, *, max_body_bytes: int, **options: Any
+    ) -> CallerServer:
+        """Returns a server, with one account of connections for all servers of the process."""
+        components = self.components
+        settings = components.settings.options
+        limits = DEFAULT_LIMITS._replace(max_body_bytes=max_body_bytes)
+        return CallerServer(
+            handle,
+            CallerSettings(settings.memory_mb, settings.max_descriptors, COLLECTED_BYTES),
+            lambda: limits,
+            components.clock,
+            components.metrics.caller_refusals,
+            intake=self.callers.intake if self.callers is not None else None,
+            **options,
+        )
 
     async def stop_gracefully(self) -> None:
         """Reports unready, completes requests in progress, leaves the membership, and stops."""
@@ -412,7 +424,7 @@
         components = self.components
         return bool(
             components.handler.in_progress
-            or self.callers.intake.unfinished_count
+            or self.callers.unfinished_count
             or components.connections.exchange_count
             or components.keys.unlogged_count
         )
--- a/packages/carawayd/src/carawayd/process/entryhost.py
+++ b/packages/carawayd/src/carawayd/process/entryhost.py
@@ -5,11 +5,12 @@
 import logging
 from datetime import timedelta
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 from mode import Service
 
+from carawayd.connection.applications import serve_application
 from carawayd.connection.callers import CallerServer, CallerSettings
 from carawayd.platform.api import build_client
 from carawayd.process.configrelay import ConfigurationRelay
@@ -26,6 +27,8 @@
 from carawayshore.workflows.model import CallerLimits
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayd.process.site import SiteSettings
     from carawayshore.clock import Clock
 
@@ -41,7 +44,6 @@
 # Part of the time between SIGTERM and SIGKILL that is kept for shutdown.
 STOP_MARGIN_SECONDS = 1.0
 IDLE_POLL_INTERVAL = timedelta(milliseconds=50)
-LISTEN_BACKLOG = 512
 # Limits of callers as long as no configuration is known.
 DEFAULT_LIMITS = CallerLimits()
 
@@ -102,35 +104,34 @@
             "starting entry host",
             extra={"fields": {"data_centre": settings.data_centre, "peer": settings.peer_address}},
         )
-        self.callers = CallerServer(
-            self.calls.handle,
-            CallerSettings(settings.memory_mb, settings.max_descriptors, 0),
-            self._read_limits,
-            self.clock,
-            self.metrics.caller_refusals,
-        )
+        self.callers = self._build_server(self.calls.handle)
         self._runners.append(await self.callers.listen(settings.caller_address))
-        application = web.Application()
-        application.router.add_get(READY_PATH, self._get_ready)
-        await self._listen(web.AppRunner(application, access_log=None), settings.ready_address)
-        await self._listen_metrics()
+        metrics_address = f"{settings.peer_host}:{settings.metrics_port}"
+        await self._serve_get(READY_PATH, self._get_ready, settings.ready_address)
+        await self._serve_get(METRICS_PATH, self._get_metrics, metrics_address)
         services = (self.peer_rpc, self.discovery, self.ownership, self.configuration_relay)
         for service in services:
             await self.add_runtime_dependency(service)
         if self.ownership.fleet is not None:
             await self.add_runtime_dependency(self.ownership.fleet)
 
-    async def _listen(self, runner: web.BaseRunner, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
-        self._runners.append(runner)
+    def _build_server(self, handle: Callable, **options: Any) -> CallerServer:
+        """Returns a server, with one account of connections for all servers of the process."""
+        settings = self.settings
+        return CallerServer(
+            handle,
+            CallerSettings(settings.memory_mb, settings.max_descriptors, 0),
+            self._read_limits,
+            self.clock,
+            self.metrics.caller_refusals,
+            intake=self.callers.intake if self.callers is not None else None,
+            **options,
+        )
 
-    async def _listen_metrics(self) -> None:
+    async def _serve_get(self, path: str, handle: Callable, address: str) -> None:
         application = web.Application()
-        application.router.add_get(METRICS_PATH, self._get_metrics)
-        address = f"{self.settings.peer_host}:{self.settings.metrics_port}"
-        await self._listen(web.AppRunner(application, access_log=None), address)
+        application.router.add_get(path, handle)
+        self._runners += await serve_application(application, address, self._build_server)
 
     async def _get_metrics(self, request: web.Request) -> web.Response:
         deployment = self.discovery.deployment
@@ -174,7 +175,7 @@
         await self.stop()
 
     def _is_busy(self) -> bool:
-        return bool(self.calls.in_progress or self.callers.intake.unfinished_count)
+        return bool(self.calls.in_progress or self.callers.unfinished_count)
 
     async def on_shutdown(self) -> None:
         for runner in self._runners:
--- a/packages/carawayshore/src/carawayshore/intake.py
+++ b/packages/carawayshore/src/carawayshore/intake.py
@@ -167,6 +167,10 @@
         """Returns the owners of all connections."""
         return [caller.owner for caller in self._callers]
 
+    def list_unfinished_owners(self) -> list:
+        """Returns the owners of the connections whose requests are incomplete."""
+        return [caller.owner for caller in self._unfinished]
+
     def open(self, owner: object, now: float) -> Caller:
         """Adds a connection."""
         caller = Caller(owner, now)
