Keep the lease of a holder's own order in its record

Change: an inherited wait ends with the holder's own order, and the time that is left is that for which the record is needed. Evidence: features/review_waits.feature, 'A holder that has ordered a machine itself passes on the whole lease of that order' failed before and passes.

--- a/features/review_waits.feature
+++ b/features/review_waits.feature
@@ -43,6 +43,12 @@
     When an order to a machine is answered, and 10 holders follow each other after 2 s each
     Then the last holder may order the machine
 
+  Scenario: A holder that has ordered a machine itself passes on the whole lease of that order
+    # Guards against two holders that order one machine within its lease: what was left of the wait for
+    # a predecessor was recorded over the answer to the holder's own order.
+    When a holder orders a machine after the wait for its predecessor, and is followed by another one 1.5 s later
+    Then the last holder may not order the machine
+
   Scenario: A step without room does not keep another step of its job from claimed room
     # Guards against a task that waits beside claimed room for as long as the claimants move, because
     # another step of its job, for which no worker has room, begins the measured wait anew.
--- a/features/steps/review_wait_steps.py
+++ b/features/steps/review_wait_steps.py
@@ -218,6 +218,36 @@
     context.is_blocked = orders.is_blocked(MACHINE)
 
 
+@when(
+    "a holder orders a machine after the wait for its predecessor, and is followed by another one "
+    "{seconds:g} s later"
+)
+def order_after_wait(context, seconds):
+    clock, ledger = SteppedClock(), RecordingLedger()
+    settings = SimpleNamespace(machine_lease_ms=3000)
+    orders = MachineOrders(clock, settings, ledger)
+    orders.record_sending(MACHINE)
+    orders.record_answer(MACHINE)
+    orders = MachineOrders(clock, settings, ledger)
+    orders.restore(MACHINE, ledger.records[ORDER_PREFIX + MACHINE])
+    while orders.is_blocked(MACHINE):
+        clock.advance(CONTROL_INTERVAL_S)
+    orders.record_sending(MACHINE)
+    orders.record_answer(MACHINE)
+    for _ in range(int(seconds / CONTROL_INTERVAL_S)):
+        clock.advance(CONTROL_INTERVAL_S)
+        orders.update_records()
+    orders = MachineOrders(clock, settings, ledger)
+    orders.restore(MACHINE, ledger.records[ORDER_PREFIX + MACHINE])
+    clock.advance(CONTROL_INTERVAL_S)
+    context.is_blocked = orders.is_blocked(MACHINE)
+
+
+@then("the last holder may not order the machine")
+def expect_blocked(context):
+    assert context.is_blocked
+
+
 @then("the last holder may order the machine")
 def expect_not_blocked(context):
     assert not context.is_blocked
--- a/packages/carawayd/src/carawayd/process/machineorders.py
+++ b/packages/carawayd/src/carawayd/process/machineorders.py
@@ -98,6 +98,8 @@
     def record_sending(self, machine: str) -> None:
         """Queues the record of an order; the order may be sent once the record is durable."""
         self._in_flight.add(machine)
+        # From here on a later holder has to wait for this order.
+        self._inherited_until.pop(machine, None)
         self._record(machine, SENT, MAX_ORDER_DELAY)
 
     def record_answer(self, machine: str) -> None:
@@ -147,9 +149,8 @@
                 self._inherited_until.pop(machine, None)
                 self._unanswered_until.pop(machine, None)
                 self._ledger.mark_dirty(ORDER_PREFIX + machine, bytes)
-
             elif machine in self._inherited_until:
-                encode = partial(self._encode_left, ANSWERED, machine, self._inherited_until)
+                encode = partial(self._encode_left, ANSWERED, machine, self._needed_until)
                 self._ledger.mark_dirty(ORDER_PREFIX + machine, encode)
 
     def _encode_left(self, state: bytes, machine: str, ends: dict[str, timedelta]) -> bytes:
